Serve a request end to end over separate processes

Cause: the repository was empty. Ruled out: one placer for the whole cell (a takeover stops everything) and optimistic placement by every process (relies on workers to reject over-commitment); see docs/design.md section 3. Delegation to other partitions, upper limits, recovery of intents and store outages are not built yet; a partition without workers cannot place until delegation exists.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core client server standins
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test bench format lint docs
+
+$(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m lagoonshelf_standins.demo
+
+test: $(STAMP)
+	$(BIN)/python -m tests
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+docs: $(STAMP)
+	$(BIN)/python -m tools.result_codes docs/result-codes.md
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; ``python -m bench`` runs them."""
--- /dev/null
+++ b/packages/client/lagoonshelf_client/__init__.py
@@ -0,0 +1,1 @@
+"""Caller library and operator command of lagoonshelf."""
--- /dev/null
+++ b/packages/client/lagoonshelf_client/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the client package."""
--- /dev/null
+++ b/packages/core/lagoonshelf_core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure scheduling decisions of lagoonshelf: no I/O, no threads, no real clock."""
--- /dev/null
+++ b/packages/core/lagoonshelf_core/clock.py
@@ -0,0 +1,46 @@
+"""Clocks in milliseconds."""
+
+import time
+
+
+class Clock:
+    """Read the host's clocks in milliseconds."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since boot, counting time the host or process was suspended."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch, for display and times of day only."""
+        return time.time_ns() // 1_000_000
+
+
+class ManualClock(Clock):
+    """Clock that moves only when told to, for tests and benchmarks."""
+
+    def __init__(self, now_ms: int = 0, wall_ms: int = 0) -> None:
+        """Start at the given times.
+
+        :param now_ms: first value of ``now_ms``
+        :param wall_ms: first value of ``wall_ms``
+        """
+        self._now_ms = now_ms
+        self._wall_ms = wall_ms
+
+    def now_ms(self) -> int:
+        """Return the current manual time."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Return the current manual wall time."""
+        return self._wall_ms
+
+    def advance(self, delta_ms: int) -> None:
+        """Move both clocks forward.
+
+        :param delta_ms: milliseconds, not negative
+        """
+        if delta_ms < 0:
+            raise ValueError(f"clock cannot move back by {-delta_ms} ms")
+        self._now_ms += delta_ms
+        self._wall_ms += delta_ms
--- /dev/null
+++ b/packages/core/lagoonshelf_core/document.py
@@ -0,0 +1,144 @@
+"""The configuration document: teams, keys and queues."""
+
+import re
+from typing import Annotated
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
+from returns.result import Failure, Result, Success
+from xxhash import xxh3_128_hexdigest
+
+from lagoonshelf_core.errors import Fault, ResultCode
+
+Id = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+TIME_OF_DAY = re.compile(r"^([01][0-9]|2[0-3]):[0-5][0-9]$")
+MAX_AMOUNT = 1_000_000_000
+MAX_QUEUED = 100_000
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class TeamConfig(_Strict):
+    """A team's share and upper limit.
+
+    :param share: weight when the cell is full
+    :param limit_tasks: most tasks running across the fleet
+    :param limit_cpu_milli: most processor thousandths running across the fleet
+    """
+
+    share: Annotated[int, Field(ge=1, le=1_000_000)] = 1
+    limit_tasks: Annotated[int, Field(ge=0, le=MAX_AMOUNT)]
+    limit_cpu_milli: Annotated[int, Field(ge=0, le=MAX_AMOUNT)]
+
+
+class KeyConfig(_Strict):
+    """A team's key, stored as a salted hash.
+
+    :param salt: hexadecimal salt
+    :param digest: hexadecimal hash of the salt and the secret
+    """
+
+    team: Id
+    salt: Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{32}$")]
+    digest: Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+
+
+class QueueConfig(_Strict):
+    """A queue.
+
+    :param work_class: urgent, normal or background
+    :param team: the only team that may use the queue; none when open to all
+    :param max_queued: most waiting tasks of one team in one partition
+    :param reserve_slots: slots kept free for the queue in each partition
+    :param finish_by: time of day (UTC, HH:MM) by which accepted work is finished
+    :param warm_floor: least number of warm slots in each partition
+    :param cold_start_ms: time a target needs before its first task of this queue
+    """
+
+    work_class: Annotated[str, StringConstraints(pattern="^(urgent|normal|background)$")] = (
+        "normal"
+    )
+    team: Id | None = None
+    max_queued: Annotated[int, Field(ge=1, le=MAX_QUEUED)] = 1000
+    reserve_slots: Annotated[int, Field(ge=0, le=10_000)] = 0
+    finish_by: Annotated[str, StringConstraints(pattern=TIME_OF_DAY.pattern)] | None = None
+    warm_floor: Annotated[int, Field(ge=0, le=10_000)] = 0
+    cold_start_ms: Annotated[int, Field(ge=0, le=86_400_000)] = 0
+
+
+class Document(_Strict):
+    """The whole configuration, keyed by id."""
+
+    teams: dict[Id, TeamConfig] = Field(default_factory=dict)
+    keys: dict[Id, KeyConfig] = Field(default_factory=dict)
+    queues: dict[Id, QueueConfig] = Field(default_factory=dict)
+
+
+def parse_document(raw: object) -> Result[Document, Fault]:
+    """Validate a configuration document.
+
+    :param raw: decoded JSON
+    """
+    try:
+        document = Document.model_validate(raw)
+    except ValidationError as exc:
+        return Failure(Fault(ResultCode.CONFIG_INVALID, _describe(exc)))
+    for key, entry in document.keys.items():
+        if entry.team not in document.teams:
+            text = f"keys.{key}.team: team {entry.team!r} does not exist"
+            return Failure(Fault(ResultCode.CONFIG_INVALID, text))
+    for name, queue in document.queues.items():
+        if queue.team is not None and queue.team not in document.teams:
+            text = f"queues.{name}.team: team {queue.team!r} does not exist"
+            return Failure(Fault(ResultCode.CONFIG_INVALID, text))
+    return Success(document)
+
+
+def digest_document(document: Document) -> str:
+    """Return a hash of the document that does not depend on key order."""
+    data = orjson.dumps(document.model_dump(), option=orjson.OPT_SORT_KEYS)
+    return xxh3_128_hexdigest(data)
+
+
+def difference(old: object, new: object) -> object:
+    """Return the JSON merge patch (RFC 7386) that turns one JSON object into another.
+
+    :param old: decoded JSON object
+    :param new: decoded JSON object
+    """
+    if not isinstance(old, dict) or not isinstance(new, dict):
+        return new
+    patch: dict[str, object] = dict.fromkeys(old.keys() - new.keys())
+    for name, value in new.items():
+        if name not in old:
+            patch[name] = value
+        elif old[name] != value:
+            patch[name] = difference(old[name], value)
+    return patch
+
+
+def merge_patch(old: object, patch: object) -> object:
+    """Apply a JSON merge patch (RFC 7386).
+
+    :param old: decoded JSON
+    :param patch: decoded JSON patch; null removes a member
+    """
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(old) if isinstance(old, dict) else {}
+    for name, value in patch.items():
+        if value is None:
+            merged.pop(name, None)
+        else:
+            merged[name] = merge_patch(merged.get(name), value)
+    return merged
+
+
+def _describe(exc: ValidationError) -> str:
+    parts = []
+    for error in exc.errors()[:5]:
+        place = ".".join(str(item) for item in error["loc"]) or "document"
+        parts.append(f"{place}: {error['msg']}")
+    return "; ".join(parts)
--- /dev/null
+++ b/packages/core/lagoonshelf_core/routing.py
@@ -0,0 +1,49 @@
+"""Which partition decides on a request or a worker, and who should own a partition."""
+
+import math
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from lagoonshelf_core.ids import MemberId, PartitionId, RequestKey, TeamId, WorkerId
+
+
+def partition_of_request(team: TeamId, key: RequestKey, partitions: int) -> PartitionId:
+    """Return the partition whose owner decides on a request.
+
+    :param partitions: number of partitions of the cell
+    """
+    return PartitionId(xxh3_64_intdigest(f"{team}/{key}".encode()) % partitions)
+
+
+def partition_of_worker(worker: WorkerId, partitions: int) -> PartitionId:
+    """Return the partition that a worker belongs to.
+
+    :param partitions: number of partitions of the cell
+    """
+    return PartitionId(xxh3_64_intdigest(f"worker/{worker}".encode()) % partitions)
+
+
+def preferred_owners(members: Iterable[MemberId], partitions: int) -> dict[PartitionId, MemberId]:
+    """Assign each partition to a member by rendezvous hashing with bounded load.
+
+    :param members: live members that are not draining
+    :param partitions: number of partitions of the cell
+    """
+    names = sorted(members)
+    if not names:
+        return {}
+    bound = math.ceil(partitions / len(names))
+    load = dict.fromkeys(names, 0)
+    owners: dict[PartitionId, MemberId] = {}
+    for number in range(partitions):
+        partition = PartitionId(number)
+        ranked = sorted(names, key=lambda name: _weight(name, partition), reverse=True)
+        owner = next(name for name in ranked if load[name] < bound)
+        load[owner] += 1
+        owners[partition] = owner
+    return owners
+
+
+def _weight(member: MemberId, partition: PartitionId) -> int:
+    return xxh3_64_intdigest(f"{partition}@{member}".encode())
--- /dev/null
+++ b/packages/server/lagoonshelf_server/__init__.py
@@ -0,0 +1,1 @@
+"""The lagoonshelf daemon: runtime and adapters around the pure decisions."""
--- /dev/null
+++ b/packages/server/lagoonshelf_server/codec.py
@@ -0,0 +1,140 @@
+"""Encoding of peer messages by the committed capnp schema."""
+
+import dataclasses
+from pathlib import Path
+from types import UnionType
+from typing import get_args, get_origin, get_type_hints
+
+import capnp
+from lagoonshelf_core.errors import Fault, ResultCode
+from returns.result import Failure, Result, Success
+
+from lagoonshelf_server.messages import (
+    Ack,
+    Answer,
+    Body,
+    ConfigAsk,
+    ConfigReply,
+    Delegate,
+    DelegateDone,
+    DelegateQuery,
+    DelegateReply,
+    DelegateStates,
+    Envelope,
+    Fence,
+    FenceReply,
+    GrantAsk,
+    Hello,
+    Released,
+    RequestRef,
+    Status,
+    Submit,
+)
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+SCHEMA_PATH = Path(__file__).parent / "wire" / "lagoonshelf.capnp"
+
+BODY_TYPES: dict[str, type] = {
+    "hello": Hello,
+    "ping": Status,
+    "pong": Status,
+    "submit": Submit,
+    "answer": Answer,
+    "cancel": RequestRef,
+    "lookup": RequestRef,
+    "delegate": Delegate,
+    "delegateReply": DelegateReply,
+    "delegateDone": DelegateDone,
+    "delegateQuery": DelegateQuery,
+    "delegateStates": DelegateStates,
+    "fence": Fence,
+    "fenceReply": FenceReply,
+    "grantAsk": GrantAsk,
+    "configAsk": ConfigAsk,
+    "configReply": ConfigReply,
+    "released": Released,
+    "ack": Ack,
+}
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(SCHEMA_PATH))
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the bytes of a message."""
+    message = _schema.Message.new_message(
+        version=PROTOCOL_VERSION, id=envelope.id, reply=envelope.reply
+    )
+    message.body.from_dict({envelope.kind: _to_dict(envelope.body)})
+    return message.to_bytes_packed()
+
+
+def decode(data: bytes) -> Result[Envelope, Fault]:
+    """Return the message of a frame.
+
+    :param data: packed bytes, at most ``MAX_MESSAGE_BYTES``
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        text = f"message of {len(data)} bytes exceeds {MAX_MESSAGE_BYTES}"
+        return Failure(Fault(ResultCode.PROTOCOL, text))
+    try:
+        message = _schema.Message.from_bytes_packed(data)
+        kind = str(message.body.which())
+        raw = getattr(message.body, kind).to_dict()
+        body = _from_dict(BODY_TYPES[kind], raw)
+        return Success(Envelope(message.id, kind, body, message.reply))
+    except (capnp.KjException, KeyError, TypeError, ValueError) as exc:
+        return Failure(Fault(ResultCode.PROTOCOL, f"garbled message: {type(exc).__name__}"))
+
+
+def _camel(name: str) -> str:
+    head, *tail = name.split("_")
+    return head + "".join(part.title() for part in tail)
+
+
+def _to_dict(body: Body) -> dict:
+    return {
+        _camel(field.name): _to_value(getattr(body, field.name))
+        for field in dataclasses.fields(body)
+    }
+
+
+def _to_value(value: object) -> object:
+    if dataclasses.is_dataclass(value):
+        return _to_dict(value)
+    if isinstance(value, tuple):
+        return [_to_value(item) for item in value]
+    return value
+
+
+def _from_dict(kind: type, raw: dict) -> Body:
+    fields = {}
+    for name, converter in _converters(kind).items():
+        camel = _camel(name)
+        if camel in raw:
+            fields[name] = converter(raw[camel])
+    return kind(**fields)
+
+
+_converter_cache: dict[type, dict] = {}
+
+
+def _converters(kind: type) -> dict:
+    found = _converter_cache.get(kind)
+    if found is None:
+        hints = get_type_hints(kind)
+        found = {field.name: _converter(hints[field.name]) for field in dataclasses.fields(kind)}
+        _converter_cache[kind] = found
+    return found
+
+
+def _converter(hint: object) -> object:
+    if get_origin(hint) is tuple:
+        item = _converter(get_args(hint)[0])
+        return lambda values: tuple(item(value) for value in values)
+    if isinstance(hint, UnionType):
+        raise TypeError(f"unions are not supported: {hint}")
+    if dataclasses.is_dataclass(hint):
+        return lambda raw: _from_dict(hint, raw)
+    return hint
--- /dev/null
+++ b/packages/server/lagoonshelf_server/metrics.py
@@ -0,0 +1,17 @@
+"""Counters and gauges of the process, scraped over HTTP."""
+
+from aioprometheus import REGISTRY, Counter, Gauge
+from aioprometheus.renderer import render
+
+answers = Counter("lagoonshelf_answers_total", "Answers to callers by result code.")
+starts = Counter("lagoonshelf_starts_total", "Tasks started on workers by queue.")
+queued = Gauge("lagoonshelf_queued_tasks", "Waiting tasks by partition.")
+running = Gauge("lagoonshelf_running_tasks", "Running tasks by partition.")
+revision = Gauge("lagoonshelf_config_revision", "Revision of the configuration in force.")
+waited_ms = Counter("lagoonshelf_waited_ms_total", "Waiting time of started requests in ms.")
+
+
+def page() -> tuple[bytes, str]:
+    """Return the metrics page and its content type."""
+    body, headers = render(REGISTRY, ["text/plain"])
+    return body, headers["Content-Type"]
--- /dev/null
+++ b/packages/server/lagoonshelf_server/requests.py
@@ -0,0 +1,157 @@
+"""The request path: from the entry to the partition's owner and back."""
+
+import asyncio
+from collections.abc import Callable
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.ids import PartitionId, QueueId, RequestKey, TeamId
+from lagoonshelf_core.model import RequestSpec, WorkKind
+from lagoonshelf_core.records import Record
+from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.routing import partition_of_request
+
+from lagoonshelf_server.members import Members
+from lagoonshelf_server.messages import Ack, Answer, Body, RequestRef, Submit
+from lagoonshelf_server.owner import Owner
+from lagoonshelf_server.peers import PeerLostError, PeerNet
+from lagoonshelf_server.settings import Settings
+
+RESEND_INTERVAL_S = 0.1
+CALL_MARGIN_MS = 1000
+CONTROL_TIMEOUT_MS = 10_000
+
+FindOwner = Callable[[PartitionId], Owner | None]
+
+
+class Requests:
+    """Sends each request to the owner of its partition, again if the owner changes."""
+
+    def __init__(
+        self, cfg: Settings, clock: Clock, members: Members, net: PeerNet, find_owner: FindOwner
+    ) -> None:
+        """Set up.
+
+        :param find_owner: returns the owner in this process, if it is here
+        """
+        self._cfg = cfg
+        self._clock = clock
+        self._members = members
+        self._net = net
+        self._find_owner = find_owner
+
+    async def submit(self, submit: Submit) -> Answer:
+        """Get the answer to a request from whichever process owns it."""
+        return await self._route("submit", submit, submit.timeout_ms + CALL_MARGIN_MS)
+
+    async def cancel(self, ref: RequestRef) -> Answer:
+        """Cancel a request wherever it is."""
+        return await self._route("cancel", ref, CONTROL_TIMEOUT_MS)
+
+    async def lookup(self, ref: RequestRef) -> Answer:
+        """Return the state of a request wherever it is."""
+        return await self._route("lookup", ref, CONTROL_TIMEOUT_MS)
+
+    async def handle(self, kind: str, body: Submit | RequestRef) -> Answer:
+        """Answer a message as the owner.
+
+        :raises LagoonshelfError: when this process is not the active owner
+        """
+        partition = self._partition(body)
+        owner = self._find_owner(partition)
+        if owner is None:
+            text = f"partition {partition} is not owned here"
+            raise LagoonshelfError(Fault(ResultCode.NO_OWNER, text))
+        if kind == "submit":
+            return answer_of(await owner.submit(spec_of(body)))
+        record = owner.book.find(TeamId(body.team), RequestKey(body.request_key))
+        if record is None:
+            text = f"no request {body.request_key!r}"
+            raise LagoonshelfError(Fault(ResultCode.NOT_FOUND, text))
+        if kind == "cancel":
+            await owner.cancel(record)
+        return answer_of(record)
+
+    async def _route(self, kind: str, body: Submit | RequestRef, timeout_ms: int) -> Answer:
+        end_ms = self._clock.now_ms() + timeout_ms
+        sent = False
+        while self._clock.now_ms() < end_ms:
+            try:
+                answer = await self._try_once(kind, body, end_ms)
+            except PeerLostError:
+                sent = True
+                answer = None
+            if answer is not None and answer.code != ResultCode.NO_OWNER.number:
+                return answer
+            await asyncio.sleep(RESEND_INTERVAL_S)
+        if sent:
+            return Answer(ResultCode.OUTCOME_UNKNOWN.number, "the owner was lost", state="unknown")
+        return Answer(ResultCode.NO_OWNER.number, "no owner was found in time", 1000)
+
+    async def _try_once(self, kind: str, body: Submit | RequestRef, end_ms: int) -> Answer | None:
+        partition = self._partition(body)
+        if self._find_owner(partition) is not None:
+            try:
+                return await self.handle(kind, body)
+            except LagoonshelfError as exc:
+                return answer_of_fault(exc.fault)
+        info = self._members.owner_of(partition)
+        if info is None or info.member not in self._members.others:
+            return None
+        address = self._members.others[info.member].address
+        timeout_s = (end_ms - self._clock.now_ms()) / 1000
+        reply: Body = await self._net.call(address, kind, body, timeout_s)
+        if isinstance(reply, Ack):
+            return Answer(reply.code, reply.message)
+        return reply if isinstance(reply, Answer) else None
+
+    def _partition(self, body: Submit | RequestRef) -> PartitionId:
+        team, key = TeamId(body.team), RequestKey(body.request_key)
+        return partition_of_request(team, key, self._cfg.partitions)
+
+
+def spec_of(submit: Submit) -> RequestSpec:
+    """Return the request of a message."""
+    return RequestSpec(
+        team=TeamId(submit.team),
+        queue=QueueId(submit.queue),
+        request_key=RequestKey(submit.request_key),
+        kind=WorkKind(submit.kind),
+        repeatable=submit.repeatable,
+        size=Resources(submit.cpu_milli, submit.memory_mib, submit.accelerators, 1),
+        run_ms=submit.run_ms,
+        tasks=submit.tasks,
+        payload=submit.payload,
+        timeout_ms=submit.timeout_ms,
+        deadline_wall_ms=submit.deadline_wall_ms,
+    )
+
+
+def answer_of(record: Record) -> Answer:
+    """Return the answer that a record gives now."""
+    spec = record.spec
+    code, result, state = ResultCode.ACCEPTED, "", "accepted"
+    if record.ended:
+        state = "failed" if record.failed else "finished"
+        bad = [o for o in record.outcomes.values() if o.code is not ResultCode.OK]
+        code = bad[0].code if bad else ResultCode.OK
+        if spec.kind is WorkKind.INTERACTIVE:
+            result = record.outcomes[0].result
+    elif record.first_start_ms:
+        state = "running"
+    return Answer(
+        code=code.number,
+        state=state,
+        result=result,
+        request_key=spec.request_key,
+        task_ids=tuple(record.tasks[index] for index in sorted(record.tasks)),
+        finished=len(record.outcomes) - record.failed,
+        failed=record.failed,
+        total=spec.tasks,
+        waited_ms=max(0, record.first_start_ms - record.created_ms),
+    )
+
+
+def answer_of_fault(fault: Fault) -> Answer:
+    """Return the answer that carries a fault."""
+    return Answer(fault.code.number, fault.message, fault.retry_after_ms)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/store.py
@@ -0,0 +1,167 @@
+"""Adapter of the platform's key-value service and host list."""
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+import urllib3
+from lagoonshelf_core.ids import FailureDomain, RackId, WorkerId
+from lagoonshelf_core.model import WorkerInfo
+from lagoonshelf_core.resources import Resources
+from urllib3.exceptions import HTTPError
+
+from lagoonshelf_server.bridge import Bridge
+
+CALL_TIMEOUT_S = 2.0
+WATCH_WAIT_MS = 10_000
+
+
+class StoreError(Exception):
+    """The store did not answer, or answered that it is down."""
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key's value.
+
+    :param version: 0 when the key is absent
+    """
+
+    key: str
+    value: str | None
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A change that a watch saw; the value is none after a deletion."""
+
+    key: str
+    value: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Events:
+    """Answer of a watch.
+
+    :param reset: the history is gone; read the keys again
+    :param revision: where the next watch goes on
+    """
+
+    reset: bool
+    events: tuple[Event, ...]
+    revision: int
+
+
+class StoreClient:
+    """Calls to the store; each runs on a thread while the loop goes on."""
+
+    def __init__(self, url: str, bridge: Bridge, now_ms: Callable[[], int], client: str) -> None:
+        """Set up the connection pool.
+
+        :param url: base URL of the store
+        :param now_ms: clock
+        :param client: name of this process
+        """
+        self.last_heard_ms = -1
+        self._url = url
+        self._bridge = bridge
+        self._now_ms = now_ms
+        self._client = client
+        self._http = urllib3.PoolManager(maxsize=32, retries=False)
+
+    async def get(self, key: str) -> Item:
+        """Read one key.
+
+        :raises StoreError: when the store cannot be reached
+        """
+        raw = await self._call("/get", {"key": key})
+        return Item(key, raw["value"], raw["version"])
+
+    async def list_keys(self, prefix: str) -> tuple[list[Item], int]:
+        """Read all keys with a prefix in order, and the store's revision."""
+        items: list[Item] = []
+        after = ""
+        while True:
+            raw = await self._call("/list", {"prefix": prefix, "after": after, "limit": 500})
+            items += [Item(i["key"], i["value"], i["version"]) for i in raw["items"]]
+            if len(raw["items"]) < 500:
+                return items, raw["revision"]
+            after = items[-1].key
+
+    async def cas(self, key: str, value: str, version: int, lease: str | None = None) -> bool:
+        """Write a key if it has the expected version.
+
+        :param version: expected version, 0 for a key that must be absent
+        :raises StoreError: when the outcome is not known
+        """
+        body = {"key": key, "value": value, "version": version, "lease": lease}
+        raw = await self._call("/cas", body)
+        return raw["ok"]
+
+    async def delete(self, key: str, version: int) -> bool:
+        """Delete a key if it has the expected version."""
+        raw = await self._call("/delete", {"key": key, "version": version})
+        return raw["ok"]
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """Create a lease; its keys are deleted when it lapses."""
+        raw = await self._call("/lease/grant", {"ttl_ms": ttl_ms})
+        return raw["lease"]
+
+    async def renew_lease(self, lease: str) -> bool:
+        """Renew a lease; false when it has lapsed."""
+        raw = await self._call("/lease/renew", {"lease": lease})
+        return raw["ok"]
+
+    async def revoke_lease(self, lease: str) -> None:
+        """End a lease and delete its keys."""
+        await self._call("/lease/revoke", {"lease": lease})
+
+    async def watch(self, prefixes: list[str], revision: int) -> Events:
+        """Wait for changes after a revision."""
+        body = {"prefixes": prefixes, "revision": revision, "wait_ms": WATCH_WAIT_MS}
+        raw = await self._call("/watch", body, WATCH_WAIT_MS / 1000 + CALL_TIMEOUT_S)
+        events = tuple(Event(event["key"], event["value"]) for event in raw["events"])
+        return Events(raw["reset"], events, raw["revision"])
+
+    async def hosts(self) -> list[WorkerInfo]:
+        """Read the lagging list of workers."""
+        raw = await self._call("/hosts", {})
+        return [_worker_info(host) for host in raw["hosts"]]
+
+    async def _call(self, path: str, body: dict, timeout_s: float = CALL_TIMEOUT_S) -> dict:
+        body["client"] = self._client
+        answer = await self._bridge.blocking(self._post, path, body, timeout_s)
+        self.last_heard_ms = self._now_ms()
+        return answer
+
+    def _post(self, path: str, body: dict, timeout_s: float) -> dict:
+        try:
+            resp = self._http.request(
+                "POST", self._url + path, body=orjson.dumps(body), timeout=timeout_s
+            )
+        except HTTPError as exc:
+            raise StoreError(f"{path}: {type(exc).__name__}") from exc
+        if resp.status != 200:
+            raise StoreError(f"{path}: status {resp.status}")
+        return orjson.loads(resp.data)
+
+
+def writer_token() -> str:
+    """Return a random token that shows later whether a write took effect."""
+    return secrets.token_hex(8)
+
+
+def _worker_info(host: dict) -> WorkerInfo:
+    return WorkerInfo(
+        worker=WorkerId(host["worker"]),
+        address=host["address"],
+        failure_domain=FailureDomain(host["failure_domain"]),
+        rack=RackId(host["rack"]),
+        capacity=Resources(**host["capacity"]),
+        leaving=host["leaving"],
+        fencing=host["fencing"],
+        boot_id=host.get("boot_id", ""),
+    )
--- /dev/null
+++ b/packages/server/lagoonshelf_server/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Schema of the protocol between daemon processes."""
--- /dev/null
+++ b/packages/server/lagoonshelf_server/workers.py
@@ -0,0 +1,183 @@
+"""Adapter of a worker's interface."""
+
+from dataclasses import asdict, dataclass
+
+import orjson
+import urllib3
+from lagoonshelf_core.ids import Epoch, PartitionId
+from urllib3.exceptions import HTTPError
+from xxhash import xxh3_64_hexdigest
+
+from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.messages import TaskMeta
+
+CALL_TIMEOUT_S = 2.0
+REPORT_WAIT_MS = 5000
+TASK_FIELDS = frozenset(TaskMeta.__dataclass_fields__)
+
+
+class WorkerError(Exception):
+    """The worker did not answer; a command may have taken effect."""
+
+
+class StaleEpochError(Exception):
+    """The worker has seen a newer owner."""
+
+
+@dataclass(frozen=True, slots=True)
+class Authority:
+    """In whose name commands are sent."""
+
+    partition: PartitionId
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class StartItem:
+    """One task of a start call."""
+
+    meta: TaskMeta
+    payload: str
+
+
+@dataclass(frozen=True, slots=True)
+class TaskReport:
+    """State of a task on a worker.
+
+    :param state: running, finished, failed, stopped, checkpointed or lapsed
+    :param whole: whether length and checksum of the result agree
+    :param peak: largest use of each resource, empty when not reported
+    """
+
+    meta: TaskMeta
+    state: str
+    result: str
+    whole: bool = True
+    ran_ms: int = 0
+    peak: dict[str, int] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Inventory:
+    """All tasks on a worker, with kept results.
+
+    :param cursor: where reports go on
+    :param clock_ms: the worker's own clock
+    """
+
+    tasks: tuple[TaskReport, ...]
+    cursor: int
+    boot_id: str
+    clock_ms: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Reports:
+    """Answer of a report call.
+
+    :param reset: the worker has restarted or dropped reports; read the inventory
+    """
+
+    reset: bool
+    reports: tuple[TaskReport, ...] = ()
+    cursor: int = 0
+    clock_ms: int = 0
+    leaving: bool = False
+
+
+class WorkerClient:
+    """Calls to workers; each runs on a thread while the loop goes on."""
+
+    def __init__(self, bridge: Bridge) -> None:
+        """Set up the connection pool."""
+        self._bridge = bridge
+        self._http = urllib3.PoolManager(num_pools=256, maxsize=8, retries=False)
+
+    async def start(
+        self,
+        address: str,
+        authority: Authority,
+        items: list[StartItem],
+        lease_ms: int,
+        expires_ms: int,
+        timeout_ms: int,
+    ) -> list[str]:
+        """Start tasks; return started, known, expired or leaving for each.
+
+        :param expires_ms: worker clock after which the worker refuses the starts
+        :raises WorkerError: when the outcome is not known
+        """
+        body = {
+            **asdict(authority),
+            "lease_ms": lease_ms,
+            "expires_ms": expires_ms,
+            "tasks": [{"meta": asdict(item.meta), "payload": item.payload} for item in items],
+        }
+        raw = await self._call(address, "start", body, timeout_ms / 1000)
+        return raw["answers"]
+
+    async def renew(self, address: str, authority: Authority, tasks: list[str]) -> list[str]:
+        """Renew task leases; return the tasks that the worker does not know."""
+        raw = await self._call(address, "renew", {**asdict(authority), "tasks": tasks})
+        return raw["missing"]
+
+    async def stop(
+        self, address: str, authority: Authority, tasks: list[str], checkpoint: bool = False
+    ) -> None:
+        """Stop running tasks; their ends are reported as usual."""
+        body = {**asdict(authority), "tasks": tasks, "checkpoint": checkpoint}
+        await self._call(address, "stop", body)
+
+    async def throttle(self, address: str, authority: Authority, task: str, percent: int) -> None:
+        """Limit a task's processor use."""
+        body = {**asdict(authority), "task": task, "percent": percent}
+        await self._call(address, "throttle", body)
+
+    async def warm(self, address: str, authority: Authority, queue: str, slots: int) -> None:
+        """Prepare slots for a queue."""
+        await self._call(address, "warm", {**asdict(authority), "queue": queue, "slots": slots})
+
+    async def inventory(self, address: str, authority: Authority) -> Inventory:
+        """Read all tasks; the worker refuses older epochs of the partition from then on."""
+        raw = await self._call(address, "inventory", asdict(authority))
+        tasks = tuple(_report(task) for task in raw["tasks"])
+        return Inventory(tasks, raw["cursor"], raw["boot_id"], raw["clock_ms"], raw["leaving"])
+
+    async def report(self, address: str, cursor: int, boot_id: str) -> Reports:
+        """Wait for ended tasks after a cursor."""
+        body = {"cursor": cursor, "boot_id": boot_id, "wait_ms": REPORT_WAIT_MS}
+        raw = await self._call(address, "report", body, REPORT_WAIT_MS / 1000 + CALL_TIMEOUT_S)
+        if raw["reset"]:
+            return Reports(True)
+        reports = tuple(_report(report) for report in raw["reports"])
+        return Reports(False, reports, raw["cursor"], raw["clock_ms"], raw["leaving"])
+
+    async def ack(self, address: str, tasks: list[str]) -> None:
+        """Let the worker drop results after its own retention time."""
+        await self._call(address, "ack", {"tasks": tasks})
+
+    async def _call(
+        self, address: str, call: str, body: dict, timeout_s: float = CALL_TIMEOUT_S
+    ) -> dict:
+        return await self._bridge.blocking(self._post, f"{address}/{call}", body, timeout_s)
+
+    def _post(self, url: str, body: dict, timeout_s: float) -> dict:
+        try:
+            resp = self._http.request("POST", url, body=orjson.dumps(body), timeout=timeout_s)
+        except HTTPError as exc:
+            raise WorkerError(f"{url}: {type(exc).__name__}") from exc
+        if resp.status == 409:
+            raise StaleEpochError(url)
+        if resp.status != 200:
+            raise WorkerError(f"{url}: status {resp.status}")
+        return orjson.loads(resp.data)
+
+
+def _report(raw: dict) -> TaskReport:
+    meta = TaskMeta(**{name: raw["meta"][name] for name in TASK_FIELDS})
+    result = raw["result"]
+    whole = "checksum" not in raw or (
+        raw["length"] == len(result) and raw["checksum"] == xxh3_64_hexdigest(result.encode())
+    )
+    return TaskReport(meta, raw["state"], result, whole, raw.get("ran_ms", 0), raw.get("peak"))
--- /dev/null
+++ b/packages/standins/lagoonshelf_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform for tests and the demo."""
--- /dev/null
+++ b/packages/standins/lagoonshelf_standins/cell.py
@@ -0,0 +1,267 @@
+"""Starts a small cell of separate processes on loopback, for the demo and the tests."""
+
+import hashlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import orjson
+import urllib3
+from lagoonshelf_core.ids import KeyId, TeamId
+from lagoonshelf_core.keys import new_key
+from urllib3.exceptions import HTTPError
+
+OPERATOR_KEY = "operator-key-of-the-stand-in-cell"
+CLUSTER_SECRET = "secret-of-the-stand-in-cell"
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+def free_port(host: str) -> int:
+    """Return a port that nobody listens on now.
+
+    :param host: loopback address
+    """
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+def wait_until(check: Callable[[], bool], what: str, timeout_s: float = READY_TIMEOUT_S) -> None:
+    """Poll until a condition holds.
+
+    :param what: named in the error when it does not
+    """
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        if check():
+            return
+        time.sleep(POLL_S)
+    raise TimeoutError(f"not within {timeout_s} s: {what}")
+
+
+@dataclass(slots=True)
+class Daemon:
+    """One ``lagoonshelfd`` process.
+
+    :param url: base URL of its HTTP interface
+    """
+
+    name: str
+    host: str
+    url: str
+    process: subprocess.Popen
+    log_path: Path
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+
+@dataclass(slots=True)
+class Cell:
+    """All processes of a cell and the keys of its teams."""
+
+    folder: Path
+    store_url: str = ""
+    workers_url: str = ""
+    daemons: dict[str, Daemon] = field(default_factory=dict)
+    keys: dict[str, str] = field(default_factory=dict)
+    http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(maxsize=64, retries=False)
+    )
+    _others: list[subprocess.Popen] = field(default_factory=list)
+    _daemon_flags: dict[str, object] = field(default_factory=dict)
+
+    def start_platform(self, workers: int = 6, domains: int = 3) -> None:
+        """Start the stand-in store and workers."""
+        host = "127.0.0.1"
+        port = free_port(host)
+        self.store_url = f"http://{host}:{port}"
+        self._spawn("store", "lagoonshelf_standins.store", f"--port={port}")
+        wait_until(lambda: self.call(self.store_url + "/counters") is not None, "store")
+        port = free_port(host)
+        self.workers_url = f"http://{host}:{port}"
+        self._spawn(
+            "workers",
+            "lagoonshelf_standins.workers",
+            f"--port={port}",
+            f"--count={workers}",
+            f"--domains={domains}",
+            f"--store={self.store_url}",
+        )
+        wait_until(lambda: self.call(self.workers_url + "/history") is not None, "workers")
+
+    def start_daemon(self, name: str, number: int, **flags: object) -> Daemon:
+        """Start a daemon on a loopback address of its own.
+
+        :param number: 1 to 200; gives address and failure domain
+        :param flags: settings besides those of the cell
+        """
+        host = f"127.0.0.{number + 1}"
+        http_port, peer_port = free_port(host), free_port(host)
+        settings = {
+            "member": name,
+            "failure_domain": f"fd{number % 3}",
+            "host": host,
+            "http_port": http_port,
+            "peer_port": peer_port,
+            "store_url": self.store_url,
+            "cluster_secret": CLUSTER_SECRET,
+            "operator_key_sha256": hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
+            **self._daemon_flags,
+            **flags,
+        }
+        arguments = [f"--{key}={value}" for key, value in settings.items()]
+        process = self._spawn(name, "lagoonshelf_server.cmd.lagoonshelfd", *arguments)
+        url = f"http://{host}:{http_port}"
+        daemon = Daemon(name, host, url, process, self.folder / f"{name}.log")
+        self.daemons[name] = daemon
+        return daemon
+
+    def set_daemon_flags(self, **flags: object) -> None:
+        """Set settings for all daemons started from now on."""
+        self._daemon_flags.update(flags)
+
+    def wait_healthy(self, *names: str) -> None:
+        """Wait until daemons serve callers."""
+        for name in names or self.daemons:
+            url = self.daemons[name].url
+            wait_until(lambda url=url: self._status(url + "/healthz") == 200, f"{name} healthy")
+
+    def wait_owned(self, partitions: int = 4) -> None:
+        """Wait until each partition has an active owner in a live daemon."""
+        wait_until(lambda: len(self._active()) == partitions, "all partitions active")
+
+    def configure(self, document: dict) -> int:
+        """Make a document the next revision, whatever the current one is."""
+        name = next(iter(self.daemons))
+        url = self.daemons[name].url
+        wait_until(lambda: self.call(url + "/v1/config", operator=True) is not None, "config")
+        base = self.call(url + "/v1/config", operator=True)["revision"]
+        body = {"base_revision": base, "document": document}
+        return self.call(url + "/v1/config", body, operator=True)["revision"]
+
+    def make_key(self, team: str) -> dict:
+        """Create a key for a team and return its configuration entry."""
+        text, entry = new_key(KeyId(f"key-{team}"), TeamId(team))
+        self.keys[team] = text
+        return entry.model_dump()
+
+    def call(
+        self,
+        url: str,
+        body: object = None,
+        team: str | None = None,
+        operator: bool = False,
+        method: str | None = None,
+        timeout_s: float = 60.0,
+    ) -> dict | None:
+        """Make a JSON call; return none when there is no answer.
+
+        :param team: whose key is sent
+        """
+        key = OPERATOR_KEY if operator else self.keys.get(team or "", "")
+        headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        data = None if body is None else orjson.dumps(body)
+        verb = method or ("GET" if body is None else "POST")
+        try:
+            resp = self.http.request(verb, url, body=data, headers=headers, timeout=timeout_s)
+            return orjson.loads(resp.data)
+        except (HTTPError, ValueError):
+            return None
+
+    def submit(self, daemon: str, team: str, body: dict, timeout_s: float = 60.0) -> dict | None:
+        """Post one request through a daemon."""
+        return self.call(
+            self.daemons[daemon].url + "/v1/requests", body, team, timeout_s=timeout_s
+        )
+
+    def lookup(self, daemon: str, team: str, key: str) -> dict | None:
+        """Read the state of a request through a daemon."""
+        return self.call(f"{self.daemons[daemon].url}/v1/requests/{key}", team=team)
+
+    def control_store(self, **body: object) -> None:
+        """Switch a fault of the stand-in store on or off."""
+        self.call(self.store_url + "/control", body)
+
+    def control_workers(self, **body: object) -> None:
+        """Switch a fault of stand-in workers on or off."""
+        self.call(self.workers_url + "/control", body)
+
+    def history(self) -> dict[str, list[dict]]:
+        """Return start and end events of all workers."""
+        return self.call(self.workers_url + "/history")
+
+    def state(self, daemon: str) -> dict | None:
+        """Return the state dump of a daemon."""
+        return self.call(self.daemons[daemon].url + "/v1/state", operator=True, timeout_s=2)
+
+    def kill(self, name: str) -> None:
+        """End a daemon at once."""
+        daemon = self.daemons.pop(name)
+        daemon.signal(signal.SIGKILL)
+        daemon.process.wait()
+
+    def close(self) -> None:
+        """End all processes that this cell started."""
+        processes = [daemon.process for daemon in self.daemons.values()] + self._others
+        for process in processes:
+            process.kill()
+        for process in processes:
+            process.wait()
+
+    def _active(self) -> set[str]:
+        found: set[str] = set()
+        for name in self.daemons:
+            state = self.state(name) or {"partitions": {}}
+            found |= {p for p, o in state["partitions"].items() if o["state"] == "active"}
+        return found
+
+    def _status(self, url: str) -> int:
+        try:
+            return self.http.request("GET", url, timeout=2).status
+        except HTTPError:
+            return 0
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> subprocess.Popen:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        if module != "lagoonshelf_server.cmd.lagoonshelfd":
+            self._others.append(process)
+        return process
+
+
+def new_cell() -> Cell:
+    """Return a cell with a folder for its logs and no processes."""
+    return Cell(Path(tempfile.mkdtemp(prefix="lagoonshelf-")))
+
+
+def sample_document(cell: Cell) -> dict:
+    """Return a configuration with two teams and queues of each class."""
+    return {
+        "teams": {
+            "fitting": {"share": 2, "limit_tasks": 200, "limit_cpu_milli": 1_000_000},
+            "slips": {"share": 1, "limit_tasks": 200, "limit_cpu_milli": 1_000_000},
+        },
+        "keys": {f"key-{team}": cell.make_key(team) for team in ("fitting", "slips")},
+        "queues": {
+            "urgent": {"work_class": "urgent"},
+            "normal": {},
+            "background": {"work_class": "background"},
+            "fitting-only": {"team": "fitting"},
+        },
+    }
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; ``python -m tests`` runs them."""
--- /dev/null
+++ b/tests/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client of lagoonshelf."""
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Core of lagoonshelf."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of lagoonshelf."""
--- /dev/null
+++ b/tests/server/__init__.py
@@ -0,0 +1,1 @@
+"""Server of lagoonshelf."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Standins of lagoonshelf."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Support of lagoonshelf."""
--- /dev/null
+++ b/tests/support/base.py
@@ -0,0 +1,43 @@
+"""A test case with a cell of real processes."""
+
+import unittest
+
+from lagoonshelf_standins.cell import Cell, new_cell, sample_document
+
+SIZE = {"cpu_milli": 1000, "memory_mib": 512}
+
+
+class CellTestCase(unittest.TestCase):
+    """Starts the platform and daemons before each test and ends them after it."""
+
+    workers = 12
+    daemons = 3
+
+    def setUp(self) -> None:
+        """Start the cell, configure it, and wait until each partition has an owner."""
+        self.cell: Cell = new_cell()
+        self.addCleanup(self.cell.close)
+        self.cell.start_platform(self.workers)
+        for number in range(1, self.daemons + 1):
+            self.cell.start_daemon(f"d{number}", number)
+        self.cell.configure(self.document())
+        self.cell.wait_healthy()
+        self.cell.wait_owned()
+
+    def document(self) -> dict:
+        """Return the configuration of the cell."""
+        return sample_document(self.cell)
+
+
+def interactive(key: str, **fields: object) -> dict:
+    """Return the body of a short interactive request."""
+    body = {
+        "queue": "urgent",
+        "request_key": key,
+        "repeatable": True,
+        "size": SIZE,
+        "run_ms": 20,
+        "payload": f"payload of {key}",
+        "timeout_ms": 10_000,
+    }
+    return {**body, **fields}
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the project."""
