--- /dev/null
+++ b/packages/client/lagoonshelf_client/api.py
@@ -0,0 +1,128 @@
+"""Calls of the daemon's HTTP interface, with retries that never run work twice."""
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import orjson
+import urllib3
+from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, ResultCode
+from returns.result import Failure, Result, Success
+from urllib3.exceptions import HTTPError
+
+RETRY_PAUSE_S = 0.3
+MAX_RETRY_PAUSE_S = 5.0
+CALL_MARGIN_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Connection:
+    """Where the cell is and with which key it is called.
+
+    :param urls: base URLs of entry processes; the next one is tried when one does not answer
+    :param key: team key or operator key
+    """
+
+    urls: tuple[str, ...]
+    key: str
+
+
+class Client:
+    """Makes calls; the same request key is sent again after a broken connection."""
+
+    def __init__(self, conn: Connection) -> None:
+        """Set up the connection pool."""
+        self._conn = conn
+        self._http = urllib3.PoolManager(retries=False)
+        self._next = 0
+
+    def submit(self, request: Mapping[str, object], patience_s: float) -> Result[dict, Fault]:
+        """Send a request and return its answer.
+
+        :param request: body as described in the README; must hold a request key
+        :param patience_s: how long to go on after broken connections and temporary refusals
+        """
+        if not request.get("request_key"):
+            return Failure(Fault(ResultCode.BAD_REQUEST, "request_key: needed to retry safely"))
+        return self._patiently("POST", "/v1/requests", request, patience_s)
+
+    def submit_batch(self, requests: list[Mapping[str, object]]) -> Result[dict, Fault]:
+        """Send up to 256 requests in one call; answers come in the same order."""
+        return self._once("POST", "/v1/batch", {"requests": requests})
+
+    def status(self, request_key: str) -> Result[dict, Fault]:
+        """Return the state of a request."""
+        return self._once("GET", f"/v1/requests/{request_key}")
+
+    def cancel(self, request_key: str) -> Result[dict, Fault]:
+        """Cancel a request."""
+        return self._once("DELETE", f"/v1/requests/{request_key}")
+
+    def get_config(self) -> Result[dict, Fault]:
+        """Return revision and document in force."""
+        return self._once("GET", "/v1/config")
+
+    def put_config(self, base_revision: int, document: object) -> Result[dict, Fault]:
+        """Propose a document; fails if another revision was accepted since."""
+        body = {"base_revision": base_revision, "document": document}
+        return self._once("POST", "/v1/config", body)
+
+    def dump(self) -> Result[dict, Fault]:
+        """Return the state of one entry process."""
+        return self._once("GET", "/v1/state")
+
+    def drain(self) -> Result[dict, Fault]:
+        """Begin a graceful shutdown of one entry process."""
+        return self._once("POST", "/v1/drain", {})
+
+    def _patiently(
+        self, method: str, path: str, body: object, patience_s: float
+    ) -> Result[dict, Fault]:
+        end = time.monotonic() + patience_s
+        pause_s = RETRY_PAUSE_S
+        while True:
+            result = self._once(method, path, body)
+            fault = result.failure() if isinstance(result, Failure) else None
+            if fault is None or not _is_temporary(fault) or time.monotonic() + pause_s > end:
+                return result
+            time.sleep(max(pause_s, fault.retry_after_ms / 1000))
+            pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
+
+    def _once(self, method: str, path: str, body: object = None) -> Result[dict, Fault]:
+        """Make one call; another entry process is tried after a broken connection."""
+        reasons = []
+        for _ in self._conn.urls:
+            url = self._conn.urls[self._next % len(self._conn.urls)]
+            try:
+                return self._call(method, url + path, body)
+            except HTTPError as exc:
+                reasons.append(f"{url}: {type(exc).__name__}")
+                self._next += 1
+        return Failure(Fault(ResultCode.OUTCOME_UNKNOWN, "no answer from " + ", ".join(reasons)))
+
+    def _call(self, method: str, url: str, body: object) -> Result[dict, Fault]:
+        headers = {"Authorization": f"Bearer {self._conn.key}", "Content-Type": "application/json"}
+        data = None if body is None else orjson.dumps(body)
+        resp = self._http.request(
+            method, url, body=data, headers=headers, timeout=_timeout_s(body)
+        )
+        try:
+            answer = orjson.loads(resp.data)
+        except ValueError:
+            text = f"status {resp.status} without a JSON body"
+            return Failure(Fault(ResultCode.PROTOCOL, text))
+        code = CODES_BY_NUMBER.get(answer.get("code", 0), ResultCode.INTERNAL)
+        if resp.status < 400:
+            return Success(answer)
+        text = answer.get("message", "")
+        return Failure(Fault(code, text, answer.get("retry_after_ms", 0)))
+
+
+def _is_temporary(fault: Fault) -> bool:
+    """Tell whether the same request may be sent again: its key makes that safe."""
+    return fault.code.value.may_retry or fault.code is ResultCode.OUTCOME_UNKNOWN
+
+
+def _timeout_s(body: object) -> float:
+    wait_ms = body.get("timeout_ms", 30_000) if isinstance(body, Mapping) else 30_000
+    return wait_ms / 1000 + CALL_MARGIN_S
--- /dev/null
+++ b/packages/client/lagoonshelf_client/commands.py
@@ -0,0 +1,222 @@
+"""The commands of ``lagoonshelf``."""
+
+import os
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+
+import orjson
+from lagoonshelf_core.document import difference, parse_document
+from lagoonshelf_core.errors import Fault, ResultCode
+from lagoonshelf_core.ids import KeyId, TeamId, is_valid_id
+from lagoonshelf_core.keys import new_key
+from returns.result import Failure, Result, Success
+
+from lagoonshelf_client.api import Client, Connection
+
+URLS_VARIABLE = "LAGOONSHELF_URLS"
+KEY_VARIABLE = "LAGOONSHELF_KEY"
+DEFAULT_URL = "http://127.0.0.1:8080"
+DEFAULT_PATIENCE_S = 60.0
+
+Report = Callable[[Result], None]
+
+
+class ConfigCommands:
+    """Read, check and change the configuration (operator key)."""
+
+    def __init__(self, client: Callable[[], Client], report: Report) -> None:
+        """Set up."""
+        self._client = client
+        self._report = report
+
+    def get(self) -> None:
+        """Print revision and document in force.
+
+        Example: lagoonshelf config get > cell.json
+        """
+        self._report(self._client().get_config())
+
+    def check(self, file: str) -> None:
+        """Check a document without sending it.
+
+        Example: lagoonshelf config check cell.json
+        """
+        document = _read_document(file).bind(lambda raw: parse_document(raw["document"]))
+        self._report(document.map(lambda found: {"valid": True, **_counts(found.model_dump())}))
+
+    def diff(self, file: str) -> None:
+        """Print the change that a document would make, as a JSON merge patch.
+
+        Example: lagoonshelf config diff cell.json
+        """
+        current = self._client().get_config()
+        change = _read_document(file).bind(
+            lambda new: current.map(lambda old: difference(old["document"], new["document"]))
+        )
+        self._report(change)
+
+    def apply(self, file: str) -> None:
+        """Make a document the next revision; fails if another operator was first.
+
+        The file is what ``config get`` printed, with the document changed.
+        Example: lagoonshelf config apply cell.json
+        """
+        result = _read_document(file).bind(
+            lambda raw: self._client().put_config(raw["revision"], raw["document"])
+        )
+        self._report(result)
+
+
+class KeyCommands:
+    """Give and withdraw keys of teams (operator key)."""
+
+    def __init__(self, client: Callable[[], Client], report: Report) -> None:
+        """Set up."""
+        self._client = client
+        self._report = report
+
+    def create(self, key: str, team: str) -> None:
+        """Create a key and print its text, which is shown only this once.
+
+        Example: lagoonshelf keys create desk-1 fitting
+        """
+        if not is_valid_id(key):
+            self._report(Failure(Fault(ResultCode.BAD_REQUEST, f"key id {key!r} is not valid")))
+            return
+        text, entry = new_key(KeyId(key), TeamId(team))
+        change = {"keys": {key: entry.model_dump()}}
+        self._report(self._change(change, key, False).map(lambda answer: {**answer, "key": text}))
+
+    def withdraw(self, key: str) -> None:
+        """Withdraw a key.
+
+        Example: lagoonshelf keys withdraw desk-1
+        """
+        self._report(self._change({"keys": {key: None}}, key, True))
+
+    def list(self) -> None:
+        """Print the ids of all keys and their teams."""
+        current = self._client().get_config()
+        self._report(
+            current.map(
+                lambda found: {name: k["team"] for name, k in found["document"]["keys"].items()}
+            )
+        )
+
+    def _change(self, change: dict, key: str, must_exist: bool) -> Result[dict, Fault]:
+        client = self._client()
+        current = client.get_config()
+        if isinstance(current, Failure):
+            return current
+        found = current.unwrap()
+        if (key in found["document"]["keys"]) != must_exist:
+            text = f"key {key!r} {'does not exist' if must_exist else 'exists already'}"
+            return Failure(Fault(ResultCode.BAD_REQUEST, text))
+        document = found["document"]
+        keys = {**document["keys"], **change["keys"]}
+        kept = {name: entry for name, entry in keys.items() if entry is not None}
+        return client.put_config(found["revision"], {**document, "keys": kept})
+
+
+class Commands:
+    """Schedule work on a cell, and operate it.
+
+    The cell's URLs come from --urls or LAGOONSHELF_URLS (separated by commas),
+    the key from LAGOONSHELF_KEY. With --json each command prints one line of JSON.
+    Exit codes: 0 done, 1 the work ran and failed, 2 wrong call, 3 not run,
+    4 may have run.
+    """
+
+    def __init__(self, report: Report, urls: str | None = None) -> None:
+        """Set up.
+
+        :param report: prints a result and remembers the exit code
+        :param urls: base URLs separated by commas
+        """
+        self._report = report
+        self._urls = urls
+        self.config = ConfigCommands(self._client, report)
+        self.keys = KeyCommands(self._client, report)
+
+    def submit(
+        self,
+        queue: str,
+        repeatable: bool,
+        request_key: str | None = None,
+        kind: str = "interactive",
+        cpu_milli: int = 1000,
+        memory_mib: int = 512,
+        accelerators: int = 0,
+        run_ms: int = 0,
+        tasks: int = 1,
+        payload: str = "",
+        timeout_ms: int = 30_000,
+        patience_s: float = DEFAULT_PATIENCE_S,
+    ) -> None:
+        """Send a request; an interactive one prints its result.
+
+        Example: lagoonshelf submit urgent --repeatable=True --payload="scalp map 7"
+        Example: lagoonshelf submit month-end --repeatable=False --kind=batch --tasks=40
+        """
+        request = {
+            "queue": queue,
+            "request_key": str(request_key or secrets.token_hex(16)),
+            "kind": kind,
+            "repeatable": repeatable,
+            "size": {
+                "cpu_milli": cpu_milli,
+                "memory_mib": memory_mib,
+                "accelerators": accelerators,
+            },
+            "run_ms": run_ms,
+            "tasks": tasks,
+            "payload": str(payload),
+            "timeout_ms": timeout_ms,
+        }
+        self._report(self._client().submit(request, patience_s))
+
+    def status(self, request_key: str) -> None:
+        """Print the state of a request.
+
+        Example: lagoonshelf status run-2026-11
+        """
+        self._report(self._client().status(str(request_key)))
+
+    def cancel(self, request_key: str) -> None:
+        """Cancel a request.
+
+        Example: lagoonshelf cancel run-2026-11
+        """
+        self._report(self._client().cancel(str(request_key)))
+
+    def dump(self) -> None:
+        """Print the state of the first entry process (operator key)."""
+        self._report(self._client().dump())
+
+    def drain(self) -> None:
+        """Begin a graceful shutdown of the first entry process (operator key)."""
+        self._report(self._client().drain())
+
+    def _client(self) -> Client:
+        urls = self._urls or os.environ.get(URLS_VARIABLE, DEFAULT_URL)
+        names = tuple(url.strip().rstrip("/") for url in urls.split(","))
+        return Client(Connection(names, os.environ.get(KEY_VARIABLE, "")))
+
+
+def _read_document(file: str) -> Result[dict, Fault]:
+    try:
+        raw = orjson.loads(Path(file).read_bytes())
+    except OSError as exc:
+        text = f"cannot read {file!r}: {exc.strerror}"
+        return Failure(Fault(ResultCode.BAD_REQUEST, text))
+    except ValueError as exc:
+        return Failure(Fault(ResultCode.CONFIG_INVALID, f"{file}: not valid JSON: {exc}"))
+    if not isinstance(raw, dict) or raw.keys() != {"revision", "document"}:
+        text = f"{file}: must hold the members revision and document"
+        return Failure(Fault(ResultCode.CONFIG_INVALID, text))
+    return Success(raw)
+
+
+def _counts(document: dict) -> dict[str, int]:
+    return {name: len(entries) for name, entries in document.items()}
--- a/packages/core/lagoonshelf_core/document.py
+++ b/packages/core/lagoonshelf_core/document.py
@@ -1,6 +1,7 @@
 """The configuration document: teams, keys and queues."""
 
 import re
+from dataclasses import dataclass
 from typing import Annotated
 
 import orjson
@@ -14,6 +15,7 @@
 TIME_OF_DAY = re.compile(r"^([01][0-9]|2[0-3]):[0-5][0-9]$")
 MAX_AMOUNT = 1_000_000_000
 MAX_QUEUED = 100_000
+MAX_SHOWN_ERRORS = 5
 
 
 class _Strict(BaseModel):
@@ -76,24 +78,50 @@
     queues: dict[Id, QueueConfig] = Field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class FieldError:
+    """What is wrong with one member of a document.
+
+    :param path: names from the document down to the member
+    """
+
+    path: tuple[str, ...]
+    text: str
+
+
 def parse_document(raw: object) -> Result[Document, Fault]:
     """Validate a configuration document.
 
+    :param raw: decoded JSON
+    """
+    document, errors = check_document(raw)
+    if document is None:
+        return Failure(Fault(ResultCode.CONFIG_INVALID, _describe(errors)))
+    return Success(document)
+
+
+def check_document(raw: object) -> tuple[Document | None, list[FieldError]]:
+    """Return the document, or none and all that is wrong with it.
+
     :param raw: decoded JSON
     """
     try:
         document = Document.model_validate(raw)
     except ValidationError as exc:
-        return Failure(Fault(ResultCode.CONFIG_INVALID, _describe(exc)))
-    for key, entry in document.keys.items():
-        if entry.team not in document.teams:
-            text = f"keys.{key}.team: team {entry.team!r} does not exist"
-            return Failure(Fault(ResultCode.CONFIG_INVALID, text))
-    for name, queue in document.queues.items():
-        if queue.team is not None and queue.team not in document.teams:
-            text = f"queues.{name}.team: team {queue.team!r} does not exist"
-            return Failure(Fault(ResultCode.CONFIG_INVALID, text))
-    return Success(document)
+        found = exc.errors(include_url=False)
+        return None, [FieldError(tuple(str(i) for i in e["loc"]), e["msg"]) for e in found]
+    errors = _unknown_teams(document)
+    return (None if errors else document), errors
+
+
+def _unknown_teams(document: Document) -> list[FieldError]:
+    named = [(("keys", name, "team"), entry.team) for name, entry in document.keys.items()]
+    named += [(("queues", name, "team"), queue.team) for name, queue in document.queues.items()]
+    return [
+        FieldError(path, f"team {team!r} does not exist")
+        for path, team in named
+        if team is not None and team not in document.teams
+    ]
 
 
 def digest_document(document: Document) -> str:
@@ -136,9 +164,6 @@
     return merged
 
 
-def _describe(exc: ValidationError) -> str:
-    parts = []
-    for error in exc.errors()[:5]:
-        place = ".".join(str(item) for item in error["loc"]) or "document"
-        parts.append(f"{place}: {error['msg']}")
-    return "; ".join(parts)
+def _describe(errors: list[FieldError]) -> str:
+    shown = errors[:MAX_SHOWN_ERRORS]
+    return "; ".join(f"{'.'.join(error.path) or 'document'}: {error.text}" for error in shown)
--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from lagoonshelf_server.application import Application
+from lagoonshelf_server.console import Console, mount_console
 from lagoonshelf_server.entry import Entry
 from lagoonshelf_server.logs import set_up_logs
 from lagoonshelf_server.request_body import MAX_BODY_BYTES
@@ -41,15 +42,17 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: application.bridge.spawn(application.drain()))
     await application.start()
-    entry = Entry(application.bridge, application.services(), cfg.operator_key_sha256)
-    _start_http(cfg, entry)
+    services = application.services()
+    entry = Entry(application.bridge, services, cfg.operator_key_sha256)
+    console = Console(application.bridge, services, cfg.cluster_secret)
+    _start_http(cfg, entry, console)
     await application.stopped.wait()
     await loop.run_in_executor(None, cherrypy.engine.exit)
     await application.net.close()
     application.bridge.close()
 
 
-def _start_http(cfg: Settings, entry: Entry) -> None:
+def _start_http(cfg: Settings, entry: Entry, console: Console) -> None:
     cherrypy.config.update(
         {
             "server.socket_host": cfg.host,
@@ -63,6 +66,7 @@
         }
     )
     cherrypy.tree.graft(entry, "")
+    mount_console(console, entry.check_operator)
     cherrypy.engine.start()
 
 
--- /dev/null
+++ b/packages/server/lagoonshelf_server/console.py
@@ -0,0 +1,185 @@
+"""Forms for operators; what they make is one validated configuration document."""
+
+import hashlib
+import hmac
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import cherrypy
+import orjson
+from jinja2 import Environment, PackageLoader, select_autoescape
+from lagoonshelf_core.document import check_document, difference
+from lagoonshelf_core.errors import LagoonshelfError, ResultCode
+
+from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.console_form import (
+    SECTIONS,
+    Form,
+    blank_rows,
+    document_of_form,
+    find_twice,
+    form_of_document,
+    form_of_fields,
+    place_errors,
+)
+from lagoonshelf_server.entry import Services
+
+CALL_TIMEOUT_S = 10.0
+REALM = "lagoonshelf console"
+CSP = "default-src 'none'; style-src 'unsafe-inline'; form-action 'self'"
+SECRET_FIELDS = ("salt", "digest")
+
+
+@dataclass(slots=True)
+class Page:
+    """What the template shows.
+
+    :param base: revision that the form is based on
+    :param notices: messages above the form
+    :param change: preview of the difference, empty when there is none
+    :param secrets: texts of new keys by id, shown once after they are in force
+    """
+
+    base: int
+    form: Form
+    notices: list[str] = field(default_factory=list)
+    change: str = ""
+    secrets: dict[str, str] = field(default_factory=dict)
+
+
+class Console:
+    """Pages at ``/console``; they run on CherryPy's threads."""
+
+    def __init__(self, bridge: Bridge, services: Services, token_secret: str) -> None:
+        """Set up.
+
+        :param token_secret: known to all processes, so that a form may be posted to another one
+        """
+        self._bridge = bridge
+        self._services = services
+        self._token = hmac.new(token_secret.encode(), b"console", hashlib.sha256).hexdigest()
+        loader = PackageLoader("lagoonshelf_server")
+        env = Environment(loader=loader, autoescape=select_autoescape(), trim_blocks=True)
+        self._template = env.get_template("console.html")
+
+    @cherrypy.expose
+    def index(self) -> str:
+        """Show the configuration in force."""
+        current = self._current()
+        return self._render(Page(current["revision"], form_of_document(current["document"])))
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def preview(self, **fields: str) -> str:
+        """Show what a form would change, or what is wrong with it."""
+        self._check_token(fields)
+        page, _ = self._checked_page(fields)
+        return self._render(page)
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def apply(self, **fields: str) -> str:
+        """Make the form's document the next revision."""
+        self._check_token(fields)
+        page, raw = self._checked_page(fields)
+        if raw is None:
+            return self._render(page)
+        document, secrets = raw
+        try:
+            revision = self._wait(self._services.put_config(page.base, document))
+        except LagoonshelfError as exc:
+            return self._render(self._refused(page, exc))
+        current = self._current()
+        done = Page(revision, form_of_document(current["document"]), secrets=secrets)
+        done.notices.append(f"Revision {revision} is accepted.")
+        return self._render(done)
+
+    def _checked_page(self, fields: dict[str, str]) -> tuple[Page, tuple[dict, dict] | None]:
+        form = form_of_fields(fields)
+        base = fields.get("base", "")
+        page = Page(int(base) if base.isdigit() else 0, form)
+        document, secrets = document_of_form(form)
+        parsed, errors = check_document(document)
+        errors += find_twice(form)
+        page.notices += place_errors(form, errors)
+        self._add_blank_rows(form)
+        if errors or parsed is None:
+            page.notices.insert(0, "Nothing was changed: the form has errors.")
+            return page, None
+        current = self._current()
+        if page.base != current["revision"]:
+            page.notices.append(_conflict_text(page.base, current["revision"]))
+        change = difference(current["document"], parsed.model_dump())
+        page.change = _show_change(change)
+        return page, (document, secrets)
+
+    def _refused(self, page: Page, exc: LagoonshelfError) -> Page:
+        """Keep all that was typed; a conflict also names the revision in force."""
+        fault = exc.fault
+        page.notices.insert(0, f"{fault.code.name} ({fault.code.number}): {fault.message}")
+        if fault.code is ResultCode.CONFIG_CONFLICT:
+            page.notices.append("Compare the change below, then set the base revision and apply.")
+        return page
+
+    def _add_blank_rows(self, form: Form) -> None:
+        for section, rows in form.items():
+            if not rows or rows[-1].values.get("id"):
+                rows += blank_rows(section)
+
+    def _render(self, page: Page) -> str:
+        cherrypy.response.headers["Content-Security-Policy"] = CSP
+        cherrypy.response.headers["Cache-Control"] = "no-store"
+        return self._template.render(page=page, sections=SECTIONS, token=self._token)
+
+    def _check_token(self, fields: dict[str, str]) -> None:
+        if not hmac.compare_digest(str(fields.pop("token", "")), self._token):
+            raise cherrypy.HTTPError(403, "the form is not from this console")
+
+    def _current(self) -> dict:
+        return self._wait(self._services.get_config())
+
+    def _wait(self, coro: object) -> object:
+        return self._bridge.wait_for_loop(coro, CALL_TIMEOUT_S)
+
+
+def mount_console(console: Console, check_operator: Callable[[str | None], None]) -> None:
+    """Mount the console behind HTTP basic authentication with the operator key.
+
+    :param check_operator: raises unless the key is right
+    """
+
+    def is_operator(realm: str, user: str, password: str) -> bool:
+        del realm, user
+        try:
+            check_operator(password)
+        except LagoonshelfError:
+            return False
+        return True
+
+    settings = {
+        "tools.auth_basic.on": True,
+        "tools.auth_basic.realm": REALM,
+        "tools.auth_basic.checkpassword": is_operator,
+        "tools.auth_basic.accept_charset": "UTF-8",
+        "request.show_tracebacks": False,
+    }
+    cherrypy.tree.mount(console, "/console", {"/": settings})
+
+
+def _conflict_text(base: int, current: int) -> str:
+    return (
+        f"Another operator made revision {current}; this form is based on {base}. "
+        "Nothing that you typed is lost."
+    )
+
+
+def _show_change(change: object) -> str:
+    """Return a merge patch as text, without the stored hashes of keys."""
+    if not change:
+        return "no change"
+    shown = orjson.loads(orjson.dumps(change))
+    for entry in (shown.get("keys") or {}).values():
+        for name in SECRET_FIELDS:
+            if entry:
+                entry.pop(name, None)
+    return orjson.dumps(shown, option=orjson.OPT_INDENT_2).decode()
--- /dev/null
+++ b/packages/server/lagoonshelf_server/console_form.py
@@ -0,0 +1,162 @@
+"""Conversion between the configuration document and the fields of the console's form.
+
+Field names read ``<section>-<row>-<field>``, such as ``teams-0-share``.
+"""
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from lagoonshelf_core.document import FieldError
+from lagoonshelf_core.ids import KeyId, TeamId
+from lagoonshelf_core.keys import new_key
+
+BLANK_ROWS = 1
+FIELD_NAME = re.compile(r"^(teams|keys|queues)-(\d{1,4})-([a-z_]+)$")
+SECTIONS: dict[str, tuple[str, ...]] = {
+    "teams": ("id", "share", "limit_tasks", "limit_cpu_milli"),
+    "queues": (
+        "id",
+        "work_class",
+        "team",
+        "max_queued",
+        "reserve_slots",
+        "finish_by",
+        "warm_floor",
+        "cold_start_ms",
+    ),
+    "keys": ("id", "team"),
+}
+TEXT_FIELDS = frozenset({"work_class", "team", "finish_by"})
+STORED_KEY_FIELDS = ("salt", "digest")
+DEFAULTS = {
+    "teams": {"share": "1"},
+    "queues": {"work_class": "normal", "max_queued": "1000"},
+    "keys": {},
+}
+
+
+@dataclass(slots=True)
+class Row:
+    """One row of a section as typed.
+
+    :param errors: text by field
+    """
+
+    values: dict[str, str]
+    remove: bool = False
+    errors: dict[str, str] = field(default_factory=dict)
+
+
+Form = dict[str, list[Row]]
+
+
+def form_of_document(document: Mapping[str, Mapping]) -> Form:
+    """Return the rows that show a document, and blank rows to add entries."""
+    form: Form = {}
+    for section, fields in SECTIONS.items():
+        rows = []
+        for name, entry in document[section].items():
+            values = {key: _text(entry.get(key)) for key in fields}
+            values["id"] = name
+            if section == "keys":
+                values.update({key: entry[key] for key in STORED_KEY_FIELDS})
+            rows.append(Row(values))
+        form[section] = rows + blank_rows(section)
+    return form
+
+
+def blank_rows(section: str) -> list[Row]:
+    """Return empty rows of a section."""
+    return [
+        Row(dict.fromkeys(SECTIONS[section], "") | DEFAULTS[section]) for _ in range(BLANK_ROWS)
+    ]
+
+
+def form_of_fields(fields: Mapping[str, str]) -> Form:
+    """Return the rows that were typed.
+
+    :param fields: posted values by field name; others are left out
+    """
+    rows: dict[str, dict[int, Row]] = {section: {} for section in SECTIONS}
+    for name, value in fields.items():
+        match = FIELD_NAME.match(name)
+        if match is None:
+            continue
+        section, number, key = match[1], int(match[2]), match[3]
+        row = rows[section].setdefault(number, Row({}))
+        if key == "remove":
+            row.remove = True
+        else:
+            row.values[key] = str(value).strip()
+    return {section: [found[n] for n in sorted(found)] for section, found in rows.items()}
+
+
+def document_of_form(form: Form) -> tuple[dict, dict[str, str]]:
+    """Return the raw document of a form and the texts of new keys by id.
+
+    Rows without an id are left out; entries of one id are reported by ``find_twice``.
+    """
+    document: dict[str, dict] = {section: {} for section in SECTIONS}
+    secrets: dict[str, str] = {}
+    for section, rows in form.items():
+        for row in rows:
+            name = row.values.get("id", "")
+            if not name or row.remove:
+                continue
+            document[section][name] = _entry(section, row)
+            if section == "keys" and not row.values.get("digest"):
+                text, entry = new_key(KeyId(name), TeamId(row.values.get("team", "")))
+                document[section][name] = entry.model_dump() if entry else {}
+                secrets[name] = text
+    return document, secrets
+
+
+def find_twice(form: Form) -> list[FieldError]:
+    """Return an error for each id that stands in two rows of one section."""
+    errors = []
+    for section, rows in form.items():
+        names = [row.values.get("id", "") for row in rows if not row.remove]
+        twice = {name for name in names if name and names.count(name) > 1}
+        errors += [FieldError((section, name, "id"), "this id stands twice") for name in twice]
+    return errors
+
+
+def place_errors(form: Form, errors: list[FieldError]) -> list[str]:
+    """Put errors beside their fields; return those that have no field."""
+    rest = []
+    for error in errors:
+        row = _find_row(form, error.path)
+        if row is None:
+            rest.append(f"{'.'.join(error.path)}: {error.text}")
+            continue
+        name = error.path[2] if len(error.path) > 2 else "id"
+        row.errors[name if name in row.values else "id"] = error.text
+    return rest
+
+
+def _find_row(form: Form, path: tuple[str, ...]) -> Row | None:
+    if len(path) < 2 or path[0] not in form:
+        return None
+    return next((row for row in form[path[0]] if row.values.get("id") == path[1]), None)
+
+
+def _entry(section: str, row: Row) -> dict:
+    entry: dict[str, object] = {}
+    for key in SECTIONS[section]:
+        text = row.values.get(key, "")
+        if key == "id" or text == "":
+            continue
+        entry[key] = text if key in TEXT_FIELDS else _number(text)
+    if section == "keys":
+        entry.update({key: row.values.get(key, "") for key in STORED_KEY_FIELDS})
+    return entry
+
+
+def _number(text: str) -> object:
+    """Return a whole number, or the text so that validation names it."""
+    return int(text) if re.fullmatch(r"-?\d{1,15}", text) else text
+
+
+def _text(value: object) -> str:
+    return "" if value is None else str(value)
--- /dev/null
+++ b/tests/processes/test_console.py
@@ -0,0 +1,72 @@
+"""The operators' console over real processes."""
+
+import re
+
+import urllib3
+from lagoonshelf_standins.cell import OPERATOR_KEY
+
+from tests.support.base import CellTestCase
+
+INPUT = re.compile(r'<input[^>]*name="([^"]+)"[^>]*value="([^"]*)"')
+
+
+class ConsoleTest(CellTestCase):
+    """Forms, previews and conflicts."""
+
+    daemons = 2
+
+    def page(self, daemon: str, path: str = "/console/", fields: dict | None = None) -> str:
+        headers = urllib3.make_headers(basic_auth=f"operator:{OPERATOR_KEY}")
+        method = "GET" if fields is None else "POST"
+        url = self.cell.daemons[daemon].url + path
+        resp = (
+            self.cell.http.request_encode_body(
+                method, url, fields=fields, headers=headers, encode_multipart=False
+            )
+            if fields is not None
+            else self.cell.http.request(method, url, headers=headers)
+        )
+        self.assertEqual(resp.status, 200, resp.data[:500])
+        return resp.data.decode()
+
+    def fields(self, page: str) -> dict[str, str]:
+        return dict(INPUT.findall(page))
+
+    def test_error_stands_beside_its_field_and_nothing_typed_is_lost(self) -> None:
+        """Guards against a form that drops input or reports an error without its place."""
+        fields = self.fields(self.page("d1"))
+        fields["teams-0-share"] = "-3"
+        fields["queues-0-finish_by"] = "7 o'clock"
+        page = self.page("d1", "/console/apply", fields)
+        self.assertIn("greater than or equal to 1", page)
+        self.assertIn("Nothing was changed", page)
+        self.assertIn('value="-3"', page)
+        self.assertIn("7 o&#39;clock", page)
+
+    def test_racing_operators_one_wins_and_the_other_sees_the_conflict(self) -> None:
+        """Guards against a silent overwrite of another operator's change."""
+        first, second = self.fields(self.page("d1")), self.fields(self.page("d2"))
+        first["teams-0-share"], second["teams-0-share"] = "7", "9"
+        self.assertIn("is accepted", self.page("d1", "/console/apply", first))
+        page = self.page("d2", "/console/apply", second)
+        self.assertRegex(page, "CONFIG_CONFLICT|Another operator made revision 2")
+        self.assertIn('value="9"', page)
+        config = self.cell.call(self.cell.daemons["d1"].url + "/v1/config", operator=True)
+        self.assertEqual(config["revision"], 2)
+
+    def test_form_of_another_site_is_refused(self) -> None:
+        """Guards against forged posts in an operator's browser."""
+        fields = self.fields(self.page("d1"))
+        fields["token"] = "0" * 64
+        headers = urllib3.make_headers(basic_auth=f"operator:{OPERATOR_KEY}")
+        url = self.cell.daemons["d1"].url + "/console/apply"
+        resp = self.cell.http.request_encode_body(
+            "POST", url, fields=fields, headers=headers, encode_multipart=False
+        )
+        self.assertEqual(resp.status, 403)
+
+    def test_console_needs_the_operator_key(self) -> None:
+        """Guards against configuration by anyone."""
+        url = self.cell.daemons["d1"].url + "/console/"
+        headers = urllib3.make_headers(basic_auth="operator:wrong")
+        self.assertEqual(self.cell.http.request("GET", url, headers=headers).status, 401)
