--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -13,7 +13,6 @@
 from lagoonshelf_server.console import Console, mount_console
 from lagoonshelf_server.entry import Entry
 from lagoonshelf_server.logs import set_up_logs
-from lagoonshelf_server.request_body import MAX_BODY_BYTES
 from lagoonshelf_server.settings import Settings, load_settings
 
 EXIT_BAD_SETTING = 2
@@ -59,7 +58,8 @@
             "server.socket_port": cfg.http_port,
             "server.thread_pool": cfg.http_threads,
             "server.socket_timeout": SOCKET_TIMEOUT_S,
-            "server.max_request_body_size": MAX_BODY_BYTES,
+            # The entry refuses large bodies itself, with a result code.
+            "server.max_request_body_size": 0,
             "log.screen": False,
             "engine.autoreload.on": False,
             "checker.on": False,
--- a/packages/server/lagoonshelf_server/console.py
+++ b/packages/server/lagoonshelf_server/console.py
@@ -25,6 +25,7 @@
 from lagoonshelf_server.entry import Services
 
 CALL_TIMEOUT_S = 10.0
+MAX_FORM_BYTES = 1024 * 1024
 REALM = "lagoonshelf console"
 CSP = "default-src 'none'; style-src 'unsafe-inline'; form-action 'self'"
 SECRET_FIELDS = ("salt", "digest")
@@ -157,6 +158,7 @@
         return True
 
     settings = {
+        "request.body.maxbytes": MAX_FORM_BYTES,
         "tools.auth_basic.on": True,
         "tools.auth_basic.realm": REALM,
         "tools.auth_basic.checkpassword": is_operator,
--- a/packages/server/lagoonshelf_server/entry.py
+++ b/packages/server/lagoonshelf_server/entry.py
@@ -4,6 +4,7 @@
 import hmac
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import BinaryIO
 
 import orjson
 from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, LagoonshelfError, ResultCode
@@ -22,6 +23,8 @@
 )
 
 LONGEST_WAIT_S = 700.0
+MAX_DISCARDED_BYTES = 8 * MAX_BODY_BYTES
+DISCARD_CHUNK_BYTES = 64 * 1024
 _log = logger("entry")
 
 
@@ -210,6 +213,7 @@
     if length < 0 or environ.get("HTTP_TRANSFER_ENCODING"):
         raise LagoonshelfError(Fault(ResultCode.BAD_REQUEST, "a Content-Length is needed"))
     if length > MAX_BODY_BYTES:
+        _discard(environ["wsgi.input"], min(length, MAX_DISCARDED_BYTES))
         text = f"the body of {length} bytes exceeds {MAX_BODY_BYTES}"
         raise LagoonshelfError(Fault(ResultCode.TOO_LARGE, text))
     data = environ["wsgi.input"].read(length)
@@ -218,6 +222,15 @@
     return data
 
 
+def _discard(body: BinaryIO, length: int) -> None:
+    """Read and drop a body, since closing with unread bytes may cost the caller the answer."""
+    while length > 0:
+        data = body.read(min(length, DISCARD_CHUNK_BYTES))
+        if not data:
+            return
+        length -= len(data)
+
+
 def _bearer(environ: dict) -> str | None:
     scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
     return key if scheme.lower() == "bearer" else None
