--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,4 @@
 
 docs: $(STAMP)
 	$(BIN)/python -m tools.result_codes docs/result-codes.md
+	$(BIN)/python -m tools.settings_page docs/settings.md
