Decide admission per team: feasibility, bounded queues, retry budget

Cause: requests were accepted without limit, and work that no worker can hold waited forever. Ruled out: one queue bound shared by all teams (a flood of one team takes the room of the others); a fixed retry hint (too short when the queue is stuck, too long when it drains fast); refusing while no worker is known (the refusal could be untrue). Change: module admission. Feasibility counts equal workers once per partition and names the offending amount. Waiting tasks are counted per team and queue of a partition; the hint is the excess divided by the recent drain rate. A job larger than its queue's bound is refused with NEVER_FITS, since no retry can succeed. Retries are limited to 20% of first attempts over 10 s, at least 3. Conclusion: pure decisions only; the owner does not call them yet.

--- /dev/null
+++ b/packages/core/lagoonshelf_core/admission.py
@@ -0,0 +1,255 @@
+"""Whether a partition accepts a request: feasibility, bounded queues, retry budget."""
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, fields
+
+from returns.result import Failure, Result, Success
+
+from lagoonshelf_core.errors import Fault, ResultCode
+from lagoonshelf_core.ids import PartitionId, QueueId, TeamId
+from lagoonshelf_core.model import RequestSpec, WorkKind
+from lagoonshelf_core.resources import Resources
+
+DRAIN_WINDOW_MS = 10_000
+RETRY_WINDOW_MS = 10_000
+RETRY_BUCKET_MS = 1_000
+RETRY_PERCENT = 20
+# Lets a team with little traffic retry at all; 20% of four first attempts is less than one.
+RETRY_MINIMUM = 3
+MIN_HINT_MS = 100
+MAX_HINT_MS = 60_000
+# Hint while no departure was seen, so that a stuck queue is not polled at the shortest hint.
+IDLE_HINT_MS = 5_000
+
+ACCEPT: Result[None, Fault] = Success(None)
+AMOUNTS = tuple(field.name for field in fields(Resources))
+
+
+class CellShape:
+    """Capacities of the cell's workers, counted per partition."""
+
+    def __init__(self, workers: Iterable[tuple[PartitionId, Resources]]) -> None:
+        """Count equal workers once.
+
+        :param workers: partition and capacity of each worker of the host list; workers that are
+            away for a while belong in it, since work may wait for them
+        """
+        self._partitions: dict[PartitionId, Counter[Resources]] = {}
+        for partition, capacity in workers:
+            self._partitions.setdefault(partition, Counter())[capacity] += 1
+        self._capacities = set().union(*self._partitions.values())
+        self._largest = {
+            name: max((getattr(cap, name) for cap in self._capacities), default=0)
+            for name in AMOUNTS
+        }
+
+    def check(self, spec: RequestSpec) -> Result[None, Fault]:
+        """Refuse work that no state of the cell can hold.
+
+        A cell without known workers refuses nothing, because the refusal could be untrue.
+        """
+        if not self._capacities:
+            return ACCEPT
+        reason = self._task_reason(spec.size)
+        if reason is None and spec.kind is WorkKind.GANG:
+            reason = self._gang_reason(spec.size, spec.tasks)
+        return ACCEPT if reason is None else Failure(Fault(ResultCode.NEVER_FITS, reason))
+
+    def _task_reason(self, size: Resources) -> str | None:
+        if any(size.fits_in(capacity) for capacity in self._capacities):
+            return None
+        for name, largest in self._largest.items():
+            amount = getattr(size, name)
+            if amount > largest:
+                return _too_large(name, amount, largest)
+        amounts = ", ".join(f"{name} {getattr(size, name)}" for name in AMOUNTS)
+        return f"no worker has all of {amounts} together"
+
+    def _gang_reason(self, size: Resources, tasks: int) -> str | None:
+        most = max(_gang_room(size, counts) for counts in self._partitions.values())
+        if tasks <= most:
+            return None
+        return f"gang has {tasks} tasks; the largest partition holds {most} tasks of this size"
+
+
+def _too_large(name: str, amount: int, largest: int) -> str:
+    if largest == 0:
+        return f"task needs {name} {amount}; no worker has any"
+    return f"task needs {name} {amount}; the largest worker has {largest}"
+
+
+def _gang_room(size: Resources, counts: Mapping[Resources, int]) -> float:
+    return sum(_tasks_per_worker(size, cap) * count for cap, count in counts.items())
+
+
+def _tasks_per_worker(size: Resources, capacity: Resources) -> float:
+    limits = [
+        getattr(capacity, name) // getattr(size, name) for name in AMOUNTS if getattr(size, name)
+    ]
+    return min(limits, default=math.inf)
+
+
+@dataclass(slots=True)
+class _Lane:
+    """Waiting tasks of one team in one queue, and how fast they leave."""
+
+    waiting: int = 0
+    drained: float = 0.0
+    drained_ms: int = 0
+
+    def decay(self, now_ms: int) -> None:
+        """Let the count of departures fade with time."""
+        elapsed_ms = max(0, now_ms - self.drained_ms)
+        self.drained *= math.exp(-elapsed_ms / DRAIN_WINDOW_MS)
+        self.drained_ms = now_ms
+
+
+class QueueBounds:
+    """Counts of waiting tasks in one partition.
+
+    Each team has its own count per queue, so one team's flood takes no room from another.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing waiting."""
+        self._lanes: dict[tuple[TeamId, QueueId], _Lane] = {}
+
+    def admit(
+        self, team: TeamId, queue: QueueId, tasks: int, bound: int, now_ms: int
+    ) -> Result[None, Fault]:
+        """Count tasks as waiting, or refuse them with a hint when to retry.
+
+        :param bound: most waiting tasks of the team in the queue
+        """
+        if tasks > bound:
+            text = f"job has {tasks} tasks; queue {queue!r} holds at most {bound} of one team"
+            return Failure(Fault(ResultCode.NEVER_FITS, text))
+        lane = self._lanes.setdefault((team, queue), _Lane(drained_ms=now_ms))
+        excess = lane.waiting + tasks - bound
+        if excess > 0:
+            text = f"team {team!r} has {lane.waiting} of {bound} waiting tasks in {queue!r}"
+            hint_ms = _retry_hint_ms(lane, excess, now_ms)
+            return Failure(Fault(ResultCode.QUEUE_FULL, text, hint_ms))
+        lane.waiting += tasks
+        return ACCEPT
+
+    def put_back(self, team: TeamId, queue: QueueId, now_ms: int) -> None:
+        """Count an accepted task as waiting again; it is never refused."""
+        self._lanes.setdefault((team, queue), _Lane(drained_ms=now_ms)).waiting += 1
+
+    def leave(self, team: TeamId, queue: QueueId, tasks: int, now_ms: int) -> None:
+        """Count tasks that were started, cancelled or given up."""
+        lane = self._lanes.get((team, queue))
+        if lane is None:
+            return
+        lane.decay(now_ms)
+        lane.waiting = max(0, lane.waiting - tasks)
+        lane.drained += tasks
+
+    def waiting(self, team: TeamId, queue: QueueId) -> int:
+        """Return how many tasks of a team wait in a queue."""
+        lane = self._lanes.get((team, queue))
+        return 0 if lane is None else lane.waiting
+
+    def forget_idle(self, now_ms: int) -> None:
+        """Drop the counts of teams without waiting tasks or recent departures."""
+        for key, lane in list(self._lanes.items()):
+            if lane.waiting == 0 and now_ms - lane.drained_ms > DRAIN_WINDOW_MS:
+                del self._lanes[key]
+
+
+def _retry_hint_ms(lane: _Lane, excess: int, now_ms: int) -> int:
+    """Return the time in which the excess drains at the recent rate."""
+    lane.decay(now_ms)
+    if lane.drained < 1:
+        return IDLE_HINT_MS
+    hint_ms = math.ceil(excess * DRAIN_WINDOW_MS / lane.drained)
+    return min(max(hint_ms, MIN_HINT_MS), MAX_HINT_MS)
+
+
+class RetryBudget:
+    """First attempts and retries of each team over the last window, in buckets."""
+
+    def __init__(self) -> None:
+        """Start without traffic."""
+        self._counts: dict[TeamId, dict[int, list[int]]] = {}
+
+    def first(self, team: TeamId, now_ms: int) -> None:
+        """Count a first attempt."""
+        self._bucket(team, now_ms)[0] += 1
+
+    def retry(self, team: TeamId, now_ms: int) -> Result[None, Fault]:
+        """Count a retry, or refuse it when the team's budget is used up."""
+        bucket = self._bucket(team, now_ms)
+        counts = self._counts[team].values()
+        firsts = sum(count[0] for count in counts)
+        retries = sum(count[1] for count in counts)
+        budget = max(RETRY_MINIMUM, firsts * RETRY_PERCENT // 100)
+        if retries >= budget:
+            text = f"team {team!r} used {retries} of {budget} retries in {RETRY_WINDOW_MS} ms"
+            return Failure(Fault(ResultCode.RETRY_BUDGET, text, self._hint_ms(team, now_ms)))
+        bucket[1] += 1
+        return ACCEPT
+
+    def forget_idle(self, now_ms: int) -> None:
+        """Drop teams without attempts in the window."""
+        for team in list(self._counts):
+            self._expire(team, now_ms)
+            if not self._counts[team]:
+                del self._counts[team]
+
+    def _hint_ms(self, team: TeamId, now_ms: int) -> int:
+        """Return when the oldest bucket with a retry leaves the window."""
+        oldest = min(start for start, count in self._counts[team].items() if count[1])
+        return max(MIN_HINT_MS, oldest + RETRY_WINDOW_MS + RETRY_BUCKET_MS - now_ms)
+
+    def _bucket(self, team: TeamId, now_ms: int) -> list[int]:
+        self._counts.setdefault(team, {})
+        self._expire(team, now_ms)
+        start_ms = now_ms - now_ms % RETRY_BUCKET_MS
+        return self._counts[team].setdefault(start_ms, [0, 0])
+
+    def _expire(self, team: TeamId, now_ms: int) -> None:
+        buckets = self._counts[team]
+        limit_ms = now_ms - RETRY_WINDOW_MS - RETRY_BUCKET_MS
+        for start_ms in [start_ms for start_ms in buckets if start_ms <= limit_ms]:
+            del buckets[start_ms]
+
+
+class Admission:
+    """The admission checks of one partition, cheapest lasting refusal first."""
+
+    def __init__(self, shape: CellShape) -> None:
+        """Start with nothing waiting.
+
+        :param shape: replaced by the owner when the host list changes
+        """
+        self.shape = shape
+        self.bounds = QueueBounds()
+        self.retries = RetryBudget()
+
+    def admit(
+        self, spec: RequestSpec, bound: int, now_ms: int, is_retry: bool = False
+    ) -> Result[None, Fault]:
+        """Accept a request and count its tasks as waiting, or say why not.
+
+        :param bound: ``max_queued`` of the request's queue
+        :param is_retry: whether the caller sent the request before and was refused
+        """
+        feasible = self.shape.check(spec)
+        if not isinstance(feasible, Success):
+            return feasible
+        if is_retry:
+            allowed = self.retries.retry(spec.team, now_ms)
+            if not isinstance(allowed, Success):
+                return allowed
+        else:
+            self.retries.first(spec.team, now_ms)
+        return self.bounds.admit(spec.team, spec.queue, spec.tasks, bound, now_ms)
+
+    def forget_idle(self, now_ms: int) -> None:
+        """Free the memory of teams without recent traffic."""
+        self.bounds.forget_idle(now_ms)
+        self.retries.forget_idle(now_ms)
