Plan queues that must finish by a time of day

Cause: overnight work waited behind other work until it could no longer finish before the morning, and nobody was told. Ruled out: the latest start of each task on its own (with many tasks per slot all of them turn urgent shortly before the deadline, when it is too late); raising the whole queue at once (takes room from others hours too early). Change: module deadlines. Slots are filled backward from the deadline with corrected run times; a piece is raised to normal at 30 min of slack and to urgent at 5 min. The forecast counts work due earlier as well, pads by 10%, and warns once per queue and deadline, again when it gets 15 min worse. Conclusion: ready for the scheduler; slots per queue are the caller's estimate.

--- /dev/null
+++ b/packages/core/lagoonshelf_core/deadlines.py
@@ -0,0 +1,194 @@
+"""Queues with a time of day by which their work must finish."""
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lagoonshelf_core.commands import Warning
+from lagoonshelf_core.ids import QueueId, TaskId
+from lagoonshelf_core.model import WorkClass
+
+DAY_MS = 86_400_000
+HOUR_MS = 3_600_000
+MINUTE_MS = 60_000
+# Covers placement, the lag of reports and one restart of a short task.
+FINISH_MARGIN_MS = 5 * MINUTE_MS
+# Slack below which work is raised: normal work gets its share first, urgent work may preempt.
+NORMAL_SLACK_MS = 30 * MINUTE_MS
+URGENT_SLACK_MS = 5 * MINUTE_MS
+# The forecast assumes evenly filled slots; real packing takes longer by up to about this much.
+FORECAST_MARGIN_PERCENT = 10
+# A forecast that got worse by this much is worth another warning.
+WORSE_MS = 15 * MINUTE_MS
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """One waiting task of a queue with a deadline.
+
+    :param run_ms: corrected run time
+    :param deadline_wall_ms: wall time by which the task must have finished
+    """
+
+    task: TaskId
+    run_ms: int
+    deadline_wall_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """When a piece must start and how urgent that makes it."""
+
+    task: TaskId
+    latest_start_wall_ms: int
+    work_class: WorkClass
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """When the work due by a deadline ends.
+
+    :param finish_wall_ms: expected end; none when the queue has no slots
+    """
+
+    deadline_wall_ms: int
+    finish_wall_ms: int | None
+
+    @property
+    def late_ms(self) -> int:
+        """Return by how much the deadline is missed, 0 when it is met."""
+        if self.finish_wall_ms is None:
+            return DAY_MS
+        return max(0, self.finish_wall_ms - self.deadline_wall_ms)
+
+
+def deadline_of(finish_by: str, accepted_wall_ms: int) -> int:
+    """Return the next wall time at which a time of day (UTC) occurs.
+
+    :param finish_by: ``HH:MM``
+    :param accepted_wall_ms: wall time at which the work was accepted
+    """
+    hours, minutes = finish_by.split(":")
+    offset_ms = int(hours) * HOUR_MS + int(minutes) * MINUTE_MS
+    midnight_ms = accepted_wall_ms - accepted_wall_ms % DAY_MS
+    deadline_ms = midnight_ms + offset_ms
+    return deadline_ms if deadline_ms > accepted_wall_ms else deadline_ms + DAY_MS
+
+
+def plan_queue(
+    pieces: Iterable[Piece], slots: int, base: WorkClass, now_wall_ms: int
+) -> list[Plan]:
+    """Return the latest start and the class of each piece, earliest start first.
+
+    Pieces share the queue's slots, so the plan fills the slots backward from the deadline: with
+    many pieces per slot, the first must start long before its own run time requires it.
+
+    :param pieces: in the order in which they are to start
+    :param slots: tasks of the queue that run at once
+    :param base: class of the queue; a piece is raised above it, never lowered
+    """
+    ordered = sorted(pieces, key=lambda piece: piece.deadline_wall_ms)
+    starts = _latest_starts(ordered, max(1, slots))
+    plans = [
+        Plan(piece.task, start_ms, _raised(base, start_ms - now_wall_ms))
+        for piece, start_ms in zip(ordered, starts, strict=True)
+    ]
+    return sorted(plans, key=lambda plan: plan.latest_start_wall_ms)
+
+
+def _latest_starts(ordered: list[Piece], slots: int) -> list[int]:
+    """Return the latest start of each piece when the slots are filled from the end."""
+    if not ordered:
+        return []
+    last_ms = ordered[-1].deadline_wall_ms - FINISH_MARGIN_MS
+    # Negated times, since heapq gives the smallest item and the latest slot is wanted.
+    free_until = [-last_ms] * min(slots, len(ordered))
+    starts = []
+    for piece in reversed(ordered):
+        end_ms = min(-free_until[0], piece.deadline_wall_ms - FINISH_MARGIN_MS)
+        start_ms = end_ms - piece.run_ms
+        heapq.heapreplace(free_until, -start_ms)
+        starts.append(start_ms)
+    starts.reverse()
+    return starts
+
+
+def _raised(base: WorkClass, slack_ms: int) -> WorkClass:
+    if slack_ms <= URGENT_SLACK_MS:
+        return WorkClass.URGENT
+    if slack_ms <= NORMAL_SLACK_MS:
+        return min(base, WorkClass.NORMAL, key=lambda work_class: work_class.value)
+    return base
+
+
+def forecast_queue(
+    waiting: Iterable[Piece], running: Iterable[Piece], slots: int, now_wall_ms: int
+) -> list[Forecast]:
+    """Return when the work due by each deadline ends, earliest deadline first.
+
+    :param running: tasks of the queue that run; ``run_ms`` is what remains of them
+    :param slots: tasks of the queue that run at once
+    """
+    work_ms: dict[int, int] = {}
+    longest_ms: dict[int, int] = {}
+    for piece in (*waiting, *running):
+        due = piece.deadline_wall_ms
+        work_ms[due] = work_ms.get(due, 0) + piece.run_ms
+        longest_ms[due] = max(longest_ms.get(due, 0), piece.run_ms)
+    forecasts = []
+    total_ms = 0
+    for due in sorted(work_ms):
+        total_ms += work_ms[due]
+        finish_ms = None
+        if slots > 0:
+            spread_ms = -(-total_ms // slots)
+            padded_ms = max(spread_ms, longest_ms[due]) * (100 + FORECAST_MARGIN_PERCENT) // 100
+            finish_ms = now_wall_ms + padded_ms
+        forecasts.append(Forecast(due, finish_ms))
+    return forecasts
+
+
+class DeadlineWatch:
+    """Warns operators once per queue and deadline, and again when the forecast gets worse."""
+
+    def __init__(self) -> None:
+        """Start without warnings."""
+        self._warned: dict[tuple[QueueId, int], int] = {}
+
+    def check(
+        self, queue: QueueId, forecasts: Iterable[Forecast], now_wall_ms: int
+    ) -> list[Warning]:
+        """Return the warnings that are new.
+
+        :param forecasts: result of ``forecast_queue`` for the queue
+        """
+        self._forget_past(now_wall_ms)
+        warnings = []
+        for forecast in forecasts:
+            key = (queue, forecast.deadline_wall_ms)
+            if forecast.late_ms == 0:
+                self._warned.pop(key, None)
+                continue
+            warned_ms = self._warned.get(key)
+            if warned_ms is None or forecast.late_ms >= warned_ms + WORSE_MS:
+                self._warned[key] = forecast.late_ms
+                warnings.append(Warning(queue, _describe(queue, forecast)))
+        return warnings
+
+    def _forget_past(self, now_wall_ms: int) -> None:
+        for key in [key for key in self._warned if key[1] + DAY_MS < now_wall_ms]:
+            del self._warned[key]
+
+
+def _describe(queue: QueueId, forecast: Forecast) -> str:
+    due = _time_of_day(forecast.deadline_wall_ms)
+    if forecast.finish_wall_ms is None:
+        return f"queue {queue!r} has no slots and misses its deadline {due} UTC"
+    finish = _time_of_day(forecast.finish_wall_ms)
+    minutes = -(-forecast.late_ms // MINUTE_MS)
+    return f"queue {queue!r} finishes at {finish} UTC, {minutes} min after its deadline {due} UTC"
+
+
+def _time_of_day(wall_ms: int) -> str:
+    minutes = wall_ms % DAY_MS // MINUTE_MS
+    return f"{minutes // 60:02}:{minutes % 60:02}"
