Replay both deployments' arrivals against the scheduler and two baselines

Cause: waiting time, packing and nearness to share of a scheduling change could not be compared with anything. Ruled out: a cluster simulator (the replay drives decisions on a manual clock, with no network, store or failing worker); baselines that block on the first task that does not fit (work that can never run would block them for ever). Shares are compared as fractions of all teams' dominant shares over the five-minute window, and only after each team has had waiting work for five minutes.

--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,151 @@
+"""What a replay measures: waiting time, packing, nearness to share, and broken rules."""
+
+import math
+from collections import Counter, defaultdict
+
+from lagoonshelf_core.ids import TeamId
+from lagoonshelf_core.model import WorkClass
+from lagoonshelf_core.resources import Resources
+
+from bench.runs import Run
+from bench.workloads import Workload
+
+# The sliding window of shares on the design page.
+SHARE_WINDOW_MS = 300_000
+SHOWN_WARNINGS = 3
+
+
+def percentile(ordered: list[int], percent: int) -> int:
+    """Return the nearest-rank percentile of a sorted, non-empty list."""
+    return ordered[max(0, math.ceil(len(ordered) * percent / 100) - 1)]
+
+
+class Measures:
+    """Counters and samples of one replay; the driver reports each event."""
+
+    def __init__(self, workload: Workload) -> None:
+        """Start with nothing running."""
+        self.warnings: list[str] = []
+        self.violations: Counter[str] = Counter()
+        self._workload = workload
+        self._capacity = Resources()
+        for info in workload.workers:
+            self._capacity += info.capacity
+        self._waits: dict[WorkClass, list[int]] = defaultdict(list)
+        self._waiting: Counter[TeamId] = Counter()
+        self._usage = dict.fromkeys(workload.shares, Resources())
+        self._windowed = dict.fromkeys(workload.shares, 0.0)
+        self._counts: Counter[str] = Counter()
+        self._used = 0
+        self._offered = 0
+        self._backlogged_ms = 0
+        self._sampled_ms = 0
+        self._deviation_sum = 0.0
+        self._deviation_max = 0.0
+
+    def account(self, delta_ms: int) -> None:
+        """Add up an interval in which nothing changed."""
+        if any(self._waiting.values()):
+            used = sum(usage.cpu_milli for usage in self._usage.values())
+            self._used += used * delta_ms
+            self._offered += self._capacity.cpu_milli * delta_ms
+        keep = math.exp(-delta_ms / SHARE_WINDOW_MS)
+        for team, usage in self._usage.items():
+            share = usage.dominant_share(self._capacity)
+            self._windowed[team] = self._windowed[team] * keep + share * (1 - keep)
+        if not all(self._waiting[team] for team in self._workload.shares):
+            self._backlogged_ms = 0
+            return
+        self._backlogged_ms += delta_ms
+        # The window must not contain time in which idle share was lent.
+        if self._backlogged_ms > SHARE_WINDOW_MS:
+            self._sample_shares(delta_ms)
+
+    def arrived(self, run: Run) -> None:
+        """Count a new task; work that can never run is counted apart."""
+        if run.arrival.feasible:
+            self._waiting[run.task.team] += 1
+            self._counts["tasks"] += 1
+        else:
+            self._counts["infeasible"] += 1
+
+    def started(self, run: Run, delay_ms: int) -> None:
+        """Count a start; only the first one of a task ends its wait.
+
+        :param delay_ms: time until the target is warm
+        """
+        self._usage[run.task.team] += run.task.size
+        self._waiting[run.task.team] -= run.arrival.feasible
+        self._counts["starts"] += 1
+        self._counts["cold"] += delay_ms > 0
+        if not run.arrival.feasible:
+            self.violations["infeasible work started"] += 1
+        elif run.starts == 1:
+            base = WorkClass[self._workload.queues[run.task.queue].work_class.upper()]
+            self._waits[base].append(run.since_ms - run.task.queued_ms)
+
+    def vacated(self, run: Run) -> None:
+        """Count a task that no longer runs; ``left`` follows unless it waits again."""
+        self._usage[run.task.team] -= run.task.size
+        self._waiting[run.task.team] += run.arrival.feasible
+
+    def left(self, run: Run) -> None:
+        """Count a task that neither waits nor runs any more."""
+        self._waiting[run.task.team] -= run.arrival.feasible
+
+    def finished(self, run: Run, wall_ms: int) -> None:
+        """Count a task that ran to its end."""
+        self._counts["finished"] += 1
+        due = run.task.deadline_wall_ms
+        if due:
+            self._counts["due"] += 1
+            self._counts["late"] += wall_ms > due
+
+    def stopped(self, run: Run, checkpoint: bool) -> None:
+        """Count a task that the policy stops."""
+        self._counts["stops with checkpoint" if checkpoint else "stops without checkpoint"] += 1
+        if not run.task.repeatable:
+            self.violations["non-repeatable work stopped"] += 1
+
+    def gave_up(self, run: Run) -> None:
+        """Count a task that the policy gave up."""
+        self._counts["given up"] += 1
+        if run.arrival.feasible:
+            self.violations["feasible work given up"] += 1
+
+    def table(self) -> str:
+        """Return the figures as text."""
+        lines = [f"{'class':<12}{'tasks':>8}{'p50 s':>10}{'p99 s':>10}{'max s':>10}"]
+        for work_class in WorkClass:
+            waits = sorted(self._waits[work_class])
+            if waits:
+                cells = (percentile(waits, 50), percentile(waits, 99), waits[-1])
+                row = "".join(f"{cell / 1000:>10.1f}" for cell in cells)
+                lines.append(f"{work_class.name.lower():<12}{len(waits):>8}{row}")
+        lines.append(f"packing while queued: {self._ratio(self._used, self._offered)}")
+        mean = self._ratio(self._deviation_sum, self._sampled_ms)
+        minutes = self._sampled_ms / 60_000
+        lines.append(
+            f"deviation from share: max {self._deviation_max:.3f}, mean {mean},"
+            f" over {minutes:.0f} min with all teams waiting"
+        )
+        counts = ", ".join(f"{name} {count}" for name, count in sorted(self._counts.items()))
+        lines.append(f"counts: {counts}")
+        broken = ", ".join(f"{name} {count}" for name, count in sorted(self.violations.items()))
+        lines.append(f"rules broken: {broken or 'none'}")
+        lines.append(f"warnings: {len(self.warnings)}")
+        lines += [f"  {text}" for text in self.warnings[:SHOWN_WARNINGS]]
+        return "\n".join(lines)
+
+    def _sample_shares(self, delta_ms: int) -> None:
+        total = sum(self._windowed.values())
+        weights = sum(self._workload.shares.values())
+        for team, share in self._workload.shares.items():
+            deviation = abs(self._windowed[team] / total - share / weights) if total else 1.0
+            self._deviation_max = max(self._deviation_max, deviation)
+            self._deviation_sum += deviation * delta_ms / len(self._workload.shares)
+        self._sampled_ms += delta_ms
+
+    @staticmethod
+    def _ratio(part: float, whole: float) -> str:
+        return f"{part / whole:.3f}" if whole else "not measured"
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,128 @@
+"""Policies that the replay compares: two baselines and the real scheduler."""
+
+from collections.abc import Callable, Iterable
+
+from lagoonshelf_core.commands import Command, Start
+from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.model import Task, TaskState, WorkerInfo, WorkerState, WorkKind
+from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.scheduler import Scheduler
+
+from bench.workloads import Workload
+
+MayStart = Callable[[Task], bool]
+
+
+class Baseline:
+    """First fit over lanes of waiting tasks, with the methods of ``Scheduler``.
+
+    A task that does not fit is skipped, so work that can never run blocks nobody. A gang starts
+    when all its tasks fit at once. Nothing is stopped, throttled, warmed or given up.
+    """
+
+    def __init__(self, lanes: int, lane_of: Callable[[Task], int]) -> None:
+        """Start empty.
+
+        :param lanes: number of lanes, served in order
+        :param lane_of: lane of a task
+        """
+        self.tasks: dict[TaskId, Task] = {}
+        self._lanes: list[dict[TaskId, None]] = [{} for _ in range(lanes)]
+        self._lane_of = lane_of
+        self._free: dict[WorkerId, Resources] = {}
+
+    def set_worker(self, info: WorkerInfo, state: WorkerState) -> None:
+        """Add a ready worker."""
+        if state is WorkerState.READY:
+            self._free.setdefault(info.worker, info.capacity)
+
+    def enqueue(self, task: Task) -> None:
+        """Add a waiting task."""
+        task.state = TaskState.QUEUED
+        task.worker = None
+        self.tasks[task.task] = task
+        self._lanes[self._lane_of(task)][task.task] = None
+
+    def release(self, task_id: TaskId) -> Task | None:
+        """Forget a task and free what it holds."""
+        task = self.tasks.pop(task_id, None)
+        if task is None:
+            return None
+        self._lanes[self._lane_of(task)].pop(task_id, None)
+        if task.worker is not None:
+            self._free[task.worker] += task.reserved
+        return task
+
+    def run_pass(self, now_ms: int, may_start: MayStart) -> list[Command]:
+        """Start what fits, lane by lane in order of arrival."""
+        commands: list[Command] = []
+        # Room only shrinks during a pass, so a size that did not fit once is not tried again.
+        misfits: set[tuple[Resources, int]] = set()
+        for lane in self._lanes:
+            for task_id in list(lane):
+                if task_id not in lane:
+                    continue
+                task = self.tasks[task_id]
+                shape = (task.size, task.gang_size)
+                if shape in misfits or not may_start(task):
+                    continue
+                placed = self._place(self._group(task, lane))
+                if not placed:
+                    misfits.add(shape)
+                commands.extend(self._start(placed, lane, now_ms))
+        return commands
+
+    def queue_length(self) -> int:
+        """Return the number of waiting tasks."""
+        return sum(len(lane) for lane in self._lanes)
+
+    def _group(self, task: Task, lane: Iterable[TaskId]) -> list[Task]:
+        if task.kind is not WorkKind.GANG:
+            return [task]
+        waiting = (self.tasks[task_id] for task_id in lane)
+        return [other for other in waiting if other.request_key == task.request_key]
+
+    def _place(self, group: list[Task]) -> list[tuple[Task, WorkerId]]:
+        """Find room for all tasks of a group, or for none."""
+        free = dict(self._free) if len(group) > 1 else self._free
+        placed = []
+        for task in group:
+            fits = (worker for worker, room in free.items() if task.size.fits_in(room))
+            worker = next(fits, None)
+            if worker is None:
+                return []
+            if free is not self._free:
+                free[worker] -= task.size
+            placed.append((task, worker))
+        return placed
+
+    def _start(
+        self, placed: list[tuple[Task, WorkerId]], lane: dict[TaskId, None], now_ms: int
+    ) -> list[Command]:
+        for task, worker in placed:
+            del lane[task.task]
+            task.worker = worker
+            task.state = TaskState.STARTING
+            task.started_ms = now_ms
+            task.attempt += 1
+            task.reserved = task.size
+            self._free[worker] -= task.reserved
+        return [Start(task.task, worker) for task, worker in placed]
+
+
+def make_fifo(_workload: Workload) -> Baseline:
+    """Return first-in-first-out with first fit."""
+    return Baseline(1, lambda task: 0)
+
+
+def make_strict(_workload: Workload) -> Baseline:
+    """Return strict priority: a class is served only after the classes above it."""
+    return Baseline(3, lambda task: task.work_class.value)
+
+
+def make_real(_workload: Workload) -> Scheduler:
+    """Return the real scheduler, configured for a workload."""
+    return Scheduler()
+
+
+POLICIES = {"fifo": make_fifo, "strict": make_strict, "real": make_real}
--- /dev/null
+++ b/bench/runs.py
@@ -0,0 +1,68 @@
+"""Tasks of a replay, with what the policy does not know of them."""
+
+from dataclasses import dataclass
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.deadlines import deadline_of
+from lagoonshelf_core.ids import Epoch, PartitionId, WorkerId, task_id
+from lagoonshelf_core.model import Task, WorkClass, WorkKind
+
+from bench.workloads import Arrival, Workload
+
+HOME = PartitionId(0)
+EPOCH = Epoch(1)
+
+
+@dataclass(slots=True)
+class Run:
+    """What the replay knows of a task that a policy does not.
+
+    :param starts: number of starts
+    :param left_ms: run time that remains at full speed
+    :param began_ms: begin of the current attempt on a warm target
+    :param since_ms: time from which the current progress counts
+    :param percent: speed, lowered by a throttle
+    :param version: raised when a scheduled end becomes void
+    :param ticking: whether it makes progress; a gang waits for its last member
+    """
+
+    task: Task
+    arrival: Arrival
+    left_ms: int
+    worker: WorkerId | None = None
+    starts: int = 0
+    began_ms: int = 0
+    since_ms: int = 0
+    percent: int = 100
+    version: int = 0
+    ticking: bool = False
+    cancelled: bool = False
+
+
+def new_task(
+    workload: Workload, arrival: Arrival, index: int, sequence: int, clock: Clock
+) -> Task:
+    """Return one task of a request, as the owner of its partition would make it.
+
+    :param sequence: makes the task id unique
+    """
+    spec = arrival.spec
+    queue = workload.queues[spec.queue]
+    due = 0 if queue.finish_by is None else deadline_of(queue.finish_by, clock.wall_ms())
+    return Task(
+        task=task_id(HOME, EPOCH, sequence),
+        team=spec.team,
+        queue=spec.queue,
+        request_key=spec.request_key,
+        kind=spec.kind,
+        work_class=WorkClass[queue.work_class.upper()],
+        repeatable=spec.repeatable,
+        size=spec.size,
+        run_ms=spec.run_ms,
+        index=index,
+        queued_ms=clock.now_ms(),
+        home=HOME,
+        epoch=EPOCH,
+        gang_size=spec.tasks if spec.kind is WorkKind.GANG else 1,
+        deadline_wall_ms=due,
+    )
--- /dev/null
+++ b/tests/bench/test_replay.py
@@ -0,0 +1,121 @@
+"""Tests of the replay driver, with a policy that gives scripted commands."""
+
+import unittest
+from dataclasses import replace
+
+from lagoonshelf_core.commands import Command, GiveUp, Start, Stop, Throttle, Warm, Warning
+from lagoonshelf_core.document import QueueConfig
+from lagoonshelf_core.ids import QueueId, RequestKey, TeamId
+from lagoonshelf_core.model import RequestSpec, WorkKind
+from lagoonshelf_core.resources import Resources
+
+from bench.measures import Measures
+from bench.policies import Baseline
+from bench.replay import Replay
+from bench.workloads import WORKLOADS, Arrival, Workload
+
+BASE = WORKLOADS["inkbridge"](1)
+TEAM, QUEUE = TeamId("t"), QueueId("q")
+W0, W1 = (info.worker for info in BASE.workers[:2])
+
+
+class Scripted(Baseline):
+    """First in, first out, and commands added at given passes."""
+
+    def __init__(self, script: dict[int, list]) -> None:
+        """Start empty.
+
+        :param script: command builders by time; each gets the ids of all tasks
+        """
+        super().__init__(1, lambda task: 0)
+        self.script = script
+        self.ends: list[int] = []
+
+    def run_pass(self, now_ms: int, may_start: object) -> list[Command]:
+        """Start what fits, then give the scripted commands that are due."""
+        commands = super().run_pass(now_ms, may_start)
+        for at_ms in [at_ms for at_ms in self.script if at_ms <= now_ms]:
+            commands += [build(sorted(self.tasks)) for build in self.script.pop(at_ms)]
+        return commands
+
+    def finished(self, _task: object, run_ms: int, _peak: Resources) -> None:
+        """Note a run time."""
+        self.ends.append(run_ms)
+
+
+def arrival(at_ms: int, run_ms: int, repeatable: bool = True, tasks: int = 1) -> Arrival:
+    """Return a request for tasks of one core."""
+    kind = WorkKind.GANG if tasks > 1 else WorkKind.BATCH
+    size = Resources(1000, 1024, 0, 1)
+    key = RequestKey(f"k{at_ms}")
+    spec = RequestSpec(TEAM, QUEUE, key, kind, repeatable, size, 1, tasks, "", 0)
+    return Arrival(at_ms, spec, (run_ms,) * tasks, size)
+
+
+def play(policy: Baseline, *arrivals: Arrival, cold_ms: int = 0) -> Measures:
+    """Replay a few arrivals on two workers."""
+    workload: Workload = replace(
+        BASE,
+        end_ms=60_000,
+        shares={TEAM: 1},
+        queues={QUEUE: QueueConfig(cold_start_ms=cold_ms)},
+        workers=BASE.workers[:2],
+        arrivals=arrivals,
+    )
+    return Replay(workload, policy).run()
+
+
+class CommandsTest(unittest.TestCase):
+    """Each command has its effect."""
+
+    def test_checkpoint_keeps_progress(self) -> None:
+        """Guards against figures that charge preemption too much or nothing."""
+        for checkpoint, expected in [(True, 4_400), (False, 10_000)]:
+            stop = [lambda ids, keep=checkpoint: Stop(ids[0], W0, True, keep)]
+            policy = Scripted({5_000: stop})
+            measures = play(policy, arrival(0, 10_000))
+            self.assertAlmostEqual(policy.ends[0], expected, delta=200)
+            self.assertEqual(measures.violations, {})
+
+    def test_throttle_slows_a_task(self) -> None:
+        """Guards against throttling that costs its victim nothing."""
+        policy = Scripted({5_000: [lambda ids: Throttle(ids[0], W0, 50)]})
+        play(policy, arrival(0, 10_000))
+        self.assertEqual(policy.ends, [15_000])
+
+    def test_give_up_and_warning_are_counted(self) -> None:
+        """Guards against refusals and warnings that the table hides."""
+        script = {0: [lambda ids: GiveUp(ids[0], "no"), lambda ids: Warning(QUEUE, "late")]}
+        measures = play(Scripted(script), arrival(0, 10_000))
+        self.assertEqual(measures.violations, {"feasible work given up": 1})
+        self.assertIn("late", measures.table())
+
+    def test_ordered_warmth_saves_the_cold_start(self) -> None:
+        """Guards against a replay in which warming has no effect."""
+        for script, wait in [({}, "30.0"), ({5_000: [lambda ids: Warm(W0, QUEUE, 1)]}, "0.0")]:
+            measures = play(Scripted(script), arrival(50_000, 1_000), cold_ms=30_000)
+            self.assertIn(wait, measures.table().splitlines()[1])
+
+    def test_gang_waits_for_its_last_member(self) -> None:
+        """Guards against members of a gang that make progress alone."""
+        stop = [lambda ids: Stop(ids[0], W0, True, True)]
+        policy = Scripted({2_000: stop})
+        play(policy, arrival(0, 10_000, tasks=3))
+        self.assertEqual(len(policy.ends), 3)
+
+
+class RulesTest(unittest.TestCase):
+    """Broken rules are reported."""
+
+    def test_broken_rules_are_named(self) -> None:
+        """Guards against a policy that wins by breaking a rule."""
+        script = {1_000: [lambda ids: Start(ids[0], W1), lambda ids: Stop(ids[0], W0, True)]}
+        measures = play(Scripted(script), arrival(0, 10_000, repeatable=False))
+        expected = {"started twice": 1, "non-repeatable work stopped": 1}
+        self.assertEqual(measures.violations, expected)
+
+    def test_same_seed_gives_the_same_workload(self) -> None:
+        """Guards against figures that cannot be repeated."""
+        for make in WORKLOADS.values():
+            self.assertEqual(make(7).arrivals, make(7).arrivals)
+            self.assertNotEqual(make(7).arrivals, make(8).arrivals)
