Decide a scheduling pass by class, share and best fit

Cause: the pass read the whole queue and every worker in arrival order; it knew no classes, shares, gangs, services or preemption. Ruled out: one list of workers sorted by free processor time (workers without free slots are scanned each time); one queue entry per task and pass (thousands of waiting tasks are read per kick). Change: modules placement, room, fairness, waiting, holding, gangs, gang_pass, preemption, claims, throttles, reserves, pass_state and hooks; the public methods of Scheduler stay. A preempted task keeps its room until the server releases it; throttled room counts as free once confirm_throttle is called.

--- /dev/null
+++ b/packages/core/lagoonshelf_core/fairness.py
@@ -0,0 +1,121 @@
+"""Each team's dominant share over a sliding window, weighed by its configured share."""
+
+from dataclasses import dataclass
+from math import exp
+
+from lagoonshelf_core.ids import TeamId
+from lagoonshelf_core.resources import NOTHING, Resources
+
+WINDOW_MS = 5 * 60 * 1000
+# 95% of the weight of an exponential average lies within three time constants.
+TIME_CONSTANT_MS = WINDOW_MS / 3
+# Starts of one pass do not change the average yet; without what is held now, one team would
+# take all the room that a pass finds.
+HELD_WEIGHT = 0.5
+DEFAULT_SHARE = 1
+
+Amounts = tuple[float, float, float, float]
+
+
+@dataclass(slots=True)
+class _TeamUse:
+    """A team's use.
+
+    :param held: what the team's tasks hold now
+    :param level: what they held since ``as_of_ms``
+    :param average: decayed average at ``as_of_ms``
+    """
+
+    as_of_ms: int
+    held: Resources = NOTHING
+    tasks: int = 0
+    level: Amounts = (0.0, 0.0, 0.0, 0.0)
+    average: Amounts = (0.0, 0.0, 0.0, 0.0)
+
+
+def _amounts(size: Resources) -> Amounts:
+    return (size.cpu_milli, size.memory_mib, size.accelerators, size.slots)
+
+
+def _decay(use: _TeamUse, now_ms: int) -> Amounts:
+    elapsed_ms = now_ms - use.as_of_ms
+    if elapsed_ms <= 0:
+        return use.average
+    keep = exp(-elapsed_ms / TIME_CONSTANT_MS)
+    pairs = zip(use.average, use.level, strict=True)
+    return tuple(old * keep + level * (1.0 - keep) for old, level in pairs)
+
+
+class Fairness:
+    """Use of the partition by team.
+
+    Changes between two passes count from the next ``settle``: a release asks for a pass, so
+    the difference is the time until that pass.
+    """
+
+    def __init__(self) -> None:
+        """Start without use."""
+        self._now_ms = 0
+        self._shares: dict[TeamId, int] = {}
+        self._uses: dict[TeamId, _TeamUse] = {}
+        self._changed: set[TeamId] = set()
+
+    def set_shares(self, shares: dict[TeamId, int]) -> None:
+        """Replace the teams' configured shares."""
+        self._shares = dict(shares)
+
+    def share(self, team: TeamId) -> int:
+        """Return a team's configured share, the default for an unknown team."""
+        return self._shares.get(team, DEFAULT_SHARE)
+
+    def change(self, team: TeamId, size: Resources, tasks: int) -> None:
+        """Add to what a team holds.
+
+        :param size: difference; amounts may be negative
+        :param tasks: difference of the number of tasks
+        """
+        use = self._uses.get(team)
+        if use is None:
+            use = self._uses[team] = _TeamUse(self._now_ms)
+        use.held += size
+        use.tasks += tasks
+        self._changed.add(team)
+
+    def settle(self, now_ms: int) -> None:
+        """Bring the teams whose use has changed up to date."""
+        self._now_ms = max(self._now_ms, now_ms)
+        for team in self._changed:
+            use = self._uses[team]
+            use.average = _decay(use, self._now_ms)
+            use.as_of_ms = self._now_ms
+            use.level = _amounts(use.held)
+        self._changed.clear()
+
+    def held(self, team: TeamId) -> tuple[int, Resources]:
+        """Return the number and the total size of the tasks that a team holds."""
+        use = self._uses.get(team)
+        return (use.tasks, use.held) if use else (0, NOTHING)
+
+    def holding_teams(self) -> list[TeamId]:
+        """Return the teams that hold a task."""
+        return [team for team, use in self._uses.items() if use.tasks > 0]
+
+    def window_share(self, team: TeamId, capacity: Resources) -> float:
+        """Return a team's dominant share over the window."""
+        use = self._uses.get(team)
+        return _dominant(_decay(use, self._now_ms), capacity) if use else 0.0
+
+    def score(self, team: TeamId, capacity: Resources) -> float:
+        """Return a team's use in relation to its share; the lowest goes first."""
+        use = self._uses.get(team)
+        if use is None:
+            return 0.0
+        average = _decay(use, self._now_ms)
+        pairs = zip(average, _amounts(use.held), strict=True)
+        mixed = tuple(a + HELD_WEIGHT * (h - a) for a, h in pairs)
+        return _dominant(mixed, capacity) / self.share(team)
+
+
+def _dominant(amounts: Amounts, capacity: Resources) -> float:
+    pairs = zip(amounts, _amounts(capacity), strict=True)
+    return max((used / whole for used, whole in pairs if whole > 0), default=0.0)
--- /dev/null
+++ b/packages/core/lagoonshelf_core/gang_pass.py
@@ -0,0 +1,178 @@
+"""Steps of a pass that start gangs and keep the partition's one reservation."""
+
+from lagoonshelf_core.gangs import (
+    RETRY_MS,
+    TRY_MS,
+    Ending,
+    Gang,
+    Reservation,
+    backfill_worker,
+    expected_end_ms,
+    plan,
+)
+from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.model import Task, TaskState, WorkKind
+from lagoonshelf_core.pass_state import PassState
+from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.waiting import GroupId
+
+PLANS_PER_PASS = 4  # a plan reads all running tasks
+
+
+class GangPass:
+    """Starts gangs whole; the oldest that does not fit holds the only reservation."""
+
+    def __init__(self, state: PassState) -> None:
+        """Start without a reservation."""
+        self.reservation: Reservation | None = None
+        self._state = state
+
+    def keep(self) -> None:
+        """Start the gang with the reservation, or plan again when the plan has failed."""
+        held = self.reservation
+        if held is None:
+            return
+        gang = self._state.gangs.get(held.group)
+        if gang is None or not gang.waiting:
+            self._drop()
+            return
+        room = self._state.room
+        is_same = gang.waiting.keys() == held.spots.keys()
+        if not is_same or not all(room.is_ready(worker) for worker in held.workers()):
+            self._plan_again(held, gang)
+        elif all(room.promises_fit(worker) for worker in held.workers()):
+            self._start_reserved(held, gang)
+        elif not self._stop_backfill(held) and self._state.now_ms > held.due_ms:
+            self._plan_again(held, gang)
+
+    def start_now(self, group: GroupId) -> bool:
+        """Start a gang in available room, or nothing.
+
+        :returns: whether all waiting members were started
+        """
+        state = self._state
+        gang = state.gangs.get(group)
+        if gang is None or not gang.is_complete(state.now_ms):
+            return False
+        if self.reservation is not None and self.reservation.group == group:
+            return False
+        if gang.tried_ms is not None and state.now_ms - gang.tried_ms < TRY_MS:
+            return False
+        started: list[Task] = []
+        for task, size in list(gang.waiting.values()):
+            worker = state.find_worker(task, size)
+            if worker is None or not state.may_start(task):
+                self._undo(started)
+                gang.tried_ms = state.now_ms
+                return False
+            state.start(task, worker)
+            started.append(task)
+        return True
+
+    def reserve(self) -> None:
+        """Give the reservation, if free, to the oldest gang for which a plan exists."""
+        if self.reservation is not None:
+            return
+        tried = 0
+        for group, gang in self._state.gangs.oldest_first():
+            now_ms = self._state.now_ms
+            if gang.retry_ms > now_ms or not gang.is_complete(now_ms):
+                continue
+            tried += 1
+            if self._try_plan(group, gang):
+                if self.reservation.due_ms <= now_ms:
+                    self._start_reserved(self.reservation, gang)
+                return
+            if tried == PLANS_PER_PASS:
+                return
+
+    def backfill(self, task: Task, size: Resources) -> WorkerId | None:
+        """Return a worker whose reserved room the task may use until the gang is due."""
+        state = self._state
+        held = self.reservation
+        return backfill_worker(task, size, held, state.room, state.hooks, state.now_ms)
+
+    def note_backfill(self, task: TaskId, worker: WorkerId) -> None:
+        """Remember a task that was started in reserved room."""
+        self.reservation.backfilled[task] = worker
+
+    def _try_plan(self, group: GroupId, gang: Gang) -> bool:
+        state = self._state
+        first = next(iter(gang.waiting.values()))[0]
+        if state.may_start(first):
+            found = plan(group, gang, state.room, self._endings, state.hooks, state.now_ms)
+            if found is not None:
+                self._hold(found)
+                return True
+        gang.retry_ms = state.now_ms + RETRY_MS
+        return False
+
+    def _plan_again(self, held: Reservation, gang: Gang) -> None:
+        self._drop()
+        if self._try_plan(held.group, gang):
+            self.reservation.backfilled.update(held.backfilled)
+
+    def _start_reserved(self, held: Reservation, gang: Gang) -> None:
+        """Start all members, or give the reservation up so that it blocks nobody."""
+        state = self._state
+        self._drop()
+        first = next(iter(gang.waiting.values()))[0]
+        slots = sum(size.slots for _, size in held.spots.values())
+        free = state.room.free_slots
+        is_allowed = state.reserves.allows(first.queue, slots, free, state.room.capacity.slots)
+        started: list[Task] = []
+        for task, _ in list(gang.waiting.values()):
+            if not is_allowed or not state.may_start(task):
+                self._undo(started)
+                gang.retry_ms = state.now_ms + RETRY_MS
+                return
+            state.start(task, held.spots[task.task][0])
+            started.append(task)
+
+    def _stop_backfill(self, held: Reservation) -> bool:
+        """Stop backfilled tasks when only they keep the gang from starting."""
+        state = self._state
+        held.backfilled = {t: w for t, w in held.backfilled.items() if state.holdings.get(t)}
+        in_the_way: list[TaskId] = []
+        for worker in sorted(held.workers()):
+            if state.room.promises_fit(worker):
+                continue
+            tasks = [task for task, where in held.backfilled.items() if where == worker]
+            room = state.room.available(worker)
+            for task in tasks:
+                room += state.holdings.get(task).size
+            if not Resources().fits_in(room):
+                return False
+            in_the_way += tasks
+        for task in in_the_way:
+            holding = state.holdings.get(task)
+            if holding.task.state is TaskState.RUNNING:
+                state.stop(holding, True)
+        return True
+
+    def _hold(self, reservation: Reservation) -> None:
+        self.reservation = reservation
+        for worker, size in reservation.promised().items():
+            self._state.room.promise(worker, size)
+
+    def _drop(self) -> None:
+        for worker, size in self.reservation.promised().items():
+            self._state.room.withdraw(worker, size)
+        self.reservation = None
+
+    def _undo(self, started: list[Task]) -> None:
+        for task in reversed(started):
+            self._state.undo_start(task)
+
+    def _endings(self) -> list[Ending]:
+        """Return when running tasks are expected to end; services do not end."""
+        state = self._state
+        found = []
+        for holding in state.holdings.all():
+            task = holding.task
+            if task.kind is WorkKind.SERVICE and task.state is not TaskState.STOPPING:
+                continue
+            estimate_ms = state.hooks.estimate_ms(task)
+            at_ms = expected_end_ms(task.started_ms, estimate_ms, state.now_ms)
+            found.append(Ending(at_ms, holding.worker, holding.size))
+        return sorted(found, key=lambda ending: (ending.at_ms, ending.worker))
--- a/packages/core/lagoonshelf_core/scheduler.py
+++ b/packages/core/lagoonshelf_core/scheduler.py
@@ -1,25 +1,50 @@
 """The queue and the workers of one partition, and the pass that decides what starts."""
 
 from collections.abc import Callable
-
-from lagoonshelf_core.commands import Command, Start
-from lagoonshelf_core.ids import TaskId, WorkerId
-from lagoonshelf_core.model import Task, TaskState, WorkerInfo, WorkerState
+from heapq import heapify, heappop, heappush
+
+from lagoonshelf_core.claims import Claims
+from lagoonshelf_core.commands import Command
+from lagoonshelf_core.document import QueueConfig, TeamConfig
+from lagoonshelf_core.gang_pass import GangPass
+from lagoonshelf_core.hooks import Hooks, declared_class
+from lagoonshelf_core.ids import QueueId, TaskId, TeamId, WorkerId
+from lagoonshelf_core.model import Task, TaskState, WorkClass, WorkerInfo, WorkerState, WorkKind
+from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.throttles import Throttles
+from lagoonshelf_core.waiting import Bucket, Line
 
 MayStart = Callable[[Task], bool]
+RECLASS_MS = 250  # effective classes are read again after this time
 
 
 class Scheduler:
     """Waiting and running tasks and the room on each worker of a partition."""
 
-    def __init__(self) -> None:
-        """Start with no workers and no tasks."""
+    def __init__(self, hooks: Hooks | None = None) -> None:
+        """Start with no workers and no tasks.
+
+        :param hooks: decisions made by other modules, defaults when none
+        """
         self.tasks: dict[TaskId, Task] = {}
-        self._queue: dict[TaskId, None] = {}
-        self._workers: dict[WorkerId, WorkerInfo] = {}
-        self._states: dict[WorkerId, WorkerState] = {}
-        self._free: dict[WorkerId, Resources] = {}
+        self._state = PassState(hooks or Hooks())
+        self._gangs = GangPass(self._state)
+        self._claims = Claims(self._state)
+        self._throttles = Throttles(self._state)
+        self._reclassed_ms: int | None = None
+
+    def set_policy(
+        self, teams: dict[TeamId, TeamConfig], queues: dict[QueueId, QueueConfig]
+    ) -> None:
+        """Take in the configured shares and reserves.
+
+        :param teams: the configuration document's teams
+        :param queues: the configuration document's queues
+        """
+        self._state.fairness.set_shares({name: team.share for name, team in teams.items()})
+        reserves = {name: queue.reserve_slots for name, queue in queues.items()}
+        self._state.reserves.set_reserves(reserves)
 
     def set_worker(self, info: WorkerInfo, state: WorkerState) -> None:
         """Add a worker or change what is known of it.
@@ -27,87 +52,173 @@
         :param info: the worker as the host list gives it
         :param state: only ready workers get new tasks
         """
-        known = self._workers.get(info.worker)
-        if known is None:
-            self._free[info.worker] = info.capacity
-        elif known.capacity != info.capacity:
-            self._free[info.worker] += info.capacity - known.capacity
-        self._workers[info.worker] = info
-        self._states[info.worker] = state
+        self._state.room.set_worker(info, state)
 
     def remove_worker(self, worker: WorkerId) -> None:
-        """Forget a worker that holds no task."""
-        self._workers.pop(worker, None)
-        self._states.pop(worker, None)
-        self._free.pop(worker, None)
+        """Forget a worker."""
+        self._state.room.remove_worker(worker)
 
     def enqueue(self, task: Task) -> None:
-        """Add a waiting task, or put a task back whose start was refused."""
+        """Add a waiting task, or put a task back whose start was refused or that was stopped."""
+        if task.task in self.tasks:
+            self.release(task.task)
         task.state = TaskState.QUEUED
         task.worker = None
         self.tasks[task.task] = task
-        self._queue[task.task] = None
+        self._state.wait(task)
 
     def adopt(self, task: Task, worker: WorkerId) -> None:
         """Add a task that already runs on a worker."""
-        self._queue.pop(task.task, None)
+        if task.task in self.tasks:
+            self.release(task.task)
         self.tasks[task.task] = task
-        task.worker = worker
         task.state = TaskState.RUNNING
-        task.reserved = task.size
-        if worker in self._free:
-            self._free[worker] -= task.reserved
+        self._state.hold(task, worker, task.size, task.work_class)
 
     def release(self, task_id: TaskId) -> Task | None:
         """Forget a task and free what it holds.
 
         :returns: the task, or none when it is not known
         """
-        self._queue.pop(task_id, None)
         task = self.tasks.pop(task_id, None)
-        if task is not None and task.worker in self._free:
-            self._free[task.worker] += task.reserved
+        if task is None:
+            return None
+        self._claims.drop(task_id)
+        self._state.forget(task)
         return task
 
+    def confirm_throttle(self, task_id: TaskId, percent: int) -> None:
+        """Take in that a worker carried out a throttle command; its room counts as free now."""
+        self._throttles.confirm(task_id, percent)
+
+    def should_requeue(self, task_id: TaskId) -> bool:
+        """Tell whether a task's stop was the scheduler's, so that it waits again afterwards."""
+        holding = self._state.holdings.get(task_id)
+        return holding is not None and holding.requeue
+
     def run_pass(self, now_ms: int, may_start: MayStart) -> list[Command]:
-        """Decide what starts now and reserve room for it.
+        """Decide what starts and what yields now, and reserve room for what starts.
 
         :param now_ms: current time
-        :param may_start: tells whether the team's upper limit allows a task
+        :param may_start: tells whether the team's upper limit allows a task; ``team_held``
+            includes the earlier starts of the pass
         """
-        commands: list[Command] = []
-        for task_id in list(self._queue):
-            task = self.tasks[task_id]
-            worker = self._first_fit(task.size)
-            if worker is None or not may_start(task):
-                continue
-            self._reserve(task, worker, now_ms)
-            commands.append(Start(task_id, worker))
-        return commands
+        state = self._state
+        state.begin(now_ms, may_start)
+        self._reclass()
+        self._claims.keep()
+        self._gangs.keep()
+        for work_class in WorkClass:
+            blocked = self._start_class(work_class)
+            if work_class is WorkClass.URGENT:
+                self._claims.for_urgent(blocked)
+            else:
+                self._claims.for_lent_share(blocked)
+        self._gangs.reserve()
+        self._throttles.lift()
+        state.fairness.settle(now_ms)
+        return state.commands
+
+    def next_pass_ms(self) -> int | None:
+        """Return when a pass is due even if nothing changes, or none."""
+        times = [self._claims.next_ms()]
+        if self._gangs.reservation is not None:
+            times.append(self._gangs.reservation.due_ms + 1)
+        return min((time for time in times if time is not None), default=None)
 
     def queue_length(self) -> int:
         """Return the number of waiting tasks."""
-        return len(self._queue)
+        return len(self._state.waiting)
 
     def free(self) -> Resources:
-        """Return the free room on ready workers."""
-        total = Resources()
-        for worker, room in self._free.items():
-            if self._states[worker] is WorkerState.READY:
-                total += room
-        return total
-
-    def _first_fit(self, size: Resources) -> WorkerId | None:
-        for worker, room in self._free.items():
-            if self._states[worker] is WorkerState.READY and size.fits_in(room):
-                return worker
-        return None
-
-    def _reserve(self, task: Task, worker: WorkerId, now_ms: int) -> None:
-        del self._queue[task.task]
-        task.worker = worker
-        task.state = TaskState.STARTING
-        task.started_ms = now_ms
-        task.attempt += 1
-        task.reserved = task.size
-        self._free[worker] -= task.reserved
+        """Return the room on ready workers that is neither held nor promised."""
+        cpu_milli = memory_mib = accelerators = slots = 0
+        for _, account in self._state.room.ready():
+            room = account.available
+            cpu_milli += max(room.cpu_milli, 0)
+            memory_mib += max(room.memory_mib, 0)
+            accelerators += max(room.accelerators, 0)
+            slots += max(room.slots, 0)
+        return Resources(cpu_milli, memory_mib, accelerators, slots)
+
+    def team_held(self, team: TeamId) -> tuple[int, Resources]:
+        """Return the number and the total size of the tasks that a team holds."""
+        return self._state.fairness.held(team)
+
+    def team_use(self) -> dict[TeamId, float]:
+        """Return the dominant share over the window of each team with waiting or held tasks."""
+        fairness = self._state.fairness
+        teams = self._state.waiting.teams() | set(fairness.holding_teams())
+        capacity = self._state.room.capacity
+        return {team: fairness.window_share(team, capacity) for team in sorted(teams)}
+
+    def _reclass(self) -> None:
+        state = self._state
+        if state.hooks.effective_class is declared_class:
+            return
+        if self._reclassed_ms is not None and state.now_ms - self._reclassed_ms < RECLASS_MS:
+            return
+        self._reclassed_ms = state.now_ms
+        for bucket in state.waiting.buckets():
+            work_class = state.hooks.effective_class(bucket.head(), state.now_ms)
+            state.waiting.set_class(bucket, work_class)
+
+    def _start_class(self, work_class: WorkClass) -> list[Bucket]:
+        """Start what fits, the team furthest below its share first.
+
+        :returns: the buckets whose oldest task did not start, oldest first
+        """
+        state = self._state
+        turns = [
+            (self._score(team), _heap(line), team)
+            for team, line in state.waiting.lines(work_class).items()
+        ]
+        turns = [(score, heap[0][:2], team, heap) for score, heap, team in turns]
+        heapify(turns)
+        blocked: list[Bucket] = []
+        while turns:
+            _, _, team, heap = heappop(turns)
+            if not self._start_next(heap, blocked) or not heap:
+                continue
+            heappush(turns, (self._score(team), heap[0][:2], team, heap))
+        blocked = [bucket for bucket in blocked if bucket.tasks]
+        return sorted(blocked, key=lambda bucket: bucket.head_order())
+
+    def _start_next(self, heap: list, blocked: list[Bucket]) -> bool:
+        """Start the team's oldest task that fits; return whether one was started."""
+        while heap:
+            _, _, bucket = heappop(heap)
+            if not bucket.tasks:
+                continue
+            if not self._start_head(bucket):
+                blocked.append(bucket)
+                continue
+            if bucket.tasks:
+                heappush(heap, (bucket.head_order(), bucket.number, bucket))
+            return True
+        return False
+
+    def _start_head(self, bucket: Bucket) -> bool:
+        state = self._state
+        if bucket.key.kind is WorkKind.GANG:
+            return self._gangs.start_now(bucket.key.group)
+        task = bucket.head()
+        size = bucket.key.size
+        worker = state.find_worker(task, size)
+        backfill = None if worker else self._gangs.backfill(task, size)
+        chosen = worker or backfill
+        if chosen is None or not state.may_start(task):
+            return False
+        self._claims.drop(task.task)
+        state.start(task, chosen)
+        if backfill is not None:
+            self._gangs.note_backfill(task.task, backfill)
+        return True
+
+    def _score(self, team: TeamId) -> float:
+        return self._state.fairness.score(team, self._state.room.capacity)
+
+
+def _heap(line: Line) -> list[tuple[tuple[int, int], int, Bucket]]:
+    """Return a line's candidates as a heap by the age of their oldest task."""
+    return [(bucket.order, bucket.number, bucket) for bucket in line.candidates()]
--- /dev/null
+++ b/packages/core/lagoonshelf_core/waiting.py
@@ -0,0 +1,219 @@
+"""Waiting tasks of a partition in buckets of equal tasks."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import count
+from typing import NamedTuple
+
+from sortedcontainers import SortedList
+
+from lagoonshelf_core.ids import QueueId, RequestKey, TaskId, TeamId
+from lagoonshelf_core.model import Task, WorkClass, WorkKind
+from lagoonshelf_core.resources import Resources
+
+# Buckets of one class and team that a pass looks at when none fits. Half are the oldest, the
+# other half moves on from pass to pass, so that unusual sizes neither cost O(queue) nor starve.
+OLDEST_TRIED = 32
+OTHERS_TRIED = 32
+DEADLINE_STEP_MS = 60_000  # tasks with deadlines in the same minute share a bucket
+
+GroupId = tuple[TeamId, RequestKey]
+Order = tuple[int, int]
+
+
+class BucketKey(NamedTuple):
+    """What the tasks of a bucket have in common.
+
+    :param run_bits: power of two of the declared run time
+    :param group: the request, for gangs and services only
+    """
+
+    team: TeamId
+    queue: QueueId
+    work_class: WorkClass
+    kind: WorkKind
+    repeatable: bool
+    size: Resources
+    run_bits: int
+    deadline_step: int
+    group: GroupId | None
+
+
+def group_of(task: Task) -> GroupId | None:
+    """Return the request of a gang member or replica, none for independent tasks."""
+    if task.kind in (WorkKind.GANG, WorkKind.SERVICE):
+        return (task.team, task.request_key)
+    return None
+
+
+@dataclass(slots=True, eq=False)
+class Bucket:
+    """Equal waiting tasks, oldest first.
+
+    :param work_class: effective class
+    :param order: position of the oldest task when the bucket was last put in its line
+    """
+
+    key: BucketKey
+    work_class: WorkClass
+    number: int
+    order: Order = (0, 0)
+    tasks: OrderedDict[TaskId, tuple[Order, Task]] = field(default_factory=OrderedDict)
+
+    def head(self) -> Task:
+        """Return the oldest task."""
+        return next(iter(self.tasks.values()))[1]
+
+    def head_order(self) -> Order:
+        """Return the position of the oldest task among all."""
+        return next(iter(self.tasks.values()))[0]
+
+
+class Line:
+    """Buckets of one class and team by the age of their oldest task."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._sorted: SortedList = SortedList()
+        self._by_number: dict[int, Bucket] = {}
+        self._stale: dict[int, Bucket] = {}
+        self._moved_on = 0
+
+    def __len__(self) -> int:
+        return len(self._by_number)
+
+    def add(self, bucket: Bucket) -> None:
+        """Add a bucket that has a task."""
+        self._by_number[bucket.number] = bucket
+        bucket.order = bucket.head_order()
+        self._sorted.add((bucket.order, bucket.number))
+
+    def discard(self, bucket: Bucket) -> None:
+        """Remove a bucket."""
+        if self._by_number.pop(bucket.number, None) is not None:
+            self._sorted.discard((bucket.order, bucket.number))
+            self._stale.pop(bucket.number, None)
+
+    def mark(self, bucket: Bucket) -> None:
+        """Note that a bucket's oldest task may have changed."""
+        self._stale[bucket.number] = bucket
+
+    def buckets(self) -> list[Bucket]:
+        """Return all buckets."""
+        return list(self._by_number.values())
+
+    def candidates(self) -> list[Bucket]:
+        """Return the buckets that a pass tries, oldest first."""
+        for bucket in self._stale.values():
+            self._sorted.discard((bucket.order, bucket.number))
+            bucket.order = bucket.head_order()
+            self._sorted.add((bucket.order, bucket.number))
+        self._stale.clear()
+        chosen = list(self._sorted.islice(0, OLDEST_TRIED))
+        rest = len(self._sorted) - OLDEST_TRIED
+        if rest > 0:
+            begin = OLDEST_TRIED + (self._moved_on if self._moved_on < rest else 0)
+            chosen += self._sorted.islice(begin, begin + OTHERS_TRIED)
+            self._moved_on = begin - OLDEST_TRIED + OTHERS_TRIED
+        return [self._by_number[number] for _, number in chosen]
+
+
+class Waiting:
+    """All waiting tasks; adding and removing one does not depend on how many there are."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._buckets: dict[BucketKey, Bucket] = {}
+        self._where: dict[TaskId, Bucket] = {}
+        self._lines: dict[WorkClass, dict[TeamId, Line]] = {c: {} for c in WorkClass}
+        self._numbers = count()
+
+    def __len__(self) -> int:
+        return len(self._where)
+
+    def __contains__(self, task: TaskId) -> bool:
+        return task in self._where
+
+    def add(self, task: Task, size: Resources) -> None:
+        """Add a task; one that was started before goes in front of its equals.
+
+        :param size: room to reserve
+        """
+        key = _key_of(task, size)
+        bucket = self._buckets.get(key)
+        is_new = bucket is None
+        if is_new:
+            bucket = Bucket(key, task.work_class, next(self._numbers))
+            self._buckets[key] = bucket
+        bucket.tasks[task.task] = ((task.queued_ms, next(self._numbers)), task)
+        self._where[task.task] = bucket
+        if task.attempt > 0:
+            bucket.tasks.move_to_end(task.task, last=False)
+        if is_new:
+            self._line(bucket).add(bucket)
+        elif task.attempt > 0:
+            self._line(bucket).mark(bucket)
+
+    def remove(self, task: TaskId) -> None:
+        """Remove a task, if it waits."""
+        bucket = self._where.pop(task, None)
+        if bucket is None:
+            return
+        del bucket.tasks[task]
+        if bucket.tasks:
+            self._line(bucket).mark(bucket)
+            return
+        del self._buckets[bucket.key]
+        self._leave_line(bucket)
+
+    def lines(self, work_class: WorkClass) -> dict[TeamId, Line]:
+        """Return the lines of a class by team; none is empty."""
+        return self._lines[work_class]
+
+    def teams(self) -> set[TeamId]:
+        """Return the teams with waiting tasks."""
+        return {team for lines in self._lines.values() for team in lines}
+
+    def buckets(self) -> Iterator[Bucket]:
+        """Yield all buckets."""
+        yield from list(self._buckets.values())
+
+    def set_class(self, bucket: Bucket, work_class: WorkClass) -> None:
+        """Change a bucket's effective class."""
+        if bucket.work_class is work_class:
+            return
+        self._leave_line(bucket)
+        bucket.work_class = work_class
+        self._line(bucket).add(bucket)
+
+    def bucket_of(self, task: TaskId) -> Bucket:
+        """Return the bucket of a waiting task."""
+        return self._where[task]
+
+    def _line(self, bucket: Bucket) -> Line:
+        lines = self._lines[bucket.work_class]
+        line = lines.get(bucket.key.team)
+        if line is None:
+            line = lines[bucket.key.team] = Line()
+        return line
+
+    def _leave_line(self, bucket: Bucket) -> None:
+        line = self._line(bucket)
+        line.discard(bucket)
+        if not line:
+            del self._lines[bucket.work_class][bucket.key.team]
+
+
+def _key_of(task: Task, size: Resources) -> BucketKey:
+    return BucketKey(
+        task.team,
+        task.queue,
+        task.work_class,
+        task.kind,
+        task.repeatable,
+        size,
+        task.run_ms.bit_length(),
+        task.deadline_wall_ms // DEADLINE_STEP_MS,
+        group_of(task),
+    )
