--- a/packages/core/lagoonshelf_core/errors.py
+++ b/packages/core/lagoonshelf_core/errors.py
@@ -96,6 +96,13 @@
     PROTOCOL = CodeInfo(600, 500, Effect.NONE, "A peer message was not valid.")
     PEER_REFUSED = CodeInfo(601, 500, Effect.NONE, "A peer refused the connection.")
     STALE_EPOCH = CodeInfo(602, 409, Effect.NOT_RUN, "The command carries an old epoch.")
+    OWNER_LEFT = CodeInfo(
+        603,
+        503,
+        Effect.MAY_HAVE_RUN,
+        "The owner gave the partition up before it could answer.",
+        may_retry=True,
+    )
 
     BAD_SETTING = CodeInfo(700, 500, Effect.NONE, "A setting is unknown or impossible.")
     PARTITION_MISMATCH = CodeInfo(
--- a/packages/core/lagoonshelf_core/journal.py
+++ b/packages/core/lagoonshelf_core/journal.py
@@ -10,6 +10,11 @@
 
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
 
+MAX_SEGMENT_BYTES = 512 * 1024
+MAX_ENTRY_BYTES = MAX_SEGMENT_BYTES - 4096
+# A character takes at most 4 bytes, or 2 when the escapes of the inner JSON are escaped again.
+PIECE_CHARS = 96 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class EpochEntry:
@@ -43,6 +48,7 @@
     :param boot_id: boot id of the worker when the intent was written
     :param partition: partition of the worker
     :param digest: hash of the request's content
+    :param index: position among the tasks of the request
     """
 
     task: str
@@ -53,16 +59,21 @@
     team: str
     request_key: str
     digest: str
+    index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class VoidEntry:
-    """A start whose intent was written is proved not to have happened."""
+    """A start whose intent was written is proved not to have happened.
+
+    :param index: position among the tasks of the request
+    """
 
     task: str
     attempt: int
     team: str
     request_key: str
+    index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +108,20 @@
     request_key: str
 
 
+@dataclass(frozen=True, slots=True)
+class PartEntry:
+    """A piece of an entry that is too large for one segment.
+
+    :param name: common to the pieces of one entry
+    :param text: piece of the entry's JSON text
+    """
+
+    name: str
+    index: int
+    total: int
+    text: str
+
+
 Entry = (
     EpochEntry
     | ReleaseEntry
@@ -106,6 +131,7 @@
     | OutcomeEntry
     | CancelEntry
     | ForgetEntry
+    | PartEntry
 )
 
 _TYPES = {
@@ -117,6 +143,7 @@
     "outcome": OutcomeEntry,
     "cancel": CancelEntry,
     "forget": ForgetEntry,
+    "part": PartEntry,
 }
 _NAMES = {kind: name for name, kind in _TYPES.items()}
 
@@ -157,6 +184,29 @@
     return _TYPES[fields.pop("type")](**fields)
 
 
+def entry_size(entry: Entry) -> int:
+    """Return the number of bytes that an entry adds to a segment."""
+    return len(orjson.dumps(encode_entry(entry))) + 1
+
+
+def split_entry(entry: Entry, name: str) -> list[Entry]:
+    """Return the entry, or its pieces when it is too large for one segment.
+
+    :param name: unique name of the pieces
+    """
+    text = orjson.dumps(encode_entry(entry))
+    if len(text) <= MAX_ENTRY_BYTES:
+        return [entry]
+    whole = text.decode()
+    pieces = [whole[at : at + PIECE_CHARS] for at in range(0, len(whole), PIECE_CHARS)]
+    return [PartEntry(name, number, len(pieces), piece) for number, piece in enumerate(pieces)]
+
+
+def join_parts(parts: list[PartEntry]) -> Entry:
+    """Return the entry whose pieces are given in order."""
+    return decode_entry(orjson.loads("".join(part.text for part in parts)))
+
+
 def encode_segment(segment: Segment) -> str:
     """Return a segment as JSON text."""
     entries = [encode_entry(entry) for entry in segment.entries]
--- a/packages/core/lagoonshelf_core/records.py
+++ b/packages/core/lagoonshelf_core/records.py
@@ -28,6 +28,13 @@
 
     :param tasks: task id of each index
     :param outcomes: outcome of each index that has ended
+    :param attempts: number of starts of each index, as far as known
+    :param blocked: indexes whose last start is not settled after a takeover
+    :param complete: false while the request was only read from a worker or an intent, so that
+        its payload is not known
+    :param recovered: whether an earlier owner accepted the request
+    :param kept: worker and task id of results that no caller has been handed yet
+    :param begun: indexes of which a start may have taken effect
     :param first_start_ms: time of the first start, 0 before
     :param ended_ms: time of the last outcome, 0 before
     """
@@ -37,10 +44,26 @@
     created_ms: int
     tasks: dict[int, TaskId] = field(default_factory=dict)
     outcomes: dict[int, Outcome] = field(default_factory=dict)
+    attempts: dict[int, int] = field(default_factory=dict)
+    blocked: set[int] = field(default_factory=set)
     cancelled: bool = False
+    complete: bool = True
+    recovered: bool = False
+    kept: dict[int, tuple[str | None, str]] = field(default_factory=dict)
+    begun: set[int] = field(default_factory=set)
     first_start_ms: int = 0
     ended_ms: int = 0
 
+    @property
+    def id(self) -> RequestId:
+        """Return what identifies the request."""
+        return (self.spec.team, self.spec.request_key)
+
+    @property
+    def durable(self) -> bool:
+        """Tell whether the request is in the journal from its acceptance on."""
+        return self.spec.kind is not WorkKind.INTERACTIVE
+
     @property
     def ended(self) -> bool:
         """Tell whether each task has an outcome."""
@@ -72,13 +95,25 @@
         known = self.find(spec.team, spec.request_key)
         if known is None:
             record = Record(spec, digest, now_ms)
-            self.records[(spec.team, spec.request_key)] = record
+            self.add(record)
             return Success((record, True))
         if known.digest != digest:
             text = f"request key {spec.request_key!r} was used with other content"
             return Failure(Fault(ResultCode.KEY_REUSED, text))
+        if not known.complete:
+            known.spec = spec
+            known.complete = True
         return Success((known, False))
 
+    def add(self, record: Record) -> None:
+        """Take in a record."""
+        self.records[record.id] = record
+
+    def drop(self, record: Record) -> None:
+        """Forget a record, unless another one has taken its place."""
+        if self.records.get(record.id) is record:
+            del self.records[record.id]
+
     def set_outcome(self, record: Record, index: int, outcome: Outcome, now_ms: int) -> bool:
         """Store the first outcome of a task; later ones are ignored.
 
@@ -91,16 +126,13 @@
             record.ended_ms = now_ms
         return True
 
-    def forget_ended(self, before_ms: int) -> list[Record]:
-        """Drop the records that ended before a time and return them."""
-        old = [
+    def ended_before(self, before_ms: int) -> list[Record]:
+        """Return the records that ended before a time."""
+        return [
             record
             for record in self.records.values()
             if record.ended and record.ended_ms < before_ms
         ]
-        for record in old:
-            del self.records[(record.spec.team, record.spec.request_key)]
-        return old
 
 
 def digest_spec(spec: RequestSpec) -> str:
--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -12,6 +12,7 @@
 from lagoonshelf_server import metrics
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.drain import Drain
 from lagoonshelf_server.entry import Services
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.members import Members
@@ -31,7 +32,7 @@
 from lagoonshelf_server.peers import PeerLostError, PeerNet, hello_proof
 from lagoonshelf_server.requests import Requests
 from lagoonshelf_server.settings import Settings
-from lagoonshelf_server.store import StoreClient, StoreError
+from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 from lagoonshelf_server.workers import WorkerClient
 
 IO_THREADS = 128
@@ -65,22 +66,26 @@
         self.requests = Requests(cfg, self.clock, self.members, self.net, self._active_owner)
         self.stopped = asyncio.Event()
         self._free_since_ms: dict[PartitionId, int] = {}
+        self._keeping_lease: asyncio.Task | None = None
+        self._drain = Drain(cfg, self.store, self.members, self.owners, self.requests, self._end)
 
     async def start(self) -> None:
         """Begin to listen to peers and run the loops."""
         await self.net.listen(self.cfg.host, self.cfg.peer_port)
-        self.bridge.spawn(self.members.keep_lease())
+        self._keeping_lease = self.bridge.spawn(self.members.keep_lease())
         self.bridge.spawn(self._watch_forever())
         self.bridge.spawn(self._ping_forever())
         self.bridge.spawn(self._claim_forever())
         self.bridge.spawn(self._hosts_forever())
 
     async def drain(self) -> None:
-        """Release all partitions, then let the process end."""
-        self.members.draining = True
-        for partition, owner in list(self.owners.items()):
-            await owner.release()
-            self.owners.pop(partition, None)
+        """Finish what callers wait for, hand all partitions over, and let the process end."""
+        await self._drain.run()
+
+    def _end(self) -> None:
+        """Let the lease end and the process with it."""
+        if self._keeping_lease is not None:
+            self._keeping_lease.cancel()
         self.stopped.set()
 
     def services(self) -> Services:
@@ -247,7 +252,8 @@
                 for owner in self.owners.values():
                     owner.set_hosts(hosts)
             except StoreError:
-                pass
+                for owner in self.owners.values():
+                    owner.hosts_tried()
             await asyncio.sleep(self.cfg.hosts_ms / 1000)
 
     async def _claim_forever(self) -> None:
@@ -278,11 +284,10 @@
 
     async def _claim(self, partition: PartitionId) -> None:
         key = f"owners/{partition}"
-        value = orjson.dumps({"member": self.members.me}).decode()
-        try:
-            if not await self.store.cas(key, value, 0, self.members.lease):
-                return
-        except StoreError:
+        lease = self.members.lease
+        body = {"member": self.members.me, "token": writer_token()}
+        value = orjson.dumps(body).decode()
+        if not await self._create_key(key, value, lease) or lease != self.members.lease:
             return
         owner = Owner(
             self.cfg,
@@ -293,6 +298,21 @@
             self.workers,
             self.members,
             self.config,
+            value,
         )
         self.owners[partition] = owner
         self.bridge.spawn(owner.take_over())
+
+    async def _create_key(self, key: str, value: str, lease: str | None) -> bool:
+        """Create an owner key; after a lost answer the token tells whether it is ours."""
+        try:
+            return await self.store.cas(key, value, 0, lease)
+        except StoreError:
+            pass
+        while lease == self.members.lease:
+            await asyncio.sleep(CLAIM_INTERVAL_S)
+            try:
+                return (await self.store.get(key)).value == value
+            except StoreError:
+                continue
+        return False
--- a/packages/server/lagoonshelf_server/dispatch.py
+++ b/packages/server/lagoonshelf_server/dispatch.py
@@ -2,35 +2,24 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.commands import Command, Start, Stop
-from lagoonshelf_core.errors import LagoonshelfError
-from lagoonshelf_core.ids import Epoch, PartitionId, QueueId, RequestKey, TaskId, TeamId, WorkerId
-from lagoonshelf_core.journal import Entry, IntentEntry
-from lagoonshelf_core.model import (
-    Task,
-    TaskState,
-    WorkClass,
-    WorkerInfo,
-    WorkerState,
-    WorkKind,
-)
-from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.commands import Command, GiveUp, Start, Stop, Throttle, Warm, Warning
+from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.model import Task, TaskState, WorkerState
 from lagoonshelf_core.scheduler import Scheduler
 
 from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.fleet import Fleet
 from lagoonshelf_server.logs import logger
-from lagoonshelf_server.messages import TaskMeta
 from lagoonshelf_server.settings import Settings
+from lagoonshelf_server.starter import DispatchHooks, Starter
 from lagoonshelf_server.worker_link import LinkEvents, WorkerLink
 from lagoonshelf_server.workers import (
     Authority,
     Inventory,
     StaleEpochError,
-    StartItem,
     TaskReport,
     WorkerClient,
     WorkerError,
@@ -39,34 +28,8 @@
 _log = logger("dispatch")
 
 
-@dataclass(slots=True)
-class DispatchHooks:
-    """How dispatch reaches its partition.
-
-    :param may_act: whether this process still owns the partition
-    :param journal: makes entries durable
-    :param on_started: the worker has confirmed the start of a task
-    :param on_ended: a task has ended
-    :param on_refused: a task was certainly not started
-    :param on_lost: a task's worker has lost it; it may have run
-    :param on_found: a task was found on a worker that the scheduler does not know
-    :param on_stale: a newer owner exists
-    :param kick: asks for a scheduling pass
-    """
-
-    may_act: Callable[[], bool]
-    journal: Callable[[list[Entry]], object]
-    on_started: Callable[[Task], None]
-    on_ended: Callable[[TaskReport], None]
-    on_refused: Callable[[Task], None]
-    on_lost: Callable[[Task], None]
-    on_found: Callable[[WorkerId, TaskReport], None]
-    on_stale: Callable[[], None]
-    kick: Callable[[], None]
-
-
 class Dispatch:
-    """Worker links of one owned partition."""
+    """Commands to the workers of one owned partition, and what they report."""
 
     def __init__(
         self,
@@ -83,175 +46,164 @@
 
         :param digest_of: content hash of a task's request
         """
-        self.links: dict[WorkerId, WorkerLink] = {}
+        self.stops: dict[TaskId, Stop] = {}
         self._cfg = cfg
-        self._clock = clock
         self._bridge = bridge
         self._client = client
         self._authority = authority
         self._scheduler = scheduler
-        self._digest_of = digest_of
         self._hooks = hooks
-        self._followers: dict[WorkerId, asyncio.Task] = {}
-        self._events = LinkEvents(
-            self._on_inventory, self._on_report, self._on_state, hooks.on_stale
+        events = LinkEvents(self._on_inventory, self._on_report, self._on_state, hooks.on_stale)
+        self.fleet = Fleet(
+            cfg, clock, bridge, client, authority, scheduler, events, self._on_worker_lost
         )
-
-    def set_hosts(self, hosts: list[WorkerInfo]) -> None:
-        """Take in the host list: new, changed and leaving workers of the partition."""
-        for info in hosts:
-            link = self.links.get(info.worker)
-            if link is None:
-                self._add(info)
-                continue
-            link.info = info
-            if info.leaving:
-                link.set_state(WorkerState.LEAVING)
-            elif info.boot_id != link.boot_id and link.state is not WorkerState.UNREAD:
-                link.set_state(WorkerState.UNREAD)
+        self._starter = Starter(cfg, client, authority, self.fleet.links, digest_of, hooks)
 
     async def execute(self, commands: list[Command]) -> None:
         """Carry out the commands of one pass."""
-        starts: dict[WorkerId, list[Task]] = defaultdict(list)
+        starts: dict[tuple[WorkerId, bool], list[Task]] = defaultdict(list)
         for command in commands:
             if isinstance(command, Start):
-                starts[command.worker].append(self._scheduler.tasks[command.task])
+                task = self._scheduler.tasks[command.task]
+                starts[(command.worker, task.repeatable)].append(task)
             elif isinstance(command, Stop):
+                self.stops[command.task] = command
                 self._bridge.spawn(self._stop(command))
-        for worker, tasks in starts.items():
-            self._bridge.spawn(self._start(worker, tasks))
-
-    async def renew_forever(self) -> None:
-        """Renew the leases of running tasks; notice tasks whose worker is silent too long."""
-        while True:
-            await asyncio.sleep(self._cfg.task_renew_ms / 1000)
-            await asyncio.gather(*(self._renew(link) for link in self.links.values()))
-
-    def close(self) -> None:
-        """Stop following workers."""
-        for follower in self._followers.values():
-            follower.cancel()
-
-    def all_read(self) -> bool:
-        """Tell whether each worker's inventory is known."""
-        return all(link.state is not WorkerState.UNREAD for link in self.links.values())
-
-    def _add(self, info: WorkerInfo) -> None:
-        link = WorkerLink(info, self._authority, self._client, self._clock, self._events)
-        self.links[info.worker] = link
-        self._scheduler.set_worker(info, WorkerState.UNREAD)
-        self._followers[info.worker] = self._bridge.spawn(link.follow())
+            elif isinstance(command, Throttle | Warm):
+                self._bridge.spawn(self._adjust(command))
+            elif isinstance(command, GiveUp):
+                self._give_up(command)
+            elif isinstance(command, Warning):
+                _log.warning("forecast", queue=command.queue, reason=command.reason)
+        for (worker, _), tasks in starts.items():
+            self._bridge.spawn(self._starter.start(worker, tasks))
+
+    async def quiesce(self) -> None:
+        """Wait until no start is on its way; the caller has stopped new ones before."""
+        await self._starter.quiesce()
+
+    async def stop_stale(self, worker: WorkerId, task: TaskId) -> None:
+        """Stop a run that is not the current attempt of its task."""
+        await self._stop(Stop(task, worker, False))
+
+    def forget(self, task: TaskId) -> None:
+        """Drop what is kept of a task that has ended."""
+        self._starter.forget(task)
+        self.stops.pop(task, None)
 
-    async def _start(self, worker: WorkerId, tasks: list[Task]) -> None:
-        link = self.links[worker]
-        intents = [self._intent(link, task) for task in tasks if not task.repeatable]
-        try:
-            if intents:
-                await self._hooks.journal(intents)
-        except LagoonshelfError as exc:
-            _log.warning("intent not written", reason=exc.fault.message)
-            for task in tasks:
-                self._hooks.on_refused(task)
+    async def _stop(self, command: Stop) -> None:
+        link = self.fleet.links.get(command.worker)
+        if link is None or not self._hooks.may_act():
             return
-        tasks = [task for task in tasks if task.state is TaskState.STARTING]
-        if not self._hooks.may_act() or link.state is not WorkerState.READY:
-            for task in tasks:
-                self._hooks.on_refused(task)
+        await self._command(
+            link,
+            self._client.stop(
+                link.info.address, self._authority, [command.task], command.checkpoint
+            ),
+        )
+
+    async def _adjust(self, command: Throttle | Warm) -> None:
+        link = self.fleet.links.get(command.worker)
+        if link is None or not self._hooks.may_act():
             return
-        await self._send_start(link, tasks)
+        address = link.info.address
+        if isinstance(command, Throttle):
+            call = self._client.throttle(address, self._authority, command.task, command.percent)
+        else:
+            call = self._client.warm(address, self._authority, command.queue, command.slots)
+        await self._command(link, call)
 
-    async def _send_start(self, link: WorkerLink, tasks: list[Task]) -> None:
-        items = [StartItem(task_meta(task, self._digest_of(task)), task.payload) for task in tasks]
-        timeout_ms = self._cfg.start_timeout_ms
-        expires_ms = link.expiry_ms(timeout_ms)
+    async def _command(self, link: WorkerLink, call: Awaitable[None]) -> None:
         try:
-            answers = await self._client.start(
-                link.info.address,
-                self._authority,
-                items,
-                self._cfg.task_lease_ms,
-                expires_ms,
-                timeout_ms,
-            )
-        except WorkerError as exc:
-            _log.warning("start not confirmed", worker=link.info.worker, reason=str(exc))
+            await call
+        except WorkerError:
             link.set_state(WorkerState.UNREAD)
-            return
         except StaleEpochError:
             self._hooks.on_stale()
-            return
-        for task, answer in zip(tasks, answers, strict=True):
-            self._on_start_answer(link, task, answer)
 
-    def _on_start_answer(self, link: WorkerLink, task: Task, answer: str) -> None:
-        if answer in ("started", "known"):
-            if task.state is TaskState.STARTING:
-                task.state = TaskState.RUNNING
-                self._hooks.on_started(task)
-            return
-        if answer == "leaving":
-            link.set_state(WorkerState.LEAVING)
-        self._hooks.on_refused(task)
+    def _give_up(self, command: GiveUp) -> None:
+        task = self._scheduler.tasks.get(command.task)
+        if task is not None:
+            self._hooks.on_given_up(task, command.reason)
 
-    async def _stop(self, command: Stop) -> None:
-        link = self.links.get(command.worker)
-        if link is None or not self._hooks.may_act():
+    async def renew_forever(self) -> None:
+        """Renew task leases, acknowledge results, and notice workers silent too long."""
+        while True:
+            await asyncio.sleep(self._cfg.task_renew_ms / 1000)
+            if not self._hooks.may_act():
+                continue
+            for link in list(self.fleet.links.values()):
+                # An unread worker gets no renewal, so that its leases end at a known time.
+                if link.state is not WorkerState.UNREAD:
+                    self._bridge.spawn(self._renew(link))
+                    self._bridge.spawn(self._ack(link))
+            self.fleet.check()
+
+    async def _renew(self, link: WorkerLink) -> None:
+        held = (TaskState.RUNNING, TaskState.STOPPING)
+        running = [t.task for t in self.fleet.tasks_on(link.info.worker) if t.state in held]
+        if not running or not self._hooks.may_act():
             return
+        link.touch()
+        expires_ms = link.expiry_ms(self._cfg.start_timeout_ms)
         try:
-            await self._client.stop(
-                link.info.address, self._authority, [command.task], command.checkpoint
+            missing = await self._client.renew(
+                link.info.address, self._authority, running, expires_ms
             )
         except WorkerError:
             link.set_state(WorkerState.UNREAD)
         except StaleEpochError:
             self._hooks.on_stale()
+        else:
+            if any(task in self._scheduler.tasks for task in missing):
+                link.set_state(WorkerState.UNREAD)
 
-    async def _renew(self, link: WorkerLink) -> None:
-        tasks = [t for t in self._scheduler.tasks.values() if t.worker == link.info.worker]
-        running = [t.task for t in tasks if t.state in (TaskState.RUNNING, TaskState.STOPPING)]
-        if not running or not self._hooks.may_act():
+    async def _ack(self, link: WorkerLink) -> None:
+        acks, link.acks = link.acks, []
+        if not acks:
             return
         try:
-            await self._client.renew(link.info.address, self._authority, running)
+            await self._client.ack(link.info.address, acks)
         except WorkerError:
-            link.set_state(WorkerState.UNREAD)
-        except StaleEpochError:
-            self._hooks.on_stale()
+            link.acks += acks
 
     def _on_inventory(self, link: WorkerLink, inventory: Inventory) -> None:
+        worker = link.info.worker
         seen = {report.meta.task: report for report in inventory.tasks}
         for report in inventory.tasks:
-            if report.meta.task not in self._scheduler.tasks:
-                self._hooks.on_found(link.info.worker, report)
-        for task in list(self._scheduler.tasks.values()):
-            if task.worker != link.info.worker:
-                continue
-            report = seen.get(task.task)
-            if report is None or report.meta.attempt < task.attempt:
-                self._settle_missing(link, inventory, task)
-            elif report.state == "running":
-                self._on_start_answer(link, task, "known")
-            else:
-                self._hooks.on_ended(report)
-
-    def _settle_missing(self, link: WorkerLink, inventory: Inventory, task: Task) -> None:
-        """Decide on a task that its worker does not know.
-
-        A start may still be on its way until it expires on the worker's clock.
-        """
-        rebooted = bool(link.boot_id) and inventory.boot_id != link.boot_id
-        if rebooted or task.state is not TaskState.STARTING:
-            self._hooks.on_lost(task)
-            return
-        age_ms = self._clock.now_ms() - task.started_ms
-        if age_ms > 2 * self._cfg.start_timeout_ms:
-            self._hooks.on_refused(task)
-        else:
+            known = self._scheduler.tasks.get(TaskId(report.meta.task))
+            if known is None or known.worker != worker:
+                self._hooks.on_found(worker, report)
+        unsettled = [
+            task
+            for task in self.fleet.tasks_on(worker)
+            if not self._settle(link, inventory, task, seen.get(task.task))
+        ]
+        if unsettled:
             raise WorkerError("a start may still be on its way")
+        self._hooks.on_read(worker, inventory)
+        # After a takeover the leases were last renewed by the predecessor.
+        self._bridge.spawn(self._renew(link))
+
+    def _settle(
+        self, link: WorkerLink, inventory: Inventory, task: Task, report: TaskReport | None
+    ) -> bool:
+        """Bring a task in line with its worker's inventory; false when it is too early."""
+        if report is None or report.meta.attempt < task.attempt:
+            return self._starter.settle_missing(inventory, task)
+        if report.state != "running":
+            self._hooks.on_ended(report)
+            return True
+        self._starter.confirm(link, task, "known")
+        stop = self.stops.get(task.task)
+        if stop is not None and stop.worker == task.worker:
+            self._bridge.spawn(self._stop(stop))
+        return True
 
     def _on_report(self, link: WorkerLink, report: TaskReport) -> None:
         task = self._scheduler.tasks.get(TaskId(report.meta.task))
-        if task is None or task.attempt != report.meta.attempt:
+        known = task is not None and task.worker == link.info.worker
+        if not known or task.attempt != report.meta.attempt:
             _log.info("report without a task", task=report.meta.task)
             return
         if not report.whole:
@@ -263,63 +215,7 @@
         self._scheduler.set_worker(link.info, link.state)
         self._hooks.kick()
 
-    def _intent(self, link: WorkerLink, task: Task) -> IntentEntry:
-        return IntentEntry(
-            task.task,
-            task.attempt,
-            link.info.worker,
-            link.boot_id,
-            self._authority.partition,
-            task.team,
-            task.request_key,
-            self._digest_of(task),
-        )
-
-
-def task_meta(task: Task, digest: str) -> TaskMeta:
-    """Return what a worker keeps of a task.
-
-    :param digest: content hash of the request
-    """
-    return TaskMeta(
-        task=task.task,
-        attempt=task.attempt,
-        home=task.home,
-        epoch=task.epoch,
-        team=task.team,
-        queue=task.queue,
-        request_key=task.request_key,
-        kind=task.kind.value,
-        work_class=task.work_class.value,
-        repeatable=task.repeatable,
-        cpu_milli=task.size.cpu_milli,
-        memory_mib=task.size.memory_mib,
-        accelerators=task.size.accelerators,
-        run_ms=task.run_ms,
-        index=task.index,
-        digest=digest,
-    )
-
-
-def task_from_meta(meta: TaskMeta, now_ms: int) -> Task:
-    """Return the task that a worker reported.
-
-    :param now_ms: stands in for the unknown time of arrival
-    """
-    return Task(
-        task=TaskId(meta.task),
-        team=TeamId(meta.team),
-        queue=QueueId(meta.queue),
-        request_key=RequestKey(meta.request_key),
-        kind=WorkKind(meta.kind),
-        work_class=WorkClass(meta.work_class),
-        repeatable=meta.repeatable,
-        size=Resources(meta.cpu_milli, meta.memory_mib, meta.accelerators, 1),
-        run_ms=meta.run_ms,
-        index=meta.index,
-        queued_ms=now_ms,
-        home=PartitionId(meta.home),
-        epoch=Epoch(meta.epoch),
-        attempt=meta.attempt,
-        started_ms=now_ms,
-    )
+    def _on_worker_lost(self, worker: WorkerId) -> None:
+        for task in self.fleet.tasks_on(worker):
+            self._hooks.on_lost(task)
+        self._hooks.on_worker_lost(worker)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/fleet.py
@@ -0,0 +1,131 @@
+"""The workers of one owned partition: who is there, who was read, who is lost."""
+
+import asyncio
+from collections.abc import Callable
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import WorkerId
+from lagoonshelf_core.model import Task, WorkerInfo, WorkerState
+from lagoonshelf_core.scheduler import Scheduler
+
+from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.logs import logger
+from lagoonshelf_server.settings import Settings
+from lagoonshelf_server.worker_link import LinkEvents, WorkerLink
+from lagoonshelf_server.workers import Authority, WorkerClient
+
+_log = logger("fleet")
+
+
+def lease_over_ms(cfg: Settings) -> int:
+    """Return how long after the last renewal was sent no task of a worker can run.
+
+    A renewal or a start takes effect at most one start timeout after it was sent, since it
+    expires on the worker's clock; the task lease runs from there.
+    """
+    return cfg.task_lease_ms + cfg.start_timeout_ms
+
+
+class Fleet:
+    """Links to the workers of a partition."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        bridge: Bridge,
+        client: WorkerClient,
+        authority: Authority,
+        scheduler: Scheduler,
+        events: LinkEvents,
+        on_lost: Callable[[WorkerId], None],
+    ) -> None:
+        """Begin without workers.
+
+        :param on_lost: all task leases of an unreachable worker have ended
+        """
+        self.links: dict[WorkerId, WorkerLink] = {}
+        self._cfg = cfg
+        self._clock = clock
+        self._bridge = bridge
+        self._client = client
+        self._authority = authority
+        self._scheduler = scheduler
+        self._events = events
+        self._on_lost = on_lost
+        self._followers: dict[WorkerId, asyncio.Task] = {}
+
+    def set_hosts(self, hosts: list[WorkerInfo]) -> None:
+        """Take in the host list: new, changed, leaving and missing workers of the partition."""
+        for info in hosts:
+            link = self.links.get(info.worker)
+            if link is None:
+                self._add(info)
+            else:
+                self._update(link, info)
+        listed = {info.worker for info in hosts}
+        for worker, link in self.links.items():
+            if worker not in listed and link.gone_ms is None:
+                _log.info("worker not listed", worker=worker)
+                link.gone_ms = self._clock.now_ms()
+                link.set_leaving()
+
+    def check(self) -> None:
+        """Give up workers that were silent for too long, and remove those that are gone."""
+        now_ms = self._clock.now_ms()
+        over_ms = lease_over_ms(self._cfg)
+        for worker, link in list(self.links.items()):
+            silent = link.state is WorkerState.UNREAD and now_ms - link.touched_ms > over_ms
+            if silent and not link.lost:
+                _log.warning("worker lost", worker=worker)
+                link.lost = True
+                self._on_lost(worker)
+            gone = link.gone_ms is not None and now_ms - link.gone_ms > over_ms
+            if gone and not self.tasks_on(worker):
+                self._remove(worker)
+
+    def tasks_on(self, worker: WorkerId) -> list[Task]:
+        """Return the tasks that the scheduler has on a worker."""
+        return [task for task in self._scheduler.tasks.values() if task.worker == worker]
+
+    def all_read(self) -> bool:
+        """Tell whether no worker can run a task that is not known."""
+        return all(
+            link.lost or link.state is not WorkerState.UNREAD for link in self.links.values()
+        )
+
+    def all_tried(self) -> bool:
+        """Tell whether each worker has answered or failed to answer once."""
+        return all(link.tried for link in self.links.values())
+
+    def close(self) -> None:
+        """Stop following workers."""
+        for follower in self._followers.values():
+            follower.cancel()
+
+    def _add(self, info: WorkerInfo) -> None:
+        link = WorkerLink(info, self._authority, self._client, self._clock, self._events)
+        self.links[info.worker] = link
+        self._scheduler.set_worker(info, WorkerState.UNREAD)
+        # A worker without fencing may still take a start that the predecessor sent.
+        delay_ms = 0 if info.fencing else self._cfg.start_timeout_ms
+        self._followers[info.worker] = self._bridge.spawn(link.follow(delay_ms))
+
+    def _update(self, link: WorkerLink, info: WorkerInfo) -> None:
+        restarted = info.boot_id not in (link.info.boot_id, link.boot_id)
+        changed = info.capacity != link.info.capacity
+        back = link.gone_ms is not None
+        link.info = info
+        link.gone_ms = None
+        if info.leaving:
+            link.set_leaving()
+        elif restarted or back:
+            link.set_state(WorkerState.UNREAD)
+        if changed:
+            self._scheduler.set_worker(info, link.state)
+
+    def _remove(self, worker: WorkerId) -> None:
+        _log.info("worker removed", worker=worker)
+        self._followers.pop(worker).cancel()
+        del self.links[worker]
+        self._scheduler.remove_worker(worker)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/intake.py
@@ -0,0 +1,154 @@
+"""Requests that reach a partition's owner: acceptance, joining, waiting and cancelling."""
+
+import asyncio
+from collections.abc import Callable
+
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.ids import PartitionId
+from lagoonshelf_core.journal import AcceptEntry, CancelEntry
+from lagoonshelf_core.model import RequestSpec, TaskState, WorkKind
+from lagoonshelf_core.records import Record, RequestId, spec_to_dict
+from returns.result import Failure
+
+from lagoonshelf_server.partition import Partition
+from lagoonshelf_server.recovery import Recovery
+from lagoonshelf_server.task_events import TaskEvents
+
+
+class Intake:
+    """The callers' side of one owned partition."""
+
+    def __init__(
+        self,
+        partition: Partition,
+        events: TaskEvents,
+        recovery: Recovery,
+        may_start: Callable[[], bool],
+    ) -> None:
+        """Set up.
+
+        :param may_start: whether new work may be started now
+        """
+        self._part = partition
+        self._events = events
+        self._recovery = recovery
+        self._may_start = may_start
+        self._accepting: dict[RequestId, asyncio.Task[None]] = {}
+
+    async def submit(self, spec: RequestSpec) -> Record:
+        """Begin a request or join its record; return when it is accepted or has ended.
+
+        :raises LagoonshelfError: when the request was refused, timed out, or the owner left
+        """
+        self._check_active()
+        end_ms = self._part.clock.now_ms() + spec.timeout_ms
+        try:
+            record = await self._admit(spec, end_ms)
+            if spec.kind is WorkKind.INTERACTIVE:
+                await self._wait_ended(record, end_ms)
+        except LagoonshelfError:
+            self._check_may_answer()
+            raise
+        self._check_may_answer()
+        self._events.hand_over(record)
+        return record
+
+    async def cancel(self, record: Record) -> None:
+        """Cancel what has not ended yet."""
+        self._check_active()
+        await self._wait_accepted(record.id)
+        if record.cancelled or record.ended:
+            return
+        if record.durable:
+            await self._part.append([CancelEntry(record.spec.team, record.spec.request_key)], True)
+        record.cancelled = True
+        for index, name in list(record.tasks.items()):
+            task = self._part.scheduler.tasks.get(name)
+            if task is None:
+                continue
+            if task.state is TaskState.QUEUED:
+                self._events.cancel_queued(record, index, name)
+            elif task.state is TaskState.RUNNING:
+                self._events.stop(task)
+        self._recovery.begin(record)
+
+    async def _admit(self, spec: RequestSpec, end_ms: int) -> Record:
+        if spec.repeatable and spec.kind is WorkKind.INTERACTIVE:
+            await self._wait_known((spec.team, spec.request_key), end_ms)
+            self._check_active()
+        result = self._part.book.submit(spec, self._part.clock.now_ms())
+        if isinstance(result, Failure):
+            raise LagoonshelfError(result.failure())
+        record, is_new = result.unwrap()
+        if is_new and record.durable:
+            accepting = asyncio.ensure_future(self._accept(record))
+            self._accepting[record.id] = accepting
+            accepting.add_done_callback(_retrieve)
+        await self._wait_accepted(record.id)
+        self._part.create_tasks(record)
+        return record
+
+    async def _wait_known(self, request: RequestId, end_ms: int) -> None:
+        left_s = max(0, end_ms - self._part.clock.now_ms()) / 1000
+        try:
+            await asyncio.wait_for(self._recovery.wait_known(request), left_s)
+        except TimeoutError:
+            text = "a worker that may run the request was not read in time"
+            raise LagoonshelfError(Fault(ResultCode.OUTCOME_UNKNOWN, text)) from None
+
+    async def _accept(self, record: Record) -> None:
+        """Make the acceptance durable, even when the caller leaves meanwhile."""
+        try:
+            await self._part.append([AcceptEntry(spec_to_dict(record.spec))], True)
+            self._part.create_tasks(record)
+        except LagoonshelfError:
+            self._part.book.drop(record)
+            raise
+        finally:
+            del self._accepting[record.id]
+
+    async def _wait_accepted(self, request: RequestId) -> None:
+        """Wait until an acceptance in progress is known to be durable."""
+        accepting = self._accepting.get(request)
+        if accepting is not None:
+            await asyncio.shield(accepting)
+
+    async def _wait_ended(self, record: Record, end_ms: int) -> None:
+        if record.ended:
+            return
+        left_s = (end_ms - self._part.clock.now_ms()) / 1000
+        if await self._part.waiters.wait(record.id, left_s) or record.ended:
+            return
+        raise LagoonshelfError(self._time_out(record))
+
+    def _time_out(self, record: Record) -> Fault:
+        """Return what a caller gets whose time is up; the last one takes the queue entry along."""
+        name = record.tasks.get(0)
+        task = self._part.scheduler.tasks.get(name) if name else None
+        queued = task is not None and task.state is TaskState.QUEUED
+        alone = not self._part.waiters.count(record.id)
+        if queued and alone and self._part.may_act():
+            self._part.scheduler.release(task.task)
+            self._part.book.drop(record)
+            if 0 not in record.begun:
+                return Fault(ResultCode.TIMED_OUT_QUEUED, "no worker had room in time")
+        return Fault(ResultCode.TIMED_OUT_RUNNING, "the work may have been started")
+
+    def _check_active(self) -> None:
+        if not self._may_start():
+            raise LagoonshelfError(no_owner(self._part.number))
+
+    def _check_may_answer(self) -> None:
+        if not self._part.may_act():
+            raise LagoonshelfError(self._part.owner_left())
+
+
+def no_owner(partition: PartitionId) -> Fault:
+    """Return what a caller gets whose request was not let in."""
+    return Fault(ResultCode.NO_OWNER, f"partition {partition} has no active owner here", 200)
+
+
+def _retrieve(task: asyncio.Task[None]) -> None:
+    """Mark a failure as seen when no caller is left."""
+    if not task.cancelled():
+        task.exception()
--- a/packages/server/lagoonshelf_server/journal_writer.py
+++ b/packages/server/lagoonshelf_server/journal_writer.py
@@ -1,22 +1,45 @@
 """Group commit of a partition's journal entries to the store."""
 
 import asyncio
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import Epoch, PartitionId
-from lagoonshelf_core.journal import Entry, Segment, decode_segment, encode_segment, segment_key
-
+from lagoonshelf_core.journal import (
+    MAX_ENTRY_BYTES,
+    Entry,
+    Segment,
+    decode_segment,
+    encode_segment,
+    entry_size,
+    segment_key,
+    split_entry,
+)
+from lagoonshelf_core.replay import JournalState
+
+from lagoonshelf_server.logs import logger
 from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 
 MAX_ENTRIES = 1000
 SETTLE_INTERVAL_S = 0.2
+_log = logger("journal")
 
 
 @dataclass(slots=True)
-class _Pending:
-    entries: list[Entry]
+class _Item:
+    """An entry that waits for its segment.
+
+    :param fut: resolved when the last entry of an append is durable
+    :param refusable: whether the append may be refused while nothing of it was sent
+    """
+
+    entry: Entry
+    size: int
     fut: asyncio.Future[None]
+    last: bool
+    refusable: bool
 
 
 class JournalLostError(Exception):
@@ -24,56 +47,106 @@
 
 
 class JournalWriter:
-    """Appends entries in order; one segment is being written at a time."""
+    """Appends entries in order; one segment is being written at a time.
+
+    A segment is created only if absent, so repeating a write whose answer was lost is safe. A
+    write is repeated until its outcome is known: an entry that was sent is never reported as not
+    written unless another writer has the segment number.
+    """
 
     def __init__(
-        self, store: StoreClient, partition: PartitionId, epoch: Epoch, number: int, flush_ms: int
+        self,
+        store: StoreClient,
+        partition: PartitionId,
+        epoch: Epoch,
+        state: JournalState,
+        number: int,
+        flush_ms: int,
+        reachable: Callable[[], bool] = lambda: True,
     ) -> None:
         """Begin after the last segment that was read.
 
+        :param state: what the journal says so far; follows what is written
         :param number: number of the next segment
         :param flush_ms: how long entries are collected
+        :param reachable: whether the store answered recently
         """
         self.number = number
+        self.state = state
         self.lost = False
         self._store = store
         self._partition = partition
         self._epoch = epoch
         self._flush_ms = flush_ms
-        self._pending: list[_Pending] = []
+        self._reachable = reachable
+        self._away = False
+        self._closed = False
+        self._pending: deque[_Item] = deque()
         self._flushing: asyncio.Task | None = None
+        self._sent_last: asyncio.Future[None] | None = None
 
-    async def append(self, entries: list[Entry]) -> None:
+    async def append(self, entries: list[Entry], refusable: bool = True) -> None:
         """Write entries and return once they are durable.
 
-        :raises LagoonshelfError: when the store is away (nothing written) or the journal is lost
+        :param refusable: refuse at once while the store is away, instead of waiting for it
+        :raises LagoonshelfError: when the store is away (nothing was sent) or the journal is lost
         """
-        if self.lost:
+        if self.lost or self._closed:
             raise _lost()
+        if refusable and (self._away or not self._reachable()):
+            raise _refused()
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._pending.append(_Pending(entries, fut))
+        pieces = [piece for entry in entries for piece in split_entry(entry, writer_token())]
+        for number, piece in enumerate(pieces):
+            last = number == len(pieces) - 1
+            self._pending.append(_Item(piece, entry_size(piece), fut, last, refusable))
         if self._flushing is None or self._flushing.done():
             self._flushing = asyncio.ensure_future(self._flush())
         await asyncio.shield(fut)
 
+    async def close(self, entry: Entry) -> None:
+        """Write the last entry; later ones are refused.
+
+        :raises LagoonshelfError: when the journal is lost
+        """
+        writing = asyncio.ensure_future(self.append([entry], refusable=False))
+        await asyncio.sleep(0)
+        self._closed = True
+        await writing
+
+    def stop(self) -> None:
+        """Write no more; what was sent already may still take effect."""
+        self.lost = True
+        if self._flushing is not None:
+            self._flushing.cancel()
+        self._fail_all()
+
     async def _flush(self) -> None:
         await asyncio.sleep(self._flush_ms / 1000)
         while self._pending:
             batch = self._take_batch()
+            self._sent_last = batch[-1].fut
             try:
-                await self._write([entry for item in batch for entry in item.entries])
-            except (JournalLostError, StoreError) as exc:
-                self._fail(batch, exc)
-            else:
+                await self._write([item.entry for item in batch])
+            except (JournalLostError, asyncio.CancelledError):
+                self.lost = True
                 for item in batch:
+                    _settle(item.fut, _lost())
+                self._fail_all()
+                return
+            for item in batch:
+                self.state.apply(item.entry)
+                if item.last:
                     _settle(item.fut, None)
 
-    def _take_batch(self) -> list[_Pending]:
-        batch: list[_Pending] = []
+    def _take_batch(self) -> list[_Item]:
+        batch: list[_Item] = []
         size = 0
-        while self._pending and size < MAX_ENTRIES:
-            item = self._pending.pop(0)
-            size += len(item.entries)
+        while self._pending and len(batch) < MAX_ENTRIES:
+            if batch and size + self._pending[0].size > MAX_ENTRY_BYTES:
+                break
+            item = self._pending.popleft()
+            size += item.size
             batch.append(item)
         return batch
 
@@ -81,37 +154,45 @@
         token = writer_token()
         key = segment_key(self._partition, self.number)
         text = encode_segment(Segment(self._epoch, token, entries))
-        try:
-            written = await self._store.cas(key, text, 0)
-        except StoreError:
-            written = await self._settle_lost_answer(key, text, token)
-        if not written and not await self._is_mine(key, token):
-            self.lost = True
-            raise JournalLostError(key)
+        while not await self._try_write(key, text, token):
+            await asyncio.sleep(SETTLE_INTERVAL_S)
+        self._away = False
         self.number += 1
 
-    async def _settle_lost_answer(self, key: str, text: str, token: str) -> bool:
-        """Repeat the write until its outcome is known.
+    async def _try_write(self, key: str, text: str, token: str) -> bool:
+        """Write a segment once and tell whether it is known to be written.
 
-        The key is created only if absent, so a repeated write cannot take effect twice.
+        :raises JournalLostError: when another writer has the key
         """
-        while True:
-            await asyncio.sleep(SETTLE_INTERVAL_S)
-            try:
-                if await self._is_mine(key, token):
-                    return True
-                return await self._store.cas(key, text, 0)
-            except StoreError:
-                continue
-
-    async def _is_mine(self, key: str, token: str) -> bool:
-        item = await self._store.get(key)
-        return item.value is not None and decode_segment(item.value).token == token
+        try:
+            if await self._store.cas(key, text, 0):
+                return True
+            item = await self._store.get(key)
+        except StoreError as exc:
+            self._store_failed(str(exc))
+            return False
+        if item.value is not None and decode_segment(item.value).token == token:
+            return True
+        raise JournalLostError(key)
+
+    def _store_failed(self, reason: str) -> None:
+        """Refuse the entries of which nothing was sent yet and that need not wait."""
+        if not self._away:
+            _log.warning("segment not confirmed", partition=self._partition, reason=reason)
+        self._away = True
+        kept: deque[_Item] = deque()
+        for item in self._pending:
+            # The segment in progress may hold the first pieces of this append.
+            if not item.refusable or item.fut is self._sent_last:
+                kept.append(item)
+            else:
+                _settle(item.fut, _refused())
+        self._pending = kept
 
-    def _fail(self, batch: list[_Pending], exc: Exception) -> None:
-        fault = _lost() if isinstance(exc, JournalLostError) else _away()
-        for item in batch:
-            _settle(item.fut, fault)
+    def _fail_all(self) -> None:
+        for item in self._pending:
+            _settle(item.fut, _lost())
+        self._pending.clear()
 
 
 def _settle(fut: asyncio.Future[None], exc: Exception | None) -> None:
@@ -124,8 +205,10 @@
 
 
 def _lost() -> LagoonshelfError:
-    return LagoonshelfError(Fault(ResultCode.NO_OWNER, "the partition has another owner"))
+    return LagoonshelfError(Fault(ResultCode.OWNER_LEFT, "the partition has another owner"))
 
 
-def _away() -> LagoonshelfError:
-    return LagoonshelfError(Fault(ResultCode.STORE_UNAVAILABLE, "the store cannot be reached"))
+def _refused() -> LagoonshelfError:
+    return LagoonshelfError(
+        Fault(ResultCode.STORE_UNAVAILABLE, "the store cannot be reached", 1000)
+    )
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -1,48 +1,42 @@
-"""Lifecycle of one owned partition: takeover, recovery, requests, hand-over."""
+"""Lifecycle of one owned partition: takeover, requests, hand-over."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from enum import Enum
+from typing import TypeVar
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.commands import Stop
-from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
-from lagoonshelf_core.ids import Epoch, MemberId, PartitionId, TaskId, WorkerId, task_id
-from lagoonshelf_core.journal import (
-    AcceptEntry,
-    CancelEntry,
-    Entry,
-    EpochEntry,
-    IntentEntry,
-    OutcomeEntry,
-    ReleaseEntry,
-    VoidEntry,
-    decode_segment,
-    journal_prefix,
-)
-from lagoonshelf_core.model import RequestSpec, Task, TaskState, WorkClass, WorkerInfo, WorkKind
-from lagoonshelf_core.records import Outcome, Record, RecordBook, spec_from_dict, spec_to_dict
-from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.errors import LagoonshelfError
+from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
+from lagoonshelf_core.journal import Entry, EpochEntry, ReleaseEntry
+from lagoonshelf_core.model import RequestSpec, Task, WorkerInfo
+from lagoonshelf_core.records import Record, RecordBook
 from lagoonshelf_core.routing import partition_of_worker
 from lagoonshelf_core.scheduler import Scheduler
-from returns.result import Failure
 
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.config_sync import ConfigSync
-from lagoonshelf_server.dispatch import Dispatch, DispatchHooks, task_from_meta
+from lagoonshelf_server.dispatch import Dispatch
+from lagoonshelf_server.intake import Intake, no_owner
 from lagoonshelf_server.journal_writer import JournalWriter
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.members import Members
+from lagoonshelf_server.partition import Partition
+from lagoonshelf_server.recovery import Recovery
 from lagoonshelf_server.settings import Settings
-from lagoonshelf_server.store import StoreClient
-from lagoonshelf_server.workers import Authority, TaskReport, WorkerClient
-
-MAX_FAILURES = 3
-ENDED_CODES = {
-    "finished": ResultCode.OK,
-    "failed": ResultCode.TASK_FAILED,
-    "stopped": ResultCode.CANCELLED_RUNNING,
-    "lapsed": ResultCode.OUTCOME_UNKNOWN,
-}
+from lagoonshelf_server.snapshots import JournalRead, read_journal
+from lagoonshelf_server.starter import DispatchHooks
+from lagoonshelf_server.store import StoreClient, StoreError
+from lagoonshelf_server.task_events import TaskEvents
+from lagoonshelf_server.upkeep import Upkeep
+from lagoonshelf_server.workers import Authority, WorkerClient
+
+STORE_RETRY_S = 0.2
+# A process that did not try to read the host list for so long was paused.
+HOSTS_OLD_MS = 3000
+# The store answers leases, watches and host lists about once a second.
+STORE_SILENT_MS = 2500
+T = TypeVar("T")
 _log = logger("owner")
 
 
@@ -68,13 +62,14 @@
         workers: WorkerClient,
         members: Members,
         config: ConfigSync,
+        claim: str = "",
     ) -> None:
-        """Begin before the takeover."""
+        """Begin before the takeover.
+
+        :param claim: value of the owner key that this process has created
+        """
         self.partition = partition
-        self.epoch = Epoch(0)
         self.state = OwnerState.RECOVERING
-        self.scheduler = Scheduler()
-        self.book = RecordBook()
         self.dispatch: Dispatch | None = None
         self._cfg = cfg
         self._clock = clock
@@ -82,204 +77,191 @@
         self._store = store
         self._workers = workers
         self._members = members
-        self._config = config
         self._lease = members.lease
+        self._claim = claim
         self._journal: JournalWriter | None = None
-        self._sequence = 0
-        self._waiters: dict[tuple, list[asyncio.Future[None]]] = {}
+        self._journal_first = 1
+        self._hosts_tried_ms = 0
         self._kicked = asyncio.Event()
         self._background: list[asyncio.Task] = []
+        self._part = Partition(
+            partition,
+            cfg,
+            clock,
+            config,
+            self._append,
+            bridge.spawn,
+            self.may_act,
+            self._kicked.set,
+        )
+        self._events = TaskEvents(self._part)
+        self._recovery = Recovery(self._part, self._events)
+        self._intake = Intake(self._part, self._events, self._recovery, self.may_start)
+
+    @property
+    def epoch(self) -> Epoch:
+        """Return the epoch of this ownership, 0 before the takeover."""
+        return self._part.epoch
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """Return the queue and the workers of the partition."""
+        return self._part.scheduler
+
+    @property
+    def book(self) -> RecordBook:
+        """Return the records of the partition."""
+        return self._part.book
 
     def may_act(self) -> bool:
         """Tell whether a command or an answer may leave now."""
         return (
-            self.state in (OwnerState.ACTIVE, OwnerState.RECOVERING, OwnerState.RELEASING)
+            self.state is not OwnerState.LOST
             and self._lease == self._members.lease
             and self._members.may_act()
         )
 
+    def may_start(self) -> bool:
+        """Tell whether new work may be started now."""
+        return self.state is OwnerState.ACTIVE and self.may_act()
+
     async def take_over(self) -> None:
-        """Read the journal, begin a new epoch, read the workers, and become active."""
-        items, _ = await self._store.list_keys(journal_prefix(self.partition))
-        entries: list[Entry] = []
-        for item in items:
-            entries += decode_segment(item.value or "").entries
-        last = max((e.epoch for e in entries if isinstance(e, EpochEntry)), default=0)
-        clean = not entries or isinstance(entries[-1], ReleaseEntry)
-        if not clean:
-            await asyncio.sleep(self._cfg.takeover_margin_ms / 1000)
-        number = int(items[-1].key.rpartition("/")[2]) + 1 if items else 1
-        self.epoch = Epoch(last + 1)
-        self._journal = JournalWriter(
-            self._store, self.partition, self.epoch, number, self._cfg.journal_flush_ms
-        )
-        await self._journal.append([EpochEntry(self.epoch, MemberId(self._cfg.member))])
-        self._replay(entries)
-        self._begin_dispatch()
-        self.set_hosts(await self._store.hosts())
-        while not self.dispatch.all_read():
-            await asyncio.sleep(0.05)
-        self._enqueue_accepted()
+        """Begin a new epoch, recover what the predecessor left, and become active."""
+        try:
+            await self._begin_epoch()
+            self._begin_dispatch()
+            self.set_hosts(await self._retry(self._store.hosts))
+            await self._recovery.wait_read()
+        except LagoonshelfError as exc:
+            _log.warning("takeover ended", partition=self.partition, reason=exc.fault.message)
+            self.close()
+            return
+        if self.state is not OwnerState.RECOVERING:
+            return
         self.state = OwnerState.ACTIVE
-        self._background.append(self._bridge.spawn(self._pass_forever()))
-        self._background.append(self._bridge.spawn(self.dispatch.renew_forever()))
+        for record in list(self.book.records.values()):
+            self._recovery.begin(record)
+        upkeep = Upkeep(self._part, self._events, self._store, self._journal, self._journal_first)
+        for loop in (
+            self._recovery.settle(),
+            self._pass_forever(),
+            upkeep.run(self.may_start),
+        ):
+            self._background.append(self._bridge.spawn(loop))
+        self._kicked.set()
         _log.info("partition active", partition=self.partition, epoch=self.epoch)
 
     def set_hosts(self, hosts: list[WorkerInfo]) -> None:
         """Take in the platform's host list."""
+        self.hosts_tried()
         mine = [
             host
             for host in hosts
             if partition_of_worker(host.worker, self._cfg.partitions) == self.partition
         ]
         if self.dispatch is not None:
-            self.dispatch.set_hosts(mine)
+            self.dispatch.fleet.set_hosts(mine)
+
+    def hosts_tried(self) -> None:
+        """Note that the host list was asked for, whether or not the store answered."""
+        self._hosts_tried_ms = self._clock.now_ms()
 
     async def submit(self, spec: RequestSpec) -> Record:
         """Begin a request or join its record; return when it is accepted or has ended.
 
-        :raises LagoonshelfError: when the request was refused and has not run
+        :raises LagoonshelfError: when the request was refused, timed out, or the owner left
         """
-        self._check_active()
-        result = self.book.submit(spec, self._clock.now_ms())
-        if isinstance(result, Failure):
-            raise LagoonshelfError(result.failure())
-        record, is_new = result.unwrap()
-        if is_new:
-            await self._accept(record)
-        if spec.kind is WorkKind.INTERACTIVE:
-            await self._wait_ended(record, spec.timeout_ms)
-        return record
+        return await self._intake.submit(spec)
 
     async def cancel(self, record: Record) -> None:
         """Cancel what has not ended yet."""
-        self._check_active()
-        if record.cancelled or record.ended:
-            return
-        if self._is_durable(record.spec):
-            await self._append([CancelEntry(record.spec.team, record.spec.request_key)])
-        record.cancelled = True
-        for index, task_name in record.tasks.items():
-            task = self.scheduler.tasks.get(task_name)
-            if task is None:
-                continue
-            if task.state is TaskState.QUEUED:
-                self.scheduler.release(task_name)
-                self._set_outcome(record, index, Outcome(ResultCode.CANCELLED))
-            elif task.worker is not None:
-                await self.dispatch.execute([Stop(task_name, task.worker, False)])
+        await self._intake.cancel(record)
 
     async def release(self) -> None:
         """Hand the partition over: stop, write the release entry, delete the owner key."""
         self.state = OwnerState.RELEASING
-        await self._append([ReleaseEntry(self.epoch)])
-        self.close()
-        key = f"owners/{self.partition}"
-        item = await self._store.get(key)
-        await self._store.delete(key, item.version)
+        if self.dispatch is not None:
+            await self.dispatch.quiesce()
+        if self._journal is not None:
+            await self._journal.close(ReleaseEntry(self.epoch))
+        self._stop()
+        await self._delete_key()
 
     def close(self) -> None:
         """Stop acting for the partition; waiting callers are sent elsewhere."""
+        if self.state is not OwnerState.LOST:
+            self._stop()
+            # Nobody could claim the partition while this process keeps its key.
+            self._bridge.spawn(self._delete_key())
+
+    def _stop(self) -> None:
         self.state = OwnerState.LOST
         for task in self._background:
             task.cancel()
         if self.dispatch is not None:
-            self.dispatch.close()
-        for waiters in self._waiters.values():
-            for fut in waiters:
-                if not fut.done():
-                    fut.set_exception(LagoonshelfError(_no_owner(self.partition)))
-        self._waiters.clear()
-
-    def _check_active(self) -> None:
-        if self.state is not OwnerState.ACTIVE or not self.may_act():
-            raise LagoonshelfError(_no_owner(self.partition))
-
-    async def _accept(self, record: Record) -> None:
-        if self._is_durable(record.spec):
-            try:
-                await self._append([AcceptEntry(spec_to_dict(record.spec))])
-            except LagoonshelfError:
-                self.book.records.pop((record.spec.team, record.spec.request_key), None)
-                raise
-        self._create_tasks(record)
-        self._kicked.set()
-
-    def _create_tasks(self, record: Record) -> None:
-        spec = record.spec
-        queue = self._config.document.queues[spec.queue]
-        for index in range(spec.tasks):
-            if index in record.tasks or index in record.outcomes:
-                continue
-            self._sequence += 1
-            name = task_id(self.partition, self.epoch, self._sequence)
-            record.tasks[index] = name
-            self.scheduler.enqueue(
-                Task(
-                    task=name,
-                    team=spec.team,
-                    queue=spec.queue,
-                    request_key=spec.request_key,
-                    kind=spec.kind,
-                    work_class=WorkClass[queue.work_class.upper()],
-                    repeatable=spec.repeatable,
-                    size=spec.size,
-                    run_ms=spec.run_ms,
-                    index=index,
-                    queued_ms=self._clock.now_ms(),
-                    home=self.partition,
-                    epoch=self.epoch,
-                    payload=spec.payload,
-                    gang_size=spec.tasks if spec.kind is WorkKind.GANG else 1,
-                    deadline_wall_ms=spec.deadline_wall_ms,
-                )
-            )
-
-    async def _wait_ended(self, record: Record, timeout_ms: int) -> None:
-        if record.ended:
-            return
-        fut: asyncio.Future[None] = self._bridge.loop.create_future()
-        key = (record.spec.team, record.spec.request_key)
-        self._waiters.setdefault(key, []).append(fut)
-        try:
-            await asyncio.wait_for(fut, timeout_ms / 1000)
-        except TimeoutError:
-            raise LagoonshelfError(self._time_out(record)) from None
-
-    def _time_out(self, record: Record) -> Fault:
-        queued = [
-            (index, name)
-            for index, name in record.tasks.items()
-            if name in self.scheduler.tasks
-            and self.scheduler.tasks[name].state is TaskState.QUEUED
-            and self.scheduler.tasks[name].attempt == 0
-        ]
-        if len(queued) == record.spec.tasks and self.may_act():
-            for index, name in queued:
-                self.scheduler.release(name)
-                self._set_outcome(record, index, Outcome(ResultCode.TIMED_OUT_QUEUED))
-            return Fault(ResultCode.TIMED_OUT_QUEUED, "no worker had room in time")
-        return Fault(ResultCode.TIMED_OUT_RUNNING, "the work had been started")
+            self.dispatch.fleet.close()
+        if self._journal is not None:
+            self._journal.stop()
+        self._part.waiters.refuse_all(self._part.owner_left())
 
     async def _pass_forever(self) -> None:
         while True:
             await self._kicked.wait()
             self._kicked.clear()
-            if self.state is OwnerState.ACTIVE and self.may_act():
+            await self._read_old_hosts()
+            if self.may_start():
                 commands = self.scheduler.run_pass(self._clock.now_ms(), lambda task: True)
                 await self.dispatch.execute(commands)
 
+    async def _read_old_hosts(self) -> None:
+        """Read the host list first if this process was paused, as workers may be leaving."""
+        if self._clock.now_ms() - self._hosts_tried_ms <= HOSTS_OLD_MS:
+            return
+        try:
+            self.set_hosts(await self._store.hosts())
+        except StoreError:
+            self.hosts_tried()
+
+    async def _begin_epoch(self) -> None:
+        """Append the epoch entry after all that the predecessor wrote, and restore it."""
+        read = await self._read_journal()
+        if not read.state.clean:
+            await asyncio.sleep(self._cfg.takeover_margin_ms / 1000)
+            read = await self._read_journal()
+        self._part.epoch = Epoch(read.state.epoch + 1)
+        self._journal_first = read.first
+        self._journal = JournalWriter(
+            self._store,
+            self.partition,
+            self.epoch,
+            read.state,
+            read.number,
+            self._cfg.journal_flush_ms,
+            self._store_answers,
+        )
+        entry = EpochEntry(self.epoch, MemberId(self._cfg.member))
+        await self._journal.append([entry], False)
+        self._recovery.restore(read.state)
+
+    async def _read_journal(self) -> JournalRead:
+        return await self._retry(lambda: read_journal(self._store, self.partition))
+
     def _begin_dispatch(self) -> None:
         hooks = DispatchHooks(
-            self.may_act,
-            self._append,
-            self._on_started,
-            self._on_ended,
-            self._on_refused,
-            self._on_lost,
-            self._on_found,
-            self.close,
-            self._kicked.set,
+            may_act=self.may_act,
+            may_start=self.may_start,
+            journal=self._append,
+            on_started=self._events.started,
+            on_ended=self._events.ended,
+            on_refused=self._events.refused,
+            on_unwritten=self._events.unwritten,
+            on_lost=self._events.lost,
+            on_found=self._recovery.found,
+            on_read=self._recovery.read,
+            on_worker_lost=self._recovery.worker_lost,
+            on_given_up=self._events.given_up,
+            on_stale=self.close,
+            kick=self._kicked.set,
         )
         self.dispatch = Dispatch(
             self._cfg,
@@ -291,136 +273,42 @@
             self._digest_of,
             hooks,
         )
+        self._events.dispatch = self._recovery.dispatch = self.dispatch
+        # Tasks found on workers keep their leases while others are still being read.
+        self._background.append(self._bridge.spawn(self.dispatch.renew_forever()))
 
     def _digest_of(self, task: Task) -> str:
         record = self.book.find(task.team, task.request_key)
         return record.digest if record else ""
 
-    def _on_started(self, task: Task) -> None:
-        record = self.book.find(task.team, task.request_key)
-        if record is not None and record.first_start_ms == 0:
-            record.first_start_ms = self._clock.now_ms()
-
-    def _on_refused(self, task: Task) -> None:
-        record = self.book.find(task.team, task.request_key)
-        if record is not None and record.cancelled:
-            self.scheduler.release(task.task)
-            self._set_outcome(record, task.index, Outcome(ResultCode.CANCELLED))
-            return
-        self.scheduler.release(task.task)
-        self.scheduler.enqueue(task)
-        self._kicked.set()
-
-    def _on_lost(self, task: Task) -> None:
-        self.scheduler.release(task.task)
-        if task.repeatable and self.book.find(task.team, task.request_key) is not None:
-            self.scheduler.enqueue(task)
-            self._kicked.set()
-        else:
-            self._bridge.spawn(self._end(task, Outcome(ResultCode.OUTCOME_UNKNOWN)))
-
-    def _on_ended(self, report: TaskReport) -> None:
-        task = self.scheduler.release(TaskId(report.meta.task))
-        if task is None:
-            return
-        self._kicked.set()
-        code = ENDED_CODES.get(report.state, ResultCode.TASK_FAILED)
-        if code is ResultCode.TASK_FAILED and task.repeatable and task.failures + 1 < MAX_FAILURES:
-            task.failures += 1
-            self.scheduler.enqueue(task)
-            return
-        self._bridge.spawn(self._end(task, Outcome(code, report.result)))
-
-    def _on_found(self, worker: WorkerId, report: TaskReport) -> None:
-        meta = report.meta
-        record = self.book.find(meta.team, meta.request_key)
-        if meta.home != self.partition:
-            return
-        task = task_from_meta(meta, self._clock.now_ms())
-        if record is None:
-            spec = RequestSpec(
-                task.team,
-                task.queue,
-                task.request_key,
-                task.kind,
-                task.repeatable,
-                Resources(meta.cpu_milli, meta.memory_mib, meta.accelerators, 1),
-                task.run_ms,
-                1,
-                "",
-                0,
-            )
-            record = Record(spec, meta.digest, self._clock.now_ms())
-            self.book.records[(task.team, task.request_key)] = record
-        record.tasks[meta.index] = task.task
-        if meta.index in record.outcomes:
-            return
-        self.scheduler.adopt(task, worker)
-        if report.state != "running":
-            self._on_ended(report)
-
-    async def _end(self, task: Task, outcome: Outcome) -> None:
-        record = self.book.find(task.team, task.request_key)
-        if record is None:
-            return
-        if self._is_durable(record.spec) or not task.repeatable:
-            entry = OutcomeEntry(
-                task.task,
-                task.team,
-                task.request_key,
-                task.index,
-                outcome.code.name,
-                outcome.result,
-                record.digest,
-            )
-            if task.repeatable:
-                self._bridge.spawn(self._append([entry]))
-            else:
-                await self._append([entry])
-        self._set_outcome(record, task.index, outcome)
-
-    def _set_outcome(self, record: Record, index: int, outcome: Outcome) -> None:
-        self.book.set_outcome(record, index, outcome, self._clock.now_ms())
-        if not record.ended:
-            return
-        for fut in self._waiters.pop((record.spec.team, record.spec.request_key), []):
-            if not fut.done():
-                fut.set_result(None)
-
-    async def _append(self, entries: list[Entry]) -> None:
+    async def _append(self, entries: list[Entry], refusable: bool = True) -> None:
         try:
-            await self._journal.append(entries)
+            await self._journal.append(entries, refusable)
         except LagoonshelfError:
             if self._journal.lost:
                 self.close()
             raise
 
-    def _is_durable(self, spec: RequestSpec) -> bool:
-        return spec.kind is not WorkKind.INTERACTIVE
-
-    def _replay(self, entries: list[Entry]) -> None:
-        now_ms = self._clock.now_ms()
-        for entry in entries:
-            if isinstance(entry, AcceptEntry):
-                self.book.submit(spec_from_dict(entry.spec), now_ms)
-            elif isinstance(entry, OutcomeEntry):
-                record = self.book.find(entry.team, entry.request_key)
-                if record is not None:
-                    outcome = Outcome(ResultCode[entry.code], entry.result)
-                    self.book.set_outcome(record, entry.index, outcome, now_ms)
-            elif isinstance(entry, CancelEntry):
-                record = self.book.find(entry.team, entry.request_key)
-                if record is not None:
-                    record.cancelled = True
-            elif isinstance(entry, IntentEntry | VoidEntry):
-                continue
-
-    def _enqueue_accepted(self) -> None:
-        for record in self.book.records.values():
-            if self._is_durable(record.spec) and not record.ended and not record.cancelled:
-                self._create_tasks(record)
-        self._kicked.set()
+    def _store_answers(self) -> bool:
+        return self._clock.now_ms() - self._store.last_heard_ms < STORE_SILENT_MS
 
+    async def _delete_key(self) -> None:
+        """Delete the owner key if it is still the one of this ownership."""
+        try:
+            item = await self._retry(lambda: self._store.get(f"owners/{self.partition}"))
+            ours = item.value is not None and item.value == (self._claim or item.value)
+            if ours and self._lease == self._members.lease:
+                await self._retry(lambda: self._store.delete(item.key, item.version))
+        except LagoonshelfError:
+            _log.info("owner key left to its lease", partition=self.partition)
 
-def _no_owner(partition: PartitionId) -> Fault:
-    return Fault(ResultCode.NO_OWNER, f"partition {partition} has no active owner here", 200)
+    async def _retry(self, call: Callable[[], Awaitable[T]]) -> T:
+        """Repeat a store call until it answers or the partition is lost."""
+        while True:
+            try:
+                return await call()
+            except StoreError as exc:
+                _log.info("store call repeated", partition=self.partition, reason=str(exc))
+            if self._lease != self._members.lease:
+                raise LagoonshelfError(no_owner(self.partition))
+            await asyncio.sleep(STORE_RETRY_S)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/partition.py
@@ -0,0 +1,103 @@
+"""State that the parts of one partition's owner share."""
+
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.errors import Fault, ResultCode
+from lagoonshelf_core.ids import Epoch, PartitionId, TaskId, task_id
+from lagoonshelf_core.journal import Entry
+from lagoonshelf_core.model import Task, WorkClass, WorkKind
+from lagoonshelf_core.records import Record, RecordBook
+from lagoonshelf_core.scheduler import Scheduler
+
+from lagoonshelf_server.answers import Waiters
+from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.settings import Settings
+
+Append = Callable[[list[Entry], bool], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Partition:
+    """One owned partition.
+
+    :param append: makes entries durable; the flag tells whether they may be refused at once
+    :param spawn: runs a coroutine in the background
+    :param kick: asks for a scheduling pass
+    :param ending: tasks that are in no queue and on no worker, but not settled either
+    :param held: whether tasks of earlier epochs may run unseen on an unread worker
+    """
+
+    number: PartitionId
+    cfg: Settings
+    clock: Clock
+    config: ConfigSync
+    append: Append
+    spawn: Callable[[Coroutine], object]
+    may_act: Callable[[], bool]
+    kick: Callable[[], None]
+    epoch: Epoch = Epoch(0)
+    scheduler: Scheduler = field(default_factory=Scheduler)
+    book: RecordBook = field(default_factory=RecordBook)
+    waiters: Waiters = field(default_factory=Waiters)
+    ending: set[TaskId] = field(default_factory=set)
+    held: bool = True
+    _sequence: int = 0
+
+    def find(self, task: Task) -> Record | None:
+        """Return the record of a task if the task is the current one of its index."""
+        record = self.book.find(task.team, task.request_key)
+        if record is None or record.tasks.get(task.index) != task.task:
+            return None
+        return record
+
+    def is_active(self, task: TaskId | None) -> bool:
+        """Tell whether a task waits, runs or is being settled."""
+        return task in self.scheduler.tasks or task in self.ending
+
+    def create_tasks(self, record: Record) -> None:
+        """Queue what a record still needs, with rising attempt numbers."""
+        if record.ended or record.cancelled or not record.complete:
+            return
+        for index in range(record.spec.tasks):
+            done = index in record.outcomes or index in record.blocked
+            if done or self.is_active(record.tasks.get(index)):
+                continue
+            if self.held and record.spec.repeatable and record.recovered:
+                continue
+            self.scheduler.enqueue(self._new_task(record, index))
+        self.kick()
+
+    def owner_left(self) -> Fault:
+        """Return what a caller gets whose request this owner can no longer answer."""
+        text = f"partition {self.number} was given up before the answer"
+        return Fault(ResultCode.OWNER_LEFT, text)
+
+    def _new_task(self, record: Record, index: int) -> Task:
+        spec = record.spec
+        name = record.tasks.get(index)
+        if name is None:
+            self._sequence += 1
+            name = task_id(self.number, self.epoch, self._sequence)
+            record.tasks[index] = name
+        queue = self.config.document.queues.get(spec.queue)
+        return Task(
+            task=name,
+            team=spec.team,
+            queue=spec.queue,
+            request_key=spec.request_key,
+            kind=spec.kind,
+            work_class=WorkClass[queue.work_class.upper()] if queue else WorkClass.NORMAL,
+            repeatable=spec.repeatable,
+            size=spec.size,
+            run_ms=spec.run_ms,
+            index=index,
+            queued_ms=self.clock.now_ms(),
+            home=self.number,
+            epoch=self.epoch,
+            payload=spec.payload,
+            attempt=record.attempts.get(index, 0),
+            gang_size=spec.tasks if spec.kind is WorkKind.GANG else 1,
+            deadline_wall_ms=spec.deadline_wall_ms,
+        )
--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -26,6 +26,10 @@
     """The connection broke; whether the message was handled is not known."""
 
 
+class PeerUnreachableError(PeerLostError):
+    """No connection could be made; the message was not sent."""
+
+
 def hello_proof(secret: str, member: str) -> str:
     """Return the proof that a member knows the cluster secret."""
     return hmac.new(secret.encode(), member.encode(), hashlib.sha256).hexdigest()
@@ -141,7 +145,7 @@
                 asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
             )
         except (TimeoutError, OSError) as exc:
-            raise PeerLostError(f"{address}: {type(exc).__name__}") from exc
+            raise PeerUnreachableError(f"{address}: {type(exc).__name__}") from exc
         link = _Link(reader, writer)
         write_frame(writer, Envelope(0, "hello", self._hello))
         self._keep(self._read_replies(link))
--- /dev/null
+++ b/packages/server/lagoonshelf_server/recovery.py
@@ -0,0 +1,275 @@
+"""What a successor restores: records from the journal, running tasks from inventories."""
+
+import asyncio
+
+from lagoonshelf_core.errors import ResultCode
+from lagoonshelf_core.ids import QueueId, RequestKey, TaskId, TeamId, WorkerId
+from lagoonshelf_core.journal import IntentEntry, VoidEntry
+from lagoonshelf_core.model import RequestSpec, Task, TaskState, WorkKind
+from lagoonshelf_core.records import Outcome, Record, RequestId, digest_spec, spec_from_dict
+from lagoonshelf_core.replay import JournaledRequest, JournalState
+from lagoonshelf_core.resources import Resources
+
+from lagoonshelf_server.dispatch import Dispatch
+from lagoonshelf_server.fleet import lease_over_ms
+from lagoonshelf_server.logs import logger
+from lagoonshelf_server.partition import Partition
+from lagoonshelf_server.task_events import TaskEvents
+from lagoonshelf_server.task_meta import spec_from_meta, task_from_meta
+from lagoonshelf_server.workers import Inventory, TaskReport
+
+POLL_S = 0.05
+_log = logger("recovery")
+
+
+class Recovery:
+    """Settles what the predecessor left, within one task lease plus margin of the takeover."""
+
+    def __init__(self, partition: Partition, events: TaskEvents) -> None:
+        """Begin before the journal is read."""
+        self.dispatch: Dispatch | None = None
+        self._part = partition
+        self._events = events
+        self._intents: dict[tuple[RequestId, int], IntentEntry] = {}
+        self._end_ms = 0
+        self._changed = asyncio.Event()
+
+    def restore(self, state: JournalState) -> None:
+        """Rebuild the records that the journal tells of; call once the epoch is durable."""
+        self._end_ms = self._part.clock.now_ms() + lease_over_ms(self._part.cfg)
+        for (team, key), request in state.requests.items():
+            if request.matters:
+                self._restore_one((TeamId(team), RequestKey(key)), request)
+
+    async def wait_read(self) -> None:
+        """Wait until each worker was read or failed to answer, at most until leases are over."""
+        while not self.dispatch.fleet.all_tried() and self._part.clock.now_ms() < self._end_ms:
+            await asyncio.sleep(POLL_S)
+
+    async def settle(self) -> None:
+        """Wait until no task of an earlier epoch can run unseen, then start what is left."""
+        while not self.dispatch.fleet.all_read() and self._part.clock.now_ms() < self._end_ms:
+            await asyncio.sleep(POLL_S)
+        for key, intent in list(self._intents.items()):
+            self._give_up(key, intent)
+        self._part.held = False
+        for record in list(self._part.book.records.values()):
+            self.begin(record)
+        self._notify()
+        _log.info("recovery settled", partition=self._part.number)
+
+    def begin(self, record: Record) -> None:
+        """Queue what a restored record still needs, or end it when it was cancelled."""
+        if not record.cancelled:
+            if record.durable or self._part.waiters.count(record.id):
+                self._part.create_tasks(record)
+            return
+        for index in range(record.spec.tasks):
+            name = record.tasks.get(index)
+            settled = index in record.outcomes or index in record.blocked
+            if not settled and not self._part.is_active(name) and not self._part.held:
+                self._events.cancel_queued(record, index, name or TaskId(""))
+
+    async def wait_known(self, request: RequestId) -> None:
+        """Wait until a repeatable request of that key cannot run unseen, or is known."""
+        while self._part.held and self._part.book.find(*request) is None:
+            self._changed.clear()
+            await self._changed.wait()
+
+    def found(self, worker: WorkerId, report: TaskReport) -> None:
+        """Take in a task that a worker has and the scheduler does not have there."""
+        meta = report.meta
+        task = task_from_meta(meta, self._part.clock.now_ms())
+        if meta.home != self._part.number:
+            self._found_foreign(worker, task, report)
+            return
+        if task.task in self._part.ending:
+            return
+        record = self._part.book.find(task.team, task.request_key) or self._restore(report)
+        known = self._part.scheduler.tasks.get(task.task)
+        if self._is_superseded(record, task, report, known):
+            if report.state == "running":
+                self._stop_stale(worker, task, known)
+            else:
+                self._events.ack(worker, task.task)
+            return
+        self._replace(record, task, known)
+        self._adopt(record, worker, task, report)
+
+    def read(self, worker: WorkerId, inventory: Inventory) -> None:
+        """Settle the intents that name a worker whose inventory was taken in."""
+        for key, intent in list(self._intents.items()):
+            if intent.worker != worker or intent.partition != self._part.number:
+                continue
+            if intent.boot_id == inventory.boot_id:
+                del self._intents[key]
+                self._part.spawn(self._void(key, intent))
+            else:
+                self._give_up(key, intent)
+        self._notify()
+
+    def worker_lost(self, worker: WorkerId) -> None:
+        """Settle the intents that name a worker whose task leases have ended."""
+        for key, intent in list(self._intents.items()):
+            if intent.worker == worker and intent.partition == self._part.number:
+                self._give_up(key, intent)
+        self._notify()
+
+    def _restore_one(self, request: RequestId, journaled: JournaledRequest) -> None:
+        record = self._record_of(request, journaled)
+        for index, void in journaled.voids.items():
+            record.tasks[index] = TaskId(void.task)
+            record.attempts[index] = void.attempt
+        for index, intent in journaled.intents.items():
+            record.tasks[index] = TaskId(intent.task)
+            record.attempts[index] = intent.attempt
+            record.blocked.add(index)
+            self._intents[(record.id, index)] = intent
+        now_ms = self._part.clock.now_ms()
+        for index, entry in journaled.outcomes.items():
+            record.tasks[index] = TaskId(entry.task)
+            outcome = Outcome(ResultCode[entry.code], entry.result)
+            self._part.book.set_outcome(record, index, outcome, now_ms)
+        record.begun |= set(journaled.outcomes)
+        record.cancelled = journaled.cancel is not None
+        self._part.book.add(record)
+
+    def _record_of(self, request: RequestId, journaled: JournaledRequest) -> Record:
+        now_ms = self._part.clock.now_ms()
+        if journaled.accept is not None:
+            spec = spec_from_dict(journaled.accept.spec)
+            return Record(spec, digest_spec(spec), now_ms, recovered=True)
+        entry = next(iter([*journaled.intents.values(), *journaled.outcomes.values()]))
+        return Record(_unknown_spec(request), entry.digest, now_ms, complete=False, recovered=True)
+
+    def _restore(self, report: TaskReport) -> Record:
+        spec = spec_from_meta(report.meta)
+        record = Record(
+            spec, report.meta.digest, self._part.clock.now_ms(), complete=False, recovered=True
+        )
+        self._part.book.add(record)
+        return record
+
+    def _is_superseded(
+        self, record: Record, task: Task, report: TaskReport, known: Task | None
+    ) -> bool:
+        """Tell whether a found task is not the newest attempt of its index."""
+        if report.meta.digest != record.digest or task.index in record.outcomes:
+            return True
+        if task.attempt < record.attempts.get(task.index, 0):
+            return True
+        if known is not None:
+            # The same attempt is queued again after its worker was lost; a result is welcome,
+            # and what still runs is taken back.
+            return known.state is not TaskState.QUEUED or report.state not in (
+                "running",
+                "finished",
+            )
+        current = record.tasks.get(task.index)
+        if current is None or current == task.task:
+            return False
+        other = self._part.scheduler.tasks.get(current)
+        if other is None:
+            return _order(current) > _order(task.task)
+        if other.state is TaskState.QUEUED and other.attempt == 0:
+            return report.state not in ("running", "finished")
+        return _order(current) > _order(task.task)
+
+    def _replace(self, record: Record, task: Task, known: Task | None) -> None:
+        """Withdraw an older or still queued task of the same index."""
+        current = record.tasks.get(task.index)
+        other = known or (self._part.scheduler.tasks.get(current) if current else None)
+        if other is None:
+            return
+        if other.state is TaskState.QUEUED:
+            self._part.scheduler.release(other.task)
+        else:
+            self._events.stop(other)
+
+    def _adopt(self, record: Record, worker: WorkerId, task: Task, report: TaskReport) -> None:
+        index = task.index
+        record.tasks[index] = task.task
+        record.attempts[index] = task.attempt
+        record.begun.add(index)
+        record.first_start_ms = record.first_start_ms or self._part.clock.now_ms()
+        record.blocked.discard(index)
+        self._intents.pop((record.id, index), None)
+        task.payload = record.spec.payload
+        task.deadline_wall_ms = record.spec.deadline_wall_ms
+        task.gang_size = record.spec.tasks if task.kind is WorkKind.GANG else 1
+        self._part.scheduler.adopt(task, worker)
+        if report.state != "running":
+            self._events.ended(report)
+        elif record.cancelled:
+            self._events.stop(task)
+        self._notify()
+
+    def _found_foreign(self, worker: WorkerId, task: Task, report: TaskReport) -> None:
+        """Keep a running task of another partition, so that its room and lease are counted."""
+        if report.state == "running" and task.task not in self._part.scheduler.tasks:
+            self._part.scheduler.adopt(task, worker)
+
+    def _stop_stale(self, worker: WorkerId, task: Task, known: Task | None) -> None:
+        """Stop a run for which another attempt was begun.
+
+        A run of a request that may run once only is left alone; its outcome is settled already.
+        """
+        if known is None:
+            # Its room counts until the worker reports the end.
+            self._part.scheduler.adopt(task, worker)
+        if task.repeatable:
+            _log.warning("stale attempt stopped", task=task.task, worker=worker)
+            self._part.spawn(self.dispatch.stop_stale(worker, task.task))
+
+    def _give_up(self, key: tuple[RequestId, int], intent: IntentEntry) -> None:
+        """End a task that may have run and whose worker cannot tell."""
+        self._intents.pop(key, None)
+        record = self._part.book.find(*key[0])
+        if record is None:
+            return
+        record.blocked.discard(intent.index)
+        record.begun.add(intent.index)
+        outcome = Outcome(ResultCode.OUTCOME_UNKNOWN)
+        self._events.settle(record, intent.index, TaskId(intent.task), outcome)
+
+    async def _void(self, key: tuple[RequestId, int], intent: IntentEntry) -> None:
+        """Journal that a start did not happen, and let the request run."""
+        entry = VoidEntry(
+            intent.task, intent.attempt, intent.team, intent.request_key, intent.index
+        )
+        await self._part.append([entry], False)
+        record = self._part.book.find(*key[0])
+        if record is None:
+            return
+        record.blocked.discard(intent.index)
+        if record.complete:
+            self.begin(record)
+        elif not record.outcomes:
+            # Only a retry knows the payload; it begins a new record.
+            self._part.book.drop(record)
+
+    def _notify(self) -> None:
+        self._changed.set()
+
+
+def _order(task: TaskId) -> tuple[int, int]:
+    """Return a number that rises with the epoch and sequence of a task id."""
+    _, epoch, sequence = task.split(".")
+    return int(epoch), int(sequence)
+
+
+def _unknown_spec(request: RequestId) -> RequestSpec:
+    """Return a stand-in for an interactive request of which only the key is known."""
+    team, key = request
+    return RequestSpec(
+        team=team,
+        queue=QueueId(""),
+        request_key=key,
+        kind=WorkKind.INTERACTIVE,
+        repeatable=False,
+        size=Resources(),
+        run_ms=0,
+        tasks=1,
+        payload="",
+        timeout_ms=0,
+    )
--- a/packages/server/lagoonshelf_server/requests.py
+++ b/packages/server/lagoonshelf_server/requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
@@ -11,14 +12,17 @@
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.routing import partition_of_request
 
-from lagoonshelf_server.members import Members
+from lagoonshelf_server.members import Members, OwnerInfo
 from lagoonshelf_server.messages import Ack, Answer, Body, RequestRef, Submit
 from lagoonshelf_server.owner import Owner
-from lagoonshelf_server.peers import PeerLostError, PeerNet
+from lagoonshelf_server.peers import PeerLostError, PeerNet, PeerUnreachableError
 from lagoonshelf_server.settings import Settings
 
 RESEND_INTERVAL_S = 0.1
+# The owner's answer at the end of the timeout is still on its way then.
 CALL_MARGIN_MS = 1000
+LOOKUP_TIMEOUT_MS = 1000
+OWNER_CHECK_S = 0.2
 CONTROL_TIMEOUT_MS = 10_000
 
 FindOwner = Callable[[PartitionId], Owner | None]
@@ -34,6 +38,7 @@
 
         :param find_owner: returns the owner in this process, if it is here
         """
+        self.in_flight = 0
         self._cfg = cfg
         self._clock = clock
         self._members = members
@@ -42,7 +47,7 @@
 
     async def submit(self, submit: Submit) -> Answer:
         """Get the answer to a request from whichever process owns it."""
-        return await self._route("submit", submit, submit.timeout_ms + CALL_MARGIN_MS)
+        return await self._route("submit", submit, submit.timeout_ms)
 
     async def cancel(self, ref: RequestRef) -> Answer:
         """Cancel a request wherever it is."""
@@ -59,7 +64,7 @@
         """
         partition = self._partition(body)
         owner = self._find_owner(partition)
-        if owner is None:
+        if owner is None or not owner.may_act():
             text = f"partition {partition} is not owned here"
             raise LagoonshelfError(Fault(ResultCode.NO_OWNER, text))
         if kind == "submit":
@@ -73,22 +78,52 @@
         return answer_of(record)
 
     async def _route(self, kind: str, body: Submit | RequestRef, timeout_ms: int) -> Answer:
-        end_ms = self._clock.now_ms() + timeout_ms
-        sent = False
+        self.in_flight += 1
+        try:
+            return await self._route_until(kind, body, self._clock.now_ms() + timeout_ms)
+        finally:
+            self.in_flight -= 1
+
+    async def _route_until(self, kind: str, body: Submit | RequestRef, end_ms: int) -> Answer:
+        unanswered = False
         while self._clock.now_ms() < end_ms:
-            try:
-                answer = await self._try_once(kind, body, end_ms)
-            except PeerLostError:
-                sent = True
-                answer = None
-            if answer is not None and answer.code != ResultCode.NO_OWNER.number:
+            answer = await self._try_once(kind, self._resent(body, end_ms, unanswered), end_ms)
+            if answer is None or answer.code == ResultCode.OWNER_LEFT.number:
+                unanswered = True
+            elif answer.code != ResultCode.NO_OWNER.number:
                 return answer
             await asyncio.sleep(RESEND_INTERVAL_S)
-        if sent:
-            return Answer(ResultCode.OUTCOME_UNKNOWN.number, "the owner was lost", state="unknown")
-        return Answer(ResultCode.NO_OWNER.number, "no owner was found in time", 1000)
+        if not unanswered:
+            return Answer(ResultCode.NO_OWNER.number, "no owner was found in time", 1000)
+        if kind == "submit":
+            return await self._ask_once(body)
+        return Answer(ResultCode.OUTCOME_UNKNOWN.number, "the owner was lost", state="unknown")
+
+    def _resent(
+        self, body: Submit | RequestRef, end_ms: int, unanswered: bool
+    ) -> Submit | RequestRef:
+        """Return a message whose timeout ends when the caller's does."""
+        if not isinstance(body, Submit):
+            return body
+        left_ms = max(1, end_ms - self._clock.now_ms())
+        return replace(body, timeout_ms=left_ms, retry=body.retry or unanswered)
+
+    async def _ask_once(self, submit: Submit) -> Answer:
+        """Look a request up whose last owner did not answer; only an end counts."""
+        ref = RequestRef(submit.team, submit.key_id, submit.request_key)
+        end_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
+        answer = await self._try_once("lookup", ref, end_ms)
+        if answer is not None and answer.state in ("finished", "failed"):
+            return answer
+        return Answer(
+            ResultCode.OUTCOME_UNKNOWN.number,
+            "the owner was lost after the request was sent to it",
+            state="unknown",
+            request_key=submit.request_key,
+        )
 
     async def _try_once(self, kind: str, body: Submit | RequestRef, end_ms: int) -> Answer | None:
+        """Send a message to the owner; none when it was sent and no answer came."""
         partition = self._partition(body)
         if self._find_owner(partition) is not None:
             try:
@@ -97,14 +132,45 @@
                 return answer_of_fault(exc.fault)
         info = self._members.owner_of(partition)
         if info is None or info.member not in self._members.others:
+            return answer_of_fault(Fault(ResultCode.NO_OWNER, "no owner is known"))
+        try:
+            reply = await self._call_owner(info, kind, body, end_ms + CALL_MARGIN_MS)
+        except PeerUnreachableError as exc:
+            return answer_of_fault(Fault(ResultCode.NO_OWNER, str(exc)))
+        except PeerLostError:
             return None
-        address = self._members.others[info.member].address
-        timeout_s = (end_ms - self._clock.now_ms()) / 1000
-        reply: Body = await self._net.call(address, kind, body, timeout_s)
         if isinstance(reply, Ack):
             return Answer(reply.code, reply.message)
         return reply if isinstance(reply, Answer) else None
 
+    async def _call_owner(
+        self, info: OwnerInfo, kind: str, body: Submit | RequestRef, end_ms: int
+    ) -> Body:
+        """Call an owner, and give the call up when the partition gets another owner.
+
+        A paused owner keeps its connection open, so that waiting for the reply alone would take
+        the whole timeout.
+
+        :raises PeerLostError: when no reply came
+        """
+        address = self._members.others[info.member].address
+        timeout_s = (end_ms - self._clock.now_ms()) / 1000
+        call = asyncio.ensure_future(self._net.call(address, kind, body, timeout_s))
+        try:
+            while not call.done():
+                await asyncio.wait((call,), timeout=OWNER_CHECK_S)
+                if not call.done() and self._has_other_owner(self._partition(body), info):
+                    raise PeerLostError(f"{info.member} does not own the partition any more")
+            return call.result()
+        finally:
+            call.cancel()
+
+    def _has_other_owner(self, partition: PartitionId, info: OwnerInfo) -> bool:
+        if self._find_owner(partition) is not None or info.member not in self._members.others:
+            return True
+        now = self._members.owner_of(partition)
+        return now is not None and (now.member, now.epoch) != (info.member, info.epoch)
+
     def _partition(self, body: Submit | RequestRef) -> PartitionId:
         team, key = TeamId(body.team), RequestKey(body.request_key)
         return partition_of_request(team, key, self._cfg.partitions)
@@ -131,16 +197,19 @@
     """Return the answer that a record gives now."""
     spec = record.spec
     code, result, state = ResultCode.ACCEPTED, "", "accepted"
+    message = ""
     if record.ended:
         state = "failed" if record.failed else "finished"
         bad = [o for o in record.outcomes.values() if o.code is not ResultCode.OK]
         code = bad[0].code if bad else ResultCode.OK
+        message = bad[0].result if bad else ""
         if spec.kind is WorkKind.INTERACTIVE:
             result = record.outcomes[0].result
     elif record.first_start_ms:
         state = "running"
     return Answer(
         code=code.number,
+        message=message,
         state=state,
         result=result,
         request_key=spec.request_key,
--- a/packages/server/lagoonshelf_server/store.py
+++ b/packages/server/lagoonshelf_server/store.py
@@ -15,6 +15,7 @@
 
 CALL_TIMEOUT_S = 2.0
 WATCH_WAIT_MS = 10_000
+LIST_PAGE = 500
 
 
 class StoreError(Exception):
@@ -79,14 +80,17 @@
         raw = await self._call("/get", {"key": key})
         return Item(key, raw["value"], raw["version"])
 
-    async def list_keys(self, prefix: str) -> tuple[list[Item], int]:
-        """Read all keys with a prefix in order, and the store's revision."""
+    async def list_keys(self, prefix: str, page: int = LIST_PAGE) -> tuple[list[Item], int]:
+        """Read all keys with a prefix in order, and the store's revision.
+
+        :param page: keys for each call, small where values are large
+        """
         items: list[Item] = []
         after = ""
         while True:
-            raw = await self._call("/list", {"prefix": prefix, "after": after, "limit": 500})
+            raw = await self._call("/list", {"prefix": prefix, "after": after, "limit": page})
             items += [Item(i["key"], i["value"], i["version"]) for i in raw["items"]]
-            if len(raw["items"]) < 500:
+            if len(raw["items"]) < page:
                 return items, raw["revision"]
             after = items[-1].key
 
--- /dev/null
+++ b/packages/server/lagoonshelf_server/task_events.py
@@ -0,0 +1,248 @@
+"""What becomes of a task: refused, started, ended, lost or requeued, and its outcome."""
+
+import asyncio
+
+from lagoonshelf_core.commands import Stop
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.ids import TaskId
+from lagoonshelf_core.journal import OutcomeEntry, VoidEntry
+from lagoonshelf_core.model import Task, TaskState, WorkKind
+from lagoonshelf_core.records import Outcome, Record
+
+from lagoonshelf_server.dispatch import Dispatch
+from lagoonshelf_server.logs import logger
+from lagoonshelf_server.partition import Partition
+from lagoonshelf_server.workers import TaskReport
+
+MAX_FAILURES = 3
+# A replica that ends at once would otherwise be started as fast as the worker answers.
+REPLICA_RESTART_MS = 500
+STORE_RETRY_MS = 1000
+ENDED_CODES = {
+    "finished": ResultCode.OK,
+    "failed": ResultCode.TASK_FAILED,
+    "stopped": ResultCode.CANCELLED_RUNNING,
+    "checkpointed": ResultCode.CANCELLED_RUNNING,
+    "lapsed": ResultCode.OUTCOME_UNKNOWN,
+}
+INTERRUPTED = ("stopped", "checkpointed", "lapsed")
+_log = logger("tasks")
+
+
+class TaskEvents:
+    """Turns what is learned of tasks into records, journal entries and queue changes."""
+
+    def __init__(self, partition: Partition) -> None:
+        """Begin before the workers are known."""
+        self.dispatch: Dispatch | None = None
+        self._part = partition
+
+    def started(self, task: Task) -> None:
+        """Note a confirmed start; a request cancelled meanwhile is stopped."""
+        record = self._part.find(task)
+        if record is None:
+            return
+        record.begun.add(task.index)
+        record.attempts[task.index] = task.attempt
+        if record.first_start_ms == 0:
+            record.first_start_ms = self._part.clock.now_ms()
+        if record.cancelled:
+            self.stop(task)
+
+    def refused(self, task: Task) -> None:
+        """Put a task back whose start certainly did not happen."""
+        if task.state is not TaskState.STARTING:
+            return
+        if task.repeatable:
+            self._put_back(task)
+        else:
+            self._part.ending.add(task.task)
+            self._part.spawn(self._void(task))
+
+    def unwritten(self, task: Task) -> None:
+        """Handle a task whose intent the store did not take; nothing was sent."""
+        record = self._part.find(task)
+        self._part.scheduler.release(task.task)
+        if record is None:
+            return
+        task.attempt -= 1
+        if record.durable or task.index in record.begun:
+            self._requeue_later(task, STORE_RETRY_MS)
+            return
+        self._part.book.drop(record)
+        text = "the start could not be journaled"
+        self._part.waiters.refuse(record.id, Fault(ResultCode.STORE_UNAVAILABLE, text, 1000))
+
+    def lost(self, task: Task) -> None:
+        """Handle a task that may have run and cannot run any more."""
+        self._part.scheduler.release(task.task)
+        self.dispatch.forget(task.task)
+        record = self._part.find(task)
+        if record is None:
+            return
+        record.begun.add(task.index)
+        if task.repeatable and not record.cancelled:
+            self._put_back(task)
+        else:
+            self.settle(record, task.index, task.task, Outcome(ResultCode.OUTCOME_UNKNOWN))
+
+    def ended(self, report: TaskReport) -> None:
+        """Handle the reported end of a task."""
+        task = self._part.scheduler.tasks.get(TaskId(report.meta.task))
+        if task is None:
+            return
+        worker = task.worker
+        self._part.scheduler.release(task.task)
+        self._part.kick()
+        stop = self.dispatch.stops.get(task.task)
+        self.dispatch.forget(task.task)
+        record = self._part.find(task)
+        if record is None:
+            return
+        record.begun.add(task.index)
+        record.attempts[task.index] = max(task.attempt, report.meta.attempt)
+        if not record.cancelled and self._runs_again(task, report.state, stop):
+            task.failures += report.state == "failed"
+            self._run_again(task)
+            return
+        outcome = Outcome(ENDED_CODES.get(report.state, ResultCode.TASK_FAILED), report.result)
+        self.settle(record, task.index, task.task, outcome, worker)
+
+    def given_up(self, task: Task, reason: str) -> None:
+        """End a queued task that cannot run."""
+        record = self._part.find(task)
+        self._part.scheduler.release(task.task)
+        if record is not None:
+            code = ResultCode.TASK_FAILED if task.index in record.begun else ResultCode.NEVER_FITS
+            self.settle(record, task.index, task.task, Outcome(code, reason))
+
+    def stop(self, task: Task) -> None:
+        """Stop a running task whose result is not wanted."""
+        if task.worker is None:
+            return
+        task.state = TaskState.STOPPING
+        self._part.spawn(self.dispatch.execute([Stop(task.task, task.worker, False)]))
+
+    def settle(
+        self, record: Record, index: int, task: TaskId, outcome: Outcome, worker: str | None = None
+    ) -> None:
+        """Store the outcome of a task; it is journaled first where the answer depends on it.
+
+        :param worker: who keeps the result until it is acknowledged
+        """
+        entry = OutcomeEntry(
+            task,
+            record.spec.team,
+            record.spec.request_key,
+            index,
+            outcome.code.name,
+            outcome.result,
+            record.digest,
+        )
+        if not record.spec.repeatable:
+            self._part.ending.add(task)
+            self._part.spawn(self._settle_durably(record, index, entry, outcome, worker))
+            return
+        self._set_outcome(record, index, outcome)
+        if record.durable:
+            self._part.spawn(self._journal_lazily(entry, worker))
+        else:
+            record.kept[index] = (worker, task)
+
+    def cancel_queued(self, record: Record, index: int, task: TaskId) -> None:
+        """End a task that is in the queue or nowhere."""
+        self._part.scheduler.release(task)
+        if index in record.begun:
+            code = ResultCode.CANCELLED_RUNNING
+        elif record.recovered and record.spec.repeatable:
+            # An earlier owner may have started it; starts of repeatable work are not journaled.
+            code = ResultCode.OUTCOME_UNKNOWN
+        else:
+            code = ResultCode.CANCELLED
+        self.settle(record, index, task, Outcome(code))
+
+    def hand_over(self, record: Record) -> None:
+        """Let workers drop the results of a record whose answer a caller has."""
+        for index, (worker, task) in list(record.kept.items()):
+            self.ack(worker, task)
+            del record.kept[index]
+
+    def _runs_again(self, task: Task, state: str, stop: Stop | None) -> bool:
+        if task.kind is WorkKind.SERVICE:
+            return state != "lapsed" or task.repeatable
+        if not task.repeatable:
+            return False
+        if state in INTERRUPTED:
+            return stop is None or stop.requeue
+        return state == "failed" and task.failures + 1 < MAX_FAILURES
+
+    def _run_again(self, task: Task) -> None:
+        if task.kind is WorkKind.SERVICE:
+            self._requeue_later(task, REPLICA_RESTART_MS)
+        else:
+            self._put_back(task)
+
+    def _requeue_later(self, task: Task, delay_ms: int) -> None:
+        self._part.ending.add(task.task)
+        self._part.spawn(self._wait_and_requeue(task, delay_ms))
+
+    async def _wait_and_requeue(self, task: Task, delay_ms: int) -> None:
+        await asyncio.sleep(delay_ms / 1000)
+        self._put_back(task)
+
+    async def _void(self, task: Task) -> None:
+        """Journal that a start did not happen, so that a successor may run the request."""
+        entry = VoidEntry(task.task, task.attempt, task.team, task.request_key, task.index)
+        try:
+            await self._part.append([entry], False)
+        except LagoonshelfError as exc:
+            _log.info("void not written", task=task.task, reason=exc.fault.message)
+            return
+        self._put_back(task)
+
+    def _put_back(self, task: Task) -> None:
+        self._part.ending.discard(task.task)
+        self._part.scheduler.release(task.task)
+        self._part.kick()
+        record = self._part.find(task)
+        if record is None or task.index in record.outcomes:
+            return
+        record.attempts[task.index] = task.attempt
+        if record.cancelled:
+            self.cancel_queued(record, task.index, task.task)
+        elif not record.durable and not self._part.waiters.count(record.id):
+            # No caller is left; a retry begins again.
+            self._part.book.drop(record)
+        elif not self._part.held or task.epoch == self._part.epoch:
+            self._part.scheduler.enqueue(task)
+
+    async def _settle_durably(
+        self, record: Record, index: int, entry: OutcomeEntry, outcome: Outcome, worker: str | None
+    ) -> None:
+        try:
+            await self._part.append([entry], False)
+        except LagoonshelfError as exc:
+            _log.info("outcome not written", task=entry.task, reason=exc.fault.message)
+            return
+        self._part.ending.discard(entry.task)
+        self._set_outcome(record, index, outcome)
+        self.ack(worker, entry.task)
+
+    async def _journal_lazily(self, entry: OutcomeEntry, worker: str | None) -> None:
+        try:
+            await self._part.append([entry], False)
+        except LagoonshelfError as exc:
+            _log.info("outcome not written", task=entry.task, reason=exc.fault.message)
+            return
+        self.ack(worker, entry.task)
+
+    def ack(self, worker: str | None, task: str) -> None:
+        """Let a worker drop a result after its own retention time."""
+        link = self.dispatch.fleet.links.get(worker) if worker else None
+        if link is not None:
+            link.acks.append(task)
+
+    def _set_outcome(self, record: Record, index: int, outcome: Outcome) -> None:
+        self._part.book.set_outcome(record, index, outcome, self._part.clock.now_ms())
+        if record.ended:
+            self._part.waiters.wake(record.id)
--- a/packages/server/lagoonshelf_server/workers.py
+++ b/packages/server/lagoonshelf_server/workers.py
@@ -117,9 +117,16 @@
         raw = await self._call(address, "start", body, timeout_ms / 1000)
         return raw["answers"]
 
-    async def renew(self, address: str, authority: Authority, tasks: list[str]) -> list[str]:
-        """Renew task leases; return the tasks that the worker does not know."""
-        raw = await self._call(address, "renew", {**asdict(authority), "tasks": tasks})
+    async def renew(
+        self, address: str, authority: Authority, tasks: list[str], expires_ms: int
+    ) -> list[str]:
+        """Renew task leases; return the tasks that the worker does not know.
+
+        :param expires_ms: worker clock after which the worker ignores the renewal, so that a
+            delayed one cannot extend a lease that counts as ended
+        """
+        body = {**asdict(authority), "tasks": tasks, "expires_ms": expires_ms}
+        raw = await self._call(address, "renew", body)
         return raw["missing"]
 
     async def stop(
--- a/packages/standins/lagoonshelf_standins/workers.py
+++ b/packages/standins/lagoonshelf_standins/workers.py
@@ -229,6 +229,8 @@
         with self._changed:
             if self._fenced(worker, body):
                 return 409, {"error": "stale_epoch"}
+            if body.get("expires_ms", now_ms()) < now_ms():
+                return 408, {"error": "expired"}
             missing = []
             for name in body["tasks"]:
                 run = worker.runs.get(name)
