Divide a team's limit into grants per partition

Cause: no upper limit is enforced; every scheduling pass allows every task.

Ruled out: counting only the floor share after a limit was lowered. A partition with idle grant could then start work while another still ran above its share. A partition therefore also leaves room for what the grants of the others still cover. Entries carry the owner's epoch, so that a write of a dead owner cannot lower a grant that its successor already uses.

--- /dev/null
+++ b/tests/core/test_grants.py
@@ -0,0 +1,162 @@
+"""Tests of the division of limits."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from lagoonshelf_core.grants import (
+    Amount,
+    GrantDocument,
+    GrantEntry,
+    KnownLimit,
+    after_lowering,
+    decode_grants,
+    encode_grants,
+    give_back,
+    limit_in_force,
+    share,
+    startable,
+    take,
+    with_entry,
+)
+
+PARTITIONS = 3
+CPU = 100
+OPERATIONS = ("learn", "refresh", "take", "give", "lower", "start", "end", "owner", "limit")
+
+
+class _Owner:
+    """One partition: what its owner knows and runs."""
+
+    def __init__(self) -> None:
+        self.epoch = 1
+        self.running = 0
+        self.known = KnownLimit(Amount(), 0)
+        self.view = GrantDocument()
+
+    @property
+    def usage(self) -> Amount:
+        return Amount(self.running, self.running * CPU)
+
+
+class _Fleet:
+    """The document, its owners, and a central counter as the naive version.
+
+    :param bound: highest limit that an owner may still know or see in its copy
+    """
+
+    def __init__(self) -> None:
+        self.doc = GrantDocument()
+        self.limit = KnownLimit(Amount(8, 8 * CPU), 1)
+        self.owners = [_Owner() for _ in range(PARTITIONS)]
+        self.bound = 8
+
+    def apply(self, name: str, number: int, value: int) -> None:
+        getattr(self, name)(number, self.owners[number], value)
+        if all(o.known == self.limit and o.view is self.doc for o in self.owners):
+            self.bound = self.limit.amount.tasks
+
+    def learn(self, _number: int, owner: _Owner, _value: int) -> None:
+        owner.known = self.limit
+
+    def refresh(self, _number: int, owner: _Owner, _value: int) -> None:
+        owner.view = self.doc
+
+    def limit_changes(self, tasks: int) -> None:
+        self.limit = KnownLimit(Amount(tasks, tasks * CPU), self.limit.revision + 1)
+        self.bound = max(self.bound, tasks)
+
+    def take(self, number: int, owner: _Owner, value: int) -> None:
+        self._write(number, owner, take(self.doc, number, self._need(owner, value), owner.known))
+
+    def give(self, number: int, owner: _Owner, _value: int) -> None:
+        held = self.doc.amount(number)
+        self._write(number, owner, give_back(held, owner.usage, owner.known.amount))
+
+    def lower(self, number: int, owner: _Owner, _value: int) -> None:
+        limit = limit_in_force(self.doc, owner.known)
+        self._write(number, owner, after_lowering(self.doc, number, owner.usage, limit))
+
+    def start(self, number: int, owner: _Owner, _value: int) -> None:
+        allowed = startable(owner.view, number, limit_in_force(owner.view, owner.known))
+        allowed = allowed.least(owner.view.usable(number, owner.epoch))
+        if self._need(owner, 1).fits_in(allowed):
+            owner.running += 1
+            total = sum(o.running for o in self.owners)
+            assert total <= self.bound, f"{total} running under a limit of {self.bound}"
+
+    def end(self, _number: int, owner: _Owner, _value: int) -> None:
+        owner.running = max(0, owner.running - 1)
+
+    def owner(self, _number: int, owner: _Owner, _value: int) -> None:
+        owner.epoch += 1
+        owner.known = KnownLimit(Amount(), 0)
+        owner.view = GrantDocument()
+
+    def _need(self, owner: _Owner, value: int) -> Amount:
+        return owner.usage + Amount(value, value * CPU)
+
+    def _write(self, number: int, owner: _Owner, amount: Amount) -> None:
+        entry = GrantEntry(amount, owner.epoch, "t")
+        self.doc = with_entry(self.doc, number, entry, owner.known)
+        owner.view = self.doc
+
+
+class GrantsTest(unittest.TestCase):
+    """Shares, takes and returns."""
+
+    @settings(derandomize=True, max_examples=600, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(OPERATIONS), st.integers(0, PARTITIONS - 1), st.integers(0, 10)
+            ),
+            max_size=80,
+        )
+    )
+    def test_no_interleaving_runs_more_than_a_central_counter_allows(self, operations) -> None:
+        """Guards against two partitions that count the same part of a limit."""
+        fleet = _Fleet()
+        for number in range(PARTITIONS):
+            fleet.apply("learn", number, 0)
+        for name, number, value in operations:
+            if name == "limit":
+                fleet.limit_changes(value)
+            else:
+                fleet.apply(name, number, value)
+            for partition, owner in enumerate(fleet.owners):
+                self.assertLessEqual(owner.running, fleet.doc.amount(partition).tasks)
+
+    def test_lowered_limit_leaves_the_floor_of_each_share(self) -> None:
+        """Guards against rounding up, which would add up to more than the limit."""
+        doc = _document({0: 5, 1: 5, 2: 5})
+        limit = Amount(8, 8 * CPU)
+        self.assertEqual([share(doc, p, limit).tasks for p in range(3)], [2, 2, 2])
+
+    def test_nothing_starts_until_the_others_have_lowered_their_grant(self) -> None:
+        """Guards against new work beside work above the limit in another partition."""
+        limit = Amount(8, 8 * CPU)
+        self.assertEqual(startable(_document({0: 8, 1: 8}), 0, limit), Amount())
+        self.assertEqual(startable(_document({0: 8, 1: 4}), 0, limit).tasks, 4)
+
+    def test_a_take_covers_at_least_an_eighth_and_at_most_what_is_free(self) -> None:
+        """Guards against a write per task, and against more than the limit."""
+        known = KnownLimit(Amount(64, 64 * CPU), 1)
+        self.assertEqual(take(_document({0: 0}), 0, Amount(1, CPU), known), Amount(8, 8 * CPU))
+        self.assertEqual(take(_document({1: 60}), 0, Amount(9, 9 * CPU), known).tasks, 4)
+
+    def test_an_owner_behind_the_document_takes_nothing(self) -> None:
+        """Guards against an owner with an old configuration that raises its grant."""
+        doc = GrantDocument(limit=Amount(1, CPU), revision=5)
+        old = KnownLimit(Amount(100, 100 * CPU), 4)
+        self.assertEqual(take(doc, 0, Amount(1, CPU), old), Amount())
+
+    def test_encoding_keeps_the_document(self) -> None:
+        """Guards against a field lost between two owners."""
+        doc = _document({0: 5, 3: 1})
+        self.assertEqual(decode_grants(encode_grants(doc)), doc)
+
+
+def _document(tasks: dict[int, int]) -> GrantDocument:
+    entries = {p: GrantEntry(Amount(n, n * CPU), 1, "t") for p, n in tasks.items()}
+    return GrantDocument(Amount(100, 100 * CPU), 1, 1, entries)
