Keep one partition's grants in the store

Cause: the division of limits needs an owner-side keeper that decides starts without I/O and changes the document only by compare-and-swap.

Ruled out: giving up a write with an unknown outcome and writing a new one. The first could still arrive; the same text is sent again for the same version until a read settles it by its token. Clearing a question after the grant was lowered for it: the busy owner took the grant back in the same turn ("0 not greater than 0" in test_busy_owner_does_not_starve_another); it now keeps to its even part of the limit for 2 s.

Not yet wired to owners.

--- /dev/null
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -0,0 +1,350 @@
+"""Keeps one partition's grants: local checks before starts, and changes in the store."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from dataclasses import dataclass, field
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.commands import Stop
+from lagoonshelf_core.grants import (
+    GRANT_PREFIX,
+    NONE,
+    Amount,
+    GrantDocument,
+    GrantEntry,
+    KnownLimit,
+    after_lowering,
+    decode_grants,
+    encode_grants,
+    give_back,
+    grant_key,
+    limit_in_force,
+    share,
+    startable,
+    take,
+    to_ask,
+    with_entry,
+)
+from lagoonshelf_core.ids import Epoch, PartitionId, TeamId
+from lagoonshelf_core.model import Task
+
+from lagoonshelf_server.grant_usage import GrantUsage
+from lagoonshelf_server.logs import logger
+from lagoonshelf_server.messages import GrantAsk
+from lagoonshelf_server.store import StoreClient, StoreError, writer_token
+
+WRITE_INTERVAL_MS = 1000
+CONFLICT_RETRY_MS = 50
+IDLE_MS = 5000
+ASK_INTERVAL_MS = 500
+ASKED_MS = 2000
+TICK_S = 0.25
+BEGIN_RETRY_S = 0.2
+_log = logger("grants")
+
+
+@dataclass(frozen=True, slots=True)
+class GrantHooks:
+    """How a keeper reaches its partition.
+
+    :param known: limit of a team, none before the first configuration
+    :param may_act: whether this process still owns the partition
+    :param tasks: tasks of the partition's scheduler
+    :param ask: sends a message to the owner of another partition
+    :param stop: carries out stop commands
+    :param kick: asks for a scheduling pass
+    :param spawn: starts a coroutine on the loop
+    """
+
+    known: Callable[[TeamId], KnownLimit | None]
+    may_act: Callable[[], bool]
+    tasks: Callable[[], Iterable[Task]]
+    ask: Callable[[PartitionId, GrantAsk], Awaitable[None]]
+    stop: Callable[[list[Stop]], Awaitable[None]]
+    kick: Callable[[], None]
+    spawn: Callable[[Coroutine], object]
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    """A write whose outcome is not known yet."""
+
+    text: str
+    token: str
+    serial: int
+    after: Amount
+
+
+@dataclass(slots=True)
+class _TeamState:
+    """What is known of one team's grants.
+
+    :param asked: what other owners asked for until ``asked_until_ms``
+    :param idle_since_ms: since when part of the grant is idle, none when it is not
+    :param peak: largest need since then
+    """
+
+    doc: GrantDocument = field(default_factory=GrantDocument)
+    pending: _Pending | None = None
+    busy: bool = False
+    next_write_ms: int = 0
+    next_ask_ms: int = 0
+    asked: Amount = NONE
+    asked_until_ms: int = -1
+    idle_since_ms: int | None = None
+    peak: Amount = NONE
+
+
+class GrantKeeper:
+    """Grants of all teams in one owned partition."""
+
+    def __init__(
+        self,
+        partition: PartitionId,
+        partitions: int,
+        clock: Clock,
+        store: StoreClient,
+        hooks: GrantHooks,
+    ) -> None:
+        """Begin without any grant.
+
+        :param partitions: number of partitions of the cell
+        """
+        self._partition = partition
+        self._partitions = partitions
+        self._clock = clock
+        self._store = store
+        self._hooks = hooks
+        self._epoch = Epoch(0)
+        self._teams: dict[TeamId, _TeamState] = defaultdict(_TeamState)
+        self._usage = GrantUsage(hooks.tasks)
+        self._wake = asyncio.Event()
+
+    async def begin(self, epoch: Epoch) -> None:
+        """Read the grants after the workers' inventories have been read.
+
+        A grant becomes usable once this owner's epoch stands in its entry, because a write of the
+        predecessor may still be on its way until then.
+        """
+        while True:
+            try:
+                items, _ = await self._store.list_keys(GRANT_PREFIX)
+                break
+            except StoreError:
+                await asyncio.sleep(BEGIN_RETRY_S)
+        self._epoch = epoch
+        for item in items:
+            self.see(TeamId(item.key.removeprefix(GRANT_PREFIX)), item.value)
+
+    def see(self, team: TeamId, text: str | None) -> None:
+        """Take in a store value of a team's grants, from a watch or a read."""
+        if text is not None:
+            self._take_in(self._teams[team], decode_grants(text))
+            self._wake.set()
+
+    def begin_pass(self) -> None:
+        """Count what runs now; the following starts are added to it."""
+        self._usage.begin_pass()
+
+    def may_start(self, task: Task) -> bool:
+        """Tell whether the grant allows a start, and count it; a gang counts as a whole.
+
+        Ask this last, when a worker has been found: what was allowed counts until the next pass.
+        """
+        if self._usage.approve(task, self.allowed(task.team)):
+            return True
+        known = self._hooks.known(task.team)
+        if known is not None and self._usage.required(task).fits_in(known.amount):
+            self._usage.note_short(task, self._clock.now_ms())
+            self._teams[task.team].idle_since_ms = None
+            self._wake.set()
+        return False
+
+    def lacks_grant(self, task: Task) -> bool:
+        """Tell whether a waiting task was held back by its team's grant."""
+        return self._usage.is_short(task.task)
+
+    def allowed(self, team: TeamId) -> Amount:
+        """Return how much of a team may run here when another task starts."""
+        state, known = self._teams.get(team), self._hooks.known(team)
+        if state is None or known is None:
+            return NONE
+        limit = limit_in_force(state.doc, known)
+        usable = state.doc.usable(self._partition, self._epoch)
+        usable = usable.least(startable(state.doc, self._partition, limit))
+        if state.pending is not None:
+            usable = usable.least(state.pending.after)
+        if self._is_asked(state):
+            usable = usable.least(self._fair(limit))
+        return usable
+
+    def on_ask(self, ask: GrantAsk) -> None:
+        """Note that another owner lacks grant."""
+        state = self._teams[TeamId(ask.team)]
+        state.asked = Amount(ask.tasks, ask.cpu_milli)
+        state.asked_until_ms = self._clock.now_ms() + ASKED_MS
+        self._wake.set()
+
+    async def run_forever(self) -> None:
+        """Take, give back and ask whenever something has changed."""
+        while True:
+            await self.tick()
+            try:
+                await asyncio.wait_for(self._wake.wait(), TICK_S)
+            except TimeoutError:
+                continue
+
+    async def tick(self) -> None:
+        """Begin the writes, questions and stops that are due."""
+        self._wake.clear()
+        if self._epoch == 0 or not self._hooks.may_act():
+            return
+        self._usage.scan()
+        now_ms = self._clock.now_ms()
+        self._usage.drop_old_short(now_ms)
+        for team, state in list(self._teams.items()):
+            known = self._hooks.known(team)
+            if known is None:
+                continue
+            if self._usage.could_start(team, self.allowed(team)):
+                self._hooks.kick()
+            self._watch_idle(team, state, known, now_ms)
+            if not state.busy and now_ms >= state.next_write_ms and self._is_due(team, state):
+                state.busy = True
+                self._hooks.spawn(self._update(team, state))
+            self._ask(team, state, known, now_ms)
+            await self._stop_excess(team, state, known, now_ms)
+
+    def _need(self, team: TeamId, state: _TeamState, limit: Amount) -> Amount:
+        need = self._usage.need(team)
+        if self._is_asked(state):
+            return self._usage.running(team).most(need.least(self._fair(limit)))
+        return need
+
+    def _is_asked(self, state: _TeamState) -> bool:
+        return self._clock.now_ms() < state.asked_until_ms
+
+    def _fair(self, limit: Amount) -> Amount:
+        """Return what an owner keeps for waiting work while another one lacks grant."""
+        return Amount(limit.tasks // self._partitions, limit.cpu_milli // self._partitions)
+
+    def _wanted(self, team: TeamId, state: _TeamState) -> Amount | None:
+        """Return the grant that the partition should hold, none if it must not write."""
+        known, doc = self._hooks.known(team), state.doc
+        entry = doc.entries.get(self._partition)
+        if known is None or (entry is not None and entry.epoch > self._epoch):
+            return None
+        held, limit = doc.amount(self._partition), limit_in_force(doc, known)
+        if not doc.total().fits_in(limit):
+            return after_lowering(doc, self._partition, self._usage.running(team), limit)
+        need = self._need(team, state, limit)
+        if not need.fits_in(held):
+            return take(doc, self._partition, need, known)
+        if self._is_asked(state):
+            return need.most(held - state.asked)
+        if self._is_idle(state):
+            return give_back(held, need.most(state.peak), limit)
+        return held
+
+    def _is_idle(self, state: _TeamState) -> bool:
+        since_ms = state.idle_since_ms
+        return since_ms is not None and self._clock.now_ms() - since_ms >= IDLE_MS
+
+    def _watch_idle(self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int) -> None:
+        held, limit = state.doc.amount(self._partition), limit_in_force(state.doc, known)
+        need = self._need(team, state, limit)
+        if give_back(held, need, limit) == held:
+            state.idle_since_ms = None
+        elif state.idle_since_ms is None:
+            state.idle_since_ms, state.peak = now_ms, need
+        else:
+            state.peak = state.peak.most(need)
+            if self._is_idle(state) and give_back(held, state.peak, limit) == held:
+                state.idle_since_ms, state.peak = now_ms, need
+
+    def _is_due(self, team: TeamId, state: _TeamState) -> bool:
+        return state.pending is not None or self._changes(state, self._wanted(team, state))
+
+    def _changes(self, state: _TeamState, amount: Amount | None) -> bool:
+        if amount is None:
+            return False
+        entry = state.doc.entries.get(self._partition)
+        if entry is None:
+            return amount != NONE
+        return amount != entry.amount or (entry.epoch != self._epoch and amount != NONE)
+
+    async def _update(self, team: TeamId, state: _TeamState) -> None:
+        key = grant_key(team)
+        try:
+            item = await self._store.get(key)
+            self._take_in(state, decode_grants(item.value))
+            self._usage.scan()
+            if state.pending is None:
+                self._prepare(team, state)
+            if state.pending is not None and self._hooks.may_act():
+                await self._write(state, key, item.version)
+        except StoreError as exc:
+            state.next_write_ms = self._clock.now_ms() + WRITE_INTERVAL_MS
+            _log.info("grant not settled", team=team, reason=str(exc))
+        finally:
+            state.busy = False
+            self._wake.set()
+
+    def _prepare(self, team: TeamId, state: _TeamState) -> None:
+        amount = self._wanted(team, state)
+        if not self._changes(state, amount):
+            return
+        token = writer_token()
+        entry = GrantEntry(amount, self._epoch, token)
+        doc = with_entry(state.doc, self._partition, entry, self._hooks.known(team))
+        state.pending = _Pending(encode_grants(doc), token, doc.serial, amount)
+
+    async def _write(self, state: _TeamState, key: str, version: int) -> None:
+        """Send the pending write; sent again it has the same text, so it counts once."""
+        pending = state.pending
+        state.next_write_ms = self._clock.now_ms() + WRITE_INTERVAL_MS
+        if await self._store.cas(key, pending.text, version):
+            self._take_in(state, decode_grants(pending.text))
+        else:
+            state.next_write_ms = self._clock.now_ms() + CONFLICT_RETRY_MS
+
+    def _take_in(self, state: _TeamState, doc: GrantDocument) -> None:
+        """Keep the newer document; it settles a pending write of the same or a lower number."""
+        pending = state.pending
+        if pending is not None and doc.serial >= pending.serial:
+            state.pending = None
+            state.idle_since_ms = None
+            entry = doc.entries.get(self._partition)
+            if entry is not None and entry.token == pending.token:
+                state.asked = NONE
+        if doc.serial > state.doc.serial:
+            state.doc = doc
+            self._hooks.kick()
+
+    def _ask(self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int) -> None:
+        doc, limit = state.doc, limit_in_force(state.doc, known)
+        need = self._need(team, state, limit)
+        if need.fits_in(doc.amount(self._partition)) or now_ms < state.next_ask_ms:
+            return
+        missing = to_ask(doc, self._partition, need, limit) - (limit - doc.total())
+        if missing == NONE:
+            return
+        state.next_ask_ms = now_ms + ASK_INTERVAL_MS
+        for partition, entry in doc.entries.items():
+            if partition != self._partition and entry.amount != NONE:
+                ask = GrantAsk(team, partition, missing.tasks, missing.cpu_milli)
+                self._hooks.spawn(self._hooks.ask(partition, ask))
+
+    async def _stop_excess(
+        self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int
+    ) -> None:
+        """Stop repeatable work above the share that a lowered limit leaves, newest first."""
+        limit = limit_in_force(state.doc, known)
+        if state.doc.total().fits_in(limit):
+            return
+        kept = share(state.doc, self._partition, limit)
+        stops = self._usage.excess_stops(team, kept, now_ms)
+        if stops:
+            _log.info("stopping work above the limit", team=team, tasks=len(stops))
+            await self._hooks.stop(stops)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/grant_usage.py
@@ -0,0 +1,146 @@
+"""Counts what the teams run and lack in one partition, for its grants."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from lagoonshelf_core.commands import Stop
+from lagoonshelf_core.grants import NONE, Amount
+from lagoonshelf_core.ids import RequestKey, TaskId, TeamId
+from lagoonshelf_core.model import Task, TaskState, WorkKind
+
+SHORT_MS = 2000
+STOP_REPEAT_MS = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class _Short:
+    """A task or gang that lacked grant; one that does not wait here counts until a time.
+
+    :param task: the task, or a member of the gang
+    """
+
+    team: TeamId
+    task: TaskId
+    amount: Amount
+    until_ms: int
+
+
+class GrantUsage:
+    """What runs, what was allowed in the current pass, and what lacks grant."""
+
+    def __init__(self, tasks: Callable[[], Iterable[Task]]) -> None:
+        """Begin with nothing running.
+
+        :param tasks: tasks of the partition's scheduler
+        """
+        self._tasks = tasks
+        self._running: dict[TeamId, Amount] = {}
+        self._gangs: dict[tuple[TeamId, RequestKey], int] = {}
+        self._approved: set[object] = set()
+        self._short: dict[object, _Short] = {}
+        self._stopped_ms: dict[TaskId, int] = {}
+
+    def scan(self) -> None:
+        """Count the tasks that hold a worker."""
+        running: dict[TeamId, Amount] = defaultdict(Amount)
+        gangs: dict[tuple[TeamId, RequestKey], int] = defaultdict(int)
+        for task in self._tasks():
+            if task.worker is None:
+                continue
+            running[task.team] += amount_of(task)
+            if task.kind is WorkKind.GANG:
+                gangs[(task.team, task.request_key)] += 1
+        self._running, self._gangs = running, gangs
+        self._approved.clear()
+
+    def running(self, team: TeamId) -> Amount:
+        """Return what a team ran at the last scan plus what was approved since."""
+        return self._running.get(team, NONE)
+
+    def need(self, team: TeamId) -> Amount:
+        """Return what a team runs plus what lacks grant."""
+        lacking = (short.amount for short in self._short.values() if short.team == team)
+        return sum(lacking, self.running(team))
+
+    def could_start(self, team: TeamId, allowed: Amount) -> bool:
+        """Tell whether something that lacked grant fits now."""
+        running = self.running(team)
+        shorts = (short for short in self._short.values() if short.team == team)
+        return any((running + short.amount).fits_in(allowed) for short in shorts)
+
+    def is_short(self, task: TaskId) -> bool:
+        """Tell whether a task lacked grant lately."""
+        return task in self._short
+
+    def approve(self, task: Task, allowed: Amount) -> bool:
+        """Count a start if it fits; a gang counts as a whole."""
+        unit = _unit(task)
+        if unit in self._approved:
+            return True
+        total = self.running(task.team) + self.required(task)
+        if not total.fits_in(allowed):
+            return False
+        self._running[task.team] = total
+        self._approved.add(unit)
+        return True
+
+    def required(self, task: Task) -> Amount:
+        """Return what the start of a task needs, for a gang with all its waiting members."""
+        count = 1
+        if task.kind is WorkKind.GANG:
+            count = max(1, task.gang_size - self._gangs.get(_unit(task), 0))
+        return amount_of(task).scaled(count)
+
+    def note_short(self, task: Task, now_ms: int) -> None:
+        """Remember that a task lacks grant; a gang is noted once for all its members."""
+        until_ms = now_ms + SHORT_MS
+        self._short[_unit(task)] = _Short(task.team, task.task, self.required(task), until_ms)
+
+    def begin_pass(self) -> None:
+        """Count again; each waiting task shows anew whether it lacks grant."""
+        self.scan()
+        for task in self._tasks():
+            self._short.pop(_unit(task), None)
+
+    def drop_old_short(self, now_ms: int) -> None:
+        """Forget tasks that lacked grant and no longer wait here."""
+        waiting = {task.task for task in self._tasks() if task.state is TaskState.QUEUED}
+        self._short = {
+            name: short
+            for name, short in self._short.items()
+            if short.task in waiting or short.until_ms > now_ms
+        }
+
+    def excess_stops(self, team: TeamId, kept: Amount, now_ms: int) -> list[Stop]:
+        """Return stops of a team's newest repeatable work above an amount, each at most every 2 s.
+
+        :param kept: what may go on running
+        """
+        excess = self.running(team) - kept
+        if excess == NONE:
+            return []
+        stops: list[Stop] = []
+        for task in self._stoppable(team):
+            if excess == NONE:
+                break
+            excess -= amount_of(task)
+            if now_ms - self._stopped_ms.get(task.task, now_ms - STOP_REPEAT_MS) >= STOP_REPEAT_MS:
+                self._stopped_ms[task.task] = now_ms
+                stops.append(Stop(task.task, task.worker, requeue=True, checkpoint=True))
+        return stops
+
+    def _stoppable(self, team: TeamId) -> list[Task]:
+        running = {t.task: t for t in self._tasks() if t.state is TaskState.RUNNING}
+        self._stopped_ms = {n: at for n, at in self._stopped_ms.items() if n in running}
+        tasks = [task for task in running.values() if task.team == team and task.repeatable]
+        return sorted(tasks, key=lambda task: task.started_ms, reverse=True)
+
+
+def amount_of(task: Task) -> Amount:
+    """Return what one task takes of its team's limit."""
+    return Amount(1, task.size.cpu_milli)
+
+
+def _unit(task: Task) -> object:
+    return (task.team, task.request_key) if task.kind is WorkKind.GANG else task.task
