Delegate tasks to partitions with room, and wire the grants

Cause: a partition without room, or without any worker, left its tasks waiting, and tasks of other partitions found on a worker were ignored, so nobody renewed their lease or counted their room.

Ruled out: asking again under a new attempt after a lost answer, since the first copy may have started the task. The same attempt is sent again to the same owner epoch, which gives the same answer; only a successor whose workers are all read can say that it does not know the task.

Owners ask their grants in each pass.

--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -5,7 +5,8 @@
 import orjson
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import CODES_BY_NUMBER, LagoonshelfError, ResultCode
-from lagoonshelf_core.ids import MemberId, PartitionId
+from lagoonshelf_core.grants import GRANT_PREFIX
+from lagoonshelf_core.ids import MemberId, PartitionId, TeamId
 from lagoonshelf_core.keys import Caller, authenticate
 from returns.result import Failure
 
@@ -28,6 +29,7 @@
     Submit,
 )
 from lagoonshelf_server.owner import Owner, OwnerState
+from lagoonshelf_server.partition_calls import PartitionCalls
 from lagoonshelf_server.peers import PeerLostError, PeerNet, hello_proof
 from lagoonshelf_server.requests import Requests
 from lagoonshelf_server.settings import Settings
@@ -38,7 +40,7 @@
 RETRY_S = 0.3
 CLAIM_INTERVAL_S = 0.2
 UNPREFERRED_CLAIM_MS = 1000
-WATCHED = ["members/", "owners/", "config/"]
+WATCHED = ["members/", "owners/", "config/", GRANT_PREFIX]
 _log = logger("application")
 
 
@@ -62,6 +64,7 @@
         )
         self.net = PeerNet(hello, cfg.cluster_secret, self._on_message)
         self.owners: dict[PartitionId, Owner] = {}
+        self.calls = PartitionCalls(self.members, self.net, self.owners)
         self.requests = Requests(cfg, self.clock, self.members, self.net, self._active_owner)
         self.stopped = asyncio.Event()
         self._free_since_ms: dict[PartitionId, int] = {}
@@ -154,6 +157,8 @@
             return "pong", self._status()
         if isinstance(body, Submit | RequestRef):
             return "answer", await self.requests.handle(kind, body)
+        if self.calls.handles(body):
+            return await self.calls.handle(body)
         if isinstance(body, ConfigAsk):
             return "configReply", self._changes_after(body.revision)
         return "ack", Ack(ResultCode.PROTOCOL.number, f"unexpected message {kind}")
@@ -237,6 +242,9 @@
         if key.startswith("config/"):
             if value is not None:
                 self.config.apply(value)
+        elif key.startswith(GRANT_PREFIX):
+            for owner in self.owners.values():
+                owner.grants.see(TeamId(key.removeprefix(GRANT_PREFIX)), value)
         else:
             self.members.apply(key, value)
 
@@ -293,6 +301,7 @@
             self.workers,
             self.members,
             self.config,
+            self.calls,
         )
         self.owners[partition] = owner
         self.bridge.spawn(owner.take_over())
--- a/packages/server/lagoonshelf_server/dispatch.py
+++ b/packages/server/lagoonshelf_server/dispatch.py
@@ -84,6 +84,7 @@
         :param digest_of: content hash of a task's request
         """
         self.links: dict[WorkerId, WorkerLink] = {}
+        self.knows_hosts = False
         self._cfg = cfg
         self._clock = clock
         self._bridge = bridge
@@ -99,6 +100,7 @@
 
     def set_hosts(self, hosts: list[WorkerInfo]) -> None:
         """Take in the host list: new, changed and leaving workers of the partition."""
+        self.knows_hosts = True
         for info in hosts:
             link = self.links.get(info.worker)
             if link is None:
@@ -144,7 +146,9 @@
 
     async def _start(self, worker: WorkerId, tasks: list[Task]) -> None:
         link = self.links[worker]
-        intents = [self._intent(link, task) for task in tasks if not task.repeatable]
+        home = self._authority.partition
+        journaled = [task for task in tasks if not task.repeatable and task.home == home]
+        intents = [self._intent(link, task) for task in journaled]
         try:
             if intents:
                 await self._hooks.journal(intents)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/hosting.py
@@ -0,0 +1,239 @@
+"""Tasks of other partitions that run on this partition's workers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.commands import Stop
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.ids import Epoch, PartitionId, TaskId, WorkerId
+from lagoonshelf_core.model import Task
+from lagoonshelf_core.scheduler import Scheduler
+
+from lagoonshelf_server.dispatch import Dispatch, task_from_meta, task_meta
+from lagoonshelf_server.logs import logger
+from lagoonshelf_server.messages import (
+    Ack,
+    Body,
+    Delegate,
+    DelegateDone,
+    DelegateReply,
+    DelegateState,
+    DelegateStop,
+    TaskMeta,
+)
+from lagoonshelf_server.peers import PeerLostError
+from lagoonshelf_server.task_ends import code_of_end
+from lagoonshelf_server.workers import TaskReport
+
+REPORT_INTERVAL_S = 0.3
+KEEP_MS = 60_000  # as long as workers keep results
+UNREAD_MARGIN_MS = 1000
+_log = logger("hosting")
+
+
+@dataclass(frozen=True, slots=True)
+class HostHooks:
+    """How hosting reaches its partition.
+
+    :param epoch: epoch of the owner
+    :param is_active: whether the partition is active and this process may act for it
+    :param dispatch: the worker links, none before they exist
+    :param place: starts a task at once if a worker and the grant allow it
+    :param call: sends a message to the owner of a partition
+    """
+
+    epoch: Callable[[], Epoch]
+    is_active: Callable[[], bool]
+    dispatch: Callable[[], Dispatch | None]
+    place: Callable[[Task], bool]
+    call: Callable[[PartitionId, str, Body], Awaitable[Body]]
+
+
+@dataclass(slots=True)
+class _Ended:
+    """A delegated task that has ended; kept for a while after its home knows."""
+
+    done: DelegateDone
+    acked_ms: int | None = None
+
+
+class Hosting:
+    """The delegated tasks that one owned partition runs."""
+
+    def __init__(
+        self,
+        partition: PartitionId,
+        clock: Clock,
+        scheduler: Scheduler,
+        task_lease_ms: int,
+        hooks: HostHooks,
+    ) -> None:
+        """Begin without tasks."""
+        self._partition = partition
+        self._clock = clock
+        self._scheduler = scheduler
+        self._began_ms = clock.now_ms()
+        self._unread_ms = task_lease_ms + UNREAD_MARGIN_MS
+        self._hooks = hooks
+        self._digests: dict[TaskId, str] = {}
+        self._ended: dict[TaskId, _Ended] = {}
+        self._refused_ms: dict[tuple[str, int], int] = {}
+        self._wake = asyncio.Event()
+
+    def start(self, body: Delegate) -> DelegateReply:
+        """Start a task at once, or refuse it for good; the same attempt gets the same answer.
+
+        :raises LagoonshelfError: when another owner was asked; this says nothing of the task
+        """
+        if body.epoch != self._hooks.epoch() or not self._hooks.is_active():
+            text = f"partition {self._partition} is not active at epoch {body.epoch}"
+            raise LagoonshelfError(Fault(ResultCode.NO_OWNER, text))
+        meta = body.meta
+        if (meta.task, meta.attempt) in self._refused_ms:
+            return _refusal()
+        if self._knows(meta):
+            return DelegateReply(True, ResultCode.ACCEPTED.number)
+        task = task_from_meta(meta, self._clock.now_ms())
+        task.payload = body.payload
+        task.attempt = meta.attempt - 1
+        self._digests[task.task] = meta.digest
+        if meta.task in self._scheduler.tasks or not self._hooks.place(task):
+            self._refused_ms[(meta.task, meta.attempt)] = self._clock.now_ms()
+            self._digests.pop(task.task, None)
+            return _refusal()
+        self._ended.pop(task.task, None)
+        return DelegateReply(True, ResultCode.ACCEPTED.number)
+
+    def digest_of(self, task: Task) -> str:
+        """Return the content hash of a delegated task's request."""
+        return self._digests.get(task.task, "")
+
+    def found(self, worker: WorkerId, report: TaskReport) -> None:
+        """Take in a delegated task that a worker's inventory shows."""
+        meta = report.meta
+        known = self._ended.get(TaskId(meta.task))
+        if known is not None and known.done.meta.attempt >= meta.attempt:
+            return
+        task = task_from_meta(meta, self._clock.now_ms())
+        self._digests[task.task] = meta.digest
+        if report.state == "running":
+            self._scheduler.adopt(task, worker)
+        else:
+            self._end(task, report.state, report.result)
+
+    def ended(self, task: Task, report: TaskReport) -> None:
+        """Note the end of a task that the scheduler has released."""
+        self._end(task, report.state, report.result)
+
+    def refused(self, task: Task) -> None:
+        """Note that the worker certainly did not start a task."""
+        self._scheduler.release(task.task)
+        self._refused_ms[(task.task, task.attempt)] = self._clock.now_ms()
+        self._end(task, "refused", "")
+
+    def lost(self, task: Task) -> None:
+        """Note that a worker has lost a task that may have run."""
+        self._scheduler.release(task.task)
+        self._end(task, "lost", "")
+
+    async def stop(self, body: DelegateStop) -> None:
+        """Stop a task for its home owner; its end is reported as usual."""
+        task = self._scheduler.tasks.get(TaskId(body.task))
+        if task is None or task.attempt != body.attempt or task.worker is None:
+            return
+        await self._hooks.dispatch().execute([Stop(task.task, task.worker, False)])
+
+    def states(self, home: PartitionId) -> tuple[DelegateState, ...]:
+        """Return the running and the ended tasks of a home partition."""
+        running = [
+            self._state(task_meta(task, self.digest_of(task)), "running")
+            for task in self._scheduler.tasks.values()
+            if task.home == home and home != self._partition
+        ]
+        ended = [
+            self._state(entry.done.meta, entry.done.state, entry.done.result)
+            for entry in self._ended.values()
+            if entry.done.meta.home == home
+        ]
+        return (*running, *ended)
+
+    def is_complete(self) -> bool:
+        """Tell whether no delegated task can be unknown here.
+
+        A worker that could not be read for a task lease and a margin has stopped its tasks.
+        """
+        dispatch = self._hooks.dispatch()
+        if dispatch is None or not dispatch.knows_hosts:
+            return False
+        waited_ms = self._clock.now_ms() - self._began_ms
+        unread = any(not link.boot_id for link in dispatch.links.values())
+        return not unread or waited_ms > self._unread_ms
+
+    def boots(self) -> tuple[str, ...]:
+        """Return name and boot id of each worker that was read."""
+        dispatch = self._hooks.dispatch()
+        links = dispatch.links.values() if dispatch else ()
+        return tuple(boot_text(link.info.worker, link.boot_id) for link in links if link.boot_id)
+
+    async def report_forever(self) -> None:
+        """Report ended tasks to their home owners until these have confirmed."""
+        while True:
+            self._wake.clear()
+            self._drop_old()
+            waiting = [entry for entry in self._ended.values() if entry.acked_ms is None]
+            await asyncio.gather(*(self._report(entry) for entry in waiting))
+            try:
+                await asyncio.wait_for(self._wake.wait(), REPORT_INTERVAL_S)
+            except TimeoutError:
+                continue
+
+    async def _report(self, entry: _Ended) -> None:
+        if not self._hooks.is_active():
+            return
+        home = PartitionId(entry.done.partition)
+        try:
+            reply = await self._hooks.call(home, "delegateDone", entry.done)
+        except PeerLostError:
+            return
+        if isinstance(reply, Ack) and reply.code == ResultCode.DONE.number:
+            entry.acked_ms = self._clock.now_ms()
+
+    def _end(self, task: Task, state: str, result: str) -> None:
+        meta = task_meta(task, self.digest_of(task))
+        code = code_of_end(state).number
+        done = DelegateDone(task.home, meta, code, result, state)
+        self._ended[task.task] = _Ended(done)
+        self._wake.set()
+
+    def _knows(self, meta: TaskMeta) -> bool:
+        task = self._scheduler.tasks.get(TaskId(meta.task))
+        if task is not None and task.attempt >= meta.attempt:
+            return True
+        entry = self._ended.get(TaskId(meta.task))
+        if entry is None or entry.done.meta.attempt < meta.attempt:
+            return False
+        entry.acked_ms = None
+        self._wake.set()
+        return True
+
+    def _state(self, meta: TaskMeta, state: str, result: str = "") -> DelegateState:
+        return DelegateState(meta, state, result, self._partition, self._hooks.epoch())
+
+    def _drop_old(self) -> None:
+        before_ms = self._clock.now_ms() - KEEP_MS
+        for name, entry in list(self._ended.items()):
+            if entry.acked_ms is not None and entry.acked_ms < before_ms:
+                del self._ended[name]
+                self._digests.pop(name, None)
+        self._refused_ms = {key: ms for key, ms in self._refused_ms.items() if ms >= before_ms}
+
+
+def boot_text(worker: WorkerId, boot_id: str) -> str:
+    """Return a worker's name and boot id as one text."""
+    return f"{worker}={boot_id}"
+
+
+def _refusal() -> DelegateReply:
+    return DelegateReply(False, ResultCode.OVERLOADED.number)
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -130,12 +130,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Delegate:
-    """Asks the owner of another partition to start a task at once."""
+    """Asks the owner of another partition to start a task at once.
+
+    :param epoch: the owner that is asked; any other one refuses
+    """
 
     partition: int
     home_epoch: int
     meta: TaskMeta
     payload: str
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,12 +152,16 @@
 
 @dataclass(frozen=True, slots=True)
 class DelegateDone:
-    """Reports the end of a delegated task to its home owner."""
+    """Reports the end of a delegated task to its home owner.
+
+    :param state: the worker's state of the task, or refused or lost
+    """
 
     partition: int
     meta: TaskMeta
     code: int
     result: str
+    state: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,11 +175,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DelegateState:
-    """A delegated task and its state."""
+    """A delegated task and its state.
+
+    :param partition: where it runs or ran
+    :param epoch: the owner that answers
+    """
 
     meta: TaskMeta
     state: str
     result: str = ""
+    partition: int = 0
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,10 +193,23 @@
     """Delegated tasks of a home partition.
 
     :param complete: whether all workers of the partition were read
+    :param boots: name and boot id of each worker that was read
     """
 
     complete: bool
     tasks: tuple[DelegateState, ...] = ()
+    boots: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class DelegateStop:
+    """Asks the owner that runs a delegated task to stop it."""
+
+    partition: int
+    home: int
+    home_epoch: int
+    task: str
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,10 +223,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FenceReply:
-    """Confirms a fence and returns the partition's delegated tasks."""
+    """Confirms a fence and returns the partition's delegated tasks.
+
+    :param partitions: partitions for which the answer is complete
+    """
 
     accepted: bool
     tasks: tuple[DelegateState, ...] = ()
+    partitions: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,6 +288,7 @@
     | DelegateDone
     | DelegateQuery
     | DelegateStates
+    | DelegateStop
     | Fence
     | FenceReply
     | GrantAsk
--- /dev/null
+++ b/packages/server/lagoonshelf_server/offers.py
@@ -0,0 +1,88 @@
+"""Decides which waiting tasks are offered to which other partition."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from heapq import nsmallest
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import PartitionId, TaskId
+from lagoonshelf_core.model import Task, TaskState, WorkKind
+
+from lagoonshelf_server.partition_calls import Room
+
+OFFERS_AT_ONCE = 64
+RETRY_MS = 100
+MAX_RETRY_DOUBLINGS = 4
+GRANT_WAIT_MS = 500  # own grant mostly arrives sooner
+BLOCK_MS = 500  # until the next summary of free room
+
+
+class Offers:
+    """When each task may be offered again, and which partitions refused lately."""
+
+    def __init__(self, clock: Clock, lacks_grant: Callable[[Task], bool]) -> None:
+        """Begin without refusals.
+
+        :param lacks_grant: whether a waiting task was held back by its team's grant
+        """
+        self._clock = clock
+        self._lacks_grant = lacks_grant
+        self._not_before_ms: dict[TaskId, int] = {}
+        self._blocked_until_ms: dict[PartitionId, int] = {}
+
+    def choose(
+        self,
+        tasks: Iterable[Task],
+        rooms: Iterable[Room],
+        asked: Iterable[tuple[PartitionId, Task]],
+    ) -> list[tuple[Task, Room]]:
+        """Return the tasks to offer now, each with a partition that shows room.
+
+        :param rooms: free room of the other partitions
+        :param asked: tasks on their way, whose room the summaries may not show as taken yet
+        """
+        waiting = [task for task in tasks if self._may_leave(task)]
+        if not waiting:
+            return []
+        now_ms = self._clock.now_ms()
+        open_rooms = {
+            room.partition: room
+            for room in rooms
+            if self._blocked_until_ms.get(room.partition, 0) <= now_ms
+        }
+        for partition, task in asked:
+            _take(open_rooms, partition, task)
+        chosen: list[tuple[Task, Room]] = []
+        order = nsmallest(OFFERS_AT_ONCE, waiting, key=lambda t: (t.work_class.value, t.queued_ms))
+        for task in order:
+            fitting = [room for room in open_rooms.values() if task.size.fits_in(room.free)]
+            if fitting:
+                room = max(fitting, key=lambda room: room.free.slots)
+                _take(open_rooms, room.partition, task)
+                chosen.append((task, room))
+        return chosen
+
+    def refused(self, task: Task, partition: PartitionId) -> None:
+        """Note that a partition did not take a task; wait longer after each attempt."""
+        now_ms = self._clock.now_ms()
+        delay_ms = RETRY_MS << min(task.attempt, MAX_RETRY_DOUBLINGS)
+        self._not_before_ms[task.task] = now_ms + delay_ms
+        self._blocked_until_ms[partition] = now_ms + BLOCK_MS
+
+    def keep_only(self, names: set[TaskId]) -> None:
+        """Forget all other tasks."""
+        self._not_before_ms = {n: ms for n, ms in self._not_before_ms.items() if n in names}
+
+    def _may_leave(self, task: Task) -> bool:
+        if task.state is not TaskState.QUEUED or task.kind is WorkKind.GANG:
+            return False
+        now_ms = self._clock.now_ms()
+        if self._lacks_grant(task) and task.task not in self._not_before_ms:
+            self._not_before_ms[task.task] = now_ms + GRANT_WAIT_MS
+        return now_ms >= self._not_before_ms.get(task.task, 0)
+
+
+def _take(rooms: dict[PartitionId, Room], partition: PartitionId, task: Task) -> None:
+    room = rooms.get(partition)
+    if room is not None:
+        rooms[partition] = replace(room, free=room.free - task.size)
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -32,17 +32,19 @@
 from lagoonshelf_server.journal_writer import JournalWriter
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.members import Members
+from lagoonshelf_server.messages import TaskMeta
+from lagoonshelf_server.owner_parts import (
+    OwnerPort,
+    make_delegation,
+    make_grants,
+    make_hosting,
+)
+from lagoonshelf_server.partition_calls import PartitionCalls
 from lagoonshelf_server.settings import Settings
 from lagoonshelf_server.store import StoreClient
+from lagoonshelf_server.task_ends import code_of_end, runs_again
 from lagoonshelf_server.workers import Authority, TaskReport, WorkerClient
 
-MAX_FAILURES = 3
-ENDED_CODES = {
-    "finished": ResultCode.OK,
-    "failed": ResultCode.TASK_FAILED,
-    "stopped": ResultCode.CANCELLED_RUNNING,
-    "lapsed": ResultCode.OUTCOME_UNKNOWN,
-}
 _log = logger("owner")
 
 
@@ -68,6 +70,7 @@
         workers: WorkerClient,
         members: Members,
         config: ConfigSync,
+        calls: PartitionCalls,
     ) -> None:
         """Begin before the takeover."""
         self.partition = partition
@@ -88,6 +91,19 @@
         self._sequence = 0
         self._waiters: dict[tuple, list[asyncio.Future[None]]] = {}
         self._kicked = asyncio.Event()
+        port = OwnerPort(
+            self._append,
+            self._on_started,
+            self._on_refused,
+            self._end,
+            self._adopt,
+            self._digest_of,
+            self._kicked.set,
+            lambda: self.state is OwnerState.LOST,
+        )
+        self.grants = make_grants(self, port, cfg, clock, bridge, store, config, calls)
+        self.hosting = make_hosting(self, cfg, clock, calls)
+        self.delegation = make_delegation(self, port, cfg, clock, bridge, calls)
         self._background: list[asyncio.Task] = []
 
     def may_act(self) -> bool:
@@ -98,6 +114,10 @@
             and self._members.may_act()
         )
 
+    def is_active(self) -> bool:
+        """Tell whether the partition is active and this process may act for it."""
+        return self.state is OwnerState.ACTIVE and self.may_act()
+
     async def take_over(self) -> None:
         """Read the journal, begin a new epoch, read the workers, and become active."""
         items, _ = await self._store.list_keys(journal_prefix(self.partition))
@@ -119,14 +139,20 @@
         self.set_hosts(await self._store.hosts())
         while not self.dispatch.all_read():
             await asyncio.sleep(0.05)
+        await self.delegation.take_over()
+        await self.grants.begin(self.epoch)
         self._enqueue_accepted()
         self.state = OwnerState.ACTIVE
         self._background.append(self._bridge.spawn(self._pass_forever()))
         self._background.append(self._bridge.spawn(self.dispatch.renew_forever()))
+        for part in (self.grants.run_forever, self.delegation.watch_forever):
+            self._background.append(self._bridge.spawn(part()))
+        self._background.append(self._bridge.spawn(self.hosting.report_forever()))
         _log.info("partition active", partition=self.partition, epoch=self.epoch)
 
     def set_hosts(self, hosts: list[WorkerInfo]) -> None:
         """Take in the platform's host list."""
+        self.delegation.set_hosts(hosts)
         mine = [
             host
             for host in hosts
@@ -162,6 +188,7 @@
         for index, task_name in record.tasks.items():
             task = self.scheduler.tasks.get(task_name)
             if task is None:
+                self.delegation.stop(task_name)
                 continue
             if task.state is TaskState.QUEUED:
                 self.scheduler.release(task_name)
@@ -266,8 +293,23 @@
             await self._kicked.wait()
             self._kicked.clear()
             if self.state is OwnerState.ACTIVE and self.may_act():
-                commands = self.scheduler.run_pass(self._clock.now_ms(), lambda task: True)
+                self.grants.begin_pass()
+                commands = self.scheduler.run_pass(self._clock.now_ms(), self.grants.may_start)
                 await self.dispatch.execute(commands)
+                self.delegation.offer()
+
+    def place(self, task: Task) -> bool:
+        """Start a task of another partition at once if a worker and the grant allow it."""
+        self.grants.begin_pass()
+        self.scheduler.enqueue(task)
+        commands = self.scheduler.run_pass(
+            self._clock.now_ms(), lambda other: other is task and self.grants.may_start(task)
+        )
+        placed = task.worker is not None
+        if not placed:
+            self.scheduler.release(task.task)
+        self._bridge.spawn(self.dispatch.execute(commands))
+        return placed
 
     def _begin_dispatch(self) -> None:
         hooks = DispatchHooks(
@@ -293,6 +335,8 @@
         )
 
     def _digest_of(self, task: Task) -> str:
+        if task.home != self.partition:
+            return self.hosting.digest_of(task)
         record = self.book.find(task.team, task.request_key)
         return record.digest if record else ""
 
@@ -302,6 +346,10 @@
             record.first_start_ms = self._clock.now_ms()
 
     def _on_refused(self, task: Task) -> None:
+        if task.home != self.partition:
+            self.hosting.refused(task)
+            self._kicked.set()
+            return
         record = self.book.find(task.team, task.request_key)
         if record is not None and record.cancelled:
             self.scheduler.release(task.task)
@@ -312,6 +360,9 @@
         self._kicked.set()
 
     def _on_lost(self, task: Task) -> None:
+        if task.home != self.partition:
+            self.hosting.lost(task)
+            return
         self.scheduler.release(task.task)
         if task.repeatable and self.book.find(task.team, task.request_key) is not None:
             self.scheduler.enqueue(task)
@@ -324,18 +375,30 @@
         if task is None:
             return
         self._kicked.set()
-        code = ENDED_CODES.get(report.state, ResultCode.TASK_FAILED)
-        if code is ResultCode.TASK_FAILED and task.repeatable and task.failures + 1 < MAX_FAILURES:
-            task.failures += 1
+        if task.home != self.partition:
+            self.hosting.ended(task, report)
+            return
+        record = self.book.find(task.team, task.request_key)
+        if not (record and record.cancelled) and runs_again(task, report.state):
             self.scheduler.enqueue(task)
             return
-        self._bridge.spawn(self._end(task, Outcome(code, report.result)))
+        outcome = Outcome(code_of_end(report.state), report.result)
+        self._bridge.spawn(self._end(task, outcome))
 
     def _on_found(self, worker: WorkerId, report: TaskReport) -> None:
-        meta = report.meta
-        record = self.book.find(meta.team, meta.request_key)
-        if meta.home != self.partition:
+        if report.meta.home != self.partition:
+            self.hosting.found(worker, report)
             return
+        task = self._adopt(report.meta)
+        if task is None:
+            return
+        self.scheduler.adopt(task, worker)
+        if report.state != "running":
+            self._on_ended(report)
+
+    def _adopt(self, meta: TaskMeta) -> Task | None:
+        """Return the task that a worker or another owner reports, none if it has an outcome."""
+        record = self.book.find(meta.team, meta.request_key)
         task = task_from_meta(meta, self._clock.now_ms())
         if record is None:
             spec = RequestSpec(
@@ -353,11 +416,8 @@
             record = Record(spec, meta.digest, self._clock.now_ms())
             self.book.records[(task.team, task.request_key)] = record
         record.tasks[meta.index] = task.task
-        if meta.index in record.outcomes:
-            return
-        self.scheduler.adopt(task, worker)
-        if report.state != "running":
-            self._on_ended(report)
+        task.payload = record.spec.payload
+        return None if meta.index in record.outcomes else task
 
     async def _end(self, task: Task, outcome: Outcome) -> None:
         record = self.book.find(task.team, task.request_key)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/owner_parts.py
@@ -0,0 +1,132 @@
+"""Builds the grants, the hosting and the delegation of an owner."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.grants import NONE, Amount, KnownLimit
+from lagoonshelf_core.ids import MemberId, PartitionId, TeamId
+from lagoonshelf_core.journal import Entry
+from lagoonshelf_core.model import Task
+from lagoonshelf_core.records import Outcome
+
+from lagoonshelf_server.away import HomeHooks
+from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.delegation import Delegation
+from lagoonshelf_server.grant_keeper import GrantHooks, GrantKeeper
+from lagoonshelf_server.hosting import HostHooks, Hosting
+from lagoonshelf_server.messages import GrantAsk, TaskMeta
+from lagoonshelf_server.partition_calls import PartitionCalls
+from lagoonshelf_server.peers import PeerLostError
+from lagoonshelf_server.settings import Settings
+from lagoonshelf_server.store import StoreClient
+
+if TYPE_CHECKING:
+    from lagoonshelf_server.owner import Owner
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerPort:
+    """What an owner does for its parts.
+
+    :param journal: makes entries durable
+    :param started: notes the first start of a request
+    :param requeue: lets a task wait again that was not started
+    :param end: stores the outcome of a task
+    :param adopt: returns the task of a report, none if it has an outcome
+    :param digest_of: content hash of a task's request
+    :param kick: asks for a scheduling pass
+    :param lost: whether the partition is given up for good
+    """
+
+    journal: Callable[[list[Entry]], Awaitable[None]]
+    started: Callable[[Task], None]
+    requeue: Callable[[Task], None]
+    end: Callable[[Task, Outcome], Awaitable[None]]
+    adopt: Callable[[TaskMeta], Task | None]
+    digest_of: Callable[[Task], str]
+    kick: Callable[[], None]
+    lost: Callable[[], bool]
+
+
+def make_grants(
+    owner: Owner,
+    port: OwnerPort,
+    cfg: Settings,
+    clock: Clock,
+    bridge: Bridge,
+    store: StoreClient,
+    config: ConfigSync,
+    calls: PartitionCalls,
+) -> GrantKeeper:
+    """Return the keeper of a partition's grants."""
+
+    async def ask(partition: PartitionId, body: GrantAsk) -> None:
+        with suppress(PeerLostError):  # asked again while grant is short
+            await calls.call(partition, "grantAsk", body)
+
+    hooks = GrantHooks(
+        known=lambda team: known_limit(config, team),
+        may_act=owner.may_act,
+        tasks=lambda: owner.scheduler.tasks.values(),
+        ask=ask,
+        stop=lambda stops: owner.dispatch.execute(stops),
+        kick=port.kick,
+        spawn=bridge.spawn,
+    )
+    return GrantKeeper(owner.partition, cfg.partitions, clock, store, hooks)
+
+
+def make_hosting(owner: Owner, cfg: Settings, clock: Clock, calls: PartitionCalls) -> Hosting:
+    """Return the tasks of other partitions that an owner runs."""
+    hooks = HostHooks(
+        epoch=lambda: owner.epoch,
+        is_active=owner.is_active,
+        dispatch=lambda: owner.dispatch,
+        place=owner.place,
+        call=calls.call,
+    )
+    return Hosting(owner.partition, clock, owner.scheduler, cfg.task_lease_ms, hooks)
+
+
+def make_delegation(
+    owner: Owner,
+    port: OwnerPort,
+    cfg: Settings,
+    clock: Clock,
+    bridge: Bridge,
+    calls: PartitionCalls,
+) -> Delegation:
+    """Return the tasks of an owner that run in other partitions."""
+    hooks = HomeHooks(
+        epoch=lambda: owner.epoch,
+        lost=port.lost,
+        may_act=owner.may_act,
+        is_active=owner.is_active,
+        journal=port.journal,
+        started=port.started,
+        requeue=port.requeue,
+        end=port.end,
+        adopt=port.adopt,
+        lacks_grant=lambda task: owner.grants.lacks_grant(task),
+        digest_of=port.digest_of,
+        spawn=bridge.spawn,
+    )
+    member = MemberId(cfg.member)
+    return Delegation(
+        owner.partition, cfg.partitions, member, clock, owner.scheduler, calls, hooks
+    )
+
+
+def known_limit(config: ConfigSync, team: TeamId) -> KnownLimit | None:
+    """Return a team's limit; a removed team has none of anything."""
+    if config.revision == 0:
+        return None
+    entry = config.document.teams.get(team)
+    amount = Amount(entry.limit_tasks, entry.limit_cpu_milli) if entry else NONE
+    return KnownLimit(amount, config.revision)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/partition_calls.py
@@ -0,0 +1,189 @@
+"""Messages between owners of partitions, in this process or another one."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
+from lagoonshelf_core.resources import Resources
+
+from lagoonshelf_server.members import Members
+from lagoonshelf_server.messages import (
+    Ack,
+    Body,
+    Delegate,
+    DelegateDone,
+    DelegateQuery,
+    DelegateState,
+    DelegateStates,
+    DelegateStop,
+    Fence,
+    FenceReply,
+    GrantAsk,
+)
+from lagoonshelf_server.peers import PeerLostError, PeerNet
+
+if TYPE_CHECKING:
+    from lagoonshelf_server.owner import Owner
+
+CALL_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """An active partition and its free room."""
+
+    partition: PartitionId
+    epoch: Epoch
+    free: Resources
+
+
+class PartitionCalls:
+    """Finds owners and carries their messages; also what this process knows of home epochs."""
+
+    def __init__(self, members: Members, net: PeerNet, owners: dict[PartitionId, Owner]) -> None:
+        """Set up.
+
+        :param owners: partitions owned in this process
+        """
+        self._members = members
+        self._net = net
+        self._owners = owners
+        self._home_epochs: dict[PartitionId, Epoch] = {}
+        self._handlers: dict[type, Callable[[Body], Awaitable[tuple[str, Body]]]] = {
+            Delegate: self._on_delegate,
+            DelegateDone: self._on_done,
+            DelegateQuery: self._on_query,
+            DelegateStop: self._on_stop,
+            Fence: self._on_fence,
+            GrantAsk: self._on_grant_ask,
+        }
+
+    def handles(self, body: Body) -> bool:
+        """Tell whether a message is one between owners."""
+        return type(body) in self._handlers
+
+    async def handle(self, body: Body) -> tuple[str, Body]:
+        """Answer a message for a partition owned in this process.
+
+        :raises LagoonshelfError: when it is not owned here
+        """
+        return await self._handlers[type(body)](body)
+
+    async def call(self, partition: PartitionId, kind: str, body: Body) -> Body:
+        """Send a message to whoever owns a partition.
+
+        :raises PeerLostError: when no owner is known or no reply came
+        """
+        if partition in self._owners:
+            try:
+                return (await self.handle(body))[1]
+            except LagoonshelfError as exc:
+                return Ack(exc.fault.code.number, exc.fault.message)
+        info = self._members.owner_of(partition)
+        other = self._members.others.get(info.member) if info else None
+        if other is None:
+            raise PeerLostError(f"partition {partition} has no known owner")
+        return await self._net.call(other.address, kind, body, CALL_TIMEOUT_S)
+
+    async def fence(self, member: MemberId, fence: Fence) -> FenceReply | None:
+        """Announce a new owner to a member; return none when it did not answer."""
+        if member == self._members.me:
+            return (await self._on_fence(fence))[1]
+        other = self._members.others.get(member)
+        if other is None:
+            return None
+        try:
+            reply = await self._net.call(other.address, "fence", fence, CALL_TIMEOUT_S)
+        except PeerLostError:
+            return None
+        return reply if isinstance(reply, FenceReply) else None
+
+    def live_members(self) -> set[MemberId]:
+        """Return all known members and this process."""
+        return {self._members.me, *self._members.others}
+
+    def owner_epoch(self, partition: PartitionId) -> Epoch | None:
+        """Return the newest known epoch of a partition."""
+        if partition in self._owners:
+            return self._owners[partition].epoch
+        info = self._members.owner_of(partition)
+        return info.epoch if info else None
+
+    def rooms(self) -> list[Room]:
+        """Return the free room of all active partitions."""
+        rooms: dict[PartitionId, Room] = {}
+        for other in self._members.others.values():
+            for owned in other.status.owned if other.status else ():
+                free = Resources(
+                    owned.free_cpu_milli,
+                    owned.free_memory_mib,
+                    owned.free_accelerators,
+                    owned.free_slots,
+                )
+                known = rooms.get(owned.partition)
+                if owned.active and (known is None or known.epoch < owned.epoch):
+                    rooms[owned.partition] = Room(owned.partition, Epoch(owned.epoch), free)
+        for partition, owner in self._owners.items():
+            rooms.pop(partition, None)
+            if owner.is_active():
+                rooms[partition] = Room(partition, owner.epoch, owner.scheduler.free())
+        return list(rooms.values())
+
+    def admit_home(self, home: PartitionId, epoch: Epoch) -> bool:
+        """Note the epoch of a home owner; tell whether no higher one was seen."""
+        if epoch < self._home_epochs.get(home, 0):
+            return False
+        self._home_epochs[home] = epoch
+        return True
+
+    def _owner(self, partition: int) -> Owner:
+        owner = self._owners.get(PartitionId(partition))
+        if owner is None:
+            text = f"partition {partition} is not owned here"
+            raise LagoonshelfError(Fault(ResultCode.NO_OWNER, text))
+        return owner
+
+    async def _on_delegate(self, body: Delegate) -> tuple[str, Body]:
+        owner = self._owner(body.partition)
+        if not self.admit_home(PartitionId(body.meta.home), Epoch(body.home_epoch)):
+            return "ack", Ack(ResultCode.STALE_EPOCH.number, "a newer home owner is known")
+        return "delegateReply", owner.hosting.start(body)
+
+    async def _on_done(self, body: DelegateDone) -> tuple[str, Body]:
+        await self._owner(body.partition).delegation.on_done(body)
+        return "ack", Ack(ResultCode.DONE.number)
+
+    async def _on_query(self, body: DelegateQuery) -> tuple[str, Body]:
+        owner = self._owner(body.partition)
+        home = PartitionId(body.home)
+        if not self.admit_home(home, Epoch(body.home_epoch)):
+            return "delegateStates", DelegateStates(False)
+        states = owner.hosting.states(home)
+        boots = owner.hosting.boots()
+        return "delegateStates", DelegateStates(owner.hosting.is_complete(), states, boots)
+
+    async def _on_stop(self, body: DelegateStop) -> tuple[str, Body]:
+        owner = self._owner(body.partition)
+        if self.admit_home(PartitionId(body.home), Epoch(body.home_epoch)):
+            await owner.hosting.stop(body)
+        return "ack", Ack(ResultCode.DONE.number)
+
+    async def _on_fence(self, body: Fence) -> tuple[str, FenceReply]:
+        home = PartitionId(body.partition)
+        if not self.admit_home(home, Epoch(body.epoch)):
+            return "fenceReply", FenceReply(False)
+        states: list[DelegateState] = []
+        complete: list[int] = []
+        for partition, owner in self._owners.items():
+            if partition != home and owner.hosting.is_complete():
+                complete.append(partition)
+                states += owner.hosting.states(home)
+        return "fenceReply", FenceReply(True, tuple(states), tuple(complete))
+
+    async def _on_grant_ask(self, body: GrantAsk) -> tuple[str, Body]:
+        self._owner(body.partition).grants.on_ask(body)
+        return "ack", Ack(ResultCode.DONE.number)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -25,6 +25,7 @@
     ack @19 :Ack;
     delegateQuery @20 :DelegateQuery;
     delegateStates @21 :DelegateStates;
+    delegateStop @22 :DelegateStop;
   }
 }
 
@@ -124,6 +125,7 @@
   homeEpoch @1 :UInt64;
   meta @2 :TaskMeta;
   payload @3 :Text;
+  epoch @4 :UInt64;
 }
 
 struct DelegateReply {
@@ -136,6 +138,7 @@
   meta @1 :TaskMeta;
   code @2 :UInt16;
   result @3 :Text;
+  state @4 :Text;
 }
 
 struct DelegateQuery {
@@ -148,11 +151,22 @@
   meta @0 :TaskMeta;
   state @1 :Text;
   result @2 :Text;
+  partition @3 :UInt32;
+  epoch @4 :UInt64;
 }
 
 struct DelegateStates {
   complete @0 :Bool;
   tasks @1 :List(DelegateState);
+  boots @2 :List(Text);
+}
+
+struct DelegateStop {
+  partition @0 :UInt32;
+  home @1 :UInt32;
+  homeEpoch @2 :UInt64;
+  task @3 :Text;
+  attempt @4 :UInt32;
 }
 
 struct Fence {
@@ -164,6 +178,7 @@
 struct FenceReply {
   accepted @0 :Bool;
   tasks @1 :List(DelegateState);
+  partitions @2 :List(UInt32);
 }
 
 struct GrantAsk {
