--- a/packages/server/lagoonshelf_server/fleet.py
+++ b/packages/server/lagoonshelf_server/fleet.py
@@ -45,6 +45,7 @@
         :param on_lost: all task leases of an unreachable worker have ended
         """
         self.links: dict[WorkerId, WorkerLink] = {}
+        self.knows_hosts = False
         self._cfg = cfg
         self._clock = clock
         self._bridge = bridge
@@ -57,6 +58,7 @@
 
     def set_hosts(self, hosts: list[WorkerInfo]) -> None:
         """Take in the host list: new, changed, leaving and missing workers of the partition."""
+        self.knows_hosts = True
         for info in hosts:
             link = self.links.get(info.worker)
             if link is None:
--- a/packages/server/lagoonshelf_server/intake.py
+++ b/packages/server/lagoonshelf_server/intake.py
@@ -65,8 +65,8 @@
         for index, name in list(record.tasks.items()):
             task = self._part.scheduler.tasks.get(name)
             if task is None:
-                continue
-            if task.state is TaskState.QUEUED:
+                self._events.stop_away(name)
+            elif task.state is TaskState.QUEUED:
                 self._events.cancel_queued(record, index, name)
             elif task.state is TaskState.RUNNING:
                 self._events.stop(task)
--- a/packages/server/lagoonshelf_server/partition.py
+++ b/packages/server/lagoonshelf_server/partition.py
@@ -1,6 +1,6 @@
 """State that the parts of one partition's owner share."""
 
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.clock import Clock
@@ -26,6 +26,7 @@
     :param spawn: runs a coroutine in the background
     :param kick: asks for a scheduling pass
     :param ending: tasks that are in no queue and on no worker, but not settled either
+    :param away: tasks that run in other partitions
     :param held: whether tasks of earlier epochs may run unseen on an unread worker
     """
 
@@ -42,6 +43,7 @@
     book: RecordBook = field(default_factory=RecordBook)
     waiters: Waiters = field(default_factory=Waiters)
     ending: set[TaskId] = field(default_factory=set)
+    away: Mapping[TaskId, object] = field(default_factory=dict)
     held: bool = True
     _sequence: int = 0
 
@@ -54,7 +56,7 @@
 
     def is_active(self, task: TaskId | None) -> bool:
         """Tell whether a task waits, runs or is being settled."""
-        return task in self.scheduler.tasks or task in self.ending
+        return task in self.scheduler.tasks or task in self.ending or task in self.away
 
     def create_tasks(self, record: Record) -> None:
         """Queue what a record still needs, with rising attempt numbers."""
--- a/packages/server/lagoonshelf_server/recovery.py
+++ b/packages/server/lagoonshelf_server/recovery.py
@@ -12,7 +12,9 @@
 
 from lagoonshelf_server.dispatch import Dispatch
 from lagoonshelf_server.fleet import lease_over_ms
+from lagoonshelf_server.hosting import Hosting
 from lagoonshelf_server.logs import logger
+from lagoonshelf_server.messages import TaskMeta
 from lagoonshelf_server.partition import Partition
 from lagoonshelf_server.task_events import TaskEvents
 from lagoonshelf_server.task_meta import spec_from_meta, task_from_meta
@@ -28,6 +30,7 @@
     def __init__(self, partition: Partition, events: TaskEvents) -> None:
         """Begin before the journal is read."""
         self.dispatch: Dispatch | None = None
+        self.hosting: Hosting | None = None
         self._part = partition
         self._events = events
         self._intents: dict[tuple[RequestId, int], IntentEntry] = {}
@@ -79,13 +82,13 @@
     def found(self, worker: WorkerId, report: TaskReport) -> None:
         """Take in a task that a worker has and the scheduler does not have there."""
         meta = report.meta
-        task = task_from_meta(meta, self._part.clock.now_ms())
         if meta.home != self._part.number:
-            self._found_foreign(worker, task, report)
+            self.hosting.found(worker, report)
             return
+        task = task_from_meta(meta, self._part.clock.now_ms())
         if task.task in self._part.ending:
             return
-        record = self._part.book.find(task.team, task.request_key) or self._restore(report)
+        record = self._part.book.find(task.team, task.request_key) or self._restore(meta)
         known = self._part.scheduler.tasks.get(task.task)
         if self._is_superseded(record, task, report, known):
             if report.state == "running":
@@ -96,6 +99,19 @@
         self._replace(record, task, known)
         self._adopt(record, worker, task, report)
 
+    def adopt_away(self, meta: TaskMeta) -> Task | None:
+        """Take in a task that another owner runs or ran; none if it is superseded."""
+        task = task_from_meta(meta, self._part.clock.now_ms())
+        record = self._part.book.find(task.team, task.request_key) or self._restore(meta)
+        settled = task.index in record.outcomes or task.task in self._part.ending
+        older = task.attempt < record.attempts.get(task.index, 0)
+        current = record.tasks.get(task.index) or task.task
+        if meta.digest != record.digest or settled or older or _order(current) > _order(task.task):
+            return None
+        self._note(record, task)
+        self._notify()
+        return task
+
     def read(self, worker: WorkerId, inventory: Inventory) -> None:
         """Settle the intents that name a worker whose inventory was taken in."""
         for key, intent in list(self._intents.items()):
@@ -142,10 +158,10 @@
         entry = next(iter([*journaled.intents.values(), *journaled.outcomes.values()]))
         return Record(_unknown_spec(request), entry.digest, now_ms, complete=False, recovered=True)
 
-    def _restore(self, report: TaskReport) -> Record:
-        spec = spec_from_meta(report.meta)
+    def _restore(self, meta: TaskMeta) -> Record:
+        spec = spec_from_meta(meta)
         record = Record(
-            spec, report.meta.digest, self._part.clock.now_ms(), complete=False, recovered=True
+            spec, meta.digest, self._part.clock.now_ms(), complete=False, recovered=True
         )
         self._part.book.add(record)
         return record
@@ -186,7 +202,8 @@
         else:
             self._events.stop(other)
 
-    def _adopt(self, record: Record, worker: WorkerId, task: Task, report: TaskReport) -> None:
+    def _note(self, record: Record, task: Task) -> None:
+        """Make a found task the current one of its index."""
         index = task.index
         record.tasks[index] = task.task
         record.attempts[index] = task.attempt
@@ -197,6 +214,9 @@
         task.payload = record.spec.payload
         task.deadline_wall_ms = record.spec.deadline_wall_ms
         task.gang_size = record.spec.tasks if task.kind is WorkKind.GANG else 1
+
+    def _adopt(self, record: Record, worker: WorkerId, task: Task, report: TaskReport) -> None:
+        self._note(record, task)
         self._part.scheduler.adopt(task, worker)
         if report.state != "running":
             self._events.ended(report)
@@ -204,11 +224,6 @@
             self._events.stop(task)
         self._notify()
 
-    def _found_foreign(self, worker: WorkerId, task: Task, report: TaskReport) -> None:
-        """Keep a running task of another partition, so that its room and lease are counted."""
-        if report.state == "running" and task.task not in self._part.scheduler.tasks:
-            self._part.scheduler.adopt(task, worker)
-
     def _stop_stale(self, worker: WorkerId, task: Task, known: Task | None) -> None:
         """Stop a run for which another attempt was begun.
 
