--- /dev/null
+++ b/tests/processes/test_hostile_input.py
@@ -0,0 +1,85 @@
+"""Hostile input at the callers' interface of a real process."""
+
+import socket
+import time
+
+import orjson
+
+from tests.support.base import SIZE, CellTestCase, interactive
+
+
+class HostileInputTest(CellTestCase):
+    """Each bad call gets a clear error with a code, and nobody else is slowed."""
+
+    daemons = 1
+
+    def post(self, data: bytes, path: str = "/v1/requests", **headers: str) -> dict:
+        """Post raw bytes with the key of a team and return the answer."""
+        url = self.cell.daemons["d1"].url + path
+        sent = {"Authorization": f"Bearer {self.cell.keys['fitting']}", **headers}
+        resp = self.cell.http.request("POST", url, body=data, headers=sent, timeout=10)
+        return orjson.loads(resp.data)
+
+    def assert_refused(self, data: bytes, name: str, mention: str) -> None:
+        """Check the code's name and that the message names the offending value."""
+        answer = self.post(data)
+        self.assertEqual((answer["name"], answer["effect"]), (name, "not_run"), answer)
+        self.assertIn(mention, answer["message"])
+
+    def test_bad_bodies_are_refused_with_the_offending_member(self) -> None:
+        """Guards against input that is accepted, misread, or answered without a reason."""
+        good = interactive("k")
+        cases = [
+            (b"{", "not valid JSON"),
+            (b"\xff\xfe", "not valid JSON"),
+            (b"[" * 100_000, "not valid JSON"),
+            (b'{"queue": "a", "queue": "b"}', "'queue' is named twice"),
+            (b"[]", "body"),
+            (orjson.dumps({**good, "colour": 1}), "colour"),
+            (orjson.dumps({**good, "size": {**SIZE, "cpu_milli": -1}}), "size.cpu_milli"),
+            (orjson.dumps({**good, "size": {**SIZE, "memory_mib": 10**15}}), "size.memory_mib"),
+            (orjson.dumps({**good, "request_key": "schlüssel"}), "request_key"),
+            (orjson.dumps({**good, "request_key": "k\n"}), "request_key"),
+            (orjson.dumps({**good, "repeatable": "yes"}), "repeatable"),
+            (orjson.dumps({**good, "tasks": 2}), "tasks"),
+            (orjson.dumps({**good, "timeout_ms": 0}), "timeout_ms"),
+            (orjson.dumps({**good, "kind": "magic"}), "kind"),
+        ]
+        for data, mention in cases:
+            with self.subTest(data=data[:60]):
+                self.assert_refused(data, "BAD_REQUEST", mention)
+
+    def test_oversized_body_is_refused(self) -> None:
+        """Guards against a caller that fills the memory of an entry host."""
+        answer = self.post(b" " * (1024 * 1024 + 1))
+        self.assertEqual(answer["name"], "TOO_LARGE")
+
+    def test_missing_wrong_and_foreign_keys_are_refused(self) -> None:
+        """Guards against work that is accepted without the team's own key."""
+        body = orjson.dumps(interactive("k", queue="fitting-only"))
+        self.assertEqual(self.post(body, Authorization="")["name"], "KEY_MISSING")
+        self.assertEqual(self.post(body, Authorization="Bearer x.y")["name"], "KEY_INVALID")
+        foreign = f"Bearer {self.cell.keys['slips']}"
+        self.assertEqual(self.post(body, Authorization=foreign)["name"], "TEAM_FORBIDDEN")
+
+    def test_bad_item_of_a_batch_does_not_hurt_the_others(self) -> None:
+        """Guards against a whole batch lost for one bad request."""
+        items = [interactive("a"), {"queue": 7}, interactive("b")]
+        answers = self.post(orjson.dumps({"requests": items}), "/v1/batch")["answers"]
+        self.assertEqual([a["name"] for a in answers], ["OK", "BAD_REQUEST", "OK"])
+
+    def test_slow_senders_do_not_stop_other_callers(self) -> None:
+        """Guards against entry threads that are all held by half-sent bodies."""
+        daemon = self.cell.daemons["d1"]
+        port = int(daemon.url.rpartition(":")[2])
+        head = b"POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{"
+        slow = [socket.create_connection((daemon.host, port)) for _ in range(150)]
+        try:
+            for conn in slow:
+                conn.sendall(head)
+            time.sleep(0.5)
+            answer = self.cell.submit("d1", "fitting", interactive("quick", timeout_ms=30_000))
+            self.assertEqual(answer["name"], "OK")
+        finally:
+            for conn in slow:
+                conn.close()
