--- /dev/null
+++ b/packages/core/lagoonshelf_core/ownership.py
@@ -0,0 +1,113 @@
+"""When this process may act as an owner, and when it may take over a free partition."""
+
+from dataclasses import dataclass
+
+from lagoonshelf_core.membership import NEVER, Membership, promised_until
+
+UNPREFERRED_CLAIM_MS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """Lengths of leases and promises, the same on all processes.
+
+    :param margin_ms: how long before the end of a lease or promise the owner stops
+    """
+
+    lease_ttl_ms: int
+    margin_ms: int
+    promise_ms: int
+
+
+@dataclass(slots=True)
+class Tenure:
+    """Until when this process may act, and which promises it gave.
+
+    :param lease_until_ms: deadline by the last successful lease renewal
+    :param extended_until_ms: deadline by the promises of all known members
+    :param covered_until_ms: latest deadline that ever held for the current lease
+    :param bound_until_ms: this process takes over nothing before this time
+    """
+
+    lease_until_ms: int = NEVER
+    extended_until_ms: int = NEVER
+    covered_until_ms: int = NEVER
+    bound_until_ms: int = NEVER
+
+
+def renew(tenure: Tenure, terms: Terms, sent_ms: int) -> None:
+    """Take in a successful renewal.
+
+    :param sent_ms: when the renewal was sent
+    """
+    until_ms = sent_ms + terms.lease_ttl_ms - terms.margin_ms
+    tenure.lease_until_ms = max(tenure.lease_until_ms, until_ms)
+    tenure.covered_until_ms = max(tenure.covered_until_ms, tenure.lease_until_ms)
+
+
+def lose(tenure: Tenure) -> None:
+    """Take in that the lease has lapsed; promises that were given stay binding."""
+    tenure.lease_until_ms = NEVER
+    tenure.extended_until_ms = NEVER
+    tenure.covered_until_ms = NEVER
+
+
+def extend(tenure: Tenure, terms: Terms, members: Membership, now_ms: int) -> None:
+    """Set the deadline by the promises of all known members.
+
+    After a gap longer than a lease another member may have owned and lost the same partition
+    without a trace in its pongs, so promises no longer extend; only the store decides then.
+    """
+    if tenure.covered_until_ms == NEVER:
+        return
+    if now_ms - tenure.covered_until_ms > terms.lease_ttl_ms:
+        tenure.extended_until_ms = NEVER
+        return
+    promised_ms = promised_until(members, now_ms, terms.promise_ms)
+    until_ms = NEVER if promised_ms == NEVER else promised_ms - terms.margin_ms
+    tenure.extended_until_ms = until_ms
+    tenure.covered_until_ms = max(tenure.covered_until_ms, until_ms)
+
+
+def may_act(tenure: Tenure, now_ms: int) -> bool:
+    """Tell whether commands and answers may leave now."""
+    return now_ms < max(tenure.lease_until_ms, tenure.extended_until_ms)
+
+
+def holds_lease(tenure: Tenure, now_ms: int) -> bool:
+    """Tell whether the lease alone allows to act, without promises of others."""
+    return now_ms < tenure.lease_until_ms
+
+
+def give_promise(tenure: Tenure, terms: Terms, store_reached: bool, now_ms: int) -> int:
+    """Return the length of the promise to put into a pong, 0 for none.
+
+    :param store_reached: whether this process reached the store recently
+    """
+    if store_reached:
+        return 0
+    tenure.bound_until_ms = max(tenure.bound_until_ms, now_ms + terms.promise_ms)
+    return terms.promise_ms
+
+
+def regain_store(tenure: Tenure, terms: Terms, now_ms: int) -> None:
+    """Wait as long as a promise after the store was away longer than a lease.
+
+    Members that no longer know this process ask it for no promise, but its pings tell them to
+    stop before it may take over.
+    """
+    tenure.bound_until_ms = max(tenure.bound_until_ms, now_ms + terms.promise_ms)
+
+
+def may_take_over(tenure: Tenure, now_ms: int) -> bool:
+    """Tell whether all promises that this process gave have run out."""
+    return now_ms >= tenure.bound_until_ms
+
+
+def claim_due(free_since_ms: int, preferred: bool, now_ms: int) -> bool:
+    """Tell whether a free partition should be claimed now.
+
+    :param free_since_ms: when the partition was first seen without an owner
+    :param preferred: whether this process is its preferred owner
+    """
+    return preferred or now_ms - free_since_ms > UNPREFERRED_CLAIM_MS
--- /dev/null
+++ b/packages/core/lagoonshelf_core/revisions.py
@@ -0,0 +1,94 @@
+"""Revisions of the configuration: encoding of changes, and their application in order."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from lagoonshelf_core.document import (
+    Document,
+    difference,
+    digest_document,
+    merge_patch,
+    parse_document,
+)
+from lagoonshelf_core.ids import Revision
+
+SNAPSHOT_EVERY = 64
+
+
+class Skip(Enum):
+    """Why a change was not applied."""
+
+    OLD = "old"
+    GAP = "gap"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """A document and its revision.
+
+    :param raw: the document as JSON
+    """
+
+    revision: Revision = Revision(0)
+    document: Document = field(default_factory=Document)
+    raw: dict = field(default_factory=lambda: Document().model_dump())
+
+
+def encode_change(current: Configuration, document: Document, token: str) -> str:
+    """Return the store value of the revision that follows.
+
+    :param token: random writer token that settles a lost answer
+    """
+    revision = current.revision + 1
+    new = document.model_dump()
+    body = {"revision": revision, "token": token, "digest": digest_document(document)}
+    if revision % SNAPSHOT_EVERY == 0:
+        body["snapshot"] = new
+    else:
+        body["patch"] = difference(current.raw, new)
+    return orjson.dumps(body).decode()
+
+
+def encode_snapshot(current: Configuration) -> str:
+    """Return a change that yields the current document whatever was known before."""
+    digest = digest_document(current.document)
+    body = {"revision": current.revision, "token": "", "digest": digest, "snapshot": current.raw}
+    return orjson.dumps(body).decode()
+
+
+def apply_change(current: Configuration, text: str) -> Result[Configuration, Skip]:
+    """Return the configuration after a change.
+
+    :param text: value of a revision key
+    """
+    try:
+        change = orjson.loads(text)
+        revision = int(change["revision"])
+        if revision <= current.revision:
+            return Failure(Skip.OLD)
+        if "snapshot" in change:
+            raw = change["snapshot"]
+        elif revision == current.revision + 1:
+            raw = merge_patch(current.raw, change["patch"])
+        else:
+            return Failure(Skip.GAP)
+        return _check(revision, raw, change["digest"])
+    except (ValueError, KeyError, TypeError):
+        return Failure(Skip.BROKEN)
+
+
+def trimmed_before(revision: int) -> int:
+    """Return the revision before which all are no longer needed: the last snapshot but one."""
+    return max(0, (revision // SNAPSHOT_EVERY - 1) * SNAPSHOT_EVERY)
+
+
+def _check(revision: int, raw: object, digest: str) -> Result[Configuration, Skip]:
+    parsed = parse_document(raw)
+    if isinstance(parsed, Failure) or digest_document(parsed.unwrap()) != digest:
+        return Failure(Skip.BROKEN)
+    document = parsed.unwrap()
+    return Success(Configuration(Revision(revision), document, document.model_dump()))
--- /dev/null
+++ b/tests/core/test_ownership.py
@@ -0,0 +1,130 @@
+"""Tests of when an owner may act and when a member may take over."""
+
+import unittest
+
+from lagoonshelf_core.clock import ManualClock
+from lagoonshelf_core.ids import MemberId
+from lagoonshelf_core.membership import Membership, PeerReport, hear_pong, set_known
+from lagoonshelf_core.ownership import (
+    Tenure,
+    Terms,
+    claim_due,
+    extend,
+    give_promise,
+    holds_lease,
+    lose,
+    may_act,
+    may_take_over,
+    regain_store,
+    renew,
+)
+
+TERMS = Terms(lease_ttl_ms=3000, margin_ms=500, promise_ms=3000)
+A = MemberId("a")
+
+
+class TenureTest(unittest.TestCase):
+    """An owner whose lease was renewed at 0 and that knows one other member."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.tenure = Tenure()
+        self.members = Membership()
+        set_known(self.members, {A})
+        renew(self.tenure, TERMS, 0)
+
+    def promise_of_a(self, reached: bool = False) -> None:
+        """Receive a pong to a ping sent now."""
+        now_ms = self.clock.now_ms()
+        report = PeerReport(reached, 0, 0 if reached else 3000)
+        hear_pong(self.members, A, report, now_ms, 0)
+        extend(self.tenure, TERMS, self.members, now_ms)
+
+    def acts(self) -> bool:
+        return may_act(self.tenure, self.clock.now_ms())
+
+    def test_stops_a_margin_before_the_lease_ends(self) -> None:
+        """Guards against commands sent after the store gave the lease up."""
+        self.clock.advance(2499)
+        self.assertTrue(self.acts())
+        self.clock.advance(1)
+        self.assertFalse(self.acts())
+
+    def test_a_late_answer_to_an_old_renewal_does_not_shorten_the_deadline(self) -> None:
+        """Guards against pauses when renewals are answered out of order."""
+        renew(self.tenure, TERMS, 1000)
+        renew(self.tenure, TERMS, 500)
+        self.clock.advance(3400)
+        self.assertTrue(self.acts())
+
+    def test_promises_extend_until_one_is_missing(self) -> None:
+        """Guards against a stop in an outage, and against going on after a member died."""
+        for _ in range(20):
+            self.clock.advance(500)
+            self.promise_of_a()
+            self.assertTrue(self.acts())
+        self.assertFalse(holds_lease(self.tenure, self.clock.now_ms()))
+        self.clock.advance(2500)
+        extend(self.tenure, TERMS, self.members, self.clock.now_ms())
+        self.assertFalse(self.acts())
+
+    def test_a_member_that_reaches_the_store_stops_the_extension_at_once(self) -> None:
+        """Guards against two owners when the store is back for one member only."""
+        self.clock.advance(2600)
+        self.promise_of_a()
+        self.assertTrue(self.acts())
+        self.promise_of_a(reached=True)
+        self.assertFalse(self.acts())
+
+    def test_promises_do_not_revive_an_owner_after_a_long_pause(self) -> None:
+        """Guards against an owner that was paused while another owned the partition."""
+        self.clock.advance(2500 + 3001)
+        self.promise_of_a()
+        self.assertFalse(self.acts())
+
+    def test_a_lost_lease_is_not_extended(self) -> None:
+        """Guards against promises that extend a lease the store has ended."""
+        lose(self.tenure)
+        self.promise_of_a()
+        self.assertFalse(self.acts())
+
+    def test_an_owner_stops_before_a_successor_may_start(self) -> None:
+        """Guards against overlap: the promise is counted from the ping, kept from the pong."""
+        other = Tenure()
+        delay_ms = 700
+        sent_ms = 2000
+        promise_ms = give_promise(other, TERMS, False, sent_ms + delay_ms)
+        hear_pong(self.members, A, PeerReport(False, 0, promise_ms), sent_ms, 0)
+        extend(self.tenure, TERMS, self.members, sent_ms + delay_ms)
+        for now_ms in range(sent_ms + delay_ms, 10_000, 50):
+            self.assertFalse(may_act(self.tenure, now_ms) and may_take_over(other, now_ms))
+
+
+class TakeOverTest(unittest.TestCase):
+    """A member that may claim partitions."""
+
+    def test_no_takeover_before_given_promises_have_run_out(self) -> None:
+        """Guards against a takeover from an owner that still counts on the promise."""
+        tenure = Tenure()
+        self.assertEqual(give_promise(tenure, TERMS, False, 1000), 3000)
+        lose(tenure)
+        self.assertFalse(may_take_over(tenure, 3999))
+        self.assertTrue(may_take_over(tenure, 4000))
+
+    def test_no_promise_while_the_store_is_reached(self) -> None:
+        """Guards against an owner extended by a member that can take over."""
+        tenure = Tenure()
+        self.assertEqual(give_promise(tenure, TERMS, True, 1000), 0)
+        self.assertTrue(may_take_over(tenure, 1000))
+
+    def test_a_member_back_from_an_outage_waits(self) -> None:
+        """Guards against a takeover from owners that no longer know this member."""
+        tenure = Tenure()
+        regain_store(tenure, TERMS, 1000)
+        self.assertFalse(may_take_over(tenure, 3999))
+
+    def test_others_leave_the_preferred_owner_time(self) -> None:
+        """Guards against all members racing for each free partition."""
+        self.assertTrue(claim_due(0, True, 0))
+        self.assertFalse(claim_due(0, False, 1000))
+        self.assertTrue(claim_due(0, False, 1001))
