--- a/packages/core/lagoonshelf_core/ownership.py
+++ b/packages/core/lagoonshelf_core/ownership.py
@@ -27,12 +27,14 @@
     :param extended_until_ms: deadline by the promises of all known members
     :param covered_until_ms: latest deadline that ever held for the current lease
     :param bound_until_ms: this process takes over nothing before this time
+    :param reclaim_until_ms: until when partitions of the lapsed lease may be claimed again
     """
 
     lease_until_ms: int = NEVER
     extended_until_ms: int = NEVER
     covered_until_ms: int = NEVER
     bound_until_ms: int = NEVER
+    reclaim_until_ms: int = NEVER
 
 
 def renew(tenure: Tenure, terms: Terms, sent_ms: int) -> None:
@@ -45,8 +47,15 @@
     tenure.covered_until_ms = max(tenure.covered_until_ms, tenure.lease_until_ms)
 
 
-def lose(tenure: Tenure) -> None:
-    """Take in that the lease has lapsed; promises that were given stay binding."""
+def lose(tenure: Tenure, terms: Terms) -> None:
+    """Take in that the lease has lapsed; promises that were given stay binding.
+
+    No other member claims the lost partitions before the last deadline, and a claim after it
+    lives for a lease at least. Until one lease later, an absent owner key thus proves that
+    nobody else has owned the partition, and this process may claim it again at once.
+    """
+    if tenure.covered_until_ms != NEVER:
+        tenure.reclaim_until_ms = tenure.covered_until_ms + terms.lease_ttl_ms
     tenure.lease_until_ms = NEVER
     tenure.extended_until_ms = NEVER
     tenure.covered_until_ms = NEVER
--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -1,19 +1,23 @@
 """Puts the parts of the daemon together and runs its loops."""
 
 import asyncio
+from contextlib import suppress
 
-import orjson
+from lagoonshelf_core.authorization import authorize_key, authorize_work
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.errors import CODES_BY_NUMBER, LagoonshelfError, ResultCode
-from lagoonshelf_core.ids import MemberId, PartitionId
+from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.ids import KeyId, MemberId, PartitionId, QueueId, TeamId
 from lagoonshelf_core.keys import Caller, authenticate
-from returns.result import Failure
+from lagoonshelf_core.model import WorkKind
+from returns.result import Failure, Result, Success
 
 from lagoonshelf_server import metrics
 from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.cell_size import check_partitions
+from lagoonshelf_server.claims import Claims
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.entry import Services
-from lagoonshelf_server.logs import logger
+from lagoonshelf_server.gossip import Gossip
 from lagoonshelf_server.members import Members
 from lagoonshelf_server.messages import (
     Ack,
@@ -22,24 +26,21 @@
     ConfigAsk,
     ConfigReply,
     Hello,
-    Owned,
     RequestRef,
     Status,
     Submit,
 )
 from lagoonshelf_server.owner import Owner, OwnerState
-from lagoonshelf_server.peers import PeerLostError, PeerNet, hello_proof
-from lagoonshelf_server.requests import Requests
+from lagoonshelf_server.peers import PeerNet, hello_proof
+from lagoonshelf_server.requests import Requests, answer_of_fault
 from lagoonshelf_server.settings import Settings
 from lagoonshelf_server.store import StoreClient, StoreError
+from lagoonshelf_server.watch import Watch
 from lagoonshelf_server.workers import WorkerClient
 
 IO_THREADS = 128
-RETRY_S = 0.3
-CLAIM_INTERVAL_S = 0.2
-UNPREFERRED_CLAIM_MS = 1000
-WATCHED = ["members/", "owners/", "config/"]
-_log = logger("application")
+STALE_RETRY_MS = 1000
+STORE_RETRY_MS = 2000
 
 
 class Application:
@@ -52,8 +53,10 @@
         self.bridge = Bridge(loop, IO_THREADS)
         self.store = StoreClient(cfg.store_url, self.bridge, self.clock.now_ms, cfg.member)
         self.workers = WorkerClient(self.bridge)
-        self.config = ConfigSync(self.store)
         self.members = Members(cfg, self.store, self.clock)
+        self.config = ConfigSync(
+            self.store, self.clock, self.members.view, cfg.fresh_ms, self.bridge.spawn
+        )
         hello = Hello(
             cfg.member,
             hello_proof(cfg.cluster_secret, cfg.member),
@@ -62,18 +65,34 @@
         )
         self.net = PeerNet(hello, cfg.cluster_secret, self._on_message)
         self.owners: dict[PartitionId, Owner] = {}
-        self.requests = Requests(cfg, self.clock, self.members, self.net, self._active_owner)
+        self.requests = Requests(
+            cfg, self.clock, self.members, self.net, self._active_owner, self._authorize
+        )
+        self.claims = Claims(
+            self.clock, self.bridge, self.store, self.members, self.owners, self._new_owner
+        )
+        self.gossip = Gossip(
+            cfg,
+            self.clock,
+            self.bridge,
+            self.members,
+            self.config,
+            self.net,
+            self.owners,
+            self.claims.drop,
+        )
+        self.watch = Watch(self.store, self.members, self.config)
         self.stopped = asyncio.Event()
-        self._free_since_ms: dict[PartitionId, int] = {}
+        self.fault: Fault | None = None
 
     async def start(self) -> None:
         """Begin to listen to peers and run the loops."""
         await self.net.listen(self.cfg.host, self.cfg.peer_port)
-        self.bridge.spawn(self.members.keep_lease())
-        self.bridge.spawn(self._watch_forever())
-        self.bridge.spawn(self._ping_forever())
-        self.bridge.spawn(self._claim_forever())
-        self.bridge.spawn(self._hosts_forever())
+        self.bridge.spawn(self.watch.follow_forever())
+        self.bridge.spawn(self.watch.follow_hosts(self.owners, self.cfg.hosts_ms / 1000))
+        self.bridge.spawn(self.config.poll_forever())
+        self.bridge.spawn(self.gossip.ping_forever())
+        self.bridge.spawn(self._join())
 
     async def drain(self) -> None:
         """Release all partitions, then let the process end."""
@@ -95,17 +114,75 @@
             self._dump,
             self._metrics,
             self._begin_drain,
-            lambda: not self.members.draining and self.config.revision > 0,
+            self._healthy,
         )
 
+    async def _join(self) -> None:
+        """Register and claim partitions once the number of partitions is known to be right."""
+        checked = await check_partitions(self.store, self.cfg.partitions)
+        if isinstance(checked, Failure):
+            self.fault = checked.failure()
+            self.stopped.set()
+            return
+        self.bridge.spawn(self.members.keep_lease())
+        self.bridge.spawn(self.claims.claim_forever())
+
+    def _healthy(self) -> bool:
+        fresh = self.config.fresh_left_ms() > 0
+        return fresh and self.config.revision > 0 and not self.members.draining
+
+    def _check_fresh(self) -> None:
+        if self.config.fresh_left_ms() == 0:
+            text = f"configuration revision {self.config.revision} may be out of date"
+            raise LagoonshelfError(Fault(ResultCode.CONFIG_STALE, text, STALE_RETRY_MS))
+
     async def _authenticate(self, key: str | None) -> Caller:
+        self._check_fresh()
         result = authenticate(self.config.document, key)
         if isinstance(result, Failure):
             raise LagoonshelfError(result.failure())
         return result.unwrap()
 
+    async def _authorize(self, body: Submit | RequestRef) -> None:
+        """Check a request as its owner; a member's word alone is not enough.
+
+        The entry process may know a key or queue that this one does not know yet, so the
+        configuration is read again before a refusal.
+
+        :raises LagoonshelfError: when it is not allowed
+        """
+        self._check_fresh()
+        self._check_store(body)
+        if isinstance(self._allowed(body), Success):
+            return
+        with suppress(StoreError):
+            await self.config.refresh()
+        result = self._allowed(body)
+        if isinstance(result, Failure):
+            raise LagoonshelfError(result.failure())
+
+    def _check_store(self, body: Submit | RequestRef) -> None:
+        """Refuse work that needs the journal while the store is away."""
+        if not isinstance(body, Submit) or self.members.reaches_store():
+            return
+        if body.kind != WorkKind.INTERACTIVE.value or not body.repeatable:
+            text = "the work needs the store, which cannot be reached"
+            raise LagoonshelfError(Fault(ResultCode.STORE_UNAVAILABLE, text, STORE_RETRY_MS))
+
+    def _allowed(self, body: Submit | RequestRef) -> Result[None, Fault]:
+        document, team, key = self.config.document, TeamId(body.team), KeyId(body.key_id)
+        if isinstance(body, Submit):
+            return authorize_work(document, team, key, QueueId(body.queue))
+        return authorize_key(document, team, key)
+
+    async def _submit_one(self, submit: Submit) -> Answer:
+        result = self._allowed(submit)
+        if isinstance(result, Failure):
+            return answer_of_fault(result.failure())
+        return await self.requests.submit(submit)
+
     async def _submit(self, submits: list[Submit]) -> list[Answer]:
-        answers = await asyncio.gather(*(self.requests.submit(submit) for submit in submits))
+        answers = await asyncio.gather(*(self._submit_one(submit) for submit in submits))
         for answer in answers:
             metrics.answers.inc({"code": CODES_BY_NUMBER[answer.code].name})
         return answers
@@ -123,6 +200,9 @@
         return {
             "member": self.cfg.member,
             "revision": self.config.revision,
+            "fresh_ms": self.config.fresh_left_ms(),
+            "store_reached": self.members.reaches_store(),
+            "may_act": self.members.may_act(),
             "lease": self.members.lease,
             "members": sorted(self.members.others),
             "partitions": {
@@ -148,143 +228,8 @@
         owner = self.owners.get(partition)
         return owner if owner and owner.state is OwnerState.ACTIVE else None
 
-    async def _on_message(self, member: MemberId, kind: str, body: Body) -> tuple[str, Body]:
-        if kind == "ping":
-            self._hear(member, body)
-            return "pong", self._status()
-        if isinstance(body, Submit | RequestRef):
-            return "answer", await self.requests.handle(kind, body)
-        if isinstance(body, ConfigAsk):
-            return "configReply", self._changes_after(body.revision)
-        return "ack", Ack(ResultCode.PROTOCOL.number, f"unexpected message {kind}")
-
-    def _changes_after(self, revision: int) -> ConfigReply:
-        numbers = sorted(number for number in self.config.changes if number > revision)
-        changes = tuple(self.config.changes[number] for number in numbers)
-        return ConfigReply(self.config.revision, changes)
-
-    def _status(self) -> Status:
-        owned = tuple(
-            Owned(
-                partition,
-                owner.epoch,
-                owner.state is OwnerState.ACTIVE,
-                owner.scheduler.free().cpu_milli,
-                owner.scheduler.free().memory_mib,
-                owner.scheduler.free().accelerators,
-                owner.scheduler.free().slots,
-                owner.scheduler.queue_length(),
-            )
-            for partition, owner in self.owners.items()
-        )
-        reached = self.clock.now_ms() - self.store.last_heard_ms < 1500
-        return Status(
-            self.cfg.member, self.config.revision, reached, 0, self.members.draining, owned
-        )
-
-    def _hear(self, name: MemberId, status: Status) -> None:
-        member = self.members.others.get(name)
-        if member is not None:
-            member.status = status
-
-    async def _ping_forever(self) -> None:
-        while True:
-            for member in list(self.members.others.values()):
-                self.bridge.spawn(self._ping(member.member, member.address))
-            await asyncio.sleep(self.cfg.ping_ms / 1000)
-
-    async def _ping(self, name: MemberId, address: str) -> None:
-        sent_ms = self.clock.now_ms()
-        try:
-            status = await self.net.call(address, "ping", self._status(), 1.0)
-        except PeerLostError:
-            return
-        member = self.members.others.get(name)
-        if member is not None and isinstance(status, Status):
-            member.heard_ms, member.status = sent_ms, status
-            if status.revision > self.config.revision:
-                await self._fetch_config(address)
-
-    async def _fetch_config(self, address: str) -> None:
-        reply = await self.net.call(address, "configAsk", ConfigAsk(self.config.revision), 1.0)
-        for change in reply.changes if isinstance(reply, ConfigReply) else ():
-            self.config.apply(change)
-
-    async def _watch_forever(self) -> None:
-        revision = -1
-        while True:
-            try:
-                if revision < 0:
-                    revision = await self._read_all()
-                answer = await self.store.watch(WATCHED, revision)
-            except StoreError:
-                await asyncio.sleep(RETRY_S)
-                continue
-            revision = -1 if answer.reset else answer.revision
-            for event in answer.events:
-                self._apply(event.key, event.value)
-
-    async def _read_all(self) -> int:
-        revision = None
-        for prefix in WATCHED:
-            items, seen = await self.store.list_keys(prefix)
-            revision = seen if revision is None else min(revision, seen)
-            for item in items:
-                self._apply(item.key, item.value)
-        return revision or 0
-
-    def _apply(self, key: str, value: str | None) -> None:
-        if key.startswith("config/"):
-            if value is not None:
-                self.config.apply(value)
-        else:
-            self.members.apply(key, value)
-
-    async def _hosts_forever(self) -> None:
-        while True:
-            try:
-                hosts = await self.store.hosts()
-                for owner in self.owners.values():
-                    owner.set_hosts(hosts)
-            except StoreError:
-                pass
-            await asyncio.sleep(self.cfg.hosts_ms / 1000)
-
-    async def _claim_forever(self) -> None:
-        while True:
-            await asyncio.sleep(CLAIM_INTERVAL_S)
-            self._drop_lost()
-            if self.members.may_act() and not self.members.draining:
-                await self._claim_free()
-
-    def _drop_lost(self) -> None:
-        for partition, owner in list(self.owners.items()):
-            lost = owner.state is OwnerState.LOST
-            if lost or (self.members.may_act() and not owner.may_act()):
-                _log.warning("partition lost", partition=partition)
-                owner.close()
-                del self.owners[partition]
-
-    async def _claim_free(self) -> None:
-        preferred = self.members.preferred()
-        now_ms = self.clock.now_ms()
-        for partition, member in preferred.items():
-            if partition in self.members.owner_keys or partition in self.owners:
-                self._free_since_ms.pop(partition, None)
-                continue
-            since = self._free_since_ms.setdefault(partition, now_ms)
-            if member == self.members.me or now_ms - since > UNPREFERRED_CLAIM_MS:
-                await self._claim(partition)
-
-    async def _claim(self, partition: PartitionId) -> None:
-        key = f"owners/{partition}"
-        value = orjson.dumps({"member": self.members.me}).decode()
-        try:
-            if not await self.store.cas(key, value, 0, self.members.lease):
-                return
-        except StoreError:
-            return
-        owner = Owner(
+    def _new_owner(self, partition: PartitionId) -> Owner:
+        return Owner(
             self.cfg,
             partition,
             self.clock,
@@ -294,5 +239,14 @@
             self.members,
             self.config,
         )
-        self.owners[partition] = owner
-        self.bridge.spawn(owner.take_over())
+
+    async def _on_message(self, member: MemberId, kind: str, body: Body) -> tuple[str, Body]:
+        if kind == "ping" and isinstance(body, Status):
+            return "pong", self.gossip.answer(member, body)
+        if isinstance(body, Submit | RequestRef):
+            return "answer", await self.requests.handle(kind, body)
+        if isinstance(body, ConfigAsk):
+            return "configReply", ConfigReply(
+                self.config.revision, self.config.changes_after(body.revision)
+            )
+        return "ack", Ack(ResultCode.PROTOCOL.number, f"unexpected message {kind}")
--- a/packages/server/lagoonshelf_server/bridge.py
+++ b/packages/server/lagoonshelf_server/bridge.py
@@ -15,17 +15,30 @@
     """The loop, and thread pools for blocking calls."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, threads: int) -> None:
-        """Set up the pool.
+        """Set up the common pool.
 
-        :param threads: most blocking calls at once
+        :param threads: most blocking calls at once in the common pool
         """
         self.loop = loop
-        self._pool = ThreadPoolExecutor(threads, thread_name_prefix="io")
+        self._pools: list[ThreadPoolExecutor] = []
+        self._pool = self.add_pool("io", threads)
         self._tasks: set[asyncio.Task] = set()
 
+    def add_pool(self, name: str, threads: int) -> ThreadPoolExecutor:
+        """Return a pool whose calls do not wait behind those of any other."""
+        pool = ThreadPoolExecutor(threads, thread_name_prefix=name)
+        self._pools.append(pool)
+        return pool
+
     async def blocking(self, call: Callable[..., T], *args: object) -> T:
-        """Run a blocking call on a thread and wait for it on the loop."""
-        return await self.loop.run_in_executor(self._pool, call, *args)
+        """Run a blocking call on a thread of the common pool and wait for it on the loop."""
+        return await self.blocking_in(self._pool, call, *args)
+
+    async def blocking_in(
+        self, pool: ThreadPoolExecutor, call: Callable[..., T], *args: object
+    ) -> T:
+        """Run a blocking call on a thread of a pool and wait for it on the loop."""
+        return await self.loop.run_in_executor(pool, call, *args)
 
     def wait_for_loop(self, coro: Coroutine[object, object, T], timeout_s: float) -> T:
         """Run a coroutine on the loop and block the calling thread until it is done.
@@ -50,7 +63,8 @@
         """Cancel what was spawned and let the pool go."""
         for task in list(self._tasks):
             task.cancel()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        for pool in self._pools:
+            pool.shutdown(wait=False, cancel_futures=True)
 
     def _reap(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/cell_size.py
@@ -0,0 +1,39 @@
+"""The number of partitions, which must be the same on all processes of a cell."""
+
+import asyncio
+
+from lagoonshelf_core.errors import Fault, ResultCode
+from returns.result import Failure, Result, Success
+
+from lagoonshelf_server.store import StoreClient, StoreError
+
+KEY = "cell/partitions"
+RETRY_S = 0.3
+
+
+async def check_partitions(store: StoreClient, partitions: int) -> Result[None, Fault]:
+    """Write the number at the first start of the cell, or compare; wait for the store.
+
+    :param partitions: number in the settings of this process
+    """
+    while True:
+        try:
+            if not await store.cas(KEY, str(partitions), 0):
+                break
+            return Success(None)
+        except StoreError:
+            await asyncio.sleep(RETRY_S)
+    return await _compare(store, partitions)
+
+
+async def _compare(store: StoreClient, partitions: int) -> Result[None, Fault]:
+    while True:
+        try:
+            held = (await store.get(KEY)).value
+            break
+        except StoreError:
+            await asyncio.sleep(RETRY_S)
+    if held == str(partitions):
+        return Success(None)
+    text = f"partitions: this process has {partitions}, the cell has {held}"
+    return Failure(Fault(ResultCode.PARTITION_MISMATCH, text))
--- /dev/null
+++ b/packages/server/lagoonshelf_server/claims.py
@@ -0,0 +1,137 @@
+"""Claims free partitions in the store, and drops those that are lost."""
+
+import asyncio
+from collections.abc import Callable
+
+import orjson
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import PartitionId
+from lagoonshelf_core.membership import NEVER
+from lagoonshelf_core.ownership import claim_due, may_take_over
+
+from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.logs import logger
+from lagoonshelf_server.members import OWNER_PREFIX, Members
+from lagoonshelf_server.owner import Owner, OwnerState
+from lagoonshelf_server.store import StoreClient, StoreError, writer_token
+
+CLAIM_INTERVAL_S = 0.2
+_log = logger("claims")
+
+
+class Claims:
+    """The partitions of this process, from claim to loss."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        bridge: Bridge,
+        store: StoreClient,
+        members: Members,
+        owners: dict[PartitionId, Owner],
+        new_owner: Callable[[PartitionId], Owner],
+    ) -> None:
+        """Set up.
+
+        :param owners: partitions of this process, kept up to date here
+        :param new_owner: builds the owner of a claimed partition
+        """
+        self._clock = clock
+        self._bridge = bridge
+        self._store = store
+        self._members = members
+        self._owners = owners
+        self._new_owner = new_owner
+        self._takeovers: dict[PartitionId, asyncio.Task] = {}
+        self._free_since_ms: dict[PartitionId, int] = {}
+        self._former: dict[PartitionId, int] = {}
+
+    async def claim_forever(self) -> None:
+        """Drop lost partitions and claim free ones for ever."""
+        while True:
+            await asyncio.sleep(CLAIM_INTERVAL_S)
+            self._drop_lost()
+            if self._members.lease and self._members.holds_lease() and not self._members.draining:
+                await asyncio.gather(*(self._claim(partition) for partition in self._due()))
+
+    def drop(self, partition: PartitionId) -> None:
+        """Stop acting for a partition at once."""
+        owner = self._owners.pop(partition, None)
+        takeover = self._takeovers.pop(partition, None)
+        if takeover is not None:
+            takeover.cancel()
+        if owner is not None:
+            owner.close()
+            _log.warning("partition lost", partition=partition)
+
+    def _drop_lost(self) -> None:
+        for partition, owner in list(self._owners.items()):
+            if owner.state is OwnerState.LOST:
+                self.drop(partition)
+            elif self._members.may_act() and not owner.may_act():
+                self._former[partition] = self._members.tenure.reclaim_until_ms
+                self.drop(partition)
+
+    def _due(self) -> list[PartitionId]:
+        """Return the partitions to claim now, and those whose claim's answer was lost."""
+        now_ms = self._clock.now_ms()
+        me = self._members.me
+        due = []
+        for partition, preferred in self._members.preferred().items():
+            holder = self._members.owner_keys.get(partition)
+            if partition in self._owners or holder not in (None, me):
+                self._free_since_ms.pop(partition, None)
+                continue
+            since_ms = self._free_since_ms.setdefault(partition, now_ms)
+            wanted = holder == me or claim_due(since_ms, preferred == me, now_ms)
+            if self._may_reclaim(partition) or (wanted and self._may_take_over()):
+                due.append(partition)
+        return due
+
+    def _may_take_over(self) -> bool:
+        return may_take_over(self._members.tenure, self._clock.now_ms())
+
+    def _may_reclaim(self, partition: PartitionId) -> bool:
+        """Tell whether this process was the owner until just now.
+
+        Promises bar it from what others own; nobody else can have extended this partition.
+        """
+        return self._clock.now_ms() < self._former.get(partition, NEVER)
+
+    async def _claim(self, partition: PartitionId) -> None:
+        lease = self._members.lease
+        try:
+            held = await self._create_key(partition, lease)
+        except StoreError as exc:
+            _log.warning("claim not confirmed", partition=partition, reason=str(exc))
+            return
+        allowed = self._may_reclaim(partition) or self._may_take_over()
+        if not held or not allowed or lease != self._members.lease:
+            return
+        self._former.pop(partition, None)
+        owner = self._new_owner(partition)
+        self._owners[partition] = owner
+        self._takeovers[partition] = self._bridge.spawn(self._take_over(partition, owner))
+
+    async def _create_key(self, partition: PartitionId, lease: str) -> bool:
+        """Create the owner key; return whether it is held by the lease.
+
+        An earlier claim may have taken effect although its answer was lost.
+        """
+        key = f"{OWNER_PREFIX}{partition}"
+        body = {"member": self._members.me, "lease": lease, "token": writer_token()}
+        if await self._store.cas_settled(key, orjson.dumps(body).decode(), 0, lease):
+            return True
+        item = await self._store.get(key)
+        return item.value is not None and orjson.loads(item.value).get("lease") == lease
+
+    async def _take_over(self, partition: PartitionId, owner: Owner) -> None:
+        """Let an owner recover; on a failure the partition is claimed again."""
+        try:
+            await owner.take_over()
+        except Exception as exc:
+            _log.warning("takeover failed", partition=partition, reason=repr(exc))
+            owner.close()
+        finally:
+            if self._owners.get(partition) is owner:
+                self._takeovers.pop(partition, None)
--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -4,9 +4,11 @@
 import os
 import signal
 import sys
+from typing import NoReturn
 
 import cherrypy
 from fire import Fire
+from lagoonshelf_core.errors import Fault
 from returns.result import Failure
 
 from lagoonshelf_server.application import Application
@@ -16,6 +18,7 @@
 from lagoonshelf_server.settings import Settings, load_settings
 
 EXIT_BAD_SETTING = 2
+EXIT_PARTITION_MISMATCH = 3
 SOCKET_TIMEOUT_S = 10
 
 
@@ -27,15 +30,21 @@
     """
     result = load_settings(flags, os.environ)
     if isinstance(result, Failure):
-        fault = result.failure()
-        print(f"{fault.code.name} ({fault.code.number}): {fault.message}", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTING)
+        _fail(result.failure(), EXIT_BAD_SETTING)
     cfg = result.unwrap()
     set_up_logs(cfg.log_level, cfg.member)
-    asyncio.run(_serve(cfg))
+    fault = asyncio.run(_serve(cfg))
+    if fault is not None:
+        _fail(fault, EXIT_PARTITION_MISMATCH)
 
 
-async def _serve(cfg: Settings) -> None:
+def _fail(fault: Fault, exit_code: int) -> NoReturn:
+    print(f"{fault.code.name} ({fault.code.number}): {fault.message}", file=sys.stderr)
+    raise SystemExit(exit_code)
+
+
+async def _serve(cfg: Settings) -> Fault | None:
+    """Serve until drained; return why the process cannot be part of the cell, if it cannot."""
     loop = asyncio.get_running_loop()
     application = Application(cfg, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -47,6 +56,7 @@
     await loop.run_in_executor(None, cherrypy.engine.exit)
     await application.net.close()
     application.bridge.close()
+    return application.fault
 
 
 def _start_http(cfg: Settings, entry: Entry) -> None:
--- a/packages/server/lagoonshelf_server/config_sync.py
+++ b/packages/server/lagoonshelf_server/config_sync.py
@@ -1,22 +1,34 @@
-"""The configuration of this process: follows revisions and applies changes."""
-
-import orjson
-from lagoonshelf_core.document import (
-    Document,
-    difference,
-    digest_document,
-    merge_patch,
-    parse_document,
-)
+"""The configuration of this process: follows revisions, applies and proposes changes."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.document import Document, parse_document
 from lagoonshelf_core.errors import Fault, ResultCode
 from lagoonshelf_core.ids import Revision
+from lagoonshelf_core.membership import Membership, fresh_until, hear_store
+from lagoonshelf_core.revisions import (
+    SNAPSHOT_EVERY,
+    Configuration,
+    Skip,
+    apply_change,
+    encode_change,
+    encode_snapshot,
+    trimmed_before,
+)
 from returns.result import Failure, Result, Success
 
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 
 PREFIX = "config/"
-SNAPSHOT_EVERY = 64
+SNAPSHOT_HINT = "confighint"  # outside PREFIX, so that it is neither listed nor watched
+KEPT_CHANGES = 256
+SETTLE_MS = 4000
+SETTLE_INTERVAL_S = 0.2
+POLL_INTERVAL_S = 1.0
 _log = logger("config")
 
 
@@ -28,49 +40,95 @@
 class ConfigSync:
     """The document in force and the changes that led to it."""
 
-    def __init__(self, store: StoreClient) -> None:
-        """Begin with an empty document at revision 0."""
-        self.revision = Revision(0)
-        self.document = Document()
-        self.raw: dict = Document().model_dump()
+    def __init__(
+        self,
+        store: StoreClient,
+        clock: Clock,
+        view: Membership,
+        fresh_ms: int,
+        spawn: Callable[[object], object],
+    ) -> None:
+        """Begin with an empty document at revision 0.
+
+        :param fresh_ms: how long a configuration counts as fresh
+        :param spawn: runs a coroutine in the background
+        """
+        self.current = Configuration()
         self.changes: dict[int, str] = {}
         self._store = store
-
-    async def load(self) -> None:
-        """Read all revisions from the store.
+        self._clock = clock
+        self._view = view
+        self._fresh_ms = fresh_ms
+        self._spawn = spawn
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force."""
+        return self.current.revision
+
+    @property
+    def document(self) -> Document:
+        """Return the document in force."""
+        return self.current.document
+
+    @property
+    def raw(self) -> dict:
+        """Return the document in force as JSON."""
+        return self.current.raw
+
+    def fresh_left_ms(self) -> int:
+        """Return how long the configuration still counts as fresh, 0 when it is stale."""
+        now_ms = self._clock.now_ms()
+        return max(0, fresh_until(self._view, self.revision, now_ms, self._fresh_ms) - now_ms)
+
+    async def poll_forever(self) -> None:
+        """Confirm the configuration with the store at short intervals."""
+        while True:
+            started_ms = self._clock.now_ms()
+            with suppress(StoreError):
+                await self.refresh()
+            spent_s = (self._clock.now_ms() - started_ms) / 1000
+            await asyncio.sleep(max(0.0, POLL_INTERVAL_S - spent_s))
+
+    async def refresh(self) -> None:
+        """Read the changes after the current revision; the answer proves freshness.
 
         :raises StoreError: when the store cannot be reached
         """
-        items, _ = await self._store.list_keys(PREFIX)
-        for item in items:
-            self.apply(item.value or "")
+        sent_ms = self._clock.now_ms()
+        if self.revision == 0:
+            is_current = await self._load()
+        else:
+            items, _ = await self._store.list_keys(PREFIX, revision_key(self.revision))
+            is_current = all(self.apply(item.value or "") for item in items) or await self._load()
+        if is_current:
+            hear_store(self._view, sent_ms, self._fresh_ms)
 
     def apply(self, text: str) -> bool:
         """Apply the store value of one revision if it is the next or a later snapshot.
 
-        :returns: whether the document changed
+        :returns: whether the configuration now includes the revision
         """
-        change = orjson.loads(text)
-        revision = change["revision"]
-        if revision <= self.revision:
-            return False
-        if "snapshot" in change:
-            raw = change["snapshot"]
-        elif revision == self.revision + 1:
-            raw = merge_patch(self.raw, change["patch"])
-        else:
-            return False
-        document = parse_document(raw).unwrap()
-        if digest_document(document) != change["digest"]:
-            _log.error("configuration digest differs", revision=revision)
-            return False
-        self.document = document
-        self.raw = document.model_dump()
-        self.revision = Revision(revision)
-        self.changes[revision] = text
-        _log.info("configuration applied", revision=revision)
+        result = apply_change(self.current, text)
+        if isinstance(result, Failure):
+            if result.failure() is Skip.BROKEN:
+                _log.error("configuration change refused", after=self.revision)
+            return result.failure() is Skip.OLD
+        self._adopt(result.unwrap())
+        self.changes[self.revision] = text
+        while len(self.changes) > KEPT_CHANGES:
+            del self.changes[min(self.changes)]
         return True
 
+    def changes_after(self, revision: int) -> tuple[str, ...]:
+        """Return the changes that follow a revision, or the whole document when too old."""
+        if revision >= self.revision:
+            return ()
+        wanted = range(revision + 1, self.revision + 1)
+        if all(number in self.changes for number in wanted):
+            return tuple(self.changes[number] for number in wanted)
+        return (encode_snapshot(self.current),)
+
     async def propose(self, base: int, raw: object) -> Result[Revision, Fault]:
         """Validate a document and make it the next revision.
 
@@ -79,40 +137,81 @@
         parsed = parse_document(raw)
         if isinstance(parsed, Failure):
             return parsed
+        try:
+            await self.refresh()
+        except StoreError:
+            return Failure(Fault(ResultCode.STORE_UNAVAILABLE, "the store cannot be reached"))
         if base != self.revision:
             return Failure(_conflict(base, self.revision))
-        text = self._encode(base + 1, parsed.unwrap())
+        text = encode_change(self.current, parsed.unwrap(), writer_token())
         written = await self._write(revision_key(base + 1), text)
         if isinstance(written, Failure):
             return written
         if not written.unwrap():
-            return Failure(_conflict(base, base + 1))
+            return Failure(_conflict(base, await self._current_revision(base + 1)))
         self.apply(text)
+        if (base + 1) % SNAPSHOT_EVERY == 0:
+            self._spawn(self._tidy(base + 1))
         return Success(Revision(base + 1))
 
-    def _encode(self, revision: int, document: Document) -> str:
-        new = document.model_dump()
-        body: dict = {"revision": revision, "token": writer_token()}
-        body["digest"] = digest_document(document)
-        if revision % SNAPSHOT_EVERY == 0:
-            body["snapshot"] = new
-        else:
-            body["patch"] = difference(self.raw, new)
-        return orjson.dumps(body).decode()
+    async def _load(self) -> bool:
+        """Read from the newest snapshot on; return whether all of it was applied.
+
+        The document in force is replaced by the same or a higher revision only.
+        """
+        hint = await self._store.get(SNAPSHOT_HINT)
+        first = int(hint.value) if hint.value else 0
+        items, _ = await self._store.list_keys(PREFIX, revision_key(first - 1) if first else "")
+        found = Configuration()
+        for item in items:
+            result = apply_change(found, item.value or "")
+            if isinstance(result, Success):
+                found = result.unwrap()
+        if found.revision >= self.revision and found.revision > 0:
+            self._adopt(found)
+        last = int(items[-1].key.removeprefix(PREFIX)) if items else 0
+        return self.revision >= last
+
+    def _adopt(self, found: Configuration) -> None:
+        if found.revision != self.revision:
+            _log.info("configuration applied", revision=found.revision)
+        self.current = found
+
+    async def _current_revision(self, least: int) -> int:
+        with suppress(StoreError):
+            await self.refresh()
+        return max(least, self.revision)
 
     async def _write(self, key: str, text: str) -> Result[bool, Fault]:
+        """Create a revision key; settle a lost answer by the token in the value.
+
+        The write is repeated until its outcome is known. It creates the key only if absent,
+        so it cannot take effect twice.
+        """
+        end_ms = self._clock.now_ms() + SETTLE_MS
+        while self._clock.now_ms() < end_ms:
+            try:
+                if await self._store.cas(key, text, 0):
+                    return Success(True)
+                item = await self._store.get(key)
+                return Success(item.value == text)
+            except StoreError:
+                await asyncio.sleep(SETTLE_INTERVAL_S)
+        message = "the outcome is not known; read the configuration before retrying"
+        return Failure(Fault(ResultCode.WRITE_UNKNOWN, message))
+
+    async def _tidy(self, snapshot: int) -> None:
+        """Point starting processes at a new snapshot and delete revisions nobody needs."""
         try:
-            return Success(await self._store.cas(key, text, 0))
-        except StoreError:
-            pass
-        try:
-            item = await self._store.get(key)
-        except StoreError:
-            text = "the outcome is not known; read the configuration before retrying"
-            return Failure(Fault(ResultCode.WRITE_UNKNOWN, text))
-        if item.value is None:
-            return Failure(Fault(ResultCode.STORE_UNAVAILABLE, "the store cannot be reached"))
-        return Success(item.value == text)
+            hint = await self._store.get(SNAPSHOT_HINT)
+            if int(hint.value or 0) < snapshot:
+                await self._store.cas(SNAPSHOT_HINT, str(snapshot), hint.version)
+            items, _ = await self._store.list_keys(PREFIX)
+            for item in items:
+                if item.key < revision_key(trimmed_before(snapshot)):
+                    await self._store.delete(item.key, item.version)
+        except StoreError as exc:
+            _log.warning("old revisions not deleted", reason=str(exc))
 
 
 def _conflict(base: int, current: int) -> Fault:
--- /dev/null
+++ b/packages/server/lagoonshelf_server/gossip.py
@@ -0,0 +1,162 @@
+"""Pings between members: what they carry, and what follows from them."""
+
+import asyncio
+from collections.abc import Callable
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import MemberId, PartitionId
+from lagoonshelf_core.membership import PeerReport, hear_ping, hear_pong
+from lagoonshelf_core.ownership import give_promise
+
+from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.logs import logger
+from lagoonshelf_server.members import Members
+from lagoonshelf_server.messages import ConfigAsk, ConfigReply, Owned, Status
+from lagoonshelf_server.owner import Owner, OwnerState
+from lagoonshelf_server.peers import PeerLostError, PeerNet
+from lagoonshelf_server.settings import Settings
+
+PING_TIMEOUT_S = 1.0
+_log = logger("gossip")
+
+
+class Gossip:
+    """Sends pings, answers them, and learns from both."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        bridge: Bridge,
+        members: Members,
+        config: ConfigSync,
+        net: PeerNet,
+        owners: dict[PartitionId, Owner],
+        drop: Callable[[PartitionId], None],
+    ) -> None:
+        """Set up.
+
+        :param owners: partitions of this process
+        :param drop: stops acting for a partition
+        """
+        self._cfg = cfg
+        self._clock = clock
+        self._bridge = bridge
+        self._members = members
+        self._config = config
+        self._net = net
+        self._owners = owners
+        self._drop = drop
+        self._first_peers = [text.strip() for text in cfg.peers.split(",") if text.strip()]
+
+    async def ping_forever(self) -> None:
+        """Ping all members at the interval of the settings."""
+        while True:
+            for member in list(self._members.others.values()):
+                self._bridge.spawn(self._ping(member.address, member.member))
+            if not self._members.view.complete:
+                for address in self._first_peers:
+                    self._bridge.spawn(self._ping(address, None))
+            await asyncio.sleep(self._cfg.ping_ms / 1000)
+
+    def answer(self, name: MemberId, status: Status) -> Status:
+        """Take in a ping and return the pong, with a promise when the store is away."""
+        member = self._members.others.get(name)
+        if member is not None:
+            member.status = status
+        now_ms = self._clock.now_ms()
+        hear_ping(self._members.view, name, _report(status), now_ms)
+        self._members.extend()
+        reached = self._members.reaches_store()
+        tenure, terms = self._members.tenure, self._members.terms
+        return self.status(give_promise(tenure, terms, reached, now_ms))
+
+    def status(self, promise_ms: int = 0) -> Status:
+        """Return the state of this process.
+
+        :param promise_ms: length of the promise, which only a pong may carry
+        """
+        return Status(
+            self._cfg.member,
+            self._config.revision,
+            self._members.reaches_store(),
+            promise_ms,
+            self._members.draining,
+            tuple(_owned(partition, owner) for partition, owner in self._owners.items()),
+            fresh_ms=self._config.fresh_left_ms(),
+        )
+
+    async def _ping(self, address: str, name: MemberId | None) -> None:
+        """Ping an address.
+
+        :param name: the member expected there, none for an address from the settings
+        """
+        sent_ms = self._clock.now_ms()
+        try:
+            status = await self._net.call(address, "ping", self.status(), PING_TIMEOUT_S)
+        except PeerLostError:
+            return
+        if not isinstance(status, Status) or name not in (None, status.member):
+            return
+        if name is None:
+            self._members.introduce(address, status)
+        self._hear_pong(MemberId(status.member), status, sent_ms)
+        if status.revision > self._config.revision and not self._members.reaches_store():
+            await self._fetch_config(address)
+
+    def _hear_pong(self, name: MemberId, status: Status, sent_ms: int) -> None:
+        member = self._members.others.get(name)
+        if member is not None:
+            member.heard_ms, member.status = sent_ms, status
+        hear_pong(self._members.view, name, _report(status), sent_ms, self._config.revision)
+        self._drop_superseded(status)
+        self._members.extend()
+
+    def _drop_superseded(self, status: Status) -> None:
+        """Drop partitions that a member has taken over.
+
+        A member in recovery may not know its epoch yet. It counts only while this process has
+        no lease, since a valid lease proves that the partition is still held here.
+        """
+        for theirs in status.owned:
+            mine = self._owners.get(PartitionId(theirs.partition))
+            if mine is None:
+                continue
+            is_claim = theirs.epoch == 0 and not self._members.holds_lease()
+            if is_claim or theirs.epoch > mine.epoch > 0:
+                _log.warning("partition taken over", partition=theirs.partition)
+                self._drop(mine.partition)
+
+    async def _fetch_config(self, address: str) -> None:
+        ask = ConfigAsk(self._config.revision)
+        try:
+            reply = await self._net.call(address, "configAsk", ask, PING_TIMEOUT_S)
+        except PeerLostError:
+            return
+        for change in reply.changes if isinstance(reply, ConfigReply) else ():
+            self._config.apply(change)
+
+
+def _report(status: Status) -> PeerReport:
+    return PeerReport(
+        status.store_reached,
+        status.revision,
+        status.promise_ms,
+        status.fresh_ms,
+        status.draining,
+    )
+
+
+def _owned(partition: PartitionId, owner: Owner) -> Owned:
+    free = owner.scheduler.free()
+    return Owned(
+        partition,
+        owner.epoch,
+        owner.state is OwnerState.ACTIVE,
+        free.cpu_milli,
+        free.memory_mib,
+        free.accelerators,
+        free.slots,
+        owner.scheduler.queue_length(),
+    )
--- a/packages/server/lagoonshelf_server/members.py
+++ b/packages/server/lagoonshelf_server/members.py
@@ -6,15 +6,28 @@
 import orjson
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
+from lagoonshelf_core.membership import NEVER, Membership, Peer, set_known
+from lagoonshelf_core.ownership import (
+    Tenure,
+    Terms,
+    extend,
+    holds_lease,
+    lose,
+    may_act,
+    regain_store,
+    renew,
+)
 from lagoonshelf_core.routing import preferred_owners
 
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import Status
 from lagoonshelf_server.settings import Settings
-from lagoonshelf_server.store import StoreClient, StoreError
+from lagoonshelf_server.store import Item, StoreClient, StoreError
 
 MEMBER_PREFIX = "members/"
 OWNER_PREFIX = "owners/"
+REACHED_WITHIN_MS = 1500
+RENEW_RETRY_S = 0.3
 _log = logger("members")
 
 
@@ -24,7 +37,7 @@
 
     :param address: ``host:port`` for peer messages
     :param heard_ms: send time of the last ping that was answered, -1 before
-    :param status: content of the last pong
+    :param status: content of the last ping or pong
     """
 
     member: MemberId
@@ -36,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerInfo:
-    """Who owns a partition, as the store or a pong says."""
+    """Who owns a partition, as a ping or pong says."""
 
     member: MemberId
     epoch: Epoch
@@ -45,34 +58,68 @@
 
 @dataclass(slots=True)
 class Members:
-    """The lease of this process and the view of the cell."""
+    """The lease of this process and the view of the cell.
+
+    :param view: the members known when the store was last reached
+    :param tenure: until when this process may act
+    """
 
     cfg: Settings
     store: StoreClient
     clock: Clock
     lease: str | None = None
-    deadline_ms: int = -1
     draining: bool = False
     others: dict[MemberId, Member] = field(default_factory=dict)
     owner_keys: dict[PartitionId, MemberId] = field(default_factory=dict)
+    view: Membership = field(default_factory=Membership)
+    tenure: Tenure = field(default_factory=Tenure)
+    _removed_ms: int = NEVER
+    _away_since_ms: int = NEVER
+    _renewals: set[asyncio.Task] = field(default_factory=set)
 
     @property
     def me(self) -> MemberId:
         """Return this process's name."""
         return MemberId(self.cfg.member)
 
+    @property
+    def terms(self) -> Terms:
+        """Return the lengths of leases and promises."""
+        return Terms(self.cfg.lease_ttl_ms, self.cfg.lease_margin_ms, self.cfg.promise_ms)
+
     async def keep_lease(self) -> None:
-        """Acquire and renew the process lease for ever."""
+        """Acquire and renew the process lease for ever.
+
+        While the store is slow, renewals overlap, so that one is answered before the previous
+        one runs out.
+        """
+        half_s = self.cfg.lease_renew_ms / 2000
         while True:
-            try:
-                await self._renew_or_register()
-            except StoreError as exc:
-                _log.warning("lease not renewed", reason=str(exc))
-            await asyncio.sleep(self.cfg.lease_renew_ms / 1000)
+            task = asyncio.ensure_future(self._renew_or_register())
+            self._renewals.add(task)
+            task.add_done_callback(self._renewals.discard)
+            if self.lease is None:
+                await task
+            else:
+                await asyncio.wait({task}, timeout=half_s)
+            if task.done():
+                await asyncio.sleep(half_s if task.result() else RENEW_RETRY_S)
 
     def may_act(self) -> bool:
         """Tell whether what this process owns is still its own."""
-        return self.clock.now_ms() < self.deadline_ms
+        return may_act(self.tenure, self.clock.now_ms())
+
+    def holds_lease(self) -> bool:
+        """Tell whether the lease allows to act without promises of others."""
+        return holds_lease(self.tenure, self.clock.now_ms())
+
+    def reaches_store(self) -> bool:
+        """Tell whether this process reached the store recently."""
+        return self.store.reached(REACHED_WITHIN_MS)
+
+    def extend(self) -> None:
+        """Set the deadline by the promises of all known members."""
+        extend(self.tenure, self.terms, self.view, self.clock.now_ms())
 
     def preferred(self) -> dict[PartitionId, MemberId]:
         """Return who should own each partition."""
@@ -81,6 +128,22 @@
             names.add(self.me)
         return preferred_owners(names, self.cfg.partitions)
 
+    def replace(self, items: list[Item]) -> None:
+        """Take in all ``members/`` keys; members that are not among them are forgotten."""
+        listed = {MemberId(item.key.removeprefix(MEMBER_PREFIX)) for item in items}
+        for name in self.others.keys() - listed:
+            self._apply_member(name, None)
+        for item in items:
+            self.apply(item.key, item.value)
+        if not self.view.complete:
+            set_known(self.view, set(self.others))
+
+    def replace_owner_keys(self, items: list[Item]) -> None:
+        """Take in all ``owners/`` keys."""
+        self.owner_keys.clear()
+        for item in items:
+            self.apply(item.key, item.value)
+
     def apply(self, key: str, value: str | None) -> None:
         """Take in a change of a ``members/`` or ``owners/`` key."""
         if key.startswith(MEMBER_PREFIX):
@@ -92,6 +155,13 @@
             else:
                 self.owner_keys[partition] = MemberId(orjson.loads(value)["member"])
 
+    def introduce(self, address: str, status: Status) -> None:
+        """Take in a member from the settings while the store's list was never read."""
+        name = MemberId(status.member)
+        if not self.view.complete and name != self.me:
+            known = self.others.setdefault(name, Member(name, address, ""))
+            known.address, known.status = address, status
+
     def owner_of(self, partition: PartitionId) -> OwnerInfo | None:
         """Return the newest active owner that a member has announced."""
         best: OwnerInfo | None = None
@@ -101,12 +171,36 @@
                     best = OwnerInfo(other.member, Epoch(owned.epoch), owned.active)
         return best
 
-    async def _renew_or_register(self) -> None:
+    async def _renew_or_register(self) -> bool:
+        """Renew the lease or register; return whether the store answered."""
+        started_ms = self.clock.now_ms()
+        try:
+            if self.lease is not None:
+                await self._renew(self.lease)
+            if self.lease is None:
+                await self._register()
+        except StoreError as exc:
+            if self._away_since_ms == NEVER:
+                self._away_since_ms = started_ms
+                _log.warning("lease not renewed", reason=str(exc))
+            return False
+        self._away_since_ms = NEVER
+        return True
+
+    async def _renew(self, lease: str) -> None:
         sent_ms = self.clock.now_ms()
-        if self.lease is not None and await self.store.renew_lease(self.lease):
-            self._extend(sent_ms)
+        held = await self.store.renew_lease(lease)
+        if lease != self.lease:
             return
+        if held:
+            self._hold(sent_ms)
+            return
+        lose(self.tenure, self.terms)
+        regain_store(self.tenure, self.terms, self.clock.now_ms())
         self.lease = None
+        _log.warning("lease lapsed", lease=lease)
+
+    async def _register(self) -> None:
         sent_ms = self.clock.now_ms()
         lease = await self.store.grant_lease(self.cfg.lease_ttl_ms)
         record = {
@@ -116,21 +210,37 @@
         }
         key = MEMBER_PREFIX + self.me
         old = await self.store.get(key)
-        if await self.store.cas(key, orjson.dumps(record).decode(), old.version, lease):
-            self.lease = lease
-            self._extend(sent_ms)
-            _log.info("registered", lease=lease)
-
-    def _extend(self, sent_ms: int) -> None:
-        self.deadline_ms = sent_ms + self.cfg.lease_ttl_ms - self.cfg.lease_margin_ms
+        text = orjson.dumps(record).decode()
+        if not await self.store.cas_settled(key, text, old.version, lease):
+            return
+        away_ms = sent_ms - self._away_since_ms if self._away_since_ms != NEVER else 0
+        if away_ms > self.cfg.lease_ttl_ms:
+            regain_store(self.tenure, self.terms, self.clock.now_ms())
+        self.lease = lease
+        self._hold(sent_ms)
+        _log.info("registered", lease=lease)
+
+    def _hold(self, sent_ms: int) -> None:
+        """Note that the lease was held at a time, and forget members that are gone.
+
+        Members that vanished after that time still count: their keys may have lapsed in the
+        same outage as this process's lease.
+        """
+        renew(self.tenure, self.terms, sent_ms)
+        if self.view.complete and sent_ms > self._removed_ms:
+            set_known(self.view, set(self.others))
 
     def _apply_member(self, name: MemberId, value: str | None) -> None:
         if name == self.me:
             return
         if value is None:
             self.others.pop(name, None)
+            self._removed_ms = self.clock.now_ms()
             return
         raw = orjson.loads(value)
         known = self.others.get(name)
         if known is None or known.address != raw["address"]:
             self.others[name] = Member(name, raw["address"], raw["failure_domain"])
+            if known is not None:
+                self.view.peers.pop(name, None)
+        self.view.peers.setdefault(name, Peer())
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -41,6 +41,7 @@
     """State of a member, sent in pings and pongs.
 
     :param promise_ms: how long the sender takes over no partition, 0 for no promise
+    :param fresh_ms: how long the sender's configuration still counts as fresh, 0 when stale
     """
 
     member: str
@@ -50,6 +51,7 @@
     draining: bool
     owned: tuple[Owned, ...] = ()
     use: tuple[TeamUse, ...] = ()
+    fresh_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -207,7 +207,8 @@
 
     def _create_tasks(self, record: Record) -> None:
         spec = record.spec
-        queue = self._config.document.queues[spec.queue]
+        queue = self._config.document.queues.get(spec.queue)
+        work_class = WorkClass[queue.work_class.upper()] if queue else WorkClass.NORMAL
         for index in range(spec.tasks):
             if index in record.tasks or index in record.outcomes:
                 continue
@@ -221,7 +222,7 @@
                     queue=spec.queue,
                     request_key=spec.request_key,
                     kind=spec.kind,
-                    work_class=WorkClass[queue.work_class.upper()],
+                    work_class=work_class,
                     repeatable=spec.repeatable,
                     size=spec.size,
                     run_ms=spec.run_ms,
--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -25,6 +25,14 @@
 class PeerLostError(Exception):
     """The connection broke; whether the message was handled is not known."""
 
+    sent = True
+
+
+class PeerUnreachableError(PeerLostError):
+    """No connection could be made; nothing was sent."""
+
+    sent = False
+
 
 def hello_proof(secret: str, member: str) -> str:
     """Return the proof that a member knows the cluster secret."""
@@ -141,7 +149,7 @@
                 asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
             )
         except (TimeoutError, OSError) as exc:
-            raise PeerLostError(f"{address}: {type(exc).__name__}") from exc
+            raise PeerUnreachableError(f"{address}: {type(exc).__name__}") from exc
         link = _Link(reader, writer)
         write_frame(writer, Envelope(0, "hello", self._hello))
         self._keep(self._read_replies(link))
--- a/packages/server/lagoonshelf_server/requests.py
+++ b/packages/server/lagoonshelf_server/requests.py
@@ -1,7 +1,7 @@
 """The request path: from the entry to the partition's owner and back."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
@@ -22,23 +22,32 @@
 CONTROL_TIMEOUT_MS = 10_000
 
 FindOwner = Callable[[PartitionId], Owner | None]
+Authorize = Callable[[Submit | RequestRef], Awaitable[None]]
 
 
 class Requests:
     """Sends each request to the owner of its partition, again if the owner changes."""
 
     def __init__(
-        self, cfg: Settings, clock: Clock, members: Members, net: PeerNet, find_owner: FindOwner
+        self,
+        cfg: Settings,
+        clock: Clock,
+        members: Members,
+        net: PeerNet,
+        find_owner: FindOwner,
+        authorize: Authorize,
     ) -> None:
         """Set up.
 
         :param find_owner: returns the owner in this process, if it is here
+        :param authorize: raises when the configuration does not allow the work
         """
         self._cfg = cfg
         self._clock = clock
         self._members = members
         self._net = net
         self._find_owner = find_owner
+        self._authorize = authorize
 
     async def submit(self, submit: Submit) -> Answer:
         """Get the answer to a request from whichever process owns it."""
@@ -62,9 +71,11 @@
         if owner is None:
             text = f"partition {partition} is not owned here"
             raise LagoonshelfError(Fault(ResultCode.NO_OWNER, text))
+        record = owner.book.find(TeamId(body.team), RequestKey(body.request_key))
+        if kind != "submit" or record is None:  # a known request was authorized before it ran
+            await self._authorize(body)
         if kind == "submit":
             return answer_of(await owner.submit(spec_of(body)))
-        record = owner.book.find(TeamId(body.team), RequestKey(body.request_key))
         if record is None:
             text = f"no request {body.request_key!r}"
             raise LagoonshelfError(Fault(ResultCode.NOT_FOUND, text))
@@ -78,8 +89,8 @@
         while self._clock.now_ms() < end_ms:
             try:
                 answer = await self._try_once(kind, body, end_ms)
-            except PeerLostError:
-                sent = True
+            except PeerLostError as exc:
+                sent = sent or exc.sent
                 answer = None
             if answer is not None and answer.code != ResultCode.NO_OWNER.number:
                 return answer
--- a/packages/server/lagoonshelf_server/store.py
+++ b/packages/server/lagoonshelf_server/store.py
@@ -2,6 +2,7 @@
 
 import secrets
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
 import orjson
@@ -15,6 +16,10 @@
 
 CALL_TIMEOUT_S = 2.0
 WATCH_WAIT_MS = 10_000
+PAGE_KEYS = 500
+CALL_THREADS = 48
+LEASE_THREADS = 8  # renewals overlap while the store is slow
+WATCH_THREADS = 2
 
 
 class StoreError(Exception):
@@ -69,7 +74,10 @@
         self._bridge = bridge
         self._now_ms = now_ms
         self._client = client
-        self._http = urllib3.PoolManager(maxsize=32, retries=False)
+        self._http = urllib3.PoolManager(maxsize=CALL_THREADS, retries=False)
+        self._calls = bridge.add_pool("store", CALL_THREADS)
+        self._leases = bridge.add_pool("lease", LEASE_THREADS)
+        self._watches = bridge.add_pool("watch", WATCH_THREADS)
 
     async def get(self, key: str) -> Item:
         """Read one key.
@@ -79,15 +87,19 @@
         raw = await self._call("/get", {"key": key})
         return Item(key, raw["value"], raw["version"])
 
-    async def list_keys(self, prefix: str) -> tuple[list[Item], int]:
-        """Read all keys with a prefix in order, and the store's revision."""
+    async def list_keys(self, prefix: str, after: str = "") -> tuple[list[Item], int]:
+        """Read all keys with a prefix in order, and the store's revision at the first page.
+
+        :param after: only keys that sort after this one are read
+        """
         items: list[Item] = []
-        after = ""
+        revision = -1
         while True:
-            raw = await self._call("/list", {"prefix": prefix, "after": after, "limit": 500})
+            raw = await self._call("/list", {"prefix": prefix, "after": after, "limit": PAGE_KEYS})
+            revision = raw["revision"] if revision < 0 else revision
             items += [Item(i["key"], i["value"], i["version"]) for i in raw["items"]]
-            if len(raw["items"]) < 500:
-                return items, raw["revision"]
+            if len(raw["items"]) < PAGE_KEYS:
+                return items, revision
             after = items[-1].key
 
     async def cas(self, key: str, value: str, version: int, lease: str | None = None) -> bool:
@@ -100,6 +112,20 @@
         raw = await self._call("/cas", body)
         return raw["ok"]
 
+    async def cas_settled(
+        self, key: str, value: str, version: int, lease: str | None = None
+    ) -> bool:
+        """Write a key like ``cas`` and read it back when the answer was lost.
+
+        :param value: must be unique to this write, so that reading it back proves the write
+        :raises StoreError: when the outcome is not known
+        """
+        try:
+            return await self.cas(key, value, version, lease)
+        except StoreError:
+            item = await self.get(key)
+            return item.value == value
+
     async def delete(self, key: str, version: int) -> bool:
         """Delete a key if it has the expected version."""
         raw = await self._call("/delete", {"key": key, "version": version})
@@ -131,12 +157,22 @@
         raw = await self._call("/hosts", {})
         return [_worker_info(host) for host in raw["hosts"]]
 
+    def reached(self, within_ms: int) -> bool:
+        """Tell whether the store answered recently."""
+        return self.last_heard_ms >= 0 and self._now_ms() - self.last_heard_ms < within_ms
+
     async def _call(self, path: str, body: dict, timeout_s: float = CALL_TIMEOUT_S) -> dict:
         body["client"] = self._client
-        answer = await self._bridge.blocking(self._post, path, body, timeout_s)
+        pool = self._pool_of(path)
+        answer = await self._bridge.blocking_in(pool, self._post, path, body, timeout_s)
         self.last_heard_ms = self._now_ms()
         return answer
 
+    def _pool_of(self, path: str) -> ThreadPoolExecutor:
+        if path.startswith("/lease/"):
+            return self._leases
+        return self._watches if path == "/watch" else self._calls
+
     def _post(self, path: str, body: dict, timeout_s: float) -> dict:
         try:
             resp = self._http.request(
@@ -146,7 +182,10 @@
             raise StoreError(f"{path}: {type(exc).__name__}") from exc
         if resp.status != 200:
             raise StoreError(f"{path}: status {resp.status}")
-        return orjson.loads(resp.data)
+        try:
+            return orjson.loads(resp.data)
+        except ValueError as exc:
+            raise StoreError(f"{path}: the answer is not JSON") from exc
 
 
 def writer_token() -> str:
--- /dev/null
+++ b/packages/server/lagoonshelf_server/watch.py
@@ -0,0 +1,66 @@
+"""Follows the store's keys and the platform's host list."""
+
+import asyncio
+
+from lagoonshelf_core.ids import PartitionId
+
+from lagoonshelf_server.config_sync import PREFIX as CONFIG_PREFIX
+from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.members import MEMBER_PREFIX, OWNER_PREFIX, Members
+from lagoonshelf_server.owner import Owner
+from lagoonshelf_server.store import StoreClient, StoreError
+
+WATCHED = [MEMBER_PREFIX, OWNER_PREFIX, CONFIG_PREFIX]
+RETRY_S = 0.3
+
+
+class Watch:
+    """Passes changes in the store on to the parts of this process."""
+
+    def __init__(self, store: StoreClient, members: Members, config: ConfigSync) -> None:
+        """Set up."""
+        self._store = store
+        self._members = members
+        self._config = config
+
+    async def follow_forever(self) -> None:
+        """Read all keys, then follow their changes; begin again when changes were missed."""
+        revision = -1
+        while True:
+            try:
+                if revision < 0:
+                    revision = await self._read_all()
+                answer = await self._store.watch(WATCHED, revision)
+            except StoreError:
+                await asyncio.sleep(RETRY_S)
+                continue
+            revision = -1 if answer.reset else answer.revision
+            for event in answer.events:
+                self._apply(event.key, event.value)
+
+    async def follow_hosts(self, owners: dict[PartitionId, Owner], interval_s: float) -> None:
+        """Pass the host list on to the owned partitions at each interval."""
+        while True:
+            await asyncio.sleep(interval_s)
+            if not owners:
+                continue
+            try:
+                hosts = await self._store.hosts()
+            except StoreError:
+                continue
+            for owner in list(owners.values()):
+                owner.set_hosts(hosts)
+
+    async def _read_all(self) -> int:
+        members, revision = await self._store.list_keys(MEMBER_PREFIX)
+        owner_keys, _ = await self._store.list_keys(OWNER_PREFIX)
+        await self._config.refresh()
+        self._members.replace(members)
+        self._members.replace_owner_keys(owner_keys)
+        return revision
+
+    def _apply(self, key: str, value: str | None) -> None:
+        if not key.startswith(CONFIG_PREFIX):
+            self._members.apply(key, value)
+        elif value is not None:
+            self._config.apply(value)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -60,6 +60,7 @@
   draining @4 :Bool;
   owned @5 :List(Owned);
   use @6 :List(TeamUse);
+  freshMs @7 :UInt32;
 }
 
 struct Submit {
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -84,7 +84,7 @@
 
     def test_a_lost_lease_is_not_extended(self) -> None:
         """Guards against promises that extend a lease the store has ended."""
-        lose(self.tenure)
+        lose(self.tenure, TERMS)
         self.promise_of_a()
         self.assertFalse(self.acts())
 
@@ -107,7 +107,7 @@
         """Guards against a takeover from an owner that still counts on the promise."""
         tenure = Tenure()
         self.assertEqual(give_promise(tenure, TERMS, False, 1000), 3000)
-        lose(tenure)
+        lose(tenure, TERMS)
         self.assertFalse(may_take_over(tenure, 3999))
         self.assertTrue(may_take_over(tenure, 4000))
 
@@ -123,6 +123,14 @@
         regain_store(tenure, TERMS, 1000)
         self.assertFalse(may_take_over(tenure, 3999))
 
+    def test_own_partitions_are_claimed_again_within_one_lease(self) -> None:
+        """Guards against a stop of all partitions after an outage, and against reclaiming late."""
+        tenure = Tenure()
+        renew(tenure, TERMS, 0)
+        regain_store(tenure, TERMS, 3000)
+        lose(tenure, TERMS)
+        self.assertEqual(tenure.reclaim_until_ms, 5500)
+
     def test_others_leave_the_preferred_owner_time(self) -> None:
         """Guards against all members racing for each free partition."""
         self.assertTrue(claim_due(0, True, 0))
--- /dev/null
+++ b/tests/processes/test_outage.py
@@ -0,0 +1,130 @@
+"""Store outages on real processes."""
+
+import signal
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from lagoonshelf_standins.cell import wait_until
+
+from tests.support.base import CellTestCase, interactive
+
+NAMES = ("d1", "d2", "d3")
+OUTAGE_S = 10.0  # more than three lease lengths
+
+
+class OutageTest(CellTestCase):
+    """Three processes that all lose the store."""
+
+    def stop_store(self) -> None:
+        """Begin an outage and wait until every process knows of it."""
+        self.cell.control_store(mode="down")
+        for name in self.cell.daemons:
+            wait_until(lambda n=name: not self.cell.state(n)["store_reached"], f"{name} noticed")
+
+    def starts(self) -> Counter:
+        """Return the number of starts of each request key."""
+        return Counter(
+            event["request_key"]
+            for events in self.cell.history().values()
+            for event in events
+            if event["event"] == "start"
+        )
+
+    def submit_everywhere(self, prefix: str, number: int = 8, **fields: object) -> list[dict]:
+        """Submit requests through each process at once and return the answers."""
+        calls = [
+            (name, interactive(f"{prefix}-{name}-{n}", **fields))
+            for name in self.cell.daemons
+            for n in range(number)
+        ]
+        with ThreadPoolExecutor(len(calls)) as pool:
+            return list(
+                pool.map(lambda call: self.cell.submit(call[0], "fitting", call[1]), calls)
+            )
+
+    def check_all_ok(self, prefix: str, **fields: object) -> None:
+        answers = self.submit_everywhere(prefix, **fields)
+        self.assertEqual({answer["name"] for answer in answers}, {"OK"}, answers)
+
+    def test_work_goes_on_and_what_needs_the_store_is_refused(self) -> None:
+        """Guards against a stop of the cell in an outage, and against acceptance without it."""
+        self.stop_store()
+        end = time.monotonic() + OUTAGE_S
+        rounds = 0
+        while time.monotonic() < end:
+            self.check_all_ok(f"r{rounds}")
+            rounds += 1
+        for name in NAMES:
+            batch = interactive(f"batch-{name}", kind="batch", tasks=2)
+            hold = interactive(f"hold-{name}", repeatable=False)
+            for body in (batch, hold):
+                answer = self.cell.submit(name, "fitting", body)
+                self.assertEqual(answer["name"], "STORE_UNAVAILABLE", answer)
+                self.assertEqual(answer["effect"], "not_run")
+            url = self.cell.daemons[name].url + "/v1/config"
+            seen = self.cell.call(url, operator=True)
+            body = {"base_revision": seen["revision"], "document": seen["document"]}
+            answer = self.cell.call(url, body, operator=True)
+            self.assertEqual(answer["name"], "STORE_UNAVAILABLE", answer)
+        refused = [key for key in self.starts() if key.startswith(("batch", "hold"))]
+        self.assertEqual(refused, [])
+
+    def test_all_works_again_after_the_outage_and_nothing_ran_twice(self) -> None:
+        """Guards against two owners, or lost or doubled work, when the store comes back."""
+        self.stop_store()
+        time.sleep(5)
+        self.check_all_ok("down")
+        self.cell.control_store(mode="slow")
+        self.check_all_ok("slow", timeout_ms=60_000)
+        self.cell.control_store(mode="lose_answers")
+        self.check_all_ok("losing", timeout_ms=60_000)
+        self.check_all_ok("hold-losing", timeout_ms=60_000, repeatable=False, number=2)
+        self.cell.control_store(mode="up")
+        self.cell.wait_owned()
+        self.check_all_ok("up", timeout_ms=60_000)
+        self.check_all_ok("hold-up", timeout_ms=60_000, repeatable=False)
+        doubled = {key: count for key, count in self.starts().items() if count > 1}
+        self.assertEqual(doubled, {})
+
+    def test_a_member_that_dies_in_an_outage_stops_placement(self) -> None:
+        """Guards against placing while a member that is not heard may have taken over."""
+        self.stop_store()
+        self.check_all_ok("before")
+        self.cell.kill("d3")
+        for name in ("d1", "d2"):
+            wait_until(lambda n=name: not self.cell.state(n)["may_act"], f"{name} stopped")
+        before = self.starts()
+        answers = self.submit_everywhere("after", 4, timeout_ms=3000)
+        for answer in answers:
+            self.assertIn(answer["name"], ("NO_OWNER", "CONFIG_STALE"), answer)
+            self.assertEqual(answer["effect"], "not_run")
+        self.assertEqual(self.starts(), before)
+        self.cell.control_store(mode="up")
+        self.cell.wait_owned()
+        self.check_all_ok("back", timeout_ms=60_000)
+        doubled = {key: count for key, count in self.starts().items() if count > 1}
+        self.assertEqual(doubled, {})
+
+    def test_a_paused_owner_sends_nothing_after_another_took_over(self) -> None:
+        """Guards against an owner that resumes in an outage and is extended by its successor."""
+        self.cell.daemons["d1"].signal(signal.SIGSTOP)
+        wait_until(lambda: len(self.owned_by(NAMES[1:])) == 4, "others own all partitions")
+        self.cell.control_store(mode="down")
+        self.cell.daemons["d1"].signal(signal.SIGCONT)
+        end = time.monotonic() + 6
+        while time.monotonic() < end:
+            state = self.cell.state("d1")
+            self.assertFalse(state["may_act"] and state["partitions"], state)
+            time.sleep(0.05)
+        self.assertEqual(state["partitions"], {})
+
+    def owned_by(self, names: tuple[str, ...]) -> set[str]:
+        """Return the partitions that are active in some processes."""
+        states = [self.cell.state(name) or {"partitions": {}} for name in names]
+        return {
+            partition
+            for state in states
+            for partition, owner in state["partitions"].items()
+            if owner["state"] == "active"
+        }
