--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -15,6 +15,7 @@
     GrantEntry,
     KnownLimit,
     after_lowering,
+    base,
     decode_grants,
     encode_grants,
     give_back,
@@ -49,6 +50,7 @@
     """How a keeper reaches its partition.
 
     :param known: limit of a team, none before the first configuration
+    :param teams: all teams of the configuration
     :param may_act: whether this process still owns the partition
     :param tasks: tasks of the partition's scheduler
     :param ask: sends a message to the owner of another partition
@@ -58,6 +60,7 @@
     """
 
     known: Callable[[TeamId], KnownLimit | None]
+    teams: Callable[[], Iterable[TeamId]]
     may_act: Callable[[], bool]
     tasks: Callable[[], Iterable[Task]]
     ask: Callable[[PartitionId, GrantAsk], Awaitable[None]]
@@ -203,6 +206,9 @@
         self._usage.scan()
         now_ms = self._clock.now_ms()
         self._usage.drop_old_short(now_ms)
+        for team in self._hooks.teams():
+            # A team without work keeps its base grant too.
+            _ = self._teams[team]
         for team, state in list(self._teams.items()):
             known = self._hooks.known(team)
             if known is None:
@@ -243,8 +249,11 @@
             return take(doc, self._partition, need, known)
         if self._is_asked(state):
             return need.most(held - state.asked)
+        kept = need.most(base(limit, self._partitions))
+        if not kept.fits_in(held):
+            return take(doc, self._partition, kept, known)
         if self._is_idle(state):
-            return give_back(held, need.most(state.peak), limit)
+            return give_back(held, kept.most(state.peak), limit)
         return held
 
     def _is_idle(self, state: _TeamState) -> bool:
@@ -253,7 +262,7 @@
 
     def _watch_idle(self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int) -> None:
         held, limit = state.doc.amount(self._partition), limit_in_force(state.doc, known)
-        need = self._need(team, state, limit)
+        need = self._need(team, state, limit).most(base(limit, self._partitions))
         if give_back(held, need, limit) == held:
             state.idle_since_ms = None
         elif state.idle_since_ms is None:
--- a/packages/server/lagoonshelf_server/journal_writer.py
+++ b/packages/server/lagoonshelf_server/journal_writer.py
@@ -167,11 +167,17 @@
         try:
             if await self._store.cas(key, text, 0):
                 return True
+        except StoreError as exc:
+            self._store_failed(str(exc))
+        # The answer may be lost although the write has taken effect.
+        try:
             item = await self._store.get(key)
         except StoreError as exc:
             self._store_failed(str(exc))
             return False
-        if item.value is not None and decode_segment(item.value).token == token:
+        if item.value is None:
+            return False
+        if decode_segment(item.value).token == token:
             return True
         raise JournalLostError(key)
 
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import TypeVar
 
+import orjson
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import LagoonshelfError
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
@@ -70,12 +71,8 @@
         members: Members,
         config: ConfigSync,
         calls: PartitionCalls,
-        claim: str = "",
     ) -> None:
-        """Begin before the takeover.
-
-        :param claim: value of the owner key that this process has created
-        """
+        """Begin before the takeover; the owner key is attached to the member's lease."""
         self.partition = partition
         self.state = OwnerState.RECOVERING
         self.dispatch: Dispatch | None = None
@@ -86,7 +83,6 @@
         self._workers = workers
         self._members = members
         self._lease = members.lease
-        self._claim = claim
         self._journal: JournalWriter | None = None
         self._journal_first = 1
         self._hosts_tried_ms = 0
@@ -344,7 +340,7 @@
         """Delete the owner key if it is still the one of this ownership."""
         try:
             item = await self._retry(lambda: self._store.get(f"owners/{self.partition}"))
-            ours = item.value is not None and item.value == (self._claim or item.value)
+            ours = item.value is not None and orjson.loads(item.value).get("lease") == self._lease
             if ours and self._lease == self._members.lease:
                 await self._retry(lambda: self._store.delete(item.key, item.version))
         except LagoonshelfError:
--- a/packages/server/lagoonshelf_server/owner_parts.py
+++ b/packages/server/lagoonshelf_server/owner_parts.py
@@ -74,6 +74,7 @@
 
     hooks = GrantHooks(
         known=lambda team: known_limit(config, team),
+        teams=lambda: [TeamId(team) for team in config.document.teams],
         may_act=owner.may_act,
         tasks=lambda: owner.scheduler.tasks.values(),
         ask=ask,
