Count room that is being freed before asking more tasks to yield

Cause: with four urgent and four lower tasks on a full worker, the second urgent task asked two tasks to yield and the last two found none: the room of a task being stopped counted as held while the claim on it counted as promised. Ruled out: raising the number of tasks that one pass may claim for; it only hides the double count. Conclusion: each urgent task asks for its own room once.

--- a/packages/core/lagoonshelf_core/claims.py
+++ b/packages/core/lagoonshelf_core/claims.py
@@ -4,24 +4,22 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from lagoonshelf_core.commands import Throttle
 from lagoonshelf_core.holding import Holding
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
 from lagoonshelf_core.model import Task, WorkKind
 from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.preemption import (
-    THROTTLED_PERCENT,
     Choice,
     Step,
     choose,
     choose_by,
     may_checkpoint,
 )
-from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.resources import NOTHING, Resources
+from lagoonshelf_core.throttles import THROTTLE_WAIT_MS, Throttles
 from lagoonshelf_core.waiting import Bucket, BucketKey
 
 # Urgent work starts within 1 s: the waits for a throttle and a checkpoint add up to 750 ms.
-THROTTLE_WAIT_MS = 250
 CHECKPOINT_WAIT_MS = 500
 STOP_WAIT_MS = 5_000  # then another worker is chosen
 RECLAIM_WAIT_MS = 30_000
@@ -60,9 +58,10 @@
 class Claims:
     """All claims of a partition, oldest first."""
 
-    def __init__(self, state: PassState) -> None:
+    def __init__(self, state: PassState, throttles: Throttles) -> None:
         """Start empty."""
         self._state = state
+        self._throttles = throttles
         self._claims: dict[TaskId, Claim] = {}
         self._failed_ms: dict[BucketKey, int] = {}
 
@@ -152,6 +151,7 @@
         if claim.step is not Step.CHECKPOINT:
             self.drop(claim.task.task)
             if claim.step is Step.THROTTLE:
+                self._give_up_throttles(claim)
                 self._claim(claim.task, claim.size, Step.CHECKPOINT)
             return
         for victim in claim.victims:
@@ -161,6 +161,13 @@
         claim.step = Step.STOP
         claim.since_ms = state.now_ms
 
+    def _give_up_throttles(self, claim: Claim) -> None:
+        """Count no more on limits that the worker has not confirmed in time."""
+        for victim in claim.victims:
+            holding = self._state.holdings.get(victim)
+            if holding is not None and not holding.requeue:
+                self._state.holdings.ask(holding, NOTHING)
+
     def _claim(self, task: Task, size: Resources, first: Step = Step.THROTTLE) -> bool:
         work_class = self._state.waiting.bucket_of(task.task).work_class
         choice = choose(self._state, size, self._may_use(task), work_class, first)
@@ -196,9 +203,7 @@
         state = self._state
         for victim in choice.victims:
             if choice.step is Step.THROTTLE:
-                victim.asked_percent = THROTTLED_PERCENT
-                command = Throttle(victim.task.task, victim.worker, THROTTLED_PERCENT)
-                state.commands.append(command)
+                self._throttles.ask(victim)
             else:
                 state.stop(victim, choice.step is not Step.STOP)
         victims = tuple(victim.task.task for victim in choice.victims)
--- a/packages/core/lagoonshelf_core/holding.py
+++ b/packages/core/lagoonshelf_core/holding.py
@@ -9,7 +9,7 @@
 from lagoonshelf_core.fairness import Fairness
 from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.model import Task, TaskState, WorkClass
-from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.resources import NOTHING, Resources
 from lagoonshelf_core.room import Room
 
 
@@ -21,7 +21,8 @@
     :param full: room that counts without throttling
     :param work_class: effective class when the task was started
     :param percent: processor limit that the worker has confirmed
-    :param asked_percent: processor limit last asked for
+    :param asked_percent: processor limit last asked for, at ``asked_ms``
+    :param coming: part of ``size`` that the task was asked to free
     :param requeue: whether the scheduler stopped the task so that it waits again
     """
 
@@ -33,6 +34,8 @@
     order: tuple[int, int, int]
     percent: int = 100
     asked_percent: int = 100
+    asked_ms: int = 0
+    coming: Resources = NOTHING
     requeue: bool = False
 
 
@@ -77,6 +80,7 @@
             return None
         self._background.pop(holding.order, None)
         self._repeatable.pop(holding.order, None)
+        self.ask(holding, NOTHING)
         self._room.free(holding.worker, task, holding.size)
         self._fairness.change(holding.task.team, _negative(holding.size), -1)
         return holding
@@ -88,6 +92,12 @@
         holding.size = size
         holding.task.reserved = size
 
+    def ask(self, holding: Holding, coming: Resources) -> None:
+        """Note what a task was asked to free, in place of what was noted before."""
+        if holding.coming != coming:
+            self._room.expect(holding.worker, coming - holding.coming)
+            holding.coming = coming
+
     def get(self, task: TaskId) -> Holding | None:
         """Return what a task holds, or none."""
         return self._by_task.get(task)
--- a/packages/core/lagoonshelf_core/pass_state.py
+++ b/packages/core/lagoonshelf_core/pass_state.py
@@ -102,6 +102,7 @@
     def stop(self, holding: Holding, checkpoint: bool) -> None:
         """Stop a running task so that it waits again; it keeps its room until it ends."""
         holding.requeue = True
+        self.holdings.ask(holding, holding.size)
         task = holding.task
         task.state = TaskState.STOPPING
         self.commands.append(Stop(task.task, holding.worker, True, checkpoint))
--- a/packages/core/lagoonshelf_core/preemption.py
+++ b/packages/core/lagoonshelf_core/preemption.py
@@ -98,8 +98,8 @@
         if _is_same_service(holding, victims):
             continue
         victims.append(holding)
-        if size.fits_in(room.available(worker) + _gain(victims, step)):
-            least = _least(victims, size, room.available(worker), step)
+        if size.fits_in(room.expected(worker) + _gain(victims, step)):
+            least = _least(victims, size, room.expected(worker), step)
             return Choice(step, worker, _with_gangs(state, least))
     return None
 
--- a/packages/core/lagoonshelf_core/room.py
+++ b/packages/core/lagoonshelf_core/room.py
@@ -16,12 +16,14 @@
     :param info: none while only tasks adopted from it are known
     :param held: room of starting, running, throttled and stopping tasks
     :param promised: room set aside for waiting tasks
+    :param coming: part of ``held`` that tasks asked to yield are about to free
     """
 
     info: WorkerInfo | None = None
     state: WorkerState = WorkerState.UNREAD
     held: Resources = NOTHING
     promised: Resources = NOTHING
+    coming: Resources = NOTHING
     tasks: set[TaskId] = field(default_factory=set)
     available: Resources = NOTHING
 
@@ -96,6 +98,15 @@
         self._refresh(worker, account)
         self._forget_if_empty(worker, account)
 
+    def expect(self, worker: WorkerId, size: Resources) -> None:
+        """Add to the room that tasks asked to yield are about to free."""
+        self._accounts[worker].coming += size
+
+    def expected(self, worker: WorkerId) -> Resources:
+        """Return a worker's available room after the tasks asked to yield have done so."""
+        account = self._accounts.get(worker)
+        return account.available + account.coming if account else NOTHING
+
     def account(self, worker: WorkerId) -> WorkerRoom | None:
         """Return a worker's account, or none."""
         return self._accounts.get(worker)
--- a/packages/core/lagoonshelf_core/scheduler.py
+++ b/packages/core/lagoonshelf_core/scheduler.py
@@ -30,8 +30,8 @@
         self.tasks: dict[TaskId, Task] = {}
         self._state = PassState(hooks or Hooks())
         self._gangs = GangPass(self._state)
-        self._claims = Claims(self._state)
         self._throttles = Throttles(self._state)
+        self._claims = Claims(self._state, self._throttles)
         self._reclassed_ms: int | None = None
 
     def set_policy(
