Search one index of workers and measure decisions against first fit

Cause: python -m bench decisions showed 88 us per decision at 25 workers and 144 us at 1,200; more than a quarter went into searching one index for each of six failure domains, and each bucket repeated a search that had failed. Ruled out: sorted containers per group of workers; at 1,200 workers moving the tail of a plain list costs less. Change: one index over all failure domains; those by failure domain follow when a replica is placed; sizes that fit nowhere are remembered until a worker's room grows. bench: rows, baseline and decisions.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,23 @@
+"""Entry point of ``python -m bench [name ...]``; all benchmarks when none is named."""
+
+import sys
+from importlib import import_module
+
+BENCHMARKS = ("decisions",)
+
+
+def main(names: list[str]) -> int:
+    """Run benchmarks and print their rows; return the exit code."""
+    unknown = [name for name in names if name not in BENCHMARKS]
+    if unknown:
+        print(f"unknown benchmark {unknown[0]!r}; known: {', '.join(BENCHMARKS)}")
+        return 2
+    for name in names or BENCHMARKS:
+        print(name, flush=True)
+        for row in import_module(f"bench.{name}").run():
+            print(row, flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/rows.py
@@ -0,0 +1,66 @@
+"""Repeated measurements and the rows that benchmarks print."""
+
+import gc
+from collections.abc import Callable
+from dataclasses import dataclass
+from statistics import median
+from time import perf_counter
+
+MICROSECONDS = 1e6
+REPEATS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One measured figure next to its baseline from the same run.
+
+    :param value: median
+    :param baseline: median of the baseline
+    :param ratio: median over the repeats of baseline divided by value
+    """
+
+    name: str
+    unit: str
+    value: float
+    baseline: float
+    ratio: float
+
+    def __str__(self) -> str:
+        return (
+            f"{self.name:<44} {self.value:>12.1f} {self.unit:<14}"
+            f" baseline {self.baseline:>12.1f}  ratio {self.ratio:>8.2f}"
+        )
+
+
+def seconds(work: Callable[[], None]) -> float:
+    """Return how long some work takes, without garbage collection."""
+    gc.collect()
+    gc.disable()
+    try:
+        begin = perf_counter()
+        work()
+        return perf_counter() - begin
+    finally:
+        gc.enable()
+
+
+def compare(
+    name: str, unit: str, scale: float, new: Callable[[], float], old: Callable[[], float]
+) -> Row:
+    """Measure two variants in turn, so that a change of the machine's speed meets both.
+
+    :param scale: factor from seconds to the unit
+    :param new: returns the seconds of one measurement
+    :param old: the same for the baseline
+    """
+    pairs = [(new(), old()) for _ in range(REPEATS)]
+    value = median(a for a, _ in pairs)
+    baseline = median(b for _, b in pairs)
+    return Row(name, unit, value * scale, baseline * scale, median(b / a for a, b in pairs))
+
+
+def growth(name: str, first: Row, last: Row) -> Row:
+    """Return by what factor a figure grows from one row to another."""
+    value = last.value / first.value
+    baseline = last.baseline / first.baseline
+    return Row(name, "times", value, baseline, baseline / value)
--- a/packages/core/lagoonshelf_core/placement.py
+++ b/packages/core/lagoonshelf_core/placement.py
@@ -4,11 +4,10 @@
 accelerators, then fewest slots, then least memory (as a power of two), then least processor time.
 """
 
+from bisect import bisect_left, insort
 from collections.abc import Callable, Iterator
 from math import ceil
 
-from sortedcontainers import SortedDict, SortedList
-
 from lagoonshelf_core.ids import FailureDomain, RackId, WorkerId
 from lagoonshelf_core.resources import Resources
 
@@ -36,16 +35,16 @@
     """Workers with equal free accelerators, slots and power of two of memory."""
 
     def __init__(self) -> None:
-        self.by_cpu: SortedList = SortedList()
-        self.by_memory: SortedList = SortedList()
+        self.by_cpu: list[tuple[int, int, WorkerId]] = []
+        self.by_memory: list[tuple[int, int, WorkerId]] = []
 
     def add(self, cpu: int, memory: int, worker: WorkerId) -> None:
-        self.by_cpu.add((cpu, memory, worker))
-        self.by_memory.add((memory, cpu, worker))
+        insort(self.by_cpu, (cpu, memory, worker))
+        insort(self.by_memory, (memory, cpu, worker))
 
     def remove(self, cpu: int, memory: int, worker: WorkerId) -> None:
-        self.by_cpu.remove((cpu, memory, worker))
-        self.by_memory.remove((memory, cpu, worker))
+        del self.by_cpu[bisect_left(self.by_cpu, (cpu, memory, worker))]
+        del self.by_memory[bisect_left(self.by_memory, (memory, cpu, worker))]
 
     def fitting(self, size: Resources) -> Iterator[tuple[int, int, WorkerId]]:
         """Yield the workers that hold a size, best fit first.
@@ -53,23 +52,28 @@
         Reads the order that leaves fewer workers, so that a group in which all lack one of
         the two resources costs two binary searches.
         """
-        cpu_from = self.by_cpu.bisect_left((size.cpu_milli,))
-        memory_from = self.by_memory.bisect_left((size.memory_mib,))
+        cpu_from = bisect_left(self.by_cpu, (size.cpu_milli,))
+        memory_from = bisect_left(self.by_memory, (size.memory_mib,))
         if cpu_from >= memory_from:
-            for item in self.by_cpu.islice(cpu_from):
-                if item[1] >= size.memory_mib:
-                    yield item
+            for place in range(cpu_from, len(self.by_cpu)):
+                if self.by_cpu[place][1] >= size.memory_mib:
+                    yield self.by_cpu[place]
             return
-        tail = self.by_memory.islice(memory_from)
+        tail = self.by_memory[memory_from:]
         yield from sorted((cpu, mem, w) for mem, cpu, w in tail if cpu >= size.cpu_milli)
 
 
-class DomainIndex:
-    """Ready workers of one failure domain by available room."""
+class RoomIndex:
+    """Workers by available room.
+
+    Plain sorted lists: at 1,200 workers moving the tail of a list costs less than the
+    bookkeeping of a sorted container.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
-        self._groups: SortedDict = SortedDict()
+        self._names: list[tuple[int, int, int]] = []
+        self._groups: dict[tuple[int, int, int], _Group] = {}
         self._keys: dict[WorkerId, FitKey] = {}
 
     def put(self, worker: WorkerId, room: Resources) -> None:
@@ -79,9 +83,11 @@
             return
         self.drop(worker)
         self._keys[worker] = key
-        group = self._groups.get(key[:3])
+        name = key[:3]
+        group = self._groups.get(name)
         if group is None:
-            group = self._groups[key[:3]] = _Group()
+            group = self._groups[name] = _Group()
+            insort(self._names, name)
         group.add(*key[3:])
 
     def drop(self, worker: WorkerId) -> None:
@@ -89,56 +95,75 @@
         key = self._keys.pop(worker, None)
         if key is None:
             return
-        group = self._groups[key[:3]]
+        name = key[:3]
+        group = self._groups[name]
         group.remove(*key[3:])
         if not group.by_cpu:
-            del self._groups[key[:3]]
+            del self._groups[name]
+            del self._names[bisect_left(self._names, name)]
 
-    def find(self, size: Resources, accept: Accept) -> FitKey | None:
-        """Return the key of the best fit.
+    def find(self, size: Resources, accept: Accept) -> WorkerId | None:
+        """Return the best fit.
 
         :param accept: tells whether a worker that holds the size may be used
         """
-        least = (size.accelerators, size.slots, size.memory_mib.bit_length())
-        for name in self._groups.irange(least):
-            if name[1] < size.slots or name[2] < least[2]:
+        slots = size.slots
+        bits = size.memory_mib.bit_length()
+        names = self._names
+        for place in range(bisect_left(names, (size.accelerators, slots, bits)), len(names)):
+            name = names[place]
+            if name[1] < slots or name[2] < bits:
                 continue
             for item in self._groups[name].fitting(size):
                 if accept(item[2]):
-                    return (*name, *item)
+                    return item[2]
         return None
 
 
 class Placement:
-    """Ready workers of a partition by failure domain."""
+    """Ready workers of a partition, all together and by failure domain.
+
+    The indexes by failure domain serve only the spread of replicas, so changes are applied to
+    them when a replica is placed.
+    """
 
     def __init__(self) -> None:
         """Start without workers."""
-        self._domains: dict[FailureDomain, DomainIndex] = {}
+        self._all = RoomIndex()
+        self._rooms: dict[WorkerId, Resources] = {}
+        self._domains: dict[FailureDomain, RoomIndex] = {}
+        self._changed: dict[WorkerId, FailureDomain] = {}
+        self._no_room: set[Resources] = set()
 
     def put(self, worker: WorkerId, domain: FailureDomain, room: Resources) -> None:
         """Add a worker or change its available room; withdraw it when an amount is negative."""
-        index = self._domains.get(domain)
-        if index is None:
-            index = self._domains[domain] = DomainIndex()
         if min(room.cpu_milli, room.memory_mib, room.accelerators, room.slots) < 0:
-            index.drop(worker)
-        else:
-            index.put(worker, room)
+            self.drop(worker, domain)
+            return
+        before = self._rooms.get(worker)
+        if before is None or not room.fits_in(before):
+            self._no_room.clear()
+        self._rooms[worker] = room
+        self._changed[worker] = domain
+        self._all.put(worker, room)
 
     def drop(self, worker: WorkerId, domain: FailureDomain) -> None:
         """Remove a worker, if present."""
-        if domain in self._domains:
-            self._domains[domain].drop(worker)
+        if self._rooms.pop(worker, None) is not None:
+            self._changed[worker] = domain
+            self._all.drop(worker)
 
     def best_fit(self, size: Resources, accept: Accept) -> WorkerId | None:
-        """Return the best fit over all failure domains."""
-        best: FitKey | None = None
-        for index in self._domains.values():
-            key = index.find(size, accept)
-            if key is not None and (best is None or key < best):
-                best = key
-        return best[-1] if best else None
+        """Return the best fit over all failure domains.
+
+        :param accept: tells whether a worker that holds the size may be used
+        """
+        if size in self._no_room:
+            return None
+        worker = self._all.find(size, accept)
+        if worker is None and self._all.find(size, _any_worker) is None:
+            self._no_room.add(size)
+        return worker
 
     def spread(
         self,
@@ -157,6 +182,7 @@
         :param in_domain: replicas per failure domain
         :param in_rack: replicas per rack
         """
+        self._apply_changes()
         counted = [(in_domain.get(d, 0), d) for d in self._domains]
         for count, domain in sorted(counted):
             if count >= most_per_domain:
@@ -168,7 +194,7 @@
 
     def _spread_in(
         self,
-        index: DomainIndex,
+        index: RoomIndex,
         size: Resources,
         accept: Accept,
         in_rack: dict[RackId, int],
@@ -179,11 +205,25 @@
             def accept_rack(worker: WorkerId, most: int = most) -> bool:
                 return in_rack.get(rack_of(worker), 0) <= most and accept(worker)
 
-            key = index.find(size, accept_rack)
-            if key is not None:
-                return key[-1]
+            worker = index.find(size, accept_rack)
+            if worker is not None:
+                return worker
         return None
 
+    def _apply_changes(self) -> None:
+        for worker, domain in self._changed.items():
+            index = self._domains.setdefault(domain, RoomIndex())
+            room = self._rooms.get(worker)
+            if room is None:
+                index.drop(worker)
+            else:
+                index.put(worker, room)
+        self._changed.clear()
+
+
+def _any_worker(worker: WorkerId) -> bool:
+    return True
+
 
 def most_replicas_per_domain(replicas: int, domains: int) -> int:
     """Return how many replicas of a service one failure domain may hold."""
