Skip classes and buckets for which no worker has room

A worker that moved to another failure domain stayed in the index of the old one. Ruled out: remembering positive answers; each start invalidates them. Change: a pass checks the distinct waiting sizes of a class first; the check for lent share runs once a second instead of in each pass; a line keeps its candidates until it changes; next_pass_ms asks for a pass at least each second while tasks wait.

--- a/packages/core/lagoonshelf_core/placement.py
+++ b/packages/core/lagoonshelf_core/placement.py
@@ -130,9 +130,9 @@
     def __init__(self) -> None:
         """Start without workers."""
         self._all = RoomIndex()
-        self._rooms: dict[WorkerId, Resources] = {}
+        self._rooms: dict[WorkerId, tuple[FailureDomain, Resources]] = {}
         self._domains: dict[FailureDomain, RoomIndex] = {}
-        self._changed: dict[WorkerId, FailureDomain] = {}
+        self._changed: set[tuple[FailureDomain, WorkerId]] = set()
         self._no_room: set[Resources] = set()
 
     def put(self, worker: WorkerId, domain: FailureDomain, room: Resources) -> None:
@@ -141,16 +141,16 @@
             self.drop(worker, domain)
             return
         before = self._rooms.get(worker)
-        if before is None or not room.fits_in(before):
+        if before is None or not room.fits_in(before[1]):
             self._no_room.clear()
-        self._rooms[worker] = room
-        self._changed[worker] = domain
+        self._rooms[worker] = (domain, room)
+        self._changed.add((domain, worker))
         self._all.put(worker, room)
 
     def drop(self, worker: WorkerId, domain: FailureDomain) -> None:
         """Remove a worker, if present."""
         if self._rooms.pop(worker, None) is not None:
-            self._changed[worker] = domain
+            self._changed.add((domain, worker))
             self._all.drop(worker)
 
     def best_fit(self, size: Resources, accept: Accept) -> WorkerId | None:
@@ -161,10 +161,23 @@
         if size in self._no_room:
             return None
         worker = self._all.find(size, accept)
-        if worker is None and self._all.find(size, _any_worker) is None:
-            self._no_room.add(size)
+        if worker is None:
+            self.has_room(size)
         return worker
 
+    def is_full_for(self, size: Resources) -> bool:
+        """Tell whether a search for a size has failed since a worker's room last grew."""
+        return size in self._no_room
+
+    def has_room(self, size: Resources) -> bool:
+        """Tell whether a worker has room for a size; cheap when the answer was no before."""
+        if size in self._no_room:
+            return False
+        if self._all.find(size, _any_worker) is not None:
+            return True
+        self._no_room.add(size)
+        return False
+
     def spread(
         self,
         size: Resources,
@@ -211,13 +224,13 @@
         return None
 
     def _apply_changes(self) -> None:
-        for worker, domain in self._changed.items():
+        for domain, worker in self._changed:
             index = self._domains.setdefault(domain, RoomIndex())
-            room = self._rooms.get(worker)
-            if room is None:
+            known = self._rooms.get(worker)
+            if known is None or known[0] != domain:
                 index.drop(worker)
             else:
-                index.put(worker, room)
+                index.put(worker, known[1])
         self._changed.clear()
 
 
--- a/packages/core/lagoonshelf_core/preemption.py
+++ b/packages/core/lagoonshelf_core/preemption.py
@@ -94,6 +94,8 @@
         worker = holding.worker
         if not may_yield(holding) or not room.is_ready(worker) or not may_use(worker):
             continue
+        if size.fits_in(room.available(worker)):
+            continue  # not short of room: a reserve or a limit keeps the task waiting
         victims = by_worker.setdefault(worker, [])
         if _is_same_service(holding, victims):
             continue
--- a/packages/core/lagoonshelf_core/scheduler.py
+++ b/packages/core/lagoonshelf_core/scheduler.py
@@ -13,10 +13,13 @@
 from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.throttles import Throttles
-from lagoonshelf_core.waiting import Bucket, Line
+from lagoonshelf_core.waiting import Bucket
 
 MayStart = Callable[[Task], bool]
 RECLASS_MS = 250  # effective classes are read again after this time
+IDLE_PASS_MS = 1_000  # deadlines, gangs and lent share are looked at at least this often
+SHARES_CHECK_MS = 1_000  # lent share is asked for after 10 s, so a check each second is enough
+MOST_SIZES_CHECKED = 64  # above this, checking all sizes costs more than a pass
 
 
 class Scheduler:
@@ -33,6 +36,7 @@
         self._throttles = Throttles(self._state)
         self._claims = Claims(self._state, self._throttles)
         self._reclassed_ms: int | None = None
+        self._shares_checked_ms: int | None = None
 
     def set_policy(
         self, teams: dict[TeamId, TeamConfig], queues: dict[QueueId, QueueConfig]
@@ -109,11 +113,10 @@
         self._claims.keep()
         self._gangs.keep()
         for work_class in WorkClass:
-            blocked = self._start_class(work_class)
+            self._start_class(work_class)
             if work_class is WorkClass.URGENT:
-                self._claims.for_urgent(blocked)
-            else:
-                self._claims.for_lent_share(blocked)
+                self._claims.for_urgent(self._left(work_class))
+        self._return_lent_share()
         self._gangs.reserve()
         self._throttles.lift()
         state.fairness.settle(now_ms)
@@ -122,6 +125,8 @@
     def next_pass_ms(self) -> int | None:
         """Return when a pass is due even if nothing changes, or none."""
         times = [self._claims.next_ms()]
+        if self.queue_length() or len(self._throttles):
+            times.append(self._state.now_ms + IDLE_PASS_MS)
         if self._gangs.reservation is not None:
             times.append(self._gangs.reservation.due_ms + 1)
         return min((time for time in times if time is not None), default=None)
@@ -163,41 +168,68 @@
             work_class = state.hooks.effective_class(bucket.head(), state.now_ms)
             state.waiting.set_class(bucket, work_class)
 
-    def _start_class(self, work_class: WorkClass) -> list[Bucket]:
-        """Start what fits, the team furthest below its share first.
-
-        :returns: the buckets whose oldest task did not start, oldest first
-        """
-        state = self._state
-        turns = [
-            (self._score(team), _heap(line), team)
-            for team, line in state.waiting.lines(work_class).items()
-        ]
-        turns = [(score, heap[0][:2], team, heap) for score, heap, team in turns]
+    def _start_class(self, work_class: WorkClass) -> None:
+        """Start what fits, the team furthest below its share first."""
+        if not self._has_any_room(work_class):
+            return
+        turns = []
+        is_full_for = self._is_full_for()
+        for team, line in self._state.waiting.lines(work_class).items():
+            candidates = line.candidates()
+            heap = [(b.order, b.number, b) for b in candidates if not is_full_for(b.key.size)]
+            if heap:
+                turns.append((self._score(team), heap[0][:2], team, heap))
         heapify(turns)
-        blocked: list[Bucket] = []
         while turns:
             _, _, team, heap = heappop(turns)
-            if not self._start_next(heap, blocked) or not heap:
-                continue
-            heappush(turns, (self._score(team), heap[0][:2], team, heap))
-        blocked = [bucket for bucket in blocked if bucket.tasks]
-        return sorted(blocked, key=lambda bucket: bucket.head_order())
+            if self._start_next(heap, is_full_for) and heap:
+                heappush(turns, (self._score(team), heap[0][:2], team, heap))
 
-    def _start_next(self, heap: list, blocked: list[Bucket]) -> bool:
+    def _start_next(self, heap: list, is_full_for: Callable[[Resources], bool]) -> bool:
         """Start the team's oldest task that fits; return whether one was started."""
         while heap:
             _, _, bucket = heappop(heap)
-            if not bucket.tasks:
-                continue
-            if not self._start_head(bucket):
-                blocked.append(bucket)
+            if not bucket.tasks or is_full_for(bucket.key.size) or not self._start_head(bucket):
                 continue
             if bucket.tasks:
                 heappush(heap, (bucket.head_order(), bucket.number, bucket))
             return True
         return False
 
+    def _has_any_room(self, work_class: WorkClass) -> bool:
+        """Tell whether a waiting task of a class may fit; spares reading the lines if not.
+
+        Remembers the sizes for which there is no room.
+        """
+        if self._gangs.reservation is not None:
+            return True
+        sizes = self._state.waiting.sizes(work_class)
+        if len(sizes) > MOST_SIZES_CHECKED:
+            return True
+        found = [self._state.room.placement.has_room(size) for size in sizes]
+        return any(found)
+
+    def _is_full_for(self) -> Callable[[Resources], bool]:
+        """Return the test that spares searches; while room is reserved, backfill may use it."""
+        if self._gangs.reservation is not None:
+            return lambda size: False
+        return self._state.room.placement.is_full_for
+
+    def _left(self, work_class: WorkClass) -> list[Bucket]:
+        """Return the buckets that still have tasks, oldest first."""
+        lines = self._state.waiting.lines(work_class).values()
+        left = [bucket for line in lines for bucket in line.candidates()]
+        return sorted(left, key=lambda bucket: bucket.order)
+
+    def _return_lent_share(self) -> None:
+        now_ms = self._state.now_ms
+        checked_ms = self._shares_checked_ms
+        if checked_ms is not None and now_ms - checked_ms < SHARES_CHECK_MS:
+            return
+        self._shares_checked_ms = now_ms
+        for work_class in (WorkClass.NORMAL, WorkClass.BACKGROUND):
+            self._claims.for_lent_share(self._left(work_class))
+
     def _start_head(self, bucket: Bucket) -> bool:
         state = self._state
         if bucket.key.kind is WorkKind.GANG:
@@ -217,8 +249,3 @@
 
     def _score(self, team: TeamId) -> float:
         return self._state.fairness.score(team, self._state.room.capacity)
-
-
-def _heap(line: Line) -> list[tuple[tuple[int, int], int, Bucket]]:
-    """Return a line's candidates as a heap by the age of their oldest task."""
-    return [(bucket.order, bucket.number, bucket) for bucket in line.candidates()]
--- a/packages/core/lagoonshelf_core/throttles.py
+++ b/packages/core/lagoonshelf_core/throttles.py
@@ -23,6 +23,9 @@
         self._state = state
         self._limited: dict[TaskId, None] = {}
 
+    def __len__(self) -> int:
+        return len(self._limited)
+
     def ask(self, holding: Holding) -> None:
         """Ask the worker to limit a task."""
         holding.asked_percent = THROTTLED_PERCENT
--- a/packages/core/lagoonshelf_core/waiting.py
+++ b/packages/core/lagoonshelf_core/waiting.py
@@ -1,7 +1,7 @@
 """Waiting tasks of a partition in buckets of equal tasks."""
 
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import count
 from typing import NamedTuple
@@ -79,12 +79,14 @@
         self._by_number: dict[int, Bucket] = {}
         self._stale: dict[int, Bucket] = {}
         self._moved_on = 0
+        self._chosen: list[Bucket] | None = None
 
     def __len__(self) -> int:
         return len(self._by_number)
 
     def add(self, bucket: Bucket) -> None:
         """Add a bucket that has a task."""
+        self._chosen = None
         self._by_number[bucket.number] = bucket
         bucket.order = bucket.head_order()
         self._sorted.add((bucket.order, bucket.number))
@@ -94,29 +96,34 @@
         if self._by_number.pop(bucket.number, None) is not None:
             self._sorted.discard((bucket.order, bucket.number))
             self._stale.pop(bucket.number, None)
+            self._chosen = None
 
     def mark(self, bucket: Bucket) -> None:
         """Note that a bucket's oldest task may have changed."""
+        self._chosen = None
         self._stale[bucket.number] = bucket
 
-    def buckets(self) -> list[Bucket]:
-        """Return all buckets."""
-        return list(self._by_number.values())
-
     def candidates(self) -> list[Bucket]:
         """Return the buckets that a pass tries, oldest first."""
-        for bucket in self._stale.values():
-            self._sorted.discard((bucket.order, bucket.number))
-            bucket.order = bucket.head_order()
-            self._sorted.add((bucket.order, bucket.number))
-        self._stale.clear()
+        if self._chosen is not None:
+            return self._chosen
+        self._sort_stale()
         chosen = list(self._sorted.islice(0, OLDEST_TRIED))
         rest = len(self._sorted) - OLDEST_TRIED
         if rest > 0:
             begin = OLDEST_TRIED + (self._moved_on if self._moved_on < rest else 0)
             chosen += self._sorted.islice(begin, begin + OTHERS_TRIED)
             self._moved_on = begin - OLDEST_TRIED + OTHERS_TRIED
-        return [self._by_number[number] for _, number in chosen]
+        found = [self._by_number[number] for _, number in chosen]
+        self._chosen = found if rest <= 0 else None
+        return found
+
+    def _sort_stale(self) -> None:
+        for bucket in self._stale.values():
+            self._sorted.discard((bucket.order, bucket.number))
+            bucket.order = bucket.head_order()
+            self._sorted.add((bucket.order, bucket.number))
+        self._stale.clear()
 
 
 class Waiting:
@@ -127,6 +134,7 @@
         self._buckets: dict[BucketKey, Bucket] = {}
         self._where: dict[TaskId, Bucket] = {}
         self._lines: dict[WorkClass, dict[TeamId, Line]] = {c: {} for c in WorkClass}
+        self._sizes: dict[WorkClass, dict[Resources, int]] = {c: {} for c in WorkClass}
         self._numbers = count()
 
     def __len__(self) -> int:
@@ -151,7 +159,7 @@
         if task.attempt > 0:
             bucket.tasks.move_to_end(task.task, last=False)
         if is_new:
-            self._line(bucket).add(bucket)
+            self._join_line(bucket)
         elif task.attempt > 0:
             self._line(bucket).mark(bucket)
 
@@ -167,6 +175,10 @@
         del self._buckets[bucket.key]
         self._leave_line(bucket)
 
+    def sizes(self, work_class: WorkClass) -> Iterable[Resources]:
+        """Return the distinct sizes of a class's waiting tasks."""
+        return self._sizes[work_class]
+
     def lines(self, work_class: WorkClass) -> dict[TeamId, Line]:
         """Return the lines of a class by team; none is empty."""
         return self._lines[work_class]
@@ -185,7 +197,7 @@
             return
         self._leave_line(bucket)
         bucket.work_class = work_class
-        self._line(bucket).add(bucket)
+        self._join_line(bucket)
 
     def bucket_of(self, task: TaskId) -> Bucket:
         """Return the bucket of a waiting task."""
@@ -198,7 +210,16 @@
             line = lines[bucket.key.team] = Line()
         return line
 
+    def _join_line(self, bucket: Bucket) -> None:
+        self._line(bucket).add(bucket)
+        sizes = self._sizes[bucket.work_class]
+        sizes[bucket.key.size] = sizes.get(bucket.key.size, 0) + 1
+
     def _leave_line(self, bucket: Bucket) -> None:
+        sizes = self._sizes[bucket.work_class]
+        sizes[bucket.key.size] -= 1
+        if sizes[bucket.key.size] == 0:
+            del sizes[bucket.key.size]
         line = self._line(bucket)
         line.discard(bucket)
         if not line:
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -85,6 +85,16 @@
         )
         self.assertEqual(found, expected)
 
+    def test_worker_that_moves_to_another_domain(self) -> None:
+        """Guards against a worker that counts in the domain it has left."""
+        placement = Placement()
+        placement.put("w", "d0", SLOT)
+        placement.spread(SLOT, lambda _: True, 1, {}, {}, lambda _: "r")
+        placement.drop("w", "d0")
+        placement.put("w", "d1", SLOT)
+        found = placement.spread(SLOT, lambda _: True, 1, {"d1": 1}, {}, lambda _: "r")
+        self.assertIsNone(found)
+
 
 class ServiceSpreadTest(unittest.TestCase):
     """Replicas over failure domains and racks."""
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -236,10 +236,13 @@
         """Guards against a pass that tries each of thousands of waiting tasks."""
         scheduler = cell(1, SLOT)
         enqueue(scheduler, [task(team=f"t{n % 5}", queued_ms=n) for n in range(5000)])
-        run(scheduler)
         with patch.object(PassState, "find_worker", return_value=None) as find:
+            run(scheduler)
+            self.assertEqual(find.call_count, 5)
+            find.reset_mock()
+            scheduler.adopt(task(), worker(0, SLOT).worker)
             run(scheduler, 1)
-        self.assertEqual(find.call_count, 5)
+            self.assertEqual(find.call_count, 0)
 
     def test_unusual_sizes_neither_cost_nor_starve(self) -> None:
         """Guards against a pass over thousands of distinct sizes that hide one that fits."""
