--- /dev/null
+++ b/tests/support/fakes.py
@@ -0,0 +1,275 @@
+"""In-memory store, workers and members for tests of one owner."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.document import Document, QueueConfig
+from lagoonshelf_core.ids import PartitionId, QueueId, RequestKey, TeamId, WorkerId
+from lagoonshelf_core.model import RequestSpec, WorkerInfo, WorkKind
+from lagoonshelf_core.resources import Resources
+from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.owner import Owner
+from lagoonshelf_server.settings import Settings
+from lagoonshelf_server.store import Item, StoreError
+from lagoonshelf_server.workers import (
+    Inventory,
+    Reports,
+    StaleEpochError,
+    TaskReport,
+    WorkerError,
+)
+
+CAPACITY = Resources(8000, 8192, 0, 8)
+POLL_S = 0.005
+
+
+class FakeStore:
+    """Keys in memory; ``faults`` holds one fault per coming call of a name.
+
+    A fault is ``down`` (no effect), ``lost`` (effect without an answer) or none.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.faults: dict[str, list[str | None]] = {}
+        self.host_list: list[WorkerInfo] = []
+        self.revision = 0
+        self.calls: list[tuple[str, str]] = []
+
+    @property
+    def last_heard_ms(self) -> int:
+        return Clock().now_ms()
+
+    async def get(self, key: str) -> Item:
+        return await self._answer("get", key, lambda: self.items.get(key, Item(key, None, 0)))
+
+    async def list_keys(self, prefix: str, page: int = 500) -> tuple[list[Item], int]:
+        del page
+        keys = sorted(key for key in self.items if key.startswith(prefix))
+        return await self._answer(
+            "list", prefix, lambda: ([self.items[key] for key in keys], self.revision)
+        )
+
+    async def cas(self, key: str, value: str, version: int, lease: str | None = None) -> bool:
+        del lease
+        return await self._answer("cas", key, lambda: self._write(key, value, version))
+
+    async def delete(self, key: str, version: int) -> bool:
+        return await self._answer("delete", key, lambda: self._write(key, None, version))
+
+    async def hosts(self) -> list[WorkerInfo]:
+        return await self._answer("hosts", "", lambda: list(self.host_list))
+
+    async def _answer(self, name: str, key: str, call):
+        self.calls.append((name, key))
+        await asyncio.sleep(0)
+        planned = self.faults.get(name)
+        fault = planned.pop(0) if planned else None
+        if fault == "down":
+            raise StoreError(f"{name}: down")
+        answer = call()
+        if fault == "lost":
+            raise StoreError(f"{name}: answer lost")
+        return answer
+
+    def _write(self, key: str, value: str | None, version: int) -> bool:
+        current = self.items.get(key)
+        if (current.version if current else 0) != version:
+            return False
+        self.revision += 1
+        if value is None:
+            del self.items[key]
+        else:
+            self.items[key] = Item(key, value, self.revision)
+        return True
+
+
+@dataclass
+class FakeWorker:
+    """One worker; ``mode`` is up, down (no effect) or lost (effect without an answer)."""
+
+    boot_id: str = "boot-1"
+    mode: str = "up"
+    epoch: int = 0
+    runs: dict[str, TaskReport] = field(default_factory=dict)
+    reports: list[TaskReport] = field(default_factory=list)
+    starts: list[tuple[str, int]] = field(default_factory=list)
+    stops: list[str] = field(default_factory=list)
+    acks: list[str] = field(default_factory=list)
+    renewed: set[str] = field(default_factory=set)
+
+
+class FakeWorkers:
+    """Worker client that keeps all workers in memory; the address is the worker's name."""
+
+    def __init__(self, *names: str) -> None:
+        self.workers = {name: FakeWorker() for name in names}
+
+    def infos(self) -> list[WorkerInfo]:
+        return [
+            WorkerInfo(WorkerId(name), name, "fd0", "r0", CAPACITY, boot_id=worker.boot_id)
+            for name, worker in self.workers.items()
+        ]
+
+    def run(self, name: str, meta, state: str = "running", result: str = "") -> None:
+        """Let a worker have a task that some earlier owner started."""
+        self.workers[name].runs[meta.task] = TaskReport(meta, state, result)
+
+    def finish(self, name: str, task: str, state: str = "finished", result: str = "done") -> None:
+        """End a task and report it."""
+        worker = self.workers[name]
+        worker.runs[task] = TaskReport(worker.runs[task].meta, state, result)
+        worker.reports.append(worker.runs[task])
+
+    def starts(self) -> list[tuple[str, int]]:
+        return [start for worker in self.workers.values() for start in worker.starts]
+
+    async def start(self, address, authority, items, lease_ms, expires_ms, timeout_ms):
+        del lease_ms, expires_ms, timeout_ms
+        worker = await self._reach(address, authority)
+        for item in items:
+            worker.starts.append((item.meta.task, item.meta.attempt))
+            worker.runs[item.meta.task] = TaskReport(item.meta, "running", "")
+        if worker.mode == "lost":
+            raise WorkerError("answer lost")
+        return ["started"] * len(items)
+
+    async def renew(self, address, authority, tasks, expires_ms=0):
+        del expires_ms
+        worker = await self._reach(address, authority)
+        worker.renewed |= set(tasks)
+        return [task for task in tasks if task not in worker.runs]
+
+    async def stop(self, address, authority, tasks, checkpoint=False):
+        worker = await self._reach(address, authority)
+        worker.stops += tasks
+        for task in tasks:
+            if task in worker.runs and worker.runs[task].state == "running":
+                self.finish(address, task, "checkpointed" if checkpoint else "stopped", "")
+
+    async def inventory(self, address, authority):
+        worker = await self._reach(address, authority)
+        tasks = tuple(worker.runs.values())
+        return Inventory(tasks, len(worker.reports), worker.boot_id, Clock().now_ms(), False)
+
+    async def report(self, address, cursor, boot_id):
+        worker = await self._reach(address, None)
+        if boot_id != worker.boot_id:
+            return Reports(True)
+        found = tuple(worker.reports[cursor:])
+        if not found:
+            await asyncio.sleep(POLL_S)
+        return Reports(False, found, cursor + len(found), Clock().now_ms(), False)
+
+    async def ack(self, address, tasks):
+        self.workers[address].acks += tasks
+
+    async def _reach(self, name: str, authority) -> FakeWorker:
+        await asyncio.sleep(0)
+        worker = self.workers[name]
+        if worker.mode == "down":
+            raise WorkerError("down")
+        if authority is not None:
+            if authority.epoch < worker.epoch:
+                raise StaleEpochError(name)
+            worker.epoch = authority.epoch
+        return worker
+
+
+class FakeMembers:
+    """A lease that lasts until a test ends it."""
+
+    def __init__(self) -> None:
+        self.lease = "lease-1"
+        self.alive = True
+
+    def may_act(self) -> bool:
+        return self.alive
+
+
+class FakeConfig:
+    """A configuration with one queue."""
+
+    document = Document(queues={"q": QueueConfig()})
+
+
+class OneOwner:
+    """A store, workers, and one owner after another of the only partition."""
+
+    def __init__(self, *workers: str, **flags: object) -> None:
+        values = {
+            "member": "m1",
+            "failure_domain": "fd0",
+            "store_url": "http://127.0.0.1:1",
+            "cluster_secret": "secret-of-the-test",
+            "operator_key_sha256": "0" * 64,
+            "partitions": 1,
+            "takeover_margin_ms": 1,
+            "task_lease_ms": 600,
+            "task_renew_ms": 100,
+            "start_timeout_ms": 200,
+            "journal_flush_ms": 1,
+            **flags,
+        }
+        self.cfg = Settings.model_validate(values)
+        self.store = FakeStore()
+        self.workers = FakeWorkers(*workers)
+        self.store.host_list = self.workers.infos()
+        self.members = FakeMembers()
+        self.bridge = Bridge(asyncio.get_running_loop(), 1)
+
+    def new(self) -> Owner:
+        """Return an owner before its takeover."""
+        return Owner(
+            self.cfg,
+            PartitionId(0),
+            Clock(),
+            self.bridge,
+            self.store,
+            self.workers,
+            self.members,
+            FakeConfig(),
+        )
+
+    async def taken_over(self) -> Owner:
+        """Return an owner after its takeover."""
+        owner = self.new()
+        await owner.take_over()
+        return owner
+
+    async def crash(self, owner: Owner) -> None:
+        """Let an owner end as its process would: nothing more is sent."""
+        owner._lease = "ended"
+        owner.close()
+        await asyncio.sleep(0.02)
+
+    def close(self) -> None:
+        self.bridge.close()
+
+
+def spec(key: str, **fields: object) -> RequestSpec:
+    """Return a request that waits for one second."""
+    values = {
+        "team": TeamId("t"),
+        "queue": QueueId("q"),
+        "request_key": RequestKey(key),
+        "kind": WorkKind.INTERACTIVE,
+        "repeatable": True,
+        "size": Resources(1000, 512, 0, 1),
+        "run_ms": 10,
+        "tasks": 1,
+        "payload": f"payload of {key}",
+        "timeout_ms": 1000,
+    }
+    return RequestSpec(**{**values, **fields})
+
+
+async def until(check, timeout_s: float = 5.0) -> None:
+    """Poll until a condition holds.
+
+    :raises TimeoutError: when it does not
+    """
+    async with asyncio.timeout(timeout_s):
+        while not check():
+            await asyncio.sleep(POLL_S)
