--- a/packages/server/lagoonshelf_server/journal_writer.py
+++ b/packages/server/lagoonshelf_server/journal_writer.py
@@ -20,7 +20,7 @@
 from lagoonshelf_core.replay import JournalState
 
 from lagoonshelf_server.logs import logger
-from lagoonshelf_server.store import StoreClient, StoreError, writer_token
+from lagoonshelf_server.store import Item, StoreClient, StoreError, writer_token
 
 MAX_ENTRIES = 1000
 SETTLE_INTERVAL_S = 0.2
@@ -164,17 +164,30 @@
 
         :raises JournalLostError: when another writer has the key
         """
+        answered = False
         try:
             if await self._store.cas(key, text, 0):
                 return True
+            answered = True
             item = await self._store.get(key)
         except StoreError as exc:
-            self._store_failed(str(exc))
+            item = None if answered else await self._read_back(key)
+            if item is None:
+                self._store_failed(str(exc))
+                return False
+        if item.value is None and not answered:
             return False
         if item.value is not None and decode_segment(item.value).token == token:
             return True
         raise JournalLostError(key)
 
+    async def _read_back(self, key: str) -> Item | None:
+        """Read a segment whose write was not answered, or none."""
+        try:
+            return await self._store.get(key)
+        except StoreError:
+            return None
+
     def _store_failed(self, reason: str) -> None:
         """Refuse the entries of which nothing was sent yet and that need not wait."""
         if not self._away:
--- a/tests/server/test_journal_writer.py
+++ b/tests/server/test_journal_writer.py
@@ -59,6 +59,13 @@
         self.assertEqual(len(self.segments()), 1)
         self.assertEqual(self.writer.number, 2)
 
+    async def test_write_is_known_while_all_answers_to_writes_are_lost(self) -> None:
+        """Guards against an entry that waits for ever although it can be read back."""
+        self.store.faults = {"cas": ["lost"] * 100}
+        async with asyncio.timeout(5):
+            await self.writer.append([accept("a")])
+        self.assertEqual(self.writer.number, 2)
+
     async def test_conflict_with_a_failed_read_waits_for_the_truth(self) -> None:
         """Guards against a lost journal that is reported as an outage."""
         self.store._write("journal/0/000000000001", encode_segment(Segment(2, "x", [])), 0)
