Bound drain, and keep partitions that nobody else can take

Cause: three daemons drained at once released their partitions to each other, so that held callers got OUTCOME_UNKNOWN; after the drain timeout the process stayed until its HTTP threads had answers ('not within 30.0 s: process ended'). Change: a draining process claims a free partition while it holds callers and every other member drains too; at the timeout the held callers are answered and the process ends.

--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -260,7 +260,7 @@
         while True:
             await asyncio.sleep(CLAIM_INTERVAL_S)
             self._drop_lost()
-            if self.members.may_act() and not self.members.draining:
+            if self.members.may_act() and self._drain.may_claim():
                 await self._claim_free()
 
     def _drop_lost(self) -> None:
@@ -272,7 +272,8 @@
                 del self.owners[partition]
 
     async def _claim_free(self) -> None:
-        preferred = self.members.preferred()
+        everywhere = dict.fromkeys(map(PartitionId, range(self.cfg.partitions)), self.members.me)
+        preferred = self.members.preferred() or everywhere
         now_ms = self.clock.now_ms()
         for partition, member in preferred.items():
             if partition in self.members.owner_keys or partition in self.owners:
--- a/packages/server/lagoonshelf_server/drain.py
+++ b/packages/server/lagoonshelf_server/drain.py
@@ -64,18 +64,31 @@
             await asyncio.wait_for(self._finish(), self._cfg.drain_timeout_ms / 1000)
         except TimeoutError:
             _log.warning("drain timed out", in_flight=self._requests.in_flight)
+            self._requests.give_up()
+            await asyncio.sleep(LAST_ANSWER_S)
         self._enter(DrainState.CLOSED)
         self._end()
         await self._leave()
 
+    def may_claim(self) -> bool:
+        """Tell whether this process may take a free partition over.
+
+        A draining process does so only for callers that it holds, when nobody else will.
+        """
+        if self.state is DrainState.SERVING:
+            return True
+        held = self.state is not DrainState.CLOSED and self._requests.in_flight > 0
+        return held and not self._has_successor()
+
     async def _finish(self) -> None:
-        if not self._has_successor():
-            # Callers whose partition is here would wait for an owner that never comes.
+        while self._owners or self._requests.in_flight:
+            if not self._has_successor():
+                # Callers whose partition is here would wait for an owner that never comes.
+                await self._wait_answered()
+            for partition in sorted(self._owners):
+                await self._release(partition)
+            self._enter(DrainState.FINISHING)
             await self._wait_answered()
-        for partition in sorted(self._owners):
-            await self._release(partition)
-        self._enter(DrainState.FINISHING)
-        await self._wait_answered()
 
     async def _release(self, partition: PartitionId) -> None:
         """Release a partition; it is kept and served while the store cannot be reached."""
--- a/packages/server/lagoonshelf_server/requests.py
+++ b/packages/server/lagoonshelf_server/requests.py
@@ -38,7 +38,8 @@
 
         :param find_owner: returns the owner in this process, if it is here
         """
-        self.in_flight = 0
+        self._routing: set[asyncio.Task[Answer]] = set()
+        self._given_up = False
         self._cfg = cfg
         self._clock = clock
         self._members = members
@@ -77,12 +78,31 @@
             await owner.cancel(record)
         return answer_of(record)
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of callers that wait here."""
+        return len(self._routing)
+
+    def give_up(self) -> None:
+        """Answer all waiting callers now, since the process ends."""
+        self._given_up = True
+        for routing in self._routing:
+            routing.cancel()
+
     async def _route(self, kind: str, body: Submit | RequestRef, timeout_ms: int) -> Answer:
-        self.in_flight += 1
+        end_ms = self._clock.now_ms() + timeout_ms
+        routing = asyncio.ensure_future(self._route_until(kind, body, end_ms))
+        self._routing.add(routing)
         try:
-            return await self._route_until(kind, body, self._clock.now_ms() + timeout_ms)
+            return await routing
+        except asyncio.CancelledError:
+            if not self._given_up:
+                raise
+            text = "the process ended before the answer"
+            return Answer(ResultCode.OUTCOME_UNKNOWN.number, text, state="unknown")
         finally:
-            self.in_flight -= 1
+            routing.cancel()
+            self._routing.discard(routing)
 
     async def _route_until(self, kind: str, body: Submit | RequestRef, end_ms: int) -> Answer:
         unanswered = False
--- /dev/null
+++ b/tests/processes/test_recovery.py
@@ -0,0 +1,91 @@
+"""Accepted work over the death of all daemons, on real processes."""
+
+from lagoonshelf_standins.cell import wait_until
+
+from tests.support.base import CellTestCase, interactive
+from tests.support.failures import key_owned_by, most_at_once, owner_of, starts_of
+
+
+class RecoveryTest(CellTestCase):
+    """Work that outlives its owners; task leases are long enough for a restart of all daemons."""
+
+    workers = 8
+
+    def setUp(self) -> None:
+        super().setUp()
+        for name in list(self.cell.daemons):
+            self.cell.kill(name)
+        self.cell.set_daemon_flags(task_lease_ms=20_000, task_renew_ms=1000)
+        self.start_daemons()
+
+    def start_daemons(self) -> None:
+        for number in range(1, self.daemons + 1):
+            self.cell.start_daemon(f"d{number}", number)
+        self.cell.wait_healthy()
+        self.cell.wait_owned()
+
+    def restart_all(self) -> None:
+        for name in list(self.cell.daemons):
+            self.cell.kill(name)
+        self.start_daemons()
+
+    def accept(self, key: str, **fields: object) -> None:
+        answer = self.cell.submit("d1", "fitting", interactive(key, **fields))
+        self.assertEqual(answer["name"], "ACCEPTED", answer)
+
+    def ended(self, key: str) -> dict | None:
+        """Return the answer once a request has ended."""
+        answer = self.cell.lookup("d1", "fitting", key)
+        return answer if answer and answer["state"] in ("finished", "failed") else None
+
+    def test_jobs_survive_all_daemons(self) -> None:
+        """Guards against accepted work that is lost, doubled or cut when all daemons die."""
+        kinds = {
+            "batch": {"kind": "batch", "tasks": 6},
+            "once": {"kind": "batch", "tasks": 3, "repeatable": False},
+            "gang": {"kind": "gang", "tasks": 4},
+        }
+        for key, fields in kinds.items():
+            self.accept(key, run_ms=12_000, **fields)
+        for key, fields in kinds.items():
+            wait_until(lambda key=key, n=fields["tasks"]: len(starts_of(self.cell, key)) == n, key)
+        self.restart_all()
+        for key, fields in kinds.items():
+            wait_until(lambda key=key: self.ended(key), f"{key} ended")
+            answer = self.ended(key)
+            self.assertEqual(answer["name"], "OK", answer)
+            self.assertEqual(answer["tasks"]["finished"], fields["tasks"])
+            self.assertEqual(len(starts_of(self.cell, key)), fields["tasks"])
+
+    def test_service_survives_all_daemons_and_ends_by_cancel(self) -> None:
+        """Guards against services that vanish, double or cannot be ended after a takeover."""
+        self.accept("web", kind="service", tasks=3)
+        wait_until(lambda: len(starts_of(self.cell, "web")) == 3, "replicas")
+        self.restart_all()
+        self.assertEqual(len(starts_of(self.cell, "web")), 3)
+        url = f"{self.cell.daemons['d1'].url}/v1/requests/web"
+        self.cell.call(url, team="fitting", method="DELETE")
+        wait_until(lambda: self.ended("web"), "cancelled")
+        self.assertEqual(most_at_once(self.cell, "web"), 1)
+
+    def test_results_of_repeatable_requests_survive_all_daemons(self) -> None:
+        """Guards against a second run of a request whose result a worker still keeps."""
+        body = interactive("kept")
+        first = self.cell.submit("d1", "fitting", body)
+        self.restart_all()
+        second = self.cell.submit("d2", "fitting", body)
+        self.assertEqual(second["result"], first["result"], second)
+        self.assertEqual(len(starts_of(self.cell, "kept")), 1)
+        other = self.cell.submit("d2", "fitting", {**body, "payload": "other"})
+        self.assertEqual(other["name"], "KEY_REUSED", other)
+
+    def test_takeover_with_an_unreachable_worker(self) -> None:
+        """Guards against a partition without an owner because one worker is silent."""
+        owner = owner_of(self.cell, "fitting", "seed")
+        key = key_owned_by(self.cell, "fitting", owner)
+        self.cell.control_workers(workers=["w000", "w001"], set={"mode": "down"})
+        self.cell.kill(owner)
+        self.cell.wait_owned()
+        name = next(iter(self.cell.daemons))
+        answer = self.cell.submit(name, "fitting", interactive(key, repeatable=False))
+        self.assertEqual(answer["name"], "OK", answer)
--- a/tests/server/test_journal_writer.py
+++ b/tests/server/test_journal_writer.py
@@ -77,7 +77,7 @@
 
     async def test_outage_refuses_what_was_not_sent_and_keeps_the_rest(self) -> None:
         """Guards against callers held by an outage, and against outcomes dropped by it."""
-        self.store.faults = {"cas": ["down"] * 5}
+        self.store.faults = {"cas": ["down"] * 5, "get": ["down"] * 5}
         first = asyncio.ensure_future(self.writer.append([accept("a")]))
         await until(lambda: ("cas", "journal/0/000000000001") in self.store.calls)
         await asyncio.sleep(0.01)
