--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -67,7 +67,15 @@
         self.stopped = asyncio.Event()
         self._free_since_ms: dict[PartitionId, int] = {}
         self._keeping_lease: asyncio.Task | None = None
-        self._drain = Drain(cfg, self.store, self.members, self.owners, self.requests, self._end)
+        self._drain = Drain(
+            cfg,
+            self.store,
+            self.members,
+            self.owners,
+            self.requests,
+            self._stop_lease,
+            self.stopped,
+        )
 
     async def start(self) -> None:
         """Begin to listen to peers and run the loops."""
@@ -82,11 +90,9 @@
         """Finish what callers wait for, hand all partitions over, and let the process end."""
         await self._drain.run()
 
-    def _end(self) -> None:
-        """Let the lease end and the process with it."""
+    def _stop_lease(self) -> None:
         if self._keeping_lease is not None:
             self._keeping_lease.cancel()
-        self.stopped.set()
 
     def services(self) -> Services:
         """Return what the HTTP entry may call."""
--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -33,6 +33,10 @@
     cfg = result.unwrap()
     set_up_logs(cfg.log_level, cfg.member)
     asyncio.run(_serve(cfg))
+    # Threads in long polls would hold the end of the process for up to 12 s.
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 async def _serve(cfg: Settings) -> None:
--- a/packages/server/lagoonshelf_server/dispatch.py
+++ b/packages/server/lagoonshelf_server/dispatch.py
@@ -132,16 +132,17 @@
             await asyncio.sleep(self._cfg.task_renew_ms / 1000)
             if not self._hooks.may_act():
                 continue
+            tasks = self.fleet.tasks_by_worker()
             for link in list(self.fleet.links.values()):
                 # An unread worker gets no renewal, so that its leases end at a known time.
                 if link.state is not WorkerState.UNREAD:
-                    self._bridge.spawn(self._renew(link))
+                    self._bridge.spawn(self._renew(link, tasks[link.info.worker]))
                     self._bridge.spawn(self._ack(link))
             self.fleet.check()
 
-    async def _renew(self, link: WorkerLink) -> None:
+    async def _renew(self, link: WorkerLink, tasks: list[Task]) -> None:
         held = (TaskState.RUNNING, TaskState.STOPPING)
-        running = [t.task for t in self.fleet.tasks_on(link.info.worker) if t.state in held]
+        running = [task.task for task in tasks if task.state in held]
         if not running or not self._hooks.may_act():
             return
         link.touch()
@@ -183,7 +184,7 @@
             raise WorkerError("a start may still be on its way")
         self._hooks.on_read(worker, inventory)
         # After a takeover the leases were last renewed by the predecessor.
-        self._bridge.spawn(self._renew(link))
+        self._bridge.spawn(self._renew(link, self.fleet.tasks_on(worker)))
 
     def _settle(
         self, link: WorkerLink, inventory: Inventory, task: Task, report: TaskReport | None
--- a/packages/server/lagoonshelf_server/drain.py
+++ b/packages/server/lagoonshelf_server/drain.py
@@ -40,11 +40,13 @@
         members: Members,
         owners: dict[PartitionId, Owner],
         requests: Requests,
-        end: Callable[[], None],
+        stop_lease: Callable[[], None],
+        stopped: asyncio.Event,
     ) -> None:
         """Begin while the process serves.
 
-        :param end: stops the renewal of the lease and lets the process end
+        :param stop_lease: ends the renewal of the process lease
+        :param stopped: set when the process may end
         """
         self.state = DrainState.SERVING
         self._cfg = cfg
@@ -52,7 +54,8 @@
         self._members = members
         self._owners = owners
         self._requests = requests
-        self._end = end
+        self._stop_lease = stop_lease
+        self._stopped = stopped
 
     async def run(self) -> None:
         """Hand over the partitions one by one, wait for callers, and let the process end."""
@@ -67,8 +70,8 @@
             self._requests.give_up()
             await asyncio.sleep(LAST_ANSWER_S)
         self._enter(DrainState.CLOSED)
-        self._end()
         await self._leave()
+        self._stopped.set()
 
     def may_claim(self) -> bool:
         """Tell whether this process may take a free partition over.
@@ -119,6 +122,7 @@
         """End the lease, so that others need not wait until it lapses."""
         for owner in self._owners.values():
             owner.close()
+        self._stop_lease()
         lease, self._members.lease = self._members.lease, None
         try:
             if lease is not None:
--- a/packages/server/lagoonshelf_server/fleet.py
+++ b/packages/server/lagoonshelf_server/fleet.py
@@ -1,6 +1,7 @@
 """The workers of one owned partition: who is there, who was read, who is lost."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 
 from lagoonshelf_core.clock import Clock
@@ -88,6 +89,14 @@
         """Return the tasks that the scheduler has on a worker."""
         return [task for task in self._scheduler.tasks.values() if task.worker == worker]
 
+    def tasks_by_worker(self) -> dict[WorkerId, list[Task]]:
+        """Return the tasks of all workers, grouped in one pass."""
+        found: dict[WorkerId, list[Task]] = defaultdict(list)
+        for task in self._scheduler.tasks.values():
+            if task.worker is not None:
+                found[task.worker].append(task)
+        return found
+
     def all_read(self) -> bool:
         """Tell whether no worker can run a task that is not known."""
         return all(
--- a/packages/server/lagoonshelf_server/intake.py
+++ b/packages/server/lagoonshelf_server/intake.py
@@ -56,7 +56,7 @@
     async def cancel(self, record: Record) -> None:
         """Cancel what has not ended yet."""
         self._check_active()
-        await self._wait_accepted(record.id)
+        await self.wait_accepted(record.id)
         if record.cancelled or record.ended:
             return
         if record.durable:
@@ -71,6 +71,7 @@
             elif task.state is TaskState.RUNNING:
                 self._events.stop(task)
         self._recovery.begin(record)
+        self._check_may_answer()
 
     async def _admit(self, spec: RequestSpec, end_ms: int) -> Record:
         if spec.repeatable and spec.kind is WorkKind.INTERACTIVE:
@@ -84,7 +85,7 @@
             accepting = asyncio.ensure_future(self._accept(record))
             self._accepting[record.id] = accepting
             accepting.add_done_callback(_retrieve)
-        await self._wait_accepted(record.id)
+        await self.wait_accepted(record.id)
         self._part.create_tasks(record)
         return record
 
@@ -107,7 +108,7 @@
         finally:
             del self._accepting[record.id]
 
-    async def _wait_accepted(self, request: RequestId) -> None:
+    async def wait_accepted(self, request: RequestId) -> None:
         """Wait until an acceptance in progress is known to be durable."""
         accepting = self._accepting.get(request)
         if accepting is not None:
@@ -117,8 +118,12 @@
         if record.ended:
             return
         left_s = (end_ms - self._part.clock.now_ms()) / 1000
-        if await self._part.waiters.wait(record.id, left_s) or record.ended:
-            return
+        try:
+            if await self._part.waiters.wait(record.id, left_s) or record.ended:
+                return
+        except asyncio.CancelledError:
+            self._time_out(record)
+            raise
         raise LagoonshelfError(self._time_out(record))
 
     def _time_out(self, record: Record) -> Fault:
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -177,6 +177,10 @@
         """Cancel what has not ended yet."""
         await self._intake.cancel(record)
 
+    async def wait_accepted(self, record: Record) -> None:
+        """Wait until a record may be shown: its acceptance is durable or refused."""
+        await self._intake.wait_accepted(record.id)
+
     async def release(self) -> None:
         """Hand the partition over: stop, write the release entry, delete the owner key."""
         self.state = OwnerState.RELEASING
@@ -202,6 +206,7 @@
             self.dispatch.fleet.close()
         if self._journal is not None:
             self._journal.stop()
+        self._recovery.close()
         self._part.waiters.refuse_all(self._part.owner_left())
 
     async def _pass_forever(self) -> None:
--- a/packages/server/lagoonshelf_server/recovery.py
+++ b/packages/server/lagoonshelf_server/recovery.py
@@ -43,20 +43,28 @@
 
     async def wait_read(self) -> None:
         """Wait until each worker was read or failed to answer, at most until leases are over."""
-        while not self.dispatch.fleet.all_tried() and self._part.clock.now_ms() < self._end_ms:
+        while not self.dispatch.fleet.all_tried() and not self._is_over():
             await asyncio.sleep(POLL_S)
 
     async def settle(self) -> None:
         """Wait until no task of an earlier epoch can run unseen, then start what is left."""
-        while not self.dispatch.fleet.all_read() and self._part.clock.now_ms() < self._end_ms:
+        while not self.dispatch.fleet.all_read() and not self._is_over():
             await asyncio.sleep(POLL_S)
-        for key, intent in list(self._intents.items()):
-            self._give_up(key, intent)
         self._part.held = False
         for record in list(self._part.book.records.values()):
             self.begin(record)
         self._notify()
         _log.info("recovery settled", partition=self._part.number)
+        while self._intents and not self._is_over():
+            await asyncio.sleep(POLL_S)
+        for key, intent in list(self._intents.items()):
+            # The host list does not have the worker, or it belongs to another partition.
+            self._give_up(key, intent)
+
+    def close(self) -> None:
+        """Let callers go on that wait for a worker to be read."""
+        self._part.held = False
+        self._notify()
 
     def begin(self, record: Record) -> None:
         """Queue what a restored record still needs, or end it when it was cancelled."""
@@ -248,6 +256,10 @@
             # Only a retry knows the payload; it begins a new record.
             self._part.book.drop(record)
 
+    def _is_over(self) -> bool:
+        """Tell whether all task leases that the predecessor gave have ended."""
+        return self._part.clock.now_ms() >= self._end_ms
+
     def _notify(self) -> None:
         self._changed.set()
 
--- a/packages/server/lagoonshelf_server/requests.py
+++ b/packages/server/lagoonshelf_server/requests.py
@@ -74,6 +74,7 @@
         if record is None:
             text = f"no request {body.request_key!r}"
             raise LagoonshelfError(Fault(ResultCode.NOT_FOUND, text))
+        await owner.wait_accepted(record)
         if kind == "cancel":
             await owner.cancel(record)
         return answer_of(record)
@@ -147,9 +148,12 @@
         partition = self._partition(body)
         if self._find_owner(partition) is not None:
             try:
-                return await self.handle(kind, body)
+                left_s = (end_ms + CALL_MARGIN_MS - self._clock.now_ms()) / 1000
+                return await asyncio.wait_for(self.handle(kind, body), left_s)
             except LagoonshelfError as exc:
                 return answer_of_fault(exc.fault)
+            except TimeoutError:
+                return None
         info = self._members.owner_of(partition)
         if info is None or info.member not in self._members.others:
             return answer_of_fault(Fault(ResultCode.NO_OWNER, "no owner is known"))
--- a/packages/server/lagoonshelf_server/snapshots.py
+++ b/packages/server/lagoonshelf_server/snapshots.py
@@ -78,8 +78,24 @@
     :raises SnapshotError: when another process has written a snapshot
     """
     current = await store.get(_current_key(partition))
-    if current.value is not None and orjson.loads(current.value)["number"] >= number:
+    covered = orjson.loads(current.value)["number"] if current.value is not None else 0
+    if covered > number:
         raise SnapshotError(f"partition {partition} has a newer snapshot")
+    if covered < number:
+        await _replace(store, partition, epoch, entries, number, current)
+    await delete_covered(store, partition)
+    _log.info("snapshot in force", partition=partition, number=number)
+
+
+async def _replace(
+    store: StoreClient,
+    partition: PartitionId,
+    epoch: Epoch,
+    entries: list[Entry],
+    number: int,
+    current: Item,
+) -> None:
+    """Write the parts of a snapshot, then make it the one in force."""
     token = writer_token()
     parts = _pack(entries, epoch, token)
     for index, text in enumerate(parts):
@@ -88,8 +104,6 @@
     text = orjson.dumps(body).decode()
     if not await store.cas(_current_key(partition), text, current.version):
         raise SnapshotError(f"partition {partition} was given another snapshot")
-    await delete_covered(store, partition)
-    _log.info("snapshot written", partition=partition, number=number, parts=len(parts))
 
 
 async def delete_covered(store: StoreClient, partition: PartitionId) -> int:
--- a/tests/server/test_owner.py
+++ b/tests/server/test_owner.py
@@ -191,6 +191,38 @@
         await asyncio.gather(first, second)
         await self.started()
 
+    async def test_failed_task_ends_after_three_attempts(self) -> None:
+        """Guards against a failing task that is started for ever, or ends at once."""
+        waiting = self.submit("bad")
+        for count in (1, 2, 3):
+            self.cell.workers.finish("w0", await self.started(count), "failed", "no disk")
+        record = await waiting
+        self.assertIs(record.outcomes[0].code, ResultCode.TASK_FAILED)
+        self.assertEqual([attempt for _, attempt in self.worker.starts], [1, 2, 3])
+
+    async def test_intent_that_the_store_refuses_is_not_run(self) -> None:
+        """Guards against a start without an intent, and against a wrong refusal."""
+        self.owner._journal._away = True
+        waiting = self.submit("once", repeatable=False)
+        self.assertIs(await self.code_of(waiting), ResultCode.STORE_UNAVAILABLE)
+        self.assertEqual(self.worker.starts, [])
+        self.owner._journal._away = False
+        waiting = self.submit("once", repeatable=False)
+        self.cell.workers.finish("w0", await self.started())
+        self.assertIs(await self.code_of(waiting), ResultCode.OK)
+
+    async def test_callers_held_by_an_unread_worker_leave_with_the_owner(self) -> None:
+        """Guards against a caller held until the timeout by an owner that is gone."""
+        await self.cell.crash(self.owner)
+        self.worker.mode = "down"
+        self.cell.members.lease = "lease-2"
+        owner = await self.cell.taken_over()
+        waiting = asyncio.ensure_future(owner.submit(spec("held", timeout_ms=60_000)))
+        await asyncio.sleep(0.02)
+        owner.close()
+        async with asyncio.timeout(5):
+            self.assertIs(await self.code_of(waiting), ResultCode.OWNER_LEFT)
+
     async def test_nothing_leaves_past_the_deadline(self) -> None:
         """Guards against an answer or a start by an owner whose lease may have ended."""
         waiting = self.submit("late")
--- a/tests/server/test_recovery.py
+++ b/tests/server/test_recovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from lagoonshelf_core.errors import LagoonshelfError, ResultCode
 from lagoonshelf_core.journal import (
@@ -197,3 +198,45 @@
                 self.cell.workers.finish(name, task)
         await until(lambda: second.book.find("t", "batch").ended)
         self.assertEqual(second.book.find("t", "batch").failed, 0)
+
+    async def test_worker_without_fencing_is_read_after_the_start_timeout(self) -> None:
+        """Guards against a late start of the predecessor that an early inventory misses."""
+        self.journal(self.intent())
+        infos = self.cell.store.host_list
+        self.cell.store.host_list = [replace(info, fencing=False) for info in infos]
+        takeover = asyncio.ensure_future(self.cell.taken_over())
+        await asyncio.sleep(self.cell.cfg.start_timeout_ms / 2000)
+        self.cell.workers.run("w0", meta_of(self.once, "0.1.1"))
+        owner = await takeover
+        self.assertIn("0.1.1", owner.scheduler.tasks)
+        self.assertEqual(self.entries(VoidEntry), [])
+
+    async def test_cancelled_job_is_not_started_by_the_successor(self) -> None:
+        """Guards against work that runs after its cancellation was journaled."""
+        first = await self.cell.taken_over()
+        self.cell.store.host_list = []
+        batch = spec("batch", kind=WorkKind.BATCH, tasks=20)
+        await first.submit(batch)
+        await first.cancel(first.book.find("t", "batch"))
+        await self.cell.crash(first)
+        started = len(self.cell.workers.starts())
+        self.cell.store.host_list = self.cell.workers.infos()
+        second = await self.cell.taken_over()
+        await until(lambda: second.book.find("t", "batch").ended)
+        self.assertEqual(len(self.cell.workers.starts()), started)
+
+    async def test_restarts_of_a_service_settle_after_a_takeover(self) -> None:
+        """Guards against replicas that vanish or double when the owner dies at a restart."""
+        first = await self.cell.taken_over()
+        web = spec("web", kind=WorkKind.SERVICE, tasks=1, repeatable=False)
+        await first.submit(web)
+        await until(self.cell.workers.starts)
+        ((task, _),) = self.cell.workers.starts()
+        worker = next(name for name, w in self.cell.workers.workers.items() if w.starts)
+        self.cell.workers.finish(worker, task)
+        await until(lambda: task not in first.scheduler.tasks)
+        await self.cell.crash(first)
+        second = await self.cell.taken_over()
+        await until(lambda: len(self.cell.workers.starts()) == 2)
+        self.assertEqual(self.cell.workers.starts()[-1], (task, 2))
+        self.assertFalse(second.book.find("t", "web").ended)
