--- a/packages/server/lagoonshelf_server/claims.py
+++ b/packages/server/lagoonshelf_server/claims.py
@@ -5,7 +5,7 @@
 
 import orjson
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.ids import PartitionId
+from lagoonshelf_core.ids import MemberId, PartitionId
 from lagoonshelf_core.membership import NEVER
 from lagoonshelf_core.ownership import claim_due, may_take_over
 
@@ -30,11 +30,13 @@
         members: Members,
         owners: dict[PartitionId, Owner],
         new_owner: Callable[[PartitionId], Owner],
+        may_claim: Callable[[], bool],
     ) -> None:
         """Set up.
 
         :param owners: partitions of this process, kept up to date here
         :param new_owner: builds the owner of a claimed partition
+        :param may_claim: false while a drain hands partitions over
         """
         self._clock = clock
         self._bridge = bridge
@@ -42,6 +44,7 @@
         self._members = members
         self._owners = owners
         self._new_owner = new_owner
+        self._may_claim = may_claim
         self._takeovers: dict[PartitionId, asyncio.Task] = {}
         self._free_since_ms: dict[PartitionId, int] = {}
         self._former: dict[PartitionId, int] = {}
@@ -51,7 +54,7 @@
         while True:
             await asyncio.sleep(CLAIM_INTERVAL_S)
             self._drop_lost()
-            if self._members.lease and self._members.holds_lease() and not self._members.draining:
+            if self._members.lease and self._members.holds_lease() and self._may_claim():
                 await asyncio.gather(*(self._claim(partition) for partition in self._due()))
 
     def drop(self, partition: PartitionId) -> None:
@@ -77,7 +80,7 @@
         now_ms = self._clock.now_ms()
         me = self._members.me
         due = []
-        for partition, preferred in self._members.preferred().items():
+        for partition, preferred in self._preferred().items():
             holder = self._members.owner_keys.get(partition)
             if partition in self._owners or holder not in (None, me):
                 self._free_since_ms.pop(partition, None)
@@ -88,6 +91,11 @@
                 due.append(partition)
         return due
 
+    def _preferred(self) -> dict[PartitionId, MemberId]:
+        """Return who should own each partition; this process when all members are draining."""
+        everywhere = map(PartitionId, range(self._members.cfg.partitions))
+        return self._members.preferred() or dict.fromkeys(everywhere, self._members.me)
+
     def _may_take_over(self) -> bool:
         return may_take_over(self._members.tenure, self._clock.now_ms())
 
--- a/packages/server/lagoonshelf_server/journal_writer.py
+++ b/packages/server/lagoonshelf_server/journal_writer.py
@@ -164,9 +164,11 @@
 
         :raises JournalLostError: when another writer has the key
         """
+        refused = False
         try:
             if await self._store.cas(key, text, 0):
                 return True
+            refused = True
         except StoreError as exc:
             self._store_failed(str(exc))
         # The answer may be lost although the write has taken effect.
@@ -175,9 +177,10 @@
         except StoreError as exc:
             self._store_failed(str(exc))
             return False
-        if item.value is None:
+        if item.value is None and not refused:
             return False
-        if decode_segment(item.value).token == token:
+        # A key that was taken and is gone was compacted by a later owner.
+        if item.value is not None and decode_segment(item.value).token == token:
             return True
         raise JournalLostError(key)
 
