Try equal gangs that do not fit only once

Ruled out: comparing the free slots with the number of members; room that is free but too small passes that test. Change: the smallest gang of a kind that failed is remembered until a worker's room grows; expected endings are read once per pass; planning rests for 100 ms after four gangs without a plan; a reservation adds up its room once. Conclusion: many waiting gangs no longer hold up a pass.

--- a/packages/core/lagoonshelf_core/gang_pass.py
+++ b/packages/core/lagoonshelf_core/gang_pass.py
@@ -10,13 +10,19 @@
     expected_end_ms,
     plan,
 )
-from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.ids import QueueId, TaskId, WorkerId
 from lagoonshelf_core.model import Task, TaskState, WorkKind
 from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.waiting import GroupId
 
-PLANS_PER_PASS = 4  # a plan reads all running tasks
+# A plan reads all running tasks; with many gangs for which there is none, planning is limited.
+PLANS_PER_PASS = 4
+PLAN_INTERVAL_MS = 100
+
+MOST_REMEMBERED = 1_000  # kinds of gangs that were found not to fit
+
+Shape = tuple[Resources, QueueId, bool]
 
 
 class GangPass:
@@ -26,6 +32,9 @@
         """Start without a reservation."""
         self.reservation: Reservation | None = None
         self._state = state
+        self._failed: dict[Shape, tuple[int, int]] = {}
+        self._next_plan_ms: int | None = None
+        self._endings_read: list[Ending] | None = None
 
     def keep(self) -> None:
         """Start the gang with the reservation, or plan again when the plan has failed."""
@@ -38,9 +47,9 @@
             return
         room = self._state.room
         is_same = gang.waiting.keys() == held.spots.keys()
-        if not is_same or not all(room.is_ready(worker) for worker in held.workers()):
+        if not is_same or not all(room.is_ready(worker) for worker in held.promised):
             self._plan_again(held, gang)
-        elif all(room.promises_fit(worker) for worker in held.workers()):
+        elif all(room.promises_fit(worker) for worker in held.promised):
             self._start_reserved(held, gang)
         elif not self._stop_backfill(held) and self._state.now_ms > held.due_ms:
             self._plan_again(held, gang)
@@ -58,12 +67,16 @@
             return False
         if gang.tried_ms is not None and state.now_ms - gang.tried_ms < TRY_MS:
             return False
+        if self._has_failed(gang):
+            return False
         started: list[Task] = []
         for task, size in list(gang.waiting.values()):
             worker = state.find_worker(task, size)
             if worker is None or not state.may_start(task):
                 self._undo(started)
                 gang.tried_ms = state.now_ms
+                if worker is None:
+                    self._remember_failure(gang)
                 return False
             state.start(task, worker)
             started.append(task)
@@ -71,9 +84,11 @@
 
     def reserve(self) -> None:
         """Give the reservation, if free, to the oldest gang for which a plan exists."""
-        if self.reservation is not None:
+        next_ms = self._next_plan_ms
+        if self.reservation is not None or (next_ms and self._state.now_ms < next_ms):
             return
         tried = 0
+        self._endings_read = None
         for group, gang in self._state.gangs.oldest_first():
             now_ms = self._state.now_ms
             if gang.retry_ms > now_ms or not gang.is_complete(now_ms):
@@ -84,6 +99,7 @@
                     self._start_reserved(self.reservation, gang)
                 return
             if tried == PLANS_PER_PASS:
+                self._next_plan_ms = now_ms + PLAN_INTERVAL_MS
                 return
 
     def backfill(self, task: Task, size: Resources) -> WorkerId | None:
@@ -96,6 +112,18 @@
         """Remember a task that was started in reserved room."""
         self.reservation.backfilled[task] = worker
 
+    def _has_failed(self, gang: Gang) -> bool:
+        """Tell whether as many equal members were found not to fit since room last grew."""
+        growths, members = self._failed.get(_shape(gang), (-1, 0))
+        is_current = growths == self._state.room.placement.growths
+        return is_current and len(gang.waiting) >= members
+
+    def _remember_failure(self, gang: Gang) -> None:
+        if len(self._failed) >= MOST_REMEMBERED:
+            self._failed.clear()
+        growths = self._state.room.placement.growths
+        self._failed[_shape(gang)] = (growths, len(gang.waiting))
+
     def _try_plan(self, group: GroupId, gang: Gang) -> bool:
         state = self._state
         first = next(iter(gang.waiting.values()))[0]
@@ -109,6 +137,7 @@
 
     def _plan_again(self, held: Reservation, gang: Gang) -> None:
         self._drop()
+        self._endings_read = None
         if self._try_plan(held.group, gang):
             self.reservation.backfilled.update(held.backfilled)
 
@@ -134,7 +163,7 @@
         state = self._state
         held.backfilled = {t: w for t, w in held.backfilled.items() if state.holdings.get(t)}
         in_the_way: list[TaskId] = []
-        for worker in sorted(held.workers()):
+        for worker in held.promised:
             if state.room.promises_fit(worker):
                 continue
             tasks = [task for task, where in held.backfilled.items() if where == worker]
@@ -152,11 +181,11 @@
 
     def _hold(self, reservation: Reservation) -> None:
         self.reservation = reservation
-        for worker, size in reservation.promised().items():
+        for worker, size in reservation.promised.items():
             self._state.room.promise(worker, size)
 
     def _drop(self) -> None:
-        for worker, size in self.reservation.promised().items():
+        for worker, size in self.reservation.promised.items():
             self._state.room.withdraw(worker, size)
         self.reservation = None
 
@@ -165,6 +194,12 @@
             self._state.undo_start(task)
 
     def _endings(self) -> list[Ending]:
+        """Return when running tasks are expected to end, read once for several plans."""
+        if self._endings_read is None:
+            self._endings_read = self._read_endings()
+        return self._endings_read
+
+    def _read_endings(self) -> list[Ending]:
         """Return when running tasks are expected to end; services do not end."""
         state = self._state
         found = []
@@ -176,3 +211,8 @@
             at_ms = expected_end_ms(task.started_ms, estimate_ms, state.now_ms)
             found.append(Ending(at_ms, holding.worker, holding.size))
         return sorted(found, key=lambda ending: (ending.at_ms, ending.worker))
+
+
+def _shape(gang: Gang) -> Shape:
+    task, size = next(iter(gang.waiting.values()))
+    return (size, task.queue, task.repeatable)
--- a/packages/core/lagoonshelf_core/gangs.py
+++ b/packages/core/lagoonshelf_core/gangs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from operator import itemgetter
 
 from lagoonshelf_core.hooks import Hooks
 from lagoonshelf_core.ids import TaskId, WorkerId
@@ -52,25 +53,22 @@
 class Reservation:
     """Room set aside for all members of one gang.
 
+    :param spots: worker and room of each member, never changed
     :param due_ms: when the last member is expected to fit
     :param backfilled: tasks that use the room until then
+    :param promised: reserved room per worker
     """
 
     group: GroupId
     spots: dict[TaskId, tuple[WorkerId, Resources]]
     due_ms: int
     backfilled: dict[TaskId, WorkerId] = field(default_factory=dict)
+    promised: dict[WorkerId, Resources] = field(default_factory=dict)
 
-    def workers(self) -> set[WorkerId]:
-        """Return the workers with reserved room."""
-        return {worker for worker, _ in self.spots.values()}
-
-    def promised(self) -> dict[WorkerId, Resources]:
-        """Return the reserved room per worker."""
-        total: dict[WorkerId, Resources] = {}
-        for worker, size in self.spots.values():
-            total[worker] = total.get(worker, Resources()) + size
-        return total
+    def __post_init__(self) -> None:
+        """Add up the reserved room per worker, in order of workers."""
+        for worker, size in sorted(self.spots.values(), key=itemgetter(0)):
+            self.promised[worker] = self.promised.get(worker, Resources()) + size
 
 
 class GangBook:
@@ -203,7 +201,7 @@
         return None
     if now_ms + hooks.estimate_ms(task) > reservation.due_ms:
         return None
-    for worker, promised in sorted(reservation.promised().items()):
+    for worker, promised in reservation.promised.items():
         if not room.is_ready(worker):
             continue
         fits = size.fits_in(room.available(worker) + promised)
--- a/packages/core/lagoonshelf_core/placement.py
+++ b/packages/core/lagoonshelf_core/placement.py
@@ -124,7 +124,8 @@
     """Ready workers of a partition, all together and by failure domain.
 
     The indexes by failure domain serve only the spread of replicas, so changes are applied to
-    them when a replica is placed.
+    them when a replica is placed. ``growths`` counts how often a worker's room has grown; a
+    search that failed would fail again while it is the same.
     """
 
     def __init__(self) -> None:
@@ -134,6 +135,7 @@
         self._domains: dict[FailureDomain, RoomIndex] = {}
         self._changed: set[tuple[FailureDomain, WorkerId]] = set()
         self._no_room: set[Resources] = set()
+        self.growths = 0
 
     def put(self, worker: WorkerId, domain: FailureDomain, room: Resources) -> None:
         """Add a worker or change its available room; withdraw it when an amount is negative."""
@@ -143,6 +145,7 @@
         before = self._rooms.get(worker)
         if before is None or not room.fits_in(before[1]):
             self._no_room.clear()
+            self.growths += 1
         self._rooms[worker] = (domain, room)
         self._changed.add((domain, worker))
         self._all.put(worker, room)
--- a/tests/core/test_gangs.py
+++ b/tests/core/test_gangs.py
@@ -1,11 +1,13 @@
 """Tests of gangs: all or nothing, one reservation, backfill."""
 
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import strategies as st
 from lagoonshelf_core.commands import Stop
 from lagoonshelf_core.model import WorkerState, WorkKind
+from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.scheduler import Scheduler
 
@@ -21,6 +23,7 @@
     worker,
 )
 
+find_worker = PassState.find_worker
 FOUR = Resources(4000, 4096, 0, 4)
 
 
@@ -108,6 +111,17 @@
         scheduler.enqueue(other)
         self.assertEqual(started(run(scheduler, 9001, under_limit)), [other.task])
 
+    def test_equal_gangs_are_not_each_tried(self) -> None:
+        """Guards against a pass that starts and takes back each of hundreds of gangs."""
+        scheduler = cell(1, FOUR)
+        scheduler.adopt(task(), worker(0, FOUR).worker)
+        for number in range(20):
+            enqueue(scheduler, gang(4 + number % 3, queued_ms=number))
+        tried = patch.object(PassState, "find_worker", autospec=True, side_effect=find_worker)
+        with tried as find:
+            self.assertEqual(run(scheduler), [])
+        self.assertEqual(find.call_count, 4)
+
     def test_plans_again_when_a_reserved_worker_leaves(self) -> None:
         """Guards against a gang that waits for a worker that is gone."""
         scheduler = cell(2, FOUR)
