--- a/bench/replay.py
+++ b/bench/replay.py
@@ -1,6 +1,7 @@
 """Replays a workload's arrivals against a policy on a manual clock and prints a table.
 
 Usage: python -m bench.replay pelucas|inkbridge [--seed N] [--policies fifo,strict,real]
+A baseline takes 20 to 45 s; a policy that tries each waiting task on each worker takes minutes.
 """
 
 import argparse
