--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.commands import Stop
@@ -29,6 +29,7 @@
 from lagoonshelf_core.ids import Epoch, PartitionId, TeamId
 from lagoonshelf_core.model import Task
 
+from lagoonshelf_server.grant_state import PendingWrite, TeamGrants
 from lagoonshelf_server.grant_usage import GrantUsage
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import GrantAsk
@@ -66,36 +67,6 @@
     spawn: Callable[[Coroutine], object]
 
 
-@dataclass(frozen=True, slots=True)
-class _Pending:
-    """A write whose outcome is not known yet."""
-
-    text: str
-    token: str
-    serial: int
-    after: Amount
-
-
-@dataclass(slots=True)
-class _TeamState:
-    """What is known of one team's grants.
-
-    :param asked: what other owners asked for until ``asked_until_ms``
-    :param idle_since_ms: since when part of the grant is idle, none when it is not
-    :param peak: largest need since then
-    """
-
-    doc: GrantDocument = field(default_factory=GrantDocument)
-    pending: _Pending | None = None
-    busy: bool = False
-    next_write_ms: int = 0
-    next_ask_ms: int = 0
-    asked: Amount = NONE
-    asked_until_ms: int = -1
-    idle_since_ms: int | None = None
-    peak: Amount = NONE
-
-
 class GrantKeeper:
     """Grants of all teams in one owned partition."""
 
@@ -117,7 +88,7 @@
         self._store = store
         self._hooks = hooks
         self._epoch = Epoch(0)
-        self._teams: dict[TeamId, _TeamState] = defaultdict(_TeamState)
+        self._teams: dict[TeamId, TeamGrants] = defaultdict(TeamGrants)
         self._usage = GrantUsage(hooks.tasks)
         self._wake = asyncio.Event()
 
@@ -216,20 +187,19 @@
             self._ask(team, state, known, now_ms)
             await self._stop_excess(team, state, known, now_ms)
 
-    def _need(self, team: TeamId, state: _TeamState, limit: Amount) -> Amount:
-        need = self._usage.need(team)
+    def _need(self, team: TeamId, state: TeamGrants, limit: Amount) -> Amount:
         if self._is_asked(state):
-            return self._usage.running(team).most(need.least(self._fair(limit)))
-        return need
+            return self._usage.useful(team, self._fair(limit))
+        return self._usage.need(team)
 
-    def _is_asked(self, state: _TeamState) -> bool:
+    def _is_asked(self, state: TeamGrants) -> bool:
         return self._clock.now_ms() < state.asked_until_ms
 
     def _fair(self, limit: Amount) -> Amount:
         """Return what an owner keeps for waiting work while another one lacks grant."""
         return Amount(limit.tasks // self._partitions, limit.cpu_milli // self._partitions)
 
-    def _wanted(self, team: TeamId, state: _TeamState) -> Amount | None:
+    def _wanted(self, team: TeamId, state: TeamGrants) -> Amount | None:
         """Return the grant that the partition should hold, none if it must not write."""
         known, doc = self._hooks.known(team), state.doc
         entry = doc.entries.get(self._partition)
@@ -237,21 +207,24 @@
             return None
         held, limit = doc.amount(self._partition), limit_in_force(doc, known)
         if not doc.total().fits_in(limit):
-            return after_lowering(doc, self._partition, self._usage.running(team), limit)
+            left = after_lowering(doc, self._partition, self._usage.running(team), limit)
+            return left.least(self._usage.useful(team, left))
         need = self._need(team, state, limit)
         if not need.fits_in(held):
-            return take(doc, self._partition, need, known)
+            amount = take(doc, self._partition, need, known)
+            # Parts of a task or a gang are left to others, or two owners could hold half each.
+            return amount if need.fits_in(amount) else self._usage.useful(team, amount)
         if self._is_asked(state):
             return need.most(held - state.asked)
         if self._is_idle(state):
             return give_back(held, need.most(state.peak), limit)
         return held
 
-    def _is_idle(self, state: _TeamState) -> bool:
+    def _is_idle(self, state: TeamGrants) -> bool:
         since_ms = state.idle_since_ms
         return since_ms is not None and self._clock.now_ms() - since_ms >= IDLE_MS
 
-    def _watch_idle(self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int) -> None:
+    def _watch_idle(self, team: TeamId, state: TeamGrants, known: KnownLimit, now_ms: int) -> None:
         held, limit = state.doc.amount(self._partition), limit_in_force(state.doc, known)
         need = self._need(team, state, limit)
         if give_back(held, need, limit) == held:
@@ -263,10 +236,10 @@
             if self._is_idle(state) and give_back(held, state.peak, limit) == held:
                 state.idle_since_ms, state.peak = now_ms, need
 
-    def _is_due(self, team: TeamId, state: _TeamState) -> bool:
+    def _is_due(self, team: TeamId, state: TeamGrants) -> bool:
         return state.pending is not None or self._changes(state, self._wanted(team, state))
 
-    def _changes(self, state: _TeamState, amount: Amount | None) -> bool:
+    def _changes(self, state: TeamGrants, amount: Amount | None) -> bool:
         if amount is None:
             return False
         entry = state.doc.entries.get(self._partition)
@@ -274,7 +247,7 @@
             return amount != NONE
         return amount != entry.amount or (entry.epoch != self._epoch and amount != NONE)
 
-    async def _update(self, team: TeamId, state: _TeamState) -> None:
+    async def _update(self, team: TeamId, state: TeamGrants) -> None:
         key = grant_key(team)
         try:
             item = await self._store.get(key)
@@ -291,16 +264,16 @@
             state.busy = False
             self._wake.set()
 
-    def _prepare(self, team: TeamId, state: _TeamState) -> None:
+    def _prepare(self, team: TeamId, state: TeamGrants) -> None:
         amount = self._wanted(team, state)
         if not self._changes(state, amount):
             return
         token = writer_token()
         entry = GrantEntry(amount, self._epoch, token)
         doc = with_entry(state.doc, self._partition, entry, self._hooks.known(team))
-        state.pending = _Pending(encode_grants(doc), token, doc.serial, amount)
+        state.pending = PendingWrite(encode_grants(doc), token, doc.serial, amount)
 
-    async def _write(self, state: _TeamState, key: str, version: int) -> None:
+    async def _write(self, state: TeamGrants, key: str, version: int) -> None:
         """Send the pending write; sent again it has the same text, so it counts once."""
         pending = state.pending
         state.next_write_ms = self._clock.now_ms() + WRITE_INTERVAL_MS
@@ -309,7 +282,7 @@
         else:
             state.next_write_ms = self._clock.now_ms() + CONFLICT_RETRY_MS
 
-    def _take_in(self, state: _TeamState, doc: GrantDocument) -> None:
+    def _take_in(self, state: TeamGrants, doc: GrantDocument) -> None:
         """Keep the newer document; it settles a pending write of the same or a lower number."""
         pending = state.pending
         if pending is not None and doc.serial >= pending.serial:
@@ -322,7 +295,7 @@
             state.doc = doc
             self._hooks.kick()
 
-    def _ask(self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int) -> None:
+    def _ask(self, team: TeamId, state: TeamGrants, known: KnownLimit, now_ms: int) -> None:
         doc, limit = state.doc, limit_in_force(state.doc, known)
         need = self._need(team, state, limit)
         if need.fits_in(doc.amount(self._partition)) or now_ms < state.next_ask_ms:
@@ -337,7 +310,7 @@
                 self._hooks.spawn(self._hooks.ask(partition, ask))
 
     async def _stop_excess(
-        self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int
+        self, team: TeamId, state: TeamGrants, known: KnownLimit, now_ms: int
     ) -> None:
         """Stop repeatable work above the share that a lowered limit leaves, newest first."""
         limit = limit_in_force(state.doc, known)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/grant_state.py
@@ -0,0 +1,35 @@
+"""What a grant keeper knows of one team."""
+
+from dataclasses import dataclass, field
+
+from lagoonshelf_core.grants import NONE, Amount, GrantDocument
+
+
+@dataclass(frozen=True, slots=True)
+class PendingWrite:
+    """A write whose outcome is not known yet."""
+
+    text: str
+    token: str
+    serial: int
+    after: Amount
+
+
+@dataclass(slots=True)
+class TeamGrants:
+    """What is known of one team's grants.
+
+    :param asked: what other owners asked for until ``asked_until_ms``
+    :param idle_since_ms: since when part of the grant is idle, none when it is not
+    :param peak: largest need since then
+    """
+
+    doc: GrantDocument = field(default_factory=GrantDocument)
+    pending: PendingWrite | None = None
+    busy: bool = False
+    next_write_ms: int = 0
+    next_ask_ms: int = 0
+    asked: Amount = NONE
+    asked_until_ms: int = -1
+    idle_since_ms: int | None = None
+    peak: Amount = NONE
--- a/packages/server/lagoonshelf_server/grant_usage.py
+++ b/packages/server/lagoonshelf_server/grant_usage.py
@@ -63,6 +63,14 @@
         lacking = (short.amount for short in self._short.values() if short.team == team)
         return sum(lacking, self.running(team))
 
+    def useful(self, team: TeamId, room: Amount) -> Amount:
+        """Return what runs plus the whole tasks and gangs that lack grant and fit in a room."""
+        total = self.running(team)
+        for short in self._short.values():
+            if short.team == team and (total + short.amount).fits_in(room):
+                total += short.amount
+        return total
+
     def could_start(self, team: TeamId, allowed: Amount) -> bool:
         """Tell whether something that lacked grant fits now."""
         running = self.running(team)
--- a/tests/server/test_grant_keeper.py
+++ b/tests/server/test_grant_keeper.py
@@ -311,3 +311,21 @@
         self.assertEqual(part.run(), 1)
         await self.turns(3)
         self.assertEqual(part.running, 6)
+
+    async def test_two_gangs_do_not_hold_half_of_the_limit_each(self) -> None:
+        """Guards against two partitions that wait for each other's part of the limit."""
+        for number in range(2):
+            part = await self.begin(number)
+            for index in range(12):
+                name = f"g{number}.{index}"
+                part.add(name, kind=WorkKind.GANG, request_key=f"g{number}", gang_size=12)
+        await self.turns(6)
+        self.assertEqual(self.total(), 12)
+
+    async def test_parts_of_a_task_are_not_held(self) -> None:
+        """Guards against a limit that is divided into parts too small for any task."""
+        self.known = KnownLimit(Amount(16, 3 * CPU), 1)
+        for number in range(4):
+            await self.begin(number, tasks=2)
+        await self.turns(6)
+        self.assertEqual(self.total(), 3)
