--- a/packages/server/lagoonshelf_server/delegation.py
+++ b/packages/server/lagoonshelf_server/delegation.py
@@ -7,7 +7,7 @@
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId, TaskId
 from lagoonshelf_core.journal import IntentEntry, VoidEntry
-from lagoonshelf_core.model import Task, WorkerInfo
+from lagoonshelf_core.model import Task, TaskState, WorkerInfo
 from lagoonshelf_core.records import Outcome
 from lagoonshelf_core.routing import partition_of_worker
 from lagoonshelf_core.scheduler import Scheduler
@@ -135,7 +135,7 @@
         self._scheduler.release(task.task)
         attempt = max(task.attempt, self._tried.get(task.task, 0)) + 1
         self._tried[task.task] = attempt
-        task.attempt = attempt
+        task.attempt, task.state = attempt, TaskState.STARTING
         boots = self._boots.get(room.partition, frozenset())
         away = Away(task, room.partition, room.epoch, boots, busy=True)
         self.away[task.task] = away
@@ -180,7 +180,7 @@
         if not self._is_current(away) or not isinstance(reply, DelegateReply):
             return
         if reply.accepted:
-            away.state = AwayState.RUNNING
+            away.state, away.task.state = AwayState.RUNNING, TaskState.RUNNING
             self._hooks.started(away.task)
         else:
             await self._void(away)
--- /dev/null
+++ b/tests/processes/test_delegation.py
@@ -0,0 +1,107 @@
+"""Tasks that run in another partition than that of their request."""
+
+from lagoonshelf_core.routing import partition_of_request, partition_of_worker
+from lagoonshelf_standins.cell import wait_until
+
+from tests.support.base import CellTestCase
+from tests.support.runs import Burst, events, starts
+
+PARTITIONS = 4
+EMPTY = 0  # no stand-in worker hashes to this partition
+SMALL = 1  # holds one worker with 8 slots
+
+
+class DelegationTest(CellTestCase):
+    """Requests whose home partition has no room."""
+
+    def prefix(self, home: int, count: int) -> str:
+        """Return a new prefix with which the keys 0 to count - 1 belong to a partition."""
+        while True:
+            self.prefixes = getattr(self, "prefixes", 0) + 1
+            names = [f"{self.prefixes}x{index}" for index in range(count)]
+            if all(partition_of_request("fitting", n, PARTITIONS) == home for n in names):
+                return f"{self.prefixes}x"
+
+    def owner_of(self, partition: int) -> str:
+        for name in self.cell.daemons:
+            if str(partition) in self.cell.state(name)["partitions"]:
+                return name
+        raise AssertionError(f"partition {partition} has no owner")
+
+    def partitions_used(self) -> set[int]:
+        workers = {e["worker"] for e in events(self.cell) if e["event"] == "start"}
+        return {partition_of_worker(worker, PARTITIONS) for worker in workers}
+
+    def wait_started(self, count: int) -> None:
+        wait_until(lambda: len(starts(self.cell)) >= count, f"{count} started")
+
+    def send(self, entry: str, home: int, count: int, **fields: object) -> Burst:
+        return Burst(self.cell, [entry], count, self.prefix(home, count), **fields)
+
+    def assert_each_ran_once(self, count: int) -> None:
+        runs = starts(self.cell)
+        self.assertEqual((len(runs), set(runs.values())), (count, {1}), runs)
+
+    def test_full_home_partition(self) -> None:
+        """Guards against waiting for a full partition while others have room."""
+        filling = self.send("d1", SMALL, 8, run_ms=8000)
+        self.wait_started(8)
+        more = self.send("d2", SMALL, 5, run_ms=50)
+        self.assertEqual(more.names(), {"OK": 5})
+        self.assertEqual(filling.names(), {"OK": 8})
+        self.assertGreater(len(self.partitions_used()), 1)
+        self.assert_each_ran_once(13)
+
+    def test_other_owner_killed(self) -> None:
+        """Guards against a second run when the owner that runs a delegated task dies."""
+        entry = self.owner_of(EMPTY)
+        holds = self.send(entry, EMPTY, 4, run_ms=6000, repeatable=False)
+        maps = self.send(entry, EMPTY, 4, run_ms=6000)
+        self.wait_started(5)
+        victims = {self.owner_of(p) for p in self.partitions_used()} - {entry}
+        self.cell.kill(victims.pop())
+        self.assertEqual(holds.names(), {"OK": 4})
+        self.assertEqual(maps.names(), {"OK": 4})
+        self.assert_each_ran_once(8)
+
+    def test_home_owner_killed(self) -> None:
+        """Guards against a successor that does not know what runs in other partitions."""
+        home = self.owner_of(EMPTY)
+        entry = next(name for name in self.cell.daemons if name != home)
+        holds = self.send(entry, EMPTY, 4, run_ms=6000, repeatable=False)
+        self.wait_started(4)
+        self.cell.kill(home)
+        self.assertEqual(holds.names(), {"OK": 4})
+        self.assert_each_ran_once(4)
+
+    def test_home_and_other_owner_killed_together(self) -> None:
+        """Guards against a successor that goes on before the other partition is read."""
+        home = self.owner_of(EMPTY)
+        holds = self.send("d3", EMPTY, 6, run_ms=9000, repeatable=False)
+        self.wait_started(6)
+        victims = {self.owner_of(p) for p in self.partitions_used()} - {home, "d3"}
+        for victim in {home, *victims} - {"d3"}:
+            self.cell.kill(victim)
+        self.assertEqual(holds.names(), {"OK": 6})
+        self.assert_each_ran_once(6)
+
+    def test_lost_answers_of_workers_and_store(self) -> None:
+        """Guards against a second start after a lost answer."""
+        self.cell.control_workers(set={"lose_start_answers": True})
+        self.cell.control_store(mode="lose_answers")
+        holds = self.send("d1", EMPTY, 5, run_ms=300, repeatable=False)
+        self.wait_started(5)
+        self.cell.control_store(mode="up")
+        self.cell.control_workers(set={"lose_start_answers": False})
+        self.assertEqual(holds.names(), {"OK": 5})
+        self.assert_each_ran_once(5)
+
+    def test_cancelled_while_delegated(self) -> None:
+        """Guards against a delegated task that goes on after its request was cancelled."""
+        holds = self.send("d1", EMPTY, 1, run_ms=30_000)
+        self.wait_started(1)
+        key = next(iter(starts(self.cell)))
+        url = f"{self.cell.daemons['d2'].url}/v1/requests/{key}"
+        self.cell.call(url, team="fitting", method="DELETE")
+        self.assertEqual(holds.names(), {"CANCELLED_RUNNING": 1})
+        self.assertEqual(events(self.cell)[-1]["state"], "stopped")
