Renew task leases as soon as a successor has read its workers

Cause: test_other_owner_killed printed "Counter({'OK': 3, 'OUTCOME_UNKNOWN': 1}) != {'OK': 4}": a hold ended as lapsed after 6,001 ms, because the successor slept a renewal interval before it renewed the first lease, and only after it was active.

Ruled out: a fault of delegation; the task was adopted, the worker had stopped it.

Change: leases are renewed first and then every interval, from the moment all inventories are read. A refusal blocks a partition for 200 instead of 500 ms, since it mostly stands for a first grant that arrives within one store write.

Conclusion: a lease that was due for renewal when its owner died still has only 4 s left, about as long as a takeover (3 s lease, 0.7 s margin, reads); a shorter renewal interval would close this.

--- a/packages/server/lagoonshelf_server/dispatch.py
+++ b/packages/server/lagoonshelf_server/dispatch.py
@@ -124,10 +124,10 @@
             self._bridge.spawn(self._start(worker, tasks))
 
     async def renew_forever(self) -> None:
-        """Renew the leases of running tasks; notice tasks whose worker is silent too long."""
+        """Renew the leases of running tasks, first those that were just adopted."""
         while True:
-            await asyncio.sleep(self._cfg.task_renew_ms / 1000)
             await asyncio.gather(*(self._renew(link) for link in self.links.values()))
+            await asyncio.sleep(self._cfg.task_renew_ms / 1000)
 
     def close(self) -> None:
         """Stop following workers."""
--- a/packages/server/lagoonshelf_server/offers.py
+++ b/packages/server/lagoonshelf_server/offers.py
@@ -14,7 +14,7 @@
 RETRY_MS = 100
 MAX_RETRY_DOUBLINGS = 4
 GRANT_WAIT_MS = 500  # own grant mostly arrives sooner
-BLOCK_MS = 500  # until the next summary of free room
+BLOCK_MS = 200  # a grant that was short has mostly arrived by then
 
 
 class Offers:
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -139,12 +139,12 @@
         self.set_hosts(await self._store.hosts())
         while not self.dispatch.all_read():
             await asyncio.sleep(0.05)
+        self._background.append(self._bridge.spawn(self.dispatch.renew_forever()))
         await self.delegation.take_over()
         await self.grants.begin(self.epoch)
         self._enqueue_accepted()
         self.state = OwnerState.ACTIVE
         self._background.append(self._bridge.spawn(self._pass_forever()))
-        self._background.append(self._bridge.spawn(self.dispatch.renew_forever()))
         for part in (self.grants.run_forever, self.delegation.watch_forever):
             self._background.append(self._bridge.spawn(part()))
         self._background.append(self._bridge.spawn(self.hosting.report_forever()))
