Never start an adopted task again without its payload

Cause: a task known only from a worker has no payload. When it had to run again, it ran with an empty one and its caller got the result of that as a good answer.

Ruled out: filling in the payload when the caller's request is sent again; the task may start before that.

Change: such a request is forgotten instead, and its callers' entry processes send it again.

Conclusion: answers after a takeover carry the caller's own content.

--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -45,6 +45,7 @@
 from lagoonshelf_server.task_ends import code_of_end, runs_again
 from lagoonshelf_server.workers import Authority, TaskReport, WorkerClient
 
+CONTENT_UNKNOWN_MS = 0  # timeout of a request known only from a worker; callers' are above 0
 _log = logger("owner")
 
 
@@ -213,11 +214,14 @@
         if self.dispatch is not None:
             self.dispatch.close()
         for waiters in self._waiters.values():
-            for fut in waiters:
-                if not fut.done():
-                    fut.set_exception(LagoonshelfError(_no_owner(self.partition)))
+            self._send_elsewhere(waiters)
         self._waiters.clear()
 
+    def _send_elsewhere(self, waiters: list[asyncio.Future[None]]) -> None:
+        for fut in waiters:
+            if not fut.done():
+                fut.set_exception(LagoonshelfError(_no_owner(self.partition)))
+
     def _check_active(self) -> None:
         if self.state is not OwnerState.ACTIVE or not self.may_act():
             raise LagoonshelfError(_no_owner(self.partition))
@@ -356,6 +360,20 @@
             self._set_outcome(record, task.index, Outcome(ResultCode.CANCELLED))
             return
         self.scheduler.release(task.task)
+        self._wait_again(task)
+
+    def _wait_again(self, task: Task) -> None:
+        """Queue a task once more.
+
+        Workers do not give payloads back. A request known only from a worker is forgotten instead,
+        and its callers' entry processes send it again with its payload.
+        """
+        record = self.book.find(task.team, task.request_key)
+        if record is not None and record.spec.timeout_ms == CONTENT_UNKNOWN_MS:
+            key = (task.team, task.request_key)
+            del self.book.records[key]
+            self._send_elsewhere(self._waiters.pop(key, []))
+            return
         self.scheduler.enqueue(task)
         self._kicked.set()
 
@@ -365,8 +383,7 @@
             return
         self.scheduler.release(task.task)
         if task.repeatable and self.book.find(task.team, task.request_key) is not None:
-            self.scheduler.enqueue(task)
-            self._kicked.set()
+            self._wait_again(task)
         else:
             self._bridge.spawn(self._end(task, Outcome(ResultCode.OUTCOME_UNKNOWN)))
 
@@ -380,7 +397,7 @@
             return
         record = self.book.find(task.team, task.request_key)
         if not (record and record.cancelled) and runs_again(task, report.state):
-            self.scheduler.enqueue(task)
+            self._wait_again(task)
             return
         outcome = Outcome(code_of_end(report.state), report.result)
         self._bridge.spawn(self._end(task, outcome))
@@ -411,7 +428,7 @@
                 task.run_ms,
                 1,
                 "",
-                0,
+                CONTENT_UNKNOWN_MS,
             )
             record = Record(spec, meta.digest, self._clock.now_ms())
             self.book.records[(task.team, task.request_key)] = record
--- a/tests/processes/test_delegation.py
+++ b/tests/processes/test_delegation.py
@@ -74,6 +74,18 @@
         self.assertEqual(holds.names(), {"OK": 4})
         self.assert_each_ran_once(4)
 
+    def test_adopted_task_that_must_run_again(self) -> None:
+        """Guards against a second start without the payload, which no worker gives back."""
+        home = self.owner_of(EMPTY)
+        entry = next(name for name in self.cell.daemons if name != home)
+        burst = self.send(entry, EMPTY, 2, run_ms=8000, payload="scalp")
+        self.wait_started(2)
+        self.cell.kill(home)
+        self.cell.wait_owned()
+        self.cell.control_workers(reboot=True)
+        self.assertEqual(burst.names(), {"OK": 2})
+        self.assertEqual(burst.results(), {"done:scalp"})
+
     def test_home_and_other_owner_killed_together(self) -> None:
         """Guards against a successor that goes on before the other partition is read."""
         home = self.owner_of(EMPTY)
--- /dev/null
+++ b/tests/server/test_task_ends.py
@@ -0,0 +1,29 @@
+"""Tests of what the end of a task means."""
+
+import unittest
+from types import SimpleNamespace
+
+from lagoonshelf_core.errors import ResultCode
+from lagoonshelf_server.task_ends import code_of_end, runs_again
+
+
+class TaskEndsTest(unittest.TestCase):
+    """Ends that lead to another start."""
+
+    def test_checkpointed_work_does_not_count_as_failed(self) -> None:
+        """Guards against failing work that was stopped three times to make room."""
+        task = SimpleNamespace(repeatable=True, failures=0)
+        self.assertTrue(all(runs_again(task, "checkpointed") for _ in range(5)))
+        self.assertEqual(task.failures, 0)
+
+    def test_third_failure_is_final(self) -> None:
+        """Guards against work that fails for ever."""
+        task = SimpleNamespace(repeatable=True, failures=0)
+        self.assertEqual([runs_again(task, "failed") for _ in range(3)], [True, True, False])
+        self.assertIs(code_of_end("failed"), ResultCode.TASK_FAILED)
+
+    def test_work_not_to_be_repeated_never_runs_again(self) -> None:
+        """Guards against a second stock hold."""
+        task = SimpleNamespace(repeatable=False, failures=0)
+        states = ("failed", "lost", "lapsed", "checkpointed", "stopped")
+        self.assertFalse(any(runs_again(task, state) for state in states))
--- a/tests/support/runs.py
+++ b/tests/support/runs.py
@@ -60,6 +60,10 @@
             body = interactive(f"{prefix}{number}", **{"timeout_ms": 40_000, **fields})
             self._answers.append(self._pool.submit(cell.submit, name, "fitting", body))
 
+    def results(self) -> set[str]:
+        """Wait for all answers and return their results."""
+        return {fut.result()["result"] for fut in self._answers}
+
     def names(self) -> Counter[str]:
         """Wait for all answers and count their codes."""
         answers = [fut.result() for fut in self._answers]
