Cut the cost of grant checks; settle intents of delegated tasks

Ruled out: incremental counters inside the scheduler, whose inside is being replaced.

Change: sums are computed once per document and allowances once per pass, tasks are counted as plain numbers, teams that hold and need nothing are passed over, and the tick is 0.5 s. An intent for another partition keeps a hash of its workers' boot ids, and Delegation.never_started tells a successor whether such a task certainly never ran.

--- a/packages/core/lagoonshelf_core/grants.py
+++ b/packages/core/lagoonshelf_core/grants.py
@@ -68,16 +68,19 @@
     :param limit: upper limit that the writer with the newest configuration knew
     :param revision: configuration revision of that limit
     :param serial: number of changes, tells the newer of two copies
+    :param total: sum of all grants, computed
     """
 
     limit: Amount = NONE
     revision: Revision = Revision(0)
     serial: int = 0
     entries: dict[PartitionId, GrantEntry] = field(default_factory=dict)
+    total: Amount = field(init=False, compare=False)
 
-    def total(self) -> Amount:
-        """Return the sum of all grants."""
-        return sum((entry.amount for entry in self.entries.values()), NONE)
+    def __post_init__(self) -> None:
+        """Add up the grants once, since each check before a start needs the sum."""
+        total = sum((entry.amount for entry in self.entries.values()), NONE)
+        object.__setattr__(self, "total", total)
 
     def amount(self, partition: PartitionId) -> Amount:
         """Return the grant of a partition, whoever may use it."""
@@ -113,7 +116,7 @@
 
     A limit below the sum of grants leaves each partition ``floor(grant x limit / sum)``.
     """
-    held, total = doc.amount(partition), doc.total()
+    held, total = doc.amount(partition), doc.total
     return Amount(
         _scale(held.tasks, limit.tasks, total.tasks),
         _scale(held.cpu_milli, limit.cpu_milli, total.cpu_milli),
@@ -126,7 +129,7 @@
     While the grants exceed a lowered limit, other partitions may still run up to their grant,
     so the share counts only as far as their grants leave room below the limit.
     """
-    others = doc.total() - doc.amount(partition)
+    others = doc.total - doc.amount(partition)
     return share(doc, partition, limit).least(limit - others)
 
 
@@ -143,9 +146,9 @@
     held = doc.amount(partition)
     if known.revision < doc.revision or need.fits_in(held):
         return held
-    free = known.amount - doc.total()
+    free = known.amount - doc.total
     wanted = (need - held).most(_where_short(step(known.amount), need, held))
-    if not doc.total().fits_in(known.amount):
+    if not doc.total.fits_in(known.amount):
         return held
     return held + wanted.least(free)
 
--- a/packages/server/lagoonshelf_server/delegation.py
+++ b/packages/server/lagoonshelf_server/delegation.py
@@ -14,7 +14,7 @@
 
 from lagoonshelf_server.away import STOP_INTERVAL_MS, Away, AwayState, HomeHooks
 from lagoonshelf_server.dispatch import task_meta
-from lagoonshelf_server.hosting import boot_text
+from lagoonshelf_server.hosting import boot_text, boots_digest
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
     Delegate,
@@ -119,6 +119,24 @@
             if not others <= answered:
                 await asyncio.sleep(FENCE_INTERVAL_S)
 
+    async def never_started(self, intent: IntentEntry) -> bool | None:
+        """Tell after the takeover whether a delegated task of the journal certainly never ran.
+
+        :param intent: names a partition and no worker; its boot id stands for all workers there
+        :returns: none while the partition's owner cannot say
+        """
+        if intent.task in self.away:
+            return False
+        query = DelegateQuery(intent.partition, self._partition, self._hooks.epoch())
+        try:
+            reply = await self._calls.call(intent.partition, "delegateQuery", query)
+        except PeerLostError:
+            return None
+        if not isinstance(reply, DelegateStates) or not reply.complete:
+            return None
+        known = any(found.meta.task == intent.task for found in reply.tasks)
+        return not known and boots_digest(reply.boots) == intent.boot_id
+
     async def watch_forever(self) -> None:
         """Repeat questions without an answer, follow owner changes, and offer again."""
         while True:
@@ -315,8 +333,9 @@
 
     def _intent(self, away: Away) -> IntentEntry:
         task, digest = away.task, self._hooks.digest_of(away.task)
+        boots, partition = boots_digest(away.boots), away.partition
         return IntentEntry(
-            task.task, task.attempt, "", "", away.partition, task.team, task.request_key, digest
+            task.task, task.attempt, "", boots, partition, task.team, task.request_key, digest
         )
 
 
--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -40,7 +40,7 @@
 IDLE_MS = 5000
 ASK_INTERVAL_MS = 500
 ASKED_MS = 2000
-TICK_S = 0.25
+TICK_S = 0.5
 BEGIN_RETRY_S = 0.2
 _log = logger("grants")
 
@@ -90,6 +90,7 @@
         self._epoch = Epoch(0)
         self._teams: dict[TeamId, TeamGrants] = defaultdict(TeamGrants)
         self._usage = GrantUsage(hooks.tasks)
+        self._pass_allowed: dict[TeamId, Amount] = {}
         self._wake = asyncio.Event()
 
     async def begin(self, epoch: Epoch) -> None:
@@ -117,13 +118,17 @@
     def begin_pass(self) -> None:
         """Count what runs now; the following starts are added to it."""
         self._usage.begin_pass()
+        self._pass_allowed.clear()
 
     def may_start(self, task: Task) -> bool:
         """Tell whether the grant allows a start, and count it; a gang counts as a whole.
 
         Ask this last, when a worker has been found: what was allowed counts until the next pass.
         """
-        if self._usage.approve(task, self.allowed(task.team)):
+        allowed = self._pass_allowed.get(task.team)
+        if allowed is None:
+            allowed = self._pass_allowed[task.team] = self.allowed(task.team)
+        if self._usage.approve(task, allowed):
             return True
         known = self._hooks.known(task.team)
         if known is not None and self._usage.required(task).fits_in(known.amount):
@@ -134,7 +139,7 @@
 
     def lacks_grant(self, task: Task) -> bool:
         """Tell whether a waiting task was held back by its team's grant."""
-        return self._usage.is_short(task.task)
+        return self._usage.is_short(task)
 
     def allowed(self, team: TeamId) -> Amount:
         """Return how much of a team may run here when another task starts."""
@@ -176,7 +181,7 @@
         self._usage.drop_old_short(now_ms)
         for team, state in list(self._teams.items()):
             known = self._hooks.known(team)
-            if known is None:
+            if known is None or self._is_unused(team, state):
                 continue
             if self._usage.could_start(team, self.allowed(team)):
                 self._hooks.kick()
@@ -206,7 +211,7 @@
         if known is None or (entry is not None and entry.epoch > self._epoch):
             return None
         held, limit = doc.amount(self._partition), limit_in_force(doc, known)
-        if not doc.total().fits_in(limit):
+        if not doc.total.fits_in(limit):
             left = after_lowering(doc, self._partition, self._usage.running(team), limit)
             return left.least(self._usage.useful(team, left))
         need = self._need(team, state, limit)
@@ -220,6 +225,10 @@
             return give_back(held, need.most(state.peak), limit)
         return held
 
+    def _is_unused(self, team: TeamId, state: TeamGrants) -> bool:
+        held = state.doc.amount(self._partition)
+        return held == NONE and state.pending is None and self._usage.need(team) == NONE
+
     def _is_idle(self, state: TeamGrants) -> bool:
         since_ms = state.idle_since_ms
         return since_ms is not None and self._clock.now_ms() - since_ms >= IDLE_MS
@@ -300,7 +309,7 @@
         need = self._need(team, state, limit)
         if need.fits_in(doc.amount(self._partition)) or now_ms < state.next_ask_ms:
             return
-        missing = to_ask(doc, self._partition, need, limit) - (limit - doc.total())
+        missing = to_ask(doc, self._partition, need, limit) - (limit - doc.total)
         if missing == NONE:
             return
         state.next_ask_ms = now_ms + ASK_INTERVAL_MS
@@ -314,7 +323,7 @@
     ) -> None:
         """Stop repeatable work above the share that a lowered limit leaves, newest first."""
         limit = limit_in_force(state.doc, known)
-        if state.doc.total().fits_in(limit):
+        if state.doc.total.fits_in(limit):
             return
         kept = share(state.doc, self._partition, limit)
         stops = self._usage.excess_stops(team, kept, now_ms)
--- a/packages/server/lagoonshelf_server/grant_usage.py
+++ b/packages/server/lagoonshelf_server/grant_usage.py
@@ -20,7 +20,6 @@
     :param task: the task, or a member of the gang
     """
 
-    team: TeamId
     task: TaskId
     amount: Amount
     until_ms: int
@@ -38,20 +37,23 @@
         self._running: dict[TeamId, Amount] = {}
         self._gangs: dict[tuple[TeamId, RequestKey], int] = {}
         self._approved: set[object] = set()
-        self._short: dict[object, _Short] = {}
+        self._short: dict[TeamId, dict[object, _Short]] = defaultdict(dict)
         self._stopped_ms: dict[TaskId, int] = {}
 
     def scan(self) -> None:
         """Count the tasks that hold a worker."""
-        running: dict[TeamId, Amount] = defaultdict(Amount)
+        tasks: dict[TeamId, int] = defaultdict(int)
+        cpu_milli: dict[TeamId, int] = defaultdict(int)
         gangs: dict[tuple[TeamId, RequestKey], int] = defaultdict(int)
         for task in self._tasks():
             if task.worker is None:
                 continue
-            running[task.team] += amount_of(task)
+            tasks[task.team] += 1
+            cpu_milli[task.team] += task.size.cpu_milli
             if task.kind is WorkKind.GANG:
                 gangs[(task.team, task.request_key)] += 1
-        self._running, self._gangs = running, gangs
+        self._running = {team: Amount(count, cpu_milli[team]) for team, count in tasks.items()}
+        self._gangs = gangs
         self._approved.clear()
 
     def running(self, team: TeamId) -> Amount:
@@ -60,26 +62,24 @@
 
     def need(self, team: TeamId) -> Amount:
         """Return what a team runs plus what lacks grant."""
-        lacking = (short.amount for short in self._short.values() if short.team == team)
-        return sum(lacking, self.running(team))
+        return sum((short.amount for short in self._of(team)), self.running(team))
 
     def useful(self, team: TeamId, room: Amount) -> Amount:
         """Return what runs plus the whole tasks and gangs that lack grant and fit in a room."""
         total = self.running(team)
-        for short in self._short.values():
-            if short.team == team and (total + short.amount).fits_in(room):
+        for short in self._of(team):
+            if (total + short.amount).fits_in(room):
                 total += short.amount
         return total
 
     def could_start(self, team: TeamId, allowed: Amount) -> bool:
         """Tell whether something that lacked grant fits now."""
         running = self.running(team)
-        shorts = (short for short in self._short.values() if short.team == team)
-        return any((running + short.amount).fits_in(allowed) for short in shorts)
+        return any((running + short.amount).fits_in(allowed) for short in self._of(team))
 
-    def is_short(self, task: TaskId) -> bool:
+    def is_short(self, task: Task) -> bool:
         """Tell whether a task lacked grant lately."""
-        return task in self._short
+        return _unit(task) in self._short.get(task.team, ())
 
     def approve(self, task: Task, allowed: Amount) -> bool:
         """Count a start if it fits; a gang counts as a whole."""
@@ -103,22 +103,23 @@
     def note_short(self, task: Task, now_ms: int) -> None:
         """Remember that a task lacks grant; a gang is noted once for all its members."""
         until_ms = now_ms + SHORT_MS
-        self._short[_unit(task)] = _Short(task.team, task.task, self.required(task), until_ms)
+        self._short[task.team][_unit(task)] = _Short(task.task, self.required(task), until_ms)
 
     def begin_pass(self) -> None:
         """Count again; each waiting task shows anew whether it lacks grant."""
         self.scan()
         for task in self._tasks():
-            self._short.pop(_unit(task), None)
+            self._short[task.team].pop(_unit(task), None)
 
     def drop_old_short(self, now_ms: int) -> None:
         """Forget tasks that lacked grant and no longer wait here."""
         waiting = {task.task for task in self._tasks() if task.state is TaskState.QUEUED}
-        self._short = {
-            name: short
-            for name, short in self._short.items()
-            if short.task in waiting or short.until_ms > now_ms
-        }
+        for team, shorts in list(self._short.items()):
+            self._short[team] = {
+                unit: short
+                for unit, short in shorts.items()
+                if short.task in waiting or short.until_ms > now_ms
+            }
 
     def excess_stops(self, team: TeamId, kept: Amount, now_ms: int) -> list[Stop]:
         """Return stops of a team's newest repeatable work above an amount, each at most every 2 s.
@@ -138,6 +139,9 @@
                 stops.append(Stop(task.task, task.worker, requeue=True, checkpoint=True))
         return stops
 
+    def _of(self, team: TeamId) -> Iterable[_Short]:
+        return self._short[team].values() if team in self._short else ()
+
     def _stoppable(self, team: TeamId) -> list[Task]:
         running = {t.task: t for t in self._tasks() if t.state is TaskState.RUNNING}
         self._stopped_ms = {n: at for n, at in self._stopped_ms.items() if n in running}
--- a/packages/server/lagoonshelf_server/hosting.py
+++ b/packages/server/lagoonshelf_server/hosting.py
@@ -1,7 +1,7 @@
 """Tasks of other partitions that run on this partition's workers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 from lagoonshelf_core.clock import Clock
@@ -10,6 +10,7 @@
 from lagoonshelf_core.ids import Epoch, PartitionId, TaskId, WorkerId
 from lagoonshelf_core.model import Task
 from lagoonshelf_core.scheduler import Scheduler
+from xxhash import xxh3_64_hexdigest
 
 from lagoonshelf_server.dispatch import Dispatch, task_from_meta, task_meta
 from lagoonshelf_server.logs import logger
@@ -235,5 +236,10 @@
     return f"{worker}={boot_id}"
 
 
+def boots_digest(boots: Iterable[str]) -> str:
+    """Return a hash of a partition's workers and their boot ids, kept in intents."""
+    return xxh3_64_hexdigest("\n".join(sorted(boots)).encode())
+
+
 def _refusal() -> DelegateReply:
     return DelegateReply(False, ResultCode.OVERLOADED.number)
--- a/tests/server/test_delegation.py
+++ b/tests/server/test_delegation.py
@@ -265,6 +265,16 @@
         away = self.home.away[task.task]
         self.assertEqual((away.state, away.epoch), (AwayState.RUNNING, 2))
 
+    async def test_intent_of_an_earlier_owner(self) -> None:
+        """Guards against a second run, or none, of a hold whose intent was left in the journal."""
+        await self.offer(self.add())
+        intent, home = self.journal[0], self.make_home()
+        found = []
+        for complete, boot in ((False, "b1"), (True, "b2"), (True, "b1")):
+            self.host.states = DelegateStates(complete, (), (f"w001={boot}",))
+            found.append(await home.never_started(intent))
+        self.assertEqual(found, [None, False, True])
+
     async def test_takeover_adopts_running_and_ended_tasks(self) -> None:
         """Guards against a new home owner that runs them again."""
         running, ended = self.add("0.5.1"), self.add("0.5.2")
