Use a grant only when all workers are known; skip silent members

Cause: an owner that is active before each worker was read counts too little under its grant, and a task that is sent to a dead member waits until that member's successor has answered.

Ruled out: giving up after a failed connection. The message may have been handled before the connection broke, so only the successor can tell.

Only members that answered a ping within 1,500 ms and do not drain are offered tasks. Fences go to all members at once.

Conclusion: a successor that starts with unread workers stays within the limit.

--- a/packages/server/lagoonshelf_server/delegation.py
+++ b/packages/server/lagoonshelf_server/delegation.py
@@ -33,7 +33,7 @@
 from lagoonshelf_server.task_ends import code_of_end, runs_again
 
 WATCH_INTERVAL_S = 0.1
-FENCE_INTERVAL_S = 0.1
+FENCE_INTERVAL_S = 0.05
 _log = logger("delegation")
 
 
@@ -111,13 +111,13 @@
         while not (others <= answered and self._calls.live_members() <= fenced):
             if self._hooks.lost():
                 raise _not_now(f"partition {self._partition} was lost during takeover")
-            for member in sorted(self._calls.live_members()):
-                reply = await self._calls.fence(member, fence)
+            members = sorted(self._calls.live_members())
+            replies = await asyncio.gather(*(self._calls.fence(m, fence) for m in members))
+            for member, reply in zip(members, replies, strict=True):
                 if reply is not None and reply.accepted and await self._adopt(reply.tasks):
                     fenced.add(member)
                     answered |= {PartitionId(p) for p in reply.partitions}
-            if not others <= answered:
-                await asyncio.sleep(FENCE_INTERVAL_S)
+            await asyncio.sleep(FENCE_INTERVAL_S)
 
     async def never_started(self, intent: IntentEntry) -> bool | None:
         """Tell after the takeover whether a delegated task of the journal certainly never ran.
--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -51,6 +51,7 @@
 
     :param known: limit of a team, none before the first configuration
     :param may_act: whether this process still owns the partition
+    :param settled: whether all that runs in the partition is known
     :param tasks: tasks of the partition's scheduler
     :param ask: sends a message to the owner of another partition
     :param stop: carries out stop commands
@@ -60,6 +61,7 @@
 
     known: Callable[[TeamId], KnownLimit | None]
     may_act: Callable[[], bool]
+    settled: Callable[[], bool]
     tasks: Callable[[], Iterable[Task]]
     ask: Callable[[PartitionId, GrantAsk], Awaitable[None]]
     stop: Callable[[list[Stop]], Awaitable[None]]
@@ -144,7 +146,7 @@
     def allowed(self, team: TeamId) -> Amount:
         """Return how much of a team may run here when another task starts."""
         state, known = self._teams.get(team), self._hooks.known(team)
-        if state is None or known is None:
+        if state is None or known is None or not self._hooks.settled():
             return NONE
         limit = limit_in_force(state.doc, known)
         usable = state.doc.usable(self._partition, self._epoch)
--- a/packages/server/lagoonshelf_server/owner_parts.py
+++ b/packages/server/lagoonshelf_server/owner_parts.py
@@ -73,6 +73,7 @@
     hooks = GrantHooks(
         known=lambda team: known_limit(config, team),
         may_act=owner.may_act,
+        settled=lambda: owner.hosting.is_complete(),
         tasks=lambda: owner.scheduler.tasks.values(),
         ask=ask,
         stop=lambda stops: owner.dispatch.execute(stops),
--- a/packages/server/lagoonshelf_server/partition_calls.py
+++ b/packages/server/lagoonshelf_server/partition_calls.py
@@ -23,6 +23,7 @@
     Fence,
     FenceReply,
     GrantAsk,
+    Owned,
 )
 from lagoonshelf_server.peers import PeerLostError, PeerNet
 
@@ -30,6 +31,7 @@
     from lagoonshelf_server.owner import Owner
 
 CALL_TIMEOUT_S = 2.0
+FRESH_MS = 1500  # three pings
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,23 +118,32 @@
     def rooms(self) -> list[Room]:
         """Return the free room of all active partitions."""
         rooms: dict[PartitionId, Room] = {}
-        for other in self._members.others.values():
-            for owned in other.status.owned if other.status else ():
-                free = Resources(
-                    owned.free_cpu_milli,
-                    owned.free_memory_mib,
-                    owned.free_accelerators,
-                    owned.free_slots,
-                )
-                known = rooms.get(owned.partition)
-                if owned.active and (known is None or known.epoch < owned.epoch):
-                    rooms[owned.partition] = Room(owned.partition, Epoch(owned.epoch), free)
+        for owned in self._fresh_owned():
+            free = Resources(
+                owned.free_cpu_milli,
+                owned.free_memory_mib,
+                owned.free_accelerators,
+                owned.free_slots,
+            )
+            known = rooms.get(owned.partition)
+            if owned.active and (known is None or known.epoch < owned.epoch):
+                rooms[owned.partition] = Room(owned.partition, Epoch(owned.epoch), free)
         for partition, owner in self._owners.items():
             rooms.pop(partition, None)
             if owner.is_active():
                 rooms[partition] = Room(partition, owner.epoch, owner.scheduler.free())
         return list(rooms.values())
 
+    def _fresh_owned(self) -> list[Owned]:
+        """Return the partitions of members that answered lately and are not draining."""
+        after_ms = self._members.clock.now_ms() - FRESH_MS
+        return [
+            owned
+            for other in self._members.others.values()
+            if other.status and not other.status.draining and other.heard_ms >= after_ms
+            for owned in other.status.owned
+        ]
+
     def admit_home(self, home: PartitionId, epoch: Epoch) -> bool:
         """Note the epoch of a home owner; tell whether no higher one was seen."""
         if epoch < self._home_epochs.get(home, 0):
--- a/tests/processes/test_delegation.py
+++ b/tests/processes/test_delegation.py
@@ -1,5 +1,7 @@
 """Tasks that run in another partition than that of their request."""
 
+import signal
+
 from lagoonshelf_core.routing import partition_of_request, partition_of_worker
 from lagoonshelf_standins.cell import wait_until
 
@@ -64,6 +66,22 @@
         self.assertEqual(maps.names(), {"OK": 4})
         self.assert_each_ran_once(8)
 
+    def test_other_owner_paused(self) -> None:
+        """Guards against an owner that goes on after a pause beside its successor."""
+        entry = self.owner_of(EMPTY)
+        holds = self.send(entry, EMPTY, 4, run_ms=7000, repeatable=False)
+        self.wait_started(4)
+        victims = {self.owner_of(p) for p in self.partitions_used()} - {entry}
+        paused = self.cell.daemons.pop(victims.pop())
+        paused.signal(signal.SIGSTOP)
+        try:
+            self.cell.wait_owned()
+        finally:
+            self.cell.daemons[paused.name] = paused
+            paused.signal(signal.SIGCONT)
+        self.assertEqual(holds.names(), {"OK": 4})
+        self.assert_each_ran_once(4)
+
     def test_home_owner_killed(self) -> None:
         """Guards against a successor that does not know what runs in other partitions."""
         home = self.owner_of(EMPTY)
--- a/tests/server/test_grant_keeper.py
+++ b/tests/server/test_grant_keeper.py
@@ -71,10 +71,12 @@
     def __init__(self, test: "GrantKeeperTest", number: int, epoch: int = 1) -> None:
         self.test, self.number, self.epoch = test, number, epoch
         self.tasks: dict[str, Task] = {}
+        self.settled = True
         self.stops: list = []
         hooks = GrantHooks(
             known=lambda team: test.known if team == "fitting" else None,
             may_act=lambda: True,
+            settled=lambda: self.settled,
             tasks=lambda: list(self.tasks.values()),
             ask=self._ask,
             stop=self._stop,
@@ -259,6 +261,17 @@
         await self.turns(3)
         self.assertEqual(new.running, 16)
 
+    async def test_nothing_starts_before_all_workers_are_read(self) -> None:
+        """Guards against a successor that counts too little because a worker is still unread."""
+        await self.begin(0, tasks=16)
+        await self.turns(3)
+        new = await self.begin(0, epoch=2, tasks=20)
+        new.settled = False
+        await self.turns(3, limit=0)
+        new.settled = True
+        await self.turns(1)
+        self.assertEqual(new.running, 16)
+
     async def test_write_of_a_dead_owner_cannot_lower_a_claimed_grant(self) -> None:
         """Guards against a return of the predecessor that lands after its successor counts."""
         old = await self.begin(0, tasks=4)
