Log no line per question about a delegated task

Cause: with a partition that had no owner for long, ten lines a second and task were logged.

Change: a question without an answer is repeated silently.

Conclusion: the log stays readable in long failures.

--- a/packages/server/lagoonshelf_server/delegation.py
+++ b/packages/server/lagoonshelf_server/delegation.py
@@ -182,8 +182,10 @@
         away.busy = True
         try:
             await step
-        except (PeerLostError, LagoonshelfError) as exc:
-            _log.info("delegated task not settled", task=away.task.task, reason=str(exc))
+        except PeerLostError:
+            pass  # followed up after the next interval
+        except LagoonshelfError as exc:
+            _log.info("end of a delegated task not stored", task=away.task.task, reason=str(exc))
         finally:
             away.busy = False
 
