--- a/packages/core/lagoonshelf_core/grants.py
+++ b/packages/core/lagoonshelf_core/grants.py
@@ -12,6 +12,8 @@
 
 GRANT_PREFIX = "grants/"
 STEPS_PER_LIMIT = 8
+# Half of the limit stays unallocated, so that most needs are met without asking others.
+BASE_SHARE_DIVISOR = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +140,15 @@
     return Amount(-(-limit.tasks // STEPS_PER_LIMIT), -(-limit.cpu_milli // STEPS_PER_LIMIT))
 
 
+def base(limit: Amount, partitions: int) -> Amount:
+    """Return what a partition keeps without need, since no grant moves in a store outage.
+
+    :param partitions: number of partitions of the cell
+    """
+    divisor = BASE_SHARE_DIVISOR * partitions
+    return Amount(limit.tasks // divisor, limit.cpu_milli // divisor)
+
+
 def take(doc: GrantDocument, partition: PartitionId, need: Amount, known: KnownLimit) -> Amount:
     """Return the grant after taking unallocated amounts for a need, also at the first use.
 
--- a/packages/server/lagoonshelf_server/away.py
+++ b/packages/server/lagoonshelf_server/away.py
@@ -5,10 +5,11 @@
 from enum import Enum
 
 from lagoonshelf_core.ids import Epoch, PartitionId
-from lagoonshelf_core.journal import Entry
+from lagoonshelf_core.journal import Entry, IntentEntry
 from lagoonshelf_core.model import Task
 from lagoonshelf_core.records import Outcome
 
+from lagoonshelf_server.hosting import boots_digest
 from lagoonshelf_server.messages import TaskMeta
 
 STOP_INTERVAL_MS = 500
@@ -52,6 +53,7 @@
     :param is_active: whether the partition is active too
     :param journal: makes entries durable
     :param started: another owner has taken the task
+    :param unwritten: a task was not sent, as its intent could not be journaled
     :param requeue: a task waits here again
     :param end: stores the outcome of a task
     :param adopt: finds or makes the task and the record of what another owner reports
@@ -66,9 +68,31 @@
     is_active: Callable[[], bool]
     journal: Callable[[list[Entry]], Awaitable[None]]
     started: Callable[[Task], None]
+    unwritten: Callable[[Task], None]
     requeue: Callable[[Task], None]
     end: Callable[[Task, Outcome], Awaitable[None]]
     adopt: Callable[[TaskMeta], Task | None]
     lacks_grant: Callable[[Task], bool]
     digest_of: Callable[[Task], str]
     spawn: Callable[[Coroutine], object]
+
+
+def intent_of(away: Away, digest: str) -> IntentEntry:
+    """Return the intent to give a task to another partition.
+
+    Its boot id stands for all workers of that partition when the task is sent.
+
+    :param digest: content hash of the request
+    """
+    task = away.task
+    return IntentEntry(
+        task.task,
+        task.attempt,
+        "",
+        boots_digest(away.boots),
+        away.partition,
+        task.team,
+        task.request_key,
+        digest,
+        task.index,
+    )
--- a/packages/server/lagoonshelf_server/delegation.py
+++ b/packages/server/lagoonshelf_server/delegation.py
@@ -12,8 +12,7 @@
 from lagoonshelf_core.routing import partition_of_worker
 from lagoonshelf_core.scheduler import Scheduler
 
-from lagoonshelf_server.away import STOP_INTERVAL_MS, Away, AwayState, HomeHooks
-from lagoonshelf_server.dispatch import task_meta
+from lagoonshelf_server.away import STOP_INTERVAL_MS, Away, AwayState, HomeHooks, intent_of
 from lagoonshelf_server.hosting import boot_text, boots_digest
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
@@ -31,6 +30,7 @@
 from lagoonshelf_server.partition_calls import PartitionCalls, Room
 from lagoonshelf_server.peers import PeerLostError
 from lagoonshelf_server.task_ends import code_of_end, runs_again
+from lagoonshelf_server.task_meta import task_meta
 
 WATCH_INTERVAL_S = 0.1
 FENCE_INTERVAL_S = 0.05
@@ -161,11 +161,14 @@
 
     async def _send(self, away: Away) -> None:
         if not away.task.repeatable:
+            digest = self._hooks.digest_of(away.task)
             try:
-                await self._hooks.journal([self._intent(away)])
+                await self._hooks.journal([intent_of(away, digest)])
             except LagoonshelfError as exc:
                 _log.warning("delegation not sent", reason=exc.fault.message)
-                self._return(away)
+                self.away.pop(away.task.task, None)
+                if self._hooks.may_act():
+                    self._hooks.unwritten(away.task)
                 return
         await self._busy(away, self._ask(away))
 
@@ -272,6 +275,7 @@
         if state == "refused":
             await self._void(away)
         elif not away.stopping and runs_again(away.task, state):
+            away.task.failures += state == "failed"
             self._return(away)
         else:
             away.state = AwayState.ENDING
@@ -287,7 +291,7 @@
         away.state = AwayState.ENDING
         if not away.task.repeatable:
             task = away.task
-            entry = VoidEntry(task.task, task.attempt, task.team, task.request_key)
+            entry = VoidEntry(task.task, task.attempt, task.team, task.request_key, task.index)
             try:
                 await self._hooks.journal([entry])
             except LagoonshelfError:
@@ -333,13 +337,6 @@
         boots = self._boots.get(partition, frozenset())
         self.away[task.task] = Away(task, partition, epoch, boots, AwayState.RUNNING)
 
-    def _intent(self, away: Away) -> IntentEntry:
-        task, digest = away.task, self._hooks.digest_of(away.task)
-        boots, partition = boots_digest(away.boots), away.partition
-        return IntentEntry(
-            task.task, task.attempt, "", boots, partition, task.team, task.request_key, digest
-        )
-
 
 def _not_now(text: str) -> LagoonshelfError:
     return LagoonshelfError(Fault(ResultCode.NO_OWNER, text))
--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -15,6 +15,7 @@
     GrantEntry,
     KnownLimit,
     after_lowering,
+    base,
     decode_grants,
     encode_grants,
     give_back,
@@ -36,7 +37,7 @@
 from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 
 WRITE_INTERVAL_MS = 1000
-CONFLICT_RETRY_MS = 50
+CONFLICT_RETRY_S = 0.02
 IDLE_MS = 5000
 ASK_INTERVAL_MS = 500
 ASKED_MS = 2000
@@ -50,6 +51,7 @@
     """How a keeper reaches its partition.
 
     :param known: limit of a team, none before the first configuration
+    :param teams: all teams of the configuration
     :param may_act: whether this process still owns the partition
     :param settled: whether all that runs in the partition is known
     :param tasks: tasks of the partition's scheduler
@@ -60,6 +62,7 @@
     """
 
     known: Callable[[TeamId], KnownLimit | None]
+    teams: Callable[[], Iterable[TeamId]]
     may_act: Callable[[], bool]
     settled: Callable[[], bool]
     tasks: Callable[[], Iterable[Task]]
@@ -181,9 +184,12 @@
         self._usage.scan()
         now_ms = self._clock.now_ms()
         self._usage.drop_old_short(now_ms)
+        for team in self._hooks.teams():
+            # A team without work keeps its base grant too.
+            _ = self._teams[team]
         for team, state in list(self._teams.items()):
             known = self._hooks.known(team)
-            if known is None or self._is_unused(team, state):
+            if known is None or self._is_unused(team, state, known):
                 continue
             if self._usage.could_start(team, self.allowed(team)):
                 self._hooks.kick()
@@ -223,13 +229,17 @@
             return amount if need.fits_in(amount) else self._usage.useful(team, amount)
         if self._is_asked(state):
             return need.most(held - state.asked)
+        kept = need.most(base(limit, self._partitions))
+        if not kept.fits_in(held):
+            return take(doc, self._partition, kept, known)
         if self._is_idle(state):
-            return give_back(held, need.most(state.peak), limit)
+            return give_back(held, kept.most(state.peak), limit)
         return held
 
-    def _is_unused(self, team: TeamId, state: TeamGrants) -> bool:
+    def _is_unused(self, team: TeamId, state: TeamGrants, known: KnownLimit) -> bool:
         held = state.doc.amount(self._partition)
-        return held == NONE and state.pending is None and self._usage.need(team) == NONE
+        kept = self._usage.need(team).most(base(known.amount, self._partitions))
+        return held == NONE and state.pending is None and kept == NONE
 
     def _is_idle(self, state: TeamGrants) -> bool:
         since_ms = state.idle_since_ms
@@ -237,7 +247,7 @@
 
     def _watch_idle(self, team: TeamId, state: TeamGrants, known: KnownLimit, now_ms: int) -> None:
         held, limit = state.doc.amount(self._partition), limit_in_force(state.doc, known)
-        need = self._need(team, state, limit)
+        need = self._need(team, state, limit).most(base(limit, self._partitions))
         if give_back(held, need, limit) == held:
             state.idle_since_ms = None
         elif state.idle_since_ms is None:
@@ -259,15 +269,9 @@
         return amount != entry.amount or (entry.epoch != self._epoch and amount != NONE)
 
     async def _update(self, team: TeamId, state: TeamGrants) -> None:
-        key = grant_key(team)
         try:
-            item = await self._store.get(key)
-            self._take_in(state, decode_grants(item.value))
-            self._usage.scan()
-            if state.pending is None:
-                self._prepare(team, state)
-            if state.pending is not None and self._hooks.may_act():
-                await self._write(state, key, item.version)
+            while not await self._try_update(team, state):
+                await asyncio.sleep(CONFLICT_RETRY_S)
         except StoreError as exc:
             state.next_write_ms = self._clock.now_ms() + WRITE_INTERVAL_MS
             _log.info("grant not settled", team=team, reason=str(exc))
@@ -275,6 +279,18 @@
             state.busy = False
             self._wake.set()
 
+    async def _try_update(self, team: TeamId, state: TeamGrants) -> bool:
+        """Read the grants and change them where needed; false when another owner was faster."""
+        key = grant_key(team)
+        item = await self._store.get(key)
+        self._take_in(state, decode_grants(item.value))
+        self._usage.scan()
+        if state.pending is None:
+            self._prepare(team, state)
+        if state.pending is None or not self._hooks.may_act():
+            return True
+        return await self._write(state, key, item.version)
+
     def _prepare(self, team: TeamId, state: TeamGrants) -> None:
         amount = self._wanted(team, state)
         if not self._changes(state, amount):
@@ -284,14 +300,13 @@
         doc = with_entry(state.doc, self._partition, entry, self._hooks.known(team))
         state.pending = PendingWrite(encode_grants(doc), token, doc.serial, amount)
 
-    async def _write(self, state: TeamGrants, key: str, version: int) -> None:
+    async def _write(self, state: TeamGrants, key: str, version: int) -> bool:
         """Send the pending write; sent again it has the same text, so it counts once."""
         pending = state.pending
         state.next_write_ms = self._clock.now_ms() + WRITE_INTERVAL_MS
-        if await self._store.cas(key, pending.text, version):
+        if done := await self._store.cas(key, pending.text, version):
             self._take_in(state, decode_grants(pending.text))
-        else:
-            state.next_write_ms = self._clock.now_ms() + CONFLICT_RETRY_MS
+        return done
 
     def _take_in(self, state: TeamGrants, doc: GrantDocument) -> None:
         """Keep the newer document; it settles a pending write of the same or a lower number."""
--- a/packages/server/lagoonshelf_server/hosting.py
+++ b/packages/server/lagoonshelf_server/hosting.py
@@ -12,7 +12,7 @@
 from lagoonshelf_core.scheduler import Scheduler
 from xxhash import xxh3_64_hexdigest
 
-from lagoonshelf_server.dispatch import Dispatch, task_from_meta, task_meta
+from lagoonshelf_server.dispatch import Dispatch
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
     Ack,
@@ -26,11 +26,11 @@
 )
 from lagoonshelf_server.peers import PeerLostError
 from lagoonshelf_server.task_ends import code_of_end
+from lagoonshelf_server.task_meta import task_from_meta, task_meta
 from lagoonshelf_server.workers import TaskReport
 
 REPORT_INTERVAL_S = 0.3
 KEEP_MS = 60_000  # as long as workers keep results
-UNREAD_MARGIN_MS = 1000
 _log = logger("hosting")
 
 
@@ -68,19 +68,17 @@
         partition: PartitionId,
         clock: Clock,
         scheduler: Scheduler,
-        task_lease_ms: int,
         hooks: HostHooks,
     ) -> None:
         """Begin without tasks."""
         self._partition = partition
         self._clock = clock
         self._scheduler = scheduler
-        self._began_ms = clock.now_ms()
-        self._unread_ms = task_lease_ms + UNREAD_MARGIN_MS
         self._hooks = hooks
         self._digests: dict[TaskId, str] = {}
         self._ended: dict[TaskId, _Ended] = {}
         self._refused_ms: dict[tuple[str, int], int] = {}
+        self._settled = False
         self._wake = asyncio.Event()
 
     def start(self, body: Delegate) -> DelegateReply:
@@ -119,10 +117,10 @@
             return
         task = task_from_meta(meta, self._clock.now_ms())
         self._digests[task.task] = meta.digest
-        if report.state == "running":
-            self._scheduler.adopt(task, worker)
-        else:
+        if report.state != "running":
             self._end(task, report.state, report.result)
+        elif task.task not in self._scheduler.tasks:
+            self._scheduler.adopt(task, worker)
 
     def ended(self, task: Task, report: TaskReport) -> None:
         """Note the end of a task that the scheduler has released."""
@@ -166,16 +164,20 @@
         A worker that could not be read for a task lease and a margin has stopped its tasks.
         """
         dispatch = self._hooks.dispatch()
-        if dispatch is None or not dispatch.knows_hosts:
-            return False
-        waited_ms = self._clock.now_ms() - self._began_ms
-        unread = any(not link.boot_id for link in dispatch.links.values())
-        return not unread or waited_ms > self._unread_ms
+        return dispatch is not None and dispatch.fleet.knows_hosts and dispatch.fleet.all_read()
+
+    def is_settled(self) -> bool:
+        """Tell whether each worker was read once, or lost, since the takeover."""
+        dispatch = self._hooks.dispatch()
+        if not self._settled and dispatch is not None and dispatch.fleet.knows_hosts:
+            links = dispatch.fleet.links.values()
+            self._settled = all(link.boot_id or link.lost for link in links)
+        return self._settled
 
     def boots(self) -> tuple[str, ...]:
         """Return name and boot id of each worker that was read."""
         dispatch = self._hooks.dispatch()
-        links = dispatch.links.values() if dispatch else ()
+        links = dispatch.fleet.links.values() if dispatch else ()
         return tuple(boot_text(link.info.worker, link.boot_id) for link in links if link.boot_id)
 
     async def report_forever(self) -> None:
--- a/packages/server/lagoonshelf_server/owner_parts.py
+++ b/packages/server/lagoonshelf_server/owner_parts.py
@@ -36,6 +36,7 @@
 
     :param journal: makes entries durable
     :param started: notes the first start of a request
+    :param unwritten: handles a task whose intent could not be journaled
     :param requeue: lets a task wait again that was not started
     :param end: stores the outcome of a task
     :param adopt: returns the task of a report, none if it has an outcome
@@ -46,6 +47,7 @@
 
     journal: Callable[[list[Entry]], Awaitable[None]]
     started: Callable[[Task], None]
+    unwritten: Callable[[Task], None]
     requeue: Callable[[Task], None]
     end: Callable[[Task, Outcome], Awaitable[None]]
     adopt: Callable[[TaskMeta], Task | None]
@@ -72,8 +74,9 @@
 
     hooks = GrantHooks(
         known=lambda team: known_limit(config, team),
+        teams=lambda: [TeamId(team) for team in config.document.teams],
         may_act=owner.may_act,
-        settled=lambda: owner.hosting.is_complete(),
+        settled=lambda: owner.hosting.is_settled(),
         tasks=lambda: owner.scheduler.tasks.values(),
         ask=ask,
         stop=lambda stops: owner.dispatch.execute(stops),
@@ -83,16 +86,16 @@
     return GrantKeeper(owner.partition, cfg.partitions, clock, store, hooks)
 
 
-def make_hosting(owner: Owner, cfg: Settings, clock: Clock, calls: PartitionCalls) -> Hosting:
+def make_hosting(owner: Owner, clock: Clock, calls: PartitionCalls) -> Hosting:
     """Return the tasks of other partitions that an owner runs."""
     hooks = HostHooks(
         epoch=lambda: owner.epoch,
-        is_active=owner.is_active,
+        is_active=owner.may_start,
         dispatch=lambda: owner.dispatch,
         place=owner.place,
         call=calls.call,
     )
-    return Hosting(owner.partition, clock, owner.scheduler, cfg.task_lease_ms, hooks)
+    return Hosting(owner.partition, clock, owner.scheduler, hooks)
 
 
 def make_delegation(
@@ -108,9 +111,10 @@
         epoch=lambda: owner.epoch,
         lost=port.lost,
         may_act=owner.may_act,
-        is_active=owner.is_active,
+        is_active=owner.may_start,
         journal=port.journal,
         started=port.started,
+        unwritten=port.unwritten,
         requeue=port.requeue,
         end=port.end,
         adopt=port.adopt,
--- a/packages/server/lagoonshelf_server/partition_calls.py
+++ b/packages/server/lagoonshelf_server/partition_calls.py
@@ -130,7 +130,7 @@
                 rooms[owned.partition] = Room(owned.partition, Epoch(owned.epoch), free)
         for partition, owner in self._owners.items():
             rooms.pop(partition, None)
-            if owner.is_active():
+            if owner.may_start():
                 rooms[partition] = Room(partition, owner.epoch, owner.scheduler.free())
         return list(rooms.values())
 
--- a/packages/server/lagoonshelf_server/task_ends.py
+++ b/packages/server/lagoonshelf_server/task_ends.py
@@ -1,9 +1,11 @@
 """What the end of a task on a worker means for its request."""
 
 from lagoonshelf_core.errors import ResultCode
-from lagoonshelf_core.model import Task
+from lagoonshelf_core.model import Task, WorkKind
 
 MAX_FAILURES = 3
+# States in which a worker or an owner cut the task off, which is no failure of the task.
+INTERRUPTED = ("stopped", "checkpointed", "lapsed", "lost")
 _CODES = {
     "finished": ResultCode.OK,
     "failed": ResultCode.TASK_FAILED,
@@ -19,16 +21,15 @@
     return _CODES.get(state, ResultCode.TASK_FAILED)
 
 
-def runs_again(task: Task, state: str) -> bool:
-    """Tell whether a task waits for another start, and count its failure.
+def runs_again(task: Task, state: str, requeue: bool = True) -> bool:
+    """Tell whether a task waits for another start after its end.
 
-    A checkpointed task was stopped by its owner to make room; this is no failure.
+    :param requeue: whether an interrupted task is wanted again
     """
+    if task.kind is WorkKind.SERVICE:
+        return task.repeatable or state not in ("lapsed", "lost")
     if not task.repeatable:
         return False
-    if state in ("checkpointed", "lost"):
-        return True
-    if code_of_end(state) is not ResultCode.TASK_FAILED or task.failures + 1 >= MAX_FAILURES:
-        return False
-    task.failures += 1
-    return True
+    if state in INTERRUPTED:
+        return requeue
+    return state == "failed" and task.failures + 1 < MAX_FAILURES
--- a/tests/server/test_delegation.py
+++ b/tests/server/test_delegation.py
@@ -12,7 +12,6 @@
 from lagoonshelf_core.scheduler import Scheduler
 from lagoonshelf_server.away import AwayState, HomeHooks
 from lagoonshelf_server.delegation import Delegation
-from lagoonshelf_server.dispatch import task_from_meta, task_meta
 from lagoonshelf_server.hosting import HostHooks, Hosting
 from lagoonshelf_server.messages import (
     Ack,
@@ -26,6 +25,7 @@
 )
 from lagoonshelf_server.partition_calls import PartitionCalls, Room
 from lagoonshelf_server.peers import PeerLostError
+from lagoonshelf_server.task_meta import task_from_meta, task_meta
 from lagoonshelf_server.workers import TaskReport
 
 SIZE = Resources(100, 1, 0, 1)
@@ -47,7 +47,7 @@
         self.home: Delegation | None = None
         self.states: DelegateStates | None = None
         hooks = HostHooks(lambda: 1, lambda: True, lambda: None, self.place, self.to_home)
-        self.hosting = Hosting(OTHER, clock, self.scheduler, 6000, hooks)
+        self.hosting = Hosting(OTHER, clock, self.scheduler, hooks)
 
     def place(self, task: Task) -> bool:
         self.scheduler.enqueue(task)
@@ -113,6 +113,7 @@
             is_active=lambda: True,
             journal=self.append,
             started=lambda task: None,
+            unwritten=self.scheduler.enqueue,
             requeue=self.scheduler.enqueue,
             end=self.end,
             adopt=lambda meta: task_from_meta(meta, 0),
