--- a/packages/server/lagoonshelf_server/delegation.py
+++ b/packages/server/lagoonshelf_server/delegation.py
@@ -7,13 +7,13 @@
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId, TaskId
 from lagoonshelf_core.journal import IntentEntry, VoidEntry
-from lagoonshelf_core.model import Task, WorkerInfo
+from lagoonshelf_core.model import Task, TaskState, WorkerInfo
 from lagoonshelf_core.records import Outcome
 from lagoonshelf_core.routing import partition_of_worker
 from lagoonshelf_core.scheduler import Scheduler
 
-from lagoonshelf_server.away import STOP_INTERVAL_MS, Away, AwayState, HomeHooks
-from lagoonshelf_server.hosting import boot_text
+from lagoonshelf_server.away import STOP_INTERVAL_MS, Away, AwayState, HomeHooks, intent_of
+from lagoonshelf_server.hosting import boot_text, boots_digest
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
     Delegate,
@@ -33,7 +33,7 @@
 from lagoonshelf_server.task_meta import task_meta
 
 WATCH_INTERVAL_S = 0.1
-FENCE_INTERVAL_S = 0.1
+FENCE_INTERVAL_S = 0.05
 _log = logger("delegation")
 
 
@@ -111,13 +111,31 @@
         while not (others <= answered and self._calls.live_members() <= fenced):
             if self._hooks.lost():
                 raise _not_now(f"partition {self._partition} was lost during takeover")
-            for member in sorted(self._calls.live_members()):
-                reply = await self._calls.fence(member, fence)
+            members = sorted(self._calls.live_members())
+            replies = await asyncio.gather(*(self._calls.fence(m, fence) for m in members))
+            for member, reply in zip(members, replies, strict=True):
                 if reply is not None and reply.accepted and await self._adopt(reply.tasks):
                     fenced.add(member)
                     answered |= {PartitionId(p) for p in reply.partitions}
-            if not others <= answered:
-                await asyncio.sleep(FENCE_INTERVAL_S)
+            await asyncio.sleep(FENCE_INTERVAL_S)
+
+    async def never_started(self, intent: IntentEntry) -> bool | None:
+        """Tell after the takeover whether a delegated task of the journal certainly never ran.
+
+        :param intent: names a partition and no worker; its boot id stands for all workers there
+        :returns: none while the partition's owner cannot say
+        """
+        if intent.task in self.away:
+            return False
+        query = DelegateQuery(intent.partition, self._partition, self._hooks.epoch())
+        try:
+            reply = await self._calls.call(intent.partition, "delegateQuery", query)
+        except PeerLostError:
+            return None
+        if not isinstance(reply, DelegateStates) or not reply.complete:
+            return None
+        known = any(found.meta.task == intent.task for found in reply.tasks)
+        return not known and boots_digest(reply.boots) == intent.boot_id
 
     async def watch_forever(self) -> None:
         """Repeat questions without an answer, follow owner changes, and offer again."""
@@ -135,7 +153,7 @@
         self._scheduler.release(task.task)
         attempt = max(task.attempt, self._tried.get(task.task, 0)) + 1
         self._tried[task.task] = attempt
-        task.attempt = attempt
+        task.attempt, task.state = attempt, TaskState.STARTING
         boots = self._boots.get(room.partition, frozenset())
         away = Away(task, room.partition, room.epoch, boots, busy=True)
         self.away[task.task] = away
@@ -143,8 +161,9 @@
 
     async def _send(self, away: Away) -> None:
         if not away.task.repeatable:
+            digest = self._hooks.digest_of(away.task)
             try:
-                await self._hooks.journal([self._intent(away)])
+                await self._hooks.journal([intent_of(away, digest)])
             except LagoonshelfError as exc:
                 _log.warning("delegation not sent", reason=exc.fault.message)
                 self.away.pop(away.task.task, None)
@@ -166,8 +185,10 @@
         away.busy = True
         try:
             await step
-        except (PeerLostError, LagoonshelfError) as exc:
-            _log.info("delegated task not settled", task=away.task.task, reason=str(exc))
+        except PeerLostError:
+            pass  # followed up after the next interval
+        except LagoonshelfError as exc:
+            _log.info("end of a delegated task not stored", task=away.task.task, reason=str(exc))
         finally:
             away.busy = False
 
@@ -182,7 +203,7 @@
         if not self._is_current(away) or not isinstance(reply, DelegateReply):
             return
         if reply.accepted:
-            away.state = AwayState.RUNNING
+            away.state, away.task.state = AwayState.RUNNING, TaskState.RUNNING
             self._hooks.started(away.task)
         else:
             await self._void(away)
@@ -316,20 +337,6 @@
         boots = self._boots.get(partition, frozenset())
         self.away[task.task] = Away(task, partition, epoch, boots, AwayState.RUNNING)
 
-    def _intent(self, away: Away) -> IntentEntry:
-        task, digest = away.task, self._hooks.digest_of(away.task)
-        return IntentEntry(
-            task.task,
-            task.attempt,
-            "",
-            "",
-            away.partition,
-            task.team,
-            task.request_key,
-            digest,
-            task.index,
-        )
-
 
 def _not_now(text: str) -> LagoonshelfError:
     return LagoonshelfError(Fault(ResultCode.NO_OWNER, text))
--- a/packages/server/lagoonshelf_server/owner_parts.py
+++ b/packages/server/lagoonshelf_server/owner_parts.py
@@ -76,6 +76,7 @@
         known=lambda team: known_limit(config, team),
         teams=lambda: [TeamId(team) for team in config.document.teams],
         may_act=owner.may_act,
+        settled=lambda: owner.hosting.is_settled(),
         tasks=lambda: owner.scheduler.tasks.values(),
         ask=ask,
         stop=lambda stops: owner.dispatch.execute(stops),
