Test owners, workers and the store failing together

A seeded storm of kills, pauses, silent and restarted workers and store faults under load; it compares what callers were told with what the workers did. The check now applies to a first try.

--- /dev/null
+++ b/tests/processes/test_owner_storm.py
@@ -0,0 +1,144 @@
+"""Many requests while owners, workers and the store fail one after another."""
+
+import random
+import signal
+import threading
+import time
+from collections import Counter
+
+from lagoonshelf_standins.cell import wait_until
+
+from tests.support.base import CellTestCase, interactive
+from tests.support.failures import most_at_once, pause
+
+SEED = 7
+CALLERS = 12
+ROUNDS = 8
+# Half of each default, so that the proportions stay.
+HALF = {
+    "lease_ttl_ms": 1500,
+    "lease_margin_ms": 250,
+    "lease_renew_ms": 500,
+    "takeover_margin_ms": 350,
+    "task_lease_ms": 3000,
+    "task_renew_ms": 1000,
+    "start_timeout_ms": 1000,
+    "hosts_ms": 500,
+}
+
+
+class StormTest(CellTestCase):
+    """Callers that submit without a pause, each with keys of its own."""
+
+    workers = 8
+
+    def setUp(self) -> None:
+        super().setUp()
+        for name in list(self.cell.daemons):
+            self.cell.kill(name)
+        self.cell.set_daemon_flags(**HALF)
+        for number in range(1, self.daemons + 1):
+            self.cell.start_daemon(f"d{number}", number)
+        self.cell.wait_healthy()
+        self.cell.wait_owned()
+        self.rng = random.Random(SEED)
+        self.answers: dict[str, list[dict | None]] = {}
+        self.over = threading.Event()
+
+    def call_forever(self, caller: int) -> None:
+        """Submit requests, each again with the same key until an answer is final."""
+        rng = random.Random(SEED * 1000 + caller)
+        number = 0
+        while not self.over.is_set():
+            key = f"c{caller}-{number}"
+            number += 1
+            repeatable = bool(rng.getrandbits(1))
+            body = interactive(
+                key, repeatable=repeatable, run_ms=rng.choice((5, 50, 400)), timeout_ms=8000
+            )
+            self.answers[key] = []
+            for _ in range(3):
+                name = f"d{rng.randint(1, self.daemons)}"
+                if name not in self.cell.daemons:
+                    continue
+                answer = self.cell.submit(name, "fitting", body)
+                self.answers[key].append(answer)
+                if answer is not None:
+                    break
+
+    def kill_one(self) -> None:
+        name = self.rng.choice(sorted(self.cell.daemons))
+        self.cell.kill(name)
+        time.sleep(self.rng.uniform(0.5, 3))
+        self.cell.start_daemon(name, int(name[1:]))
+
+    def pause_one(self) -> None:
+        resume = pause(self.cell, self.rng.choice(sorted(self.cell.daemons)))
+        time.sleep(self.rng.uniform(1, 4))
+        resume()
+
+    def fail_workers(self) -> None:
+        names = self.rng.sample([f"w{number:03d}" for number in range(self.workers)], 3)
+        fault = self.rng.choice(("hang", "down", "lose", "reboot"))
+        if fault == "reboot":
+            self.cell.control_workers(workers=names, reboot=True)
+            return
+        on = {"lose_start_answers": True} if fault == "lose" else {"mode": fault}
+        self.cell.control_workers(workers=names, set=on)
+        time.sleep(self.rng.uniform(0.5, 6))
+        self.cell.control_workers(workers=names, set={"lose_start_answers": False, "mode": "up"})
+
+    def fail_store(self) -> None:
+        self.cell.control_store(mode=self.rng.choice(("down", "slow", "lose_answers")))
+        time.sleep(self.rng.uniform(0.3, 3))
+        self.cell.control_store(mode="up")
+
+    def test_no_request_is_lost_doubled_or_refused_wrongly(self) -> None:
+        """Guards against faults that only meet in combination."""
+        callers = [
+            threading.Thread(target=self.call_forever, args=(caller,), daemon=True)
+            for caller in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        faults = (self.kill_one, self.pause_one, self.fail_workers, self.fail_store)
+        for _ in range(ROUNDS):
+            first, second = self.rng.sample(faults, 2)
+            other = threading.Thread(target=second)
+            other.start()
+            first()
+            other.join()
+        self.over.set()
+        for daemon in self.cell.daemons.values():
+            daemon.signal(signal.SIGCONT)
+        self.cell.wait_owned()
+        for caller in callers:
+            caller.join()
+        wait_until(self.no_run_is_left, "all runs ended")
+        self.check()
+
+    def no_run_is_left(self) -> bool:
+        events = [event for history in self.cell.history().values() for event in history]
+        return sum(1 if event["event"] == "start" else -1 for event in events) == 0
+
+    def check(self) -> None:
+        """Compare what callers were told with what the workers did."""
+        events = [event for history in self.cell.history().values() for event in history]
+        starts = [event for event in events if event["event"] == "start"]
+        self.starts = Counter(event["request_key"] for event in starts)
+        many = [key for key, number in self.starts.items() if number > 1]
+        once = {event["request_key"] for event in starts if not event["repeatable"]}
+        self.assertEqual(once.intersection(many), set())
+        self.assertEqual([key for key in many if most_at_once(self.cell, key) > 1], [])
+        self.assertGreater(sum(map(self.check_answers, self.answers)), 0)
+
+    def check_answers(self, key: str) -> int:
+        """Check what the caller of one key was told; return whether it got a result."""
+        for answer in filter(None, self.answers[key]):
+            if answer["name"] == "OK":
+                self.assertEqual(answer["result"], f"done:payload of {key}")
+                return 1
+            # A first try whose connection broke may have run, whatever the second is told.
+            if answer["effect"] == "not_run" and answer is self.answers[key][0]:
+                self.assertEqual(self.starts.get(key, 0), 0, (key, answer))
+        return 0
--- a/tests/support/failures.py
+++ b/tests/support/failures.py
@@ -41,9 +41,8 @@
 def events_of(cell: Cell, key: str) -> list[dict]:
     """Return what happened on all workers for a request, in order of time."""
     events = [event for history in cell.history().values() for event in history]
-    return sorted(
-        (event for event in events if event["request_key"] == key), key=lambda e: e["at_ms"]
-    )
+    mine = (event for event in events if event["request_key"] == key)
+    return sorted(mine, key=lambda event: (event["at_ms"], event["event"] == "start"))
 
 
 def starts_of(cell: Cell, key: str) -> list[dict]:
