Repeat adopted tasks with the caller's payload; begin no epoch after a release

Before: a task found on a worker and joined by a retry was repeated without payload ('[''] != ['payload of again']'); a release during the takeover deleted the owner key and the takeover still appended its epoch ('[EpochEntry(epoch=1, member='m1')] != []').

--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -184,11 +184,13 @@
     async def release(self) -> None:
         """Hand the partition over: stop, write the release entry, delete the owner key."""
         self.state = OwnerState.RELEASING
-        if self.dispatch is not None:
-            await self.dispatch.quiesce()
-        if self._journal is not None:
-            await self._journal.close(ReleaseEntry(self.epoch))
-        self._stop()
+        try:
+            if self.dispatch is not None:
+                await self.dispatch.quiesce()
+            if self._journal is not None:
+                await self._journal.close(ReleaseEntry(self.epoch))
+        finally:
+            self._stop()
         await self._delete_key()
 
     def close(self) -> None:
@@ -233,6 +235,8 @@
         if not read.state.clean:
             await asyncio.sleep(self._cfg.takeover_margin_ms / 1000)
             read = await self._read_journal()
+        if self.state is not OwnerState.RECOVERING:
+            raise LagoonshelfError(no_owner(self.partition))
         self._part.epoch = Epoch(read.state.epoch + 1)
         self._journal_first = read.first
         self._journal = JournalWriter(
--- a/packages/server/lagoonshelf_server/task_events.py
+++ b/packages/server/lagoonshelf_server/task_events.py
@@ -208,6 +208,8 @@
         if record is None or task.index in record.outcomes:
             return
         record.attempts[task.index] = task.attempt
+        # A task found on a worker came without the payload; a caller may have brought it since.
+        task.payload = record.spec.payload
         if record.cancelled:
             self.cancel_queued(record, task.index, task.task)
         elif not record.durable and not self._part.waiters.count(record.id):
--- a/tests/server/test_recovery.py
+++ b/tests/server/test_recovery.py
@@ -172,6 +172,31 @@
         self.cell.workers.finish("w0", "0.1.1", result="joined")
         self.assertEqual((await waiting).outcomes[0].result, "joined")
 
+    async def test_joined_run_is_repeated_with_the_payload_of_the_retry(self) -> None:
+        """Guards against a second attempt of an adopted task that lacks its payload."""
+        again = spec("again")
+        self.cell.workers.run("w0", meta_of(again, "0.1.1"))
+        owner = await self.cell.taken_over()
+        waiting = asyncio.ensure_future(owner.submit(again))
+        await asyncio.sleep(0.01)
+        self.cell.workers.finish("w0", "0.1.1", "failed")
+        await until(self.cell.workers.starts)
+        worker = next(w for w in self.cell.workers.workers.values() if w.starts)
+        self.assertEqual(worker.payloads, [again.payload])
+        self.assertEqual(worker.starts, [("0.1.1", 2)])
+        waiting.cancel()
+
+    async def test_release_during_the_takeover_begins_no_epoch(self) -> None:
+        """Guards against an epoch entry that follows the deletion of the owner key."""
+        owner = self.cell.new()
+        self.cell.store._write("owners/0", "ours", 0)
+        takeover = asyncio.ensure_future(owner.take_over())
+        await asyncio.sleep(0)
+        await owner.release()
+        await takeover
+        self.assertEqual(self.entries(EpochEntry), [])
+        self.assertNotIn("owners/0", self.cell.store.items)
+
     async def test_tasks_of_other_partitions_keep_room_and_lease(self) -> None:
         """Guards against workers filled twice and delegated tasks that lapse."""
         self.cell.workers.run("w0", meta_of(spec("far"), "3.1.1", home=3))
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -95,6 +95,7 @@
     runs: dict[str, TaskReport] = field(default_factory=dict)
     reports: list[TaskReport] = field(default_factory=list)
     starts: list[tuple[str, int]] = field(default_factory=list)
+    payloads: list[str] = field(default_factory=list)
     stops: list[str] = field(default_factory=list)
     acks: list[str] = field(default_factory=list)
     renewed: set[str] = field(default_factory=set)
@@ -130,6 +131,7 @@
         worker = await self._reach(address, authority)
         for item in items:
             worker.starts.append((item.meta.task, item.meta.attempt))
+            worker.payloads.append(item.payload)
             worker.runs[item.meta.task] = TaskReport(item.meta, "running", "")
         if worker.mode == "lost":
             raise WorkerError("answer lost")
