--- a/tests/processes/test_recovery.py
+++ b/tests/processes/test_recovery.py
@@ -1,9 +1,10 @@
 """Accepted work over the death of all daemons, on real processes."""
 
+from lagoonshelf_core.routing import partition_of_request
 from lagoonshelf_standins.cell import wait_until
 
 from tests.support.base import CellTestCase, interactive
-from tests.support.failures import key_owned_by, most_at_once, owner_of, starts_of
+from tests.support.failures import PARTITIONS, key_owned_by, most_at_once, owner_of, starts_of
 
 
 class RecoveryTest(CellTestCase):
@@ -79,6 +80,28 @@
         other = self.cell.submit("d2", "fitting", {**body, "payload": "other"})
         self.assertEqual(other["name"], "KEY_REUSED", other)
 
+    def test_answers_survive_in_a_snapshot(self) -> None:
+        """Guards against answers lost, or journals that grow, when segments are replaced."""
+        partition = partition_of_request("fitting", "seed", PARTITIONS)
+        names = (f"once{number}" for number in range(1000))
+        keys = [k for k in names if partition_of_request("fitting", k, PARTITIONS) == partition]
+        keys = keys[:45]
+        for key in keys:
+            body = interactive(key, repeatable=False, run_ms=1)
+            self.assertEqual(self.cell.submit("d1", "fitting", body)["name"], "OK")
+        wait_until(lambda: self.stored(f"snapshot/{partition}/current"), "snapshot")
+        wait_until(lambda: len(self.stored(f"journal/{partition}/")) <= 64, "short journal")
+        self.restart_all()
+        for key in (keys[0], keys[-1]):
+            body = interactive(key, repeatable=False, run_ms=1)
+            answer = self.cell.submit("d2", "fitting", body)
+            self.assertEqual(answer["result"], f"done:payload of {key}")
+            self.assertEqual(len(starts_of(self.cell, key)), 1)
+
+    def stored(self, prefix: str) -> list[dict]:
+        """Return what the store has under a prefix."""
+        return self.cell.call(f"{self.cell.store_url}/list", {"prefix": prefix})["items"]
+
     def test_takeover_with_an_unreachable_worker(self) -> None:
         """Guards against a partition without an owner because one worker is silent."""
         owner = owner_of(self.cell, "fitting", "seed")
--- a/tests/server/test_owner.py
+++ b/tests/server/test_owner.py
@@ -79,6 +79,19 @@
         self.cell.workers.finish("w0", task)
         self.assertIs(await self.code_of(again), ResultCode.OK)
 
+    async def test_returning_worker_keeps_a_run_that_nobody_replaced(self) -> None:
+        """Guards against a second start of a queued task whose first run goes on."""
+        again = self.submit("again", timeout_ms=5000)
+        task = await self.started()
+        self.worker.mode = "down"
+        await until(lambda: self.owner.scheduler.queue_length() == 1)
+        self.worker.mode = "up"
+        await until(lambda: self.owner.scheduler.queue_length() == 0)
+        self.cell.workers.finish("w0", task)
+        self.assertIs(await self.code_of(again), ResultCode.OK)
+        self.assertEqual(self.worker.starts, [(task, 1)])
+        self.assertEqual(self.worker.stops, [])
+
     async def test_refused_start_is_voided_before_the_next(self) -> None:
         """Guards against an outcome that is unknown although the worker refused the start."""
         real = self.cell.workers.start
