--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -4,18 +4,21 @@
 import os
 import signal
 import sys
+from typing import NoReturn
 
 import cherrypy
 from fire import Fire
+from lagoonshelf_core.errors import Fault
 from returns.result import Failure
 
 from lagoonshelf_server.application import Application
+from lagoonshelf_server.console import Console, mount_console
 from lagoonshelf_server.entry import Entry
 from lagoonshelf_server.logs import set_up_logs
-from lagoonshelf_server.request_body import MAX_BODY_BYTES
 from lagoonshelf_server.settings import Settings, load_settings
 
 EXIT_BAD_SETTING = 2
+EXIT_PARTITION_MISMATCH = 3
 SOCKET_TIMEOUT_S = 10
 
 
@@ -27,46 +30,57 @@
     """
     result = load_settings(flags, os.environ)
     if isinstance(result, Failure):
-        fault = result.failure()
-        print(f"{fault.code.name} ({fault.code.number}): {fault.message}", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTING)
+        _fail(result.failure(), EXIT_BAD_SETTING)
     cfg = result.unwrap()
     set_up_logs(cfg.log_level, cfg.member)
-    asyncio.run(_serve(cfg))
+    fault = asyncio.run(_serve(cfg))
+    if fault is not None:
+        _fail(fault, EXIT_PARTITION_MISMATCH)
     # Threads in long polls would hold the end of the process for up to 12 s.
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(0)
 
 
-async def _serve(cfg: Settings) -> None:
+def _fail(fault: Fault, exit_code: int) -> NoReturn:
+    print(f"{fault.code.name} ({fault.code.number}): {fault.message}", file=sys.stderr)
+    raise SystemExit(exit_code)
+
+
+async def _serve(cfg: Settings) -> Fault | None:
+    """Serve until drained; return why the process cannot be part of the cell, if it cannot."""
     loop = asyncio.get_running_loop()
     application = Application(cfg, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: application.bridge.spawn(application.drain()))
     await application.start()
-    entry = Entry(application.bridge, application.services(), cfg.operator_key_sha256)
-    _start_http(cfg, entry)
+    services = application.services()
+    entry = Entry(application.bridge, services, cfg.operator_key_sha256)
+    console = Console(application.bridge, services, cfg.cluster_secret)
+    _start_http(cfg, entry, console)
     await application.stopped.wait()
     await loop.run_in_executor(None, cherrypy.engine.exit)
     await application.net.close()
     application.bridge.close()
+    return application.fault
 
 
-def _start_http(cfg: Settings, entry: Entry) -> None:
+def _start_http(cfg: Settings, entry: Entry, console: Console) -> None:
     cherrypy.config.update(
         {
             "server.socket_host": cfg.host,
             "server.socket_port": cfg.http_port,
             "server.thread_pool": cfg.http_threads,
             "server.socket_timeout": SOCKET_TIMEOUT_S,
-            "server.max_request_body_size": MAX_BODY_BYTES,
+            # The entry refuses large bodies itself, with a result code.
+            "server.max_request_body_size": 0,
             "log.screen": False,
             "engine.autoreload.on": False,
             "checker.on": False,
         }
     )
     cherrypy.tree.graft(entry, "")
+    mount_console(console, entry.check_operator)
     cherrypy.engine.start()
 
 
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -41,6 +41,7 @@
     """State of a member, sent in pings and pongs.
 
     :param promise_ms: how long the sender takes over no partition, 0 for no promise
+    :param fresh_ms: how long the sender's configuration still counts as fresh, 0 when stale
     """
 
     member: str
@@ -50,6 +51,7 @@
     draining: bool
     owned: tuple[Owned, ...] = ()
     use: tuple[TeamUse, ...] = ()
+    fresh_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,12 +132,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Delegate:
-    """Asks the owner of another partition to start a task at once."""
+    """Asks the owner of another partition to start a task at once.
+
+    :param epoch: the owner that is asked; any other one refuses
+    """
 
     partition: int
     home_epoch: int
     meta: TaskMeta
     payload: str
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,12 +154,16 @@
 
 @dataclass(frozen=True, slots=True)
 class DelegateDone:
-    """Reports the end of a delegated task to its home owner."""
+    """Reports the end of a delegated task to its home owner.
+
+    :param state: the worker's state of the task, or refused or lost
+    """
 
     partition: int
     meta: TaskMeta
     code: int
     result: str
+    state: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,11 +177,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DelegateState:
-    """A delegated task and its state."""
+    """A delegated task and its state.
+
+    :param partition: where it runs or ran
+    :param epoch: the owner that answers
+    """
 
     meta: TaskMeta
     state: str
     result: str = ""
+    partition: int = 0
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,10 +195,23 @@
     """Delegated tasks of a home partition.
 
     :param complete: whether all workers of the partition were read
+    :param boots: name and boot id of each worker that was read
     """
 
     complete: bool
     tasks: tuple[DelegateState, ...] = ()
+    boots: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class DelegateStop:
+    """Asks the owner that runs a delegated task to stop it."""
+
+    partition: int
+    home: int
+    home_epoch: int
+    task: str
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,10 +225,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FenceReply:
-    """Confirms a fence and returns the partition's delegated tasks."""
+    """Confirms a fence and returns the partition's delegated tasks.
+
+    :param partitions: partitions for which the answer is complete
+    """
 
     accepted: bool
     tasks: tuple[DelegateState, ...] = ()
+    partitions: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,6 +290,7 @@
     | DelegateDone
     | DelegateQuery
     | DelegateStates
+    | DelegateStop
     | Fence
     | FenceReply
     | GrantAsk
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import TypeVar
 
+import orjson
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import LagoonshelfError
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
@@ -21,7 +22,14 @@
 from lagoonshelf_server.journal_writer import JournalWriter
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.members import Members
+from lagoonshelf_server.owner_parts import (
+    OwnerPort,
+    make_delegation,
+    make_grants,
+    make_hosting,
+)
 from lagoonshelf_server.partition import Partition
+from lagoonshelf_server.partition_calls import PartitionCalls
 from lagoonshelf_server.recovery import Recovery
 from lagoonshelf_server.settings import Settings
 from lagoonshelf_server.snapshots import JournalRead, read_journal
@@ -62,12 +70,9 @@
         workers: WorkerClient,
         members: Members,
         config: ConfigSync,
-        claim: str = "",
+        calls: PartitionCalls,
     ) -> None:
-        """Begin before the takeover.
-
-        :param claim: value of the owner key that this process has created
-        """
+        """Begin before the takeover; the owner key is attached to the member's lease."""
         self.partition = partition
         self.state = OwnerState.RECOVERING
         self.dispatch: Dispatch | None = None
@@ -78,7 +83,6 @@
         self._workers = workers
         self._members = members
         self._lease = members.lease
-        self._claim = claim
         self._journal: JournalWriter | None = None
         self._journal_first = 1
         self._hosts_tried_ms = 0
@@ -97,6 +101,23 @@
         self._events = TaskEvents(self._part)
         self._recovery = Recovery(self._part, self._events)
         self._intake = Intake(self._part, self._events, self._recovery, self.may_start)
+        port = OwnerPort(
+            journal=lambda entries: self._append(entries, True),
+            started=self._events.started,
+            unwritten=self._events.unwritten,
+            requeue=self._events.run_again,
+            end=self._events.end_away,
+            adopt=self._recovery.adopt_away,
+            digest_of=self._digest_of,
+            kick=self._kicked.set,
+            lost=lambda: self.state is OwnerState.LOST,
+        )
+        self.grants = make_grants(self, port, cfg, clock, bridge, store, config, calls)
+        self.hosting = make_hosting(self, clock, calls)
+        self.delegation = make_delegation(self, port, cfg, clock, bridge, calls)
+        self._part.away = self.delegation.away
+        self._events.hosting = self._recovery.hosting = self.hosting
+        self._events.stop_away = self.delegation.stop
 
     @property
     def epoch(self) -> Epoch:
@@ -132,6 +153,8 @@
             self._begin_dispatch()
             self.set_hosts(await self._retry(self._store.hosts))
             await self._recovery.wait_read()
+            await self.delegation.take_over()
+            await self.grants.begin(self.epoch)
         except LagoonshelfError as exc:
             _log.warning("takeover ended", partition=self.partition, reason=exc.fault.message)
             self.close()
@@ -146,6 +169,9 @@
             self._recovery.settle(),
             self._pass_forever(),
             upkeep.run(self.may_start),
+            self.grants.run_forever(),
+            self.delegation.watch_forever(),
+            self.hosting.report_forever(),
         ):
             self._background.append(self._bridge.spawn(loop))
         self._kicked.set()
@@ -154,6 +180,7 @@
     def set_hosts(self, hosts: list[WorkerInfo]) -> None:
         """Take in the platform's host list."""
         self.hosts_tried()
+        self.delegation.set_hosts(hosts)
         mine = [
             host
             for host in hosts
@@ -217,8 +244,23 @@
             self._kicked.clear()
             await self._read_old_hosts()
             if self.may_start():
-                commands = self.scheduler.run_pass(self._clock.now_ms(), lambda task: True)
+                self.grants.begin_pass()
+                commands = self.scheduler.run_pass(self._clock.now_ms(), self.grants.may_start)
                 await self.dispatch.execute(commands)
+                self.delegation.offer()
+
+    def place(self, task: Task) -> bool:
+        """Start a task of another partition at once if a worker and the grant allow it."""
+        self.grants.begin_pass()
+        self.scheduler.enqueue(task)
+        commands = self.scheduler.run_pass(
+            self._clock.now_ms(), lambda other: other is task and self.grants.may_start(task)
+        )
+        placed = task.worker is not None
+        if not placed:
+            self.scheduler.release(task.task)
+        self._bridge.spawn(self.dispatch.execute(commands))
+        return placed
 
     async def _read_old_hosts(self) -> None:
         """Read the host list first if this process was paused, as workers may be leaving."""
@@ -287,6 +329,8 @@
         self._background.append(self._bridge.spawn(self.dispatch.renew_forever()))
 
     def _digest_of(self, task: Task) -> str:
+        if task.home != self.partition:
+            return self.hosting.digest_of(task)
         record = self.book.find(task.team, task.request_key)
         return record.digest if record else ""
 
@@ -305,7 +349,7 @@
         """Delete the owner key if it is still the one of this ownership."""
         try:
             item = await self._retry(lambda: self._store.get(f"owners/{self.partition}"))
-            ours = item.value is not None and item.value == (self._claim or item.value)
+            ours = item.value is not None and orjson.loads(item.value).get("lease") == self._lease
             if ours and self._lease == self._members.lease:
                 await self._retry(lambda: self._store.delete(item.key, item.version))
         except LagoonshelfError:
--- a/packages/server/lagoonshelf_server/requests.py
+++ b/packages/server/lagoonshelf_server/requests.py
@@ -1,7 +1,7 @@
 """The request path: from the entry to the partition's owner and back."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from lagoonshelf_core.clock import Clock
@@ -26,17 +26,25 @@
 CONTROL_TIMEOUT_MS = 10_000
 
 FindOwner = Callable[[PartitionId], Owner | None]
+Authorize = Callable[[Submit | RequestRef], Awaitable[None]]
 
 
 class Requests:
     """Sends each request to the owner of its partition, again if the owner changes."""
 
     def __init__(
-        self, cfg: Settings, clock: Clock, members: Members, net: PeerNet, find_owner: FindOwner
+        self,
+        cfg: Settings,
+        clock: Clock,
+        members: Members,
+        net: PeerNet,
+        find_owner: FindOwner,
+        authorize: Authorize,
     ) -> None:
         """Set up.
 
         :param find_owner: returns the owner in this process, if it is here
+        :param authorize: raises when the configuration does not allow the work
         """
         self._routing: set[asyncio.Task[Answer]] = set()
         self._given_up = False
@@ -45,6 +53,7 @@
         self._members = members
         self._net = net
         self._find_owner = find_owner
+        self._authorize = authorize
 
     async def submit(self, submit: Submit) -> Answer:
         """Get the answer to a request from whichever process owns it."""
@@ -68,9 +77,11 @@
         if owner is None or not owner.may_act():
             text = f"partition {partition} is not owned here"
             raise LagoonshelfError(Fault(ResultCode.NO_OWNER, text))
+        record = owner.book.find(TeamId(body.team), RequestKey(body.request_key))
+        if kind != "submit" or record is None:  # a known request was authorized before it ran
+            await self._authorize(body)
         if kind == "submit":
             return answer_of(await owner.submit(spec_of(body)))
-        record = owner.book.find(TeamId(body.team), RequestKey(body.request_key))
         if record is None:
             text = f"no request {body.request_key!r}"
             raise LagoonshelfError(Fault(ResultCode.NOT_FOUND, text))
--- a/packages/server/lagoonshelf_server/snapshots.py
+++ b/packages/server/lagoonshelf_server/snapshots.py
@@ -118,8 +118,8 @@
         return 1
     body = orjson.loads(current.value)
     keep = segment_key(partition, body["number"] - 1)
-    segments, _ = await store.list_keys(journal_prefix(partition), SEGMENTS_PER_PAGE)
-    parts, _ = await store.list_keys(_parts_prefix(partition), SEGMENTS_PER_PAGE)
+    segments, _ = await store.list_keys(journal_prefix(partition), page=SEGMENTS_PER_PAGE)
+    parts, _ = await store.list_keys(_parts_prefix(partition), page=SEGMENTS_PER_PAGE)
     live = _part_prefix(partition, body["number"], body["token"])
     later = f"snapshot/{partition}/{body['number'] + 1:012d}"
     old = [item for item in segments if item.key < keep]
@@ -143,7 +143,7 @@
             if part.value is None:
                 return None
             _apply(state, part.value)
-    segments, _ = await store.list_keys(journal_prefix(partition), SEGMENTS_PER_PAGE)
+    segments, _ = await store.list_keys(journal_prefix(partition), page=SEGMENTS_PER_PAGE)
     first = _number(segments[0]) if segments else number
     for item in segments:
         if _number(item) < number:
--- a/packages/server/lagoonshelf_server/starter.py
+++ b/packages/server/lagoonshelf_server/starter.py
@@ -122,7 +122,9 @@
 
     async def _write_intents(self, worker: WorkerId, tasks: list[Task]) -> bool:
         link = self._links.get(worker)
-        intents = [self._intent(link, task) for task in tasks if link and not task.repeatable]
+        # The home owner of a delegated task has journaled the intent.
+        own = [task for task in tasks if task.home == self._authority.partition]
+        intents = [self._intent(link, task) for task in own if link and not task.repeatable]
         if not intents:
             return True
         try:
--- a/packages/server/lagoonshelf_server/task_events.py
+++ b/packages/server/lagoonshelf_server/task_events.py
@@ -1,6 +1,7 @@
 """What becomes of a task: refused, started, ended, lost or requeued, and its outcome."""
 
 import asyncio
+from collections.abc import Callable
 
 from lagoonshelf_core.commands import Stop
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
@@ -10,22 +11,15 @@
 from lagoonshelf_core.records import Outcome, Record
 
 from lagoonshelf_server.dispatch import Dispatch
+from lagoonshelf_server.hosting import Hosting
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.partition import Partition
+from lagoonshelf_server.task_ends import code_of_end, runs_again
 from lagoonshelf_server.workers import TaskReport
 
-MAX_FAILURES = 3
 # A replica that ends at once would otherwise be started as fast as the worker answers.
 REPLICA_RESTART_MS = 500
 STORE_RETRY_MS = 1000
-ENDED_CODES = {
-    "finished": ResultCode.OK,
-    "failed": ResultCode.TASK_FAILED,
-    "stopped": ResultCode.CANCELLED_RUNNING,
-    "checkpointed": ResultCode.CANCELLED_RUNNING,
-    "lapsed": ResultCode.OUTCOME_UNKNOWN,
-}
-INTERRUPTED = ("stopped", "checkpointed", "lapsed")
 _log = logger("tasks")
 
 
@@ -35,6 +29,8 @@
     def __init__(self, partition: Partition) -> None:
         """Begin before the workers are known."""
         self.dispatch: Dispatch | None = None
+        self.hosting: Hosting | None = None
+        self.stop_away: Callable[[TaskId], None] = lambda task: None
         self._part = partition
 
     def started(self, task: Task) -> None:
@@ -53,7 +49,10 @@
         """Put a task back whose start certainly did not happen."""
         if task.state is not TaskState.STARTING:
             return
-        if task.repeatable:
+        if self._is_foreign(task):
+            self.hosting.refused(task)
+            self._part.kick()
+        elif task.repeatable:
             self._put_back(task)
         else:
             self._part.ending.add(task.task)
@@ -61,6 +60,9 @@
 
     def unwritten(self, task: Task) -> None:
         """Handle a task whose intent the store did not take; nothing was sent."""
+        if self._is_foreign(task):
+            self.hosting.refused(task)
+            return
         record = self._part.find(task)
         self._part.scheduler.release(task.task)
         if record is None:
@@ -77,6 +79,9 @@
         """Handle a task that may have run and cannot run any more."""
         self._part.scheduler.release(task.task)
         self.dispatch.forget(task.task)
+        if self._is_foreign(task):
+            self.hosting.lost(task)
+            return
         record = self._part.find(task)
         if record is None:
             return
@@ -96,16 +101,21 @@
         self._part.kick()
         stop = self.dispatch.stops.get(task.task)
         self.dispatch.forget(task.task)
+        if self._is_foreign(task):
+            self.hosting.ended(task, report)
+            self.ack(worker, task.task)
+            return
         record = self._part.find(task)
         if record is None:
             return
         record.begun.add(task.index)
         record.attempts[task.index] = max(task.attempt, report.meta.attempt)
-        if not record.cancelled and self._runs_again(task, report.state, stop):
+        requeue = stop is None or stop.requeue
+        if not record.cancelled and runs_again(task, report.state, requeue):
             task.failures += report.state == "failed"
-            self._run_again(task)
+            self.run_again(task)
             return
-        outcome = Outcome(ENDED_CODES.get(report.state, ResultCode.TASK_FAILED), report.result)
+        outcome = Outcome(code_of_end(report.state), report.result)
         self.settle(record, task.index, task.task, outcome, worker)
 
     def given_up(self, task: Task, reason: str) -> None:
@@ -130,15 +140,7 @@
 
         :param worker: who keeps the result until it is acknowledged
         """
-        entry = OutcomeEntry(
-            task,
-            record.spec.team,
-            record.spec.request_key,
-            index,
-            outcome.code.name,
-            outcome.result,
-            record.digest,
-        )
+        entry = _outcome_entry(record, index, task, outcome)
         if not record.spec.repeatable:
             self._part.ending.add(task)
             self._part.spawn(self._settle_durably(record, index, entry, outcome, worker))
@@ -167,21 +169,30 @@
             self.ack(worker, task)
             del record.kept[index]
 
-    def _runs_again(self, task: Task, state: str, stop: Stop | None) -> bool:
-        if task.kind is WorkKind.SERVICE:
-            return state != "lapsed" or task.repeatable
-        if not task.repeatable:
-            return False
-        if state in INTERRUPTED:
-            return stop is None or stop.requeue
-        return state == "failed" and task.failures + 1 < MAX_FAILURES
-
-    def _run_again(self, task: Task) -> None:
+    def run_again(self, task: Task) -> None:
+        """Let a task wait for another start."""
         if task.kind is WorkKind.SERVICE:
             self._requeue_later(task, REPLICA_RESTART_MS)
         else:
             self._put_back(task)
 
+    async def end_away(self, task: Task, outcome: Outcome) -> None:
+        """Store the outcome of a task that another owner ran; return once that is durable.
+
+        :raises LagoonshelfError: when the outcome could not be stored
+        """
+        record = self._part.find(task)
+        if record is None:
+            return
+        if record.durable or not record.spec.repeatable:
+            await self._part.append(
+                [_outcome_entry(record, task.index, task.task, outcome)], False
+            )
+        self._set_outcome(record, task.index, outcome)
+
+    def _is_foreign(self, task: Task) -> bool:
+        return task.home != self._part.number
+
     def _requeue_later(self, task: Task, delay_ms: int) -> None:
         self._part.ending.add(task.task)
         self._part.spawn(self._wait_and_requeue(task, delay_ms))
@@ -248,3 +259,15 @@
         self._part.book.set_outcome(record, index, outcome, self._part.clock.now_ms())
         if record.ended:
             self._part.waiters.wake(record.id)
+
+
+def _outcome_entry(record: Record, index: int, task: TaskId, outcome: Outcome) -> OutcomeEntry:
+    return OutcomeEntry(
+        task,
+        record.spec.team,
+        record.spec.request_key,
+        index,
+        outcome.code.name,
+        outcome.result,
+        record.digest,
+    )
--- a/tests/server/test_owner.py
+++ b/tests/server/test_owner.py
@@ -11,7 +11,7 @@
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.owner import OwnerState
 
-from tests.support.fakes import OneOwner, spec, until
+from tests.support.fakes import OWNER_KEY, OneOwner, spec, until
 
 
 class ActiveOwnerTest(unittest.IsolatedAsyncioTestCase):
@@ -248,7 +248,7 @@
 
     async def test_release_sends_waiting_callers_on_and_frees_the_key(self) -> None:
         """Guards against callers cut off by a hand-over, and a start after the release."""
-        self.cell.store._write("owners/0", "ours", 0)
+        self.cell.store._write("owners/0", OWNER_KEY, 0)
         waiting = self.submit("moved")
         task = await self.started()
         await self.owner.release()
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -74,7 +74,13 @@
                 "operator_key_sha256": "0" * 64,
             }
         )
-        self.requests = Requests(cfg, Clock(), view or FakeView(), net, lambda partition: None)
+
+        async def authorize(body: Submit | RequestRef) -> None:
+            del body
+
+        self.requests = Requests(
+            cfg, Clock(), view or FakeView(), net, lambda partition: None, authorize
+        )
         answer = await self.requests.submit(submit())
         return CODES_BY_NUMBER[answer.code]
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.document import Document, QueueConfig
+from lagoonshelf_core.document import Document, QueueConfig, TeamConfig
 from lagoonshelf_core.ids import PartitionId, QueueId, RequestKey, TeamId, WorkerId
 from lagoonshelf_core.model import RequestSpec, WorkerInfo, WorkKind
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.owner import Owner
+from lagoonshelf_server.partition_calls import PartitionCalls
 from lagoonshelf_server.settings import Settings
 from lagoonshelf_server.store import Item, StoreError
 from lagoonshelf_server.workers import (
@@ -22,6 +23,7 @@
 
 CAPACITY = Resources(8000, 8192, 0, 8)
 POLL_S = 0.005
+OWNER_KEY = '{"member": "m1", "lease": "lease-1"}'
 
 
 class FakeStore:
@@ -180,20 +182,30 @@
 
 
 class FakeMembers:
-    """A lease that lasts until a test ends it."""
+    """The only member, with a lease that lasts until a test ends it."""
 
     def __init__(self) -> None:
+        self.me = "m1"
+        self.others: dict = {}
         self.lease = "lease-1"
         self.alive = True
 
+    def owner_of(self, partition: PartitionId) -> None:
+        """Return no owner, since no other member has announced one."""
+        del partition
+
     def may_act(self) -> bool:
         return self.alive
 
 
 class FakeConfig:
-    """A configuration with one queue."""
+    """A configuration with one team and one queue."""
 
-    document = Document(queues={"q": QueueConfig()})
+    revision = 1
+    document = Document(
+        teams={"t": TeamConfig(limit_tasks=1000, limit_cpu_milli=1_000_000)},
+        queues={"q": QueueConfig()},
+    )
 
 
 class OneOwner:
@@ -232,6 +244,7 @@
             self.workers,
             self.members,
             FakeConfig(),
+            PartitionCalls(self.members, None, {}),
         )
 
     async def taken_over(self) -> Owner:
