End the loops of a closed owner

Cause: wait_for of Python 3.11 swallows a cancellation that meets the wake-up it waits for. GrantKeeper.run_forever went on after its owner was closed, and the test runner hung while its loop was closed: 3 of 6 runs of the four server modules did not end within 30 to 100 s. The task dump of one showed run_forever cancelled twice and still waiting. Change: these loops and the waiting callers use asyncio.timeout. The takeover test with a silent worker moves to the class with default leases; with a task lease of 20 s it took 30.8 s, since a takeover may wait one task lease plus start timeout for delegated tasks. Before: test_loops_end_when_a_close_meets_a_wake_up failed ('Items in the first set but not the second'). After: it passes; 3 runs of 70 passed, 0 failed (python -m tests tests.server.test_owner tests.server.test_recovery tests.server.test_requests tests.server.test_journal_writer tests.server.test_grant_keeper); the moved test takes 13.2 s.

--- a/packages/server/lagoonshelf_server/answers.py
+++ b/packages/server/lagoonshelf_server/answers.py
@@ -22,7 +22,8 @@
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting[request].add(fut)
         try:
-            await asyncio.wait_for(fut, max(0.0, timeout_s))
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await fut
         except TimeoutError:
             return False
         finally:
--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.clock import Clock
@@ -193,10 +194,10 @@
         """Take, give back and ask whenever something has changed."""
         while True:
             await self.tick()
-            try:
-                await asyncio.wait_for(self._wake.wait(), TICK_S)
-            except TimeoutError:
-                continue
+            # wait_for of Python 3.11 may swallow a cancellation and let the loop run on.
+            with suppress(TimeoutError):
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
 
     async def tick(self) -> None:
         """Begin the writes, questions and stops that are due."""
--- a/packages/server/lagoonshelf_server/hosting.py
+++ b/packages/server/lagoonshelf_server/hosting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 from lagoonshelf_core.clock import Clock
@@ -177,10 +178,10 @@
             self._drop_old()
             waiting = [entry for entry in self._ended.values() if entry.acked_ms is None]
             await asyncio.gather(*(self._report(entry) for entry in waiting))
-            try:
-                await asyncio.wait_for(self._wake.wait(), REPORT_INTERVAL_S)
-            except TimeoutError:
-                continue
+            # wait_for of Python 3.11 may swallow a cancellation and let the loop run on.
+            with suppress(TimeoutError):
+                async with asyncio.timeout(REPORT_INTERVAL_S):
+                    await self._wake.wait()
 
     async def _report(self, entry: _Ended) -> None:
         if not self._hooks.is_active():
--- a/packages/server/lagoonshelf_server/intake.py
+++ b/packages/server/lagoonshelf_server/intake.py
@@ -92,7 +92,8 @@
     async def _wait_known(self, request: RequestId, end_ms: int) -> None:
         left_s = max(0, end_ms - self._part.clock.now_ms()) / 1000
         try:
-            await asyncio.wait_for(self._recovery.wait_known(request), left_s)
+            async with asyncio.timeout(left_s):
+                await self._recovery.wait_known(request)
         except TimeoutError:
             text = "a worker that may run the request was not read in time"
             raise LagoonshelfError(Fault(ResultCode.OUTCOME_UNKNOWN, text)) from None
--- a/tests/processes/test_owner_failures.py
+++ b/tests/processes/test_owner_failures.py
@@ -116,3 +116,14 @@
         for key, answer in answers.items():
             if answer["effect"] == "not_run":
                 self.assertEqual(events_of(self.cell, key), [], answer)
+
+    def test_takeover_with_an_unreachable_worker(self) -> None:
+        """Guards against a partition without an owner because one worker is silent."""
+        owner = owner_of(self.cell, "fitting", "seed")
+        key = key_owned_by(self.cell, "fitting", owner)
+        self.cell.control_workers(workers=["w000", "w001"], set={"mode": "down"})
+        self.cell.kill(owner)
+        self.cell.wait_owned()
+        name = next(iter(self.cell.daemons))
+        answer = self.cell.submit(name, "fitting", interactive(key, repeatable=False))
+        self.assertEqual(answer["name"], "OK", answer)
--- a/tests/processes/test_recovery.py
+++ b/tests/processes/test_recovery.py
@@ -4,7 +4,7 @@
 from lagoonshelf_standins.cell import wait_until
 
 from tests.support.base import CellTestCase, interactive
-from tests.support.failures import PARTITIONS, key_owned_by, most_at_once, owner_of, starts_of
+from tests.support.failures import PARTITIONS, most_at_once, starts_of
 
 
 class RecoveryTest(CellTestCase):
@@ -101,14 +101,3 @@
     def stored(self, prefix: str) -> list[dict]:
         """Return what the store has under a prefix."""
         return self.cell.call(f"{self.cell.store_url}/list", {"prefix": prefix})["items"]
-
-    def test_takeover_with_an_unreachable_worker(self) -> None:
-        """Guards against a partition without an owner because one worker is silent."""
-        owner = owner_of(self.cell, "fitting", "seed")
-        key = key_owned_by(self.cell, "fitting", owner)
-        self.cell.control_workers(workers=["w000", "w001"], set={"mode": "down"})
-        self.cell.kill(owner)
-        self.cell.wait_owned()
-        name = next(iter(self.cell.daemons))
-        answer = self.cell.submit(name, "fitting", interactive(key, repeatable=False))
-        self.assertEqual(answer["name"], "OK", answer)
--- a/tests/server/test_owner.py
+++ b/tests/server/test_owner.py
@@ -288,6 +288,21 @@
         await until(lambda: not self.owner.book.records)
         self.assertEqual([e.request_key for e in self.entries(ForgetEntry)], ["once"])
 
+    async def test_loops_end_when_a_close_meets_a_wake_up(self) -> None:
+        """Guards against loops of a closed owner that swallow their cancellation."""
+        for steps in range(5):
+            await self.cell.crash(self.owner)
+            self.cell.members.lease = f"lease-{steps + 2}"
+            self.owner = await self.cell.taken_over()
+            await asyncio.sleep(0.01)
+            self.owner.grants._wake.set()
+            self.owner.hosting._wake.set()
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            self.owner.close()
+            _, left = await asyncio.wait(self.owner._background, timeout=2)
+            self.assertEqual(left, set(), steps)
+
     async def test_stale_epoch_closes_the_owner(self) -> None:
         """Guards against an owner that goes on after a worker has seen its successor."""
         self.worker.epoch = 9
