--- a/tests/server/test_owner.py
+++ b/tests/server/test_owner.py
@@ -11,7 +11,7 @@
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.owner import OwnerState
 
-from tests.support.fakes import OneOwner, spec, until
+from tests.support.fakes import OWNER_KEY, OneOwner, spec, until
 
 
 class ActiveOwnerTest(unittest.IsolatedAsyncioTestCase):
@@ -79,6 +79,19 @@
         self.cell.workers.finish("w0", task)
         self.assertIs(await self.code_of(again), ResultCode.OK)
 
+    async def test_returning_worker_keeps_a_run_that_nobody_replaced(self) -> None:
+        """Guards against a second start of a queued task whose first run goes on."""
+        again = self.submit("again", timeout_ms=5000)
+        task = await self.started()
+        self.worker.mode = "down"
+        await until(lambda: self.owner.scheduler.queue_length() == 1)
+        self.worker.mode = "up"
+        await until(lambda: self.owner.scheduler.queue_length() == 0)
+        self.cell.workers.finish("w0", task)
+        self.assertIs(await self.code_of(again), ResultCode.OK)
+        self.assertEqual(self.worker.starts, [(task, 1)])
+        self.assertEqual(self.worker.stops, [])
+
     async def test_refused_start_is_voided_before_the_next(self) -> None:
         """Guards against an outcome that is unknown although the worker refused the start."""
         real = self.cell.workers.start
@@ -235,7 +248,7 @@
 
     async def test_release_sends_waiting_callers_on_and_frees_the_key(self) -> None:
         """Guards against callers cut off by a hand-over, and a start after the release."""
-        self.cell.store._write("owners/0", '{"lease": "lease-1"}', 0)
+        self.cell.store._write("owners/0", OWNER_KEY, 0)
         waiting = self.submit("moved")
         task = await self.started()
         await self.owner.release()
@@ -275,6 +288,21 @@
         await until(lambda: not self.owner.book.records)
         self.assertEqual([e.request_key for e in self.entries(ForgetEntry)], ["once"])
 
+    async def test_loops_end_when_a_close_meets_a_wake_up(self) -> None:
+        """Guards against loops of a closed owner that swallow their cancellation."""
+        for steps in range(5):
+            await self.cell.crash(self.owner)
+            self.cell.members.lease = f"lease-{steps + 2}"
+            self.owner = await self.cell.taken_over()
+            await asyncio.sleep(0.01)
+            self.owner.grants._wake.set()
+            self.owner.hosting._wake.set()
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            self.owner.close()
+            _, left = await asyncio.wait(self.owner._background, timeout=2)
+            self.assertEqual(left, set(), steps)
+
     async def test_stale_epoch_closes_the_owner(self) -> None:
         """Guards against an owner that goes on after a worker has seen its successor."""
         self.worker.epoch = 9
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -25,11 +25,6 @@
     return Submit("t", "k", "q", "once", "interactive", False, 1, 1, 0, 1, 1, "p", timeout_ms)
 
 
-async def allow(body: Submit | RequestRef) -> None:
-    """Allow all work."""
-    del body
-
-
 class FakeView:
     """Members with an owner that a test may change."""
 
@@ -79,8 +74,12 @@
                 "operator_key_sha256": "0" * 64,
             }
         )
+
+        async def authorize(body: Submit | RequestRef) -> None:
+            del body
+
         self.requests = Requests(
-            cfg, Clock(), view or FakeView(), net, lambda partition: None, allow
+            cfg, Clock(), view or FakeView(), net, lambda partition: None, authorize
         )
         answer = await self.requests.submit(submit())
         return CODES_BY_NUMBER[answer.code]
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -5,15 +5,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.document import Document, QueueConfig, TeamConfig
-from lagoonshelf_core.ids import (
-    MemberId,
-    PartitionId,
-    QueueId,
-    RequestKey,
-    Revision,
-    TeamId,
-    WorkerId,
-)
+from lagoonshelf_core.ids import PartitionId, QueueId, RequestKey, TeamId, WorkerId
 from lagoonshelf_core.model import RequestSpec, WorkerInfo, WorkKind
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.bridge import Bridge
@@ -31,6 +23,7 @@
 
 CAPACITY = Resources(8000, 8192, 0, 8)
 POLL_S = 0.005
+OWNER_KEY = '{"member": "m1", "lease": "lease-1"}'
 
 
 class FakeStore:
@@ -107,6 +100,7 @@
     runs: dict[str, TaskReport] = field(default_factory=dict)
     reports: list[TaskReport] = field(default_factory=list)
     starts: list[tuple[str, int]] = field(default_factory=list)
+    payloads: list[str] = field(default_factory=list)
     stops: list[str] = field(default_factory=list)
     acks: list[str] = field(default_factory=list)
     renewed: set[str] = field(default_factory=set)
@@ -142,6 +136,7 @@
         worker = await self._reach(address, authority)
         for item in items:
             worker.starts.append((item.meta.task, item.meta.attempt))
+            worker.payloads.append(item.payload)
             worker.runs[item.meta.task] = TaskReport(item.meta, "running", "")
         if worker.mode == "lost":
             raise WorkerError("answer lost")
@@ -190,15 +185,17 @@
 
 
 class FakeMembers:
-    """A lease that lasts until a test ends it."""
+    """The only member, with a lease that lasts until a test ends it."""
 
     def __init__(self) -> None:
+        self.me = "m1"
+        self.clock = Clock()
+        self.others: dict = {}
         self.lease = "lease-1"
         self.alive = True
-        self.me = MemberId("m1")
-        self.others: dict[MemberId, object] = {}
 
     def owner_of(self, partition: PartitionId) -> None:
+        """Return no owner, since no other member has announced one."""
         del partition
 
     def may_act(self) -> bool:
@@ -206,12 +203,12 @@
 
 
 class FakeConfig:
-    """A configuration with one queue and one team."""
+    """A configuration with one team and one queue."""
 
-    revision = Revision(1)
+    revision = 1
     document = Document(
-        queues={"q": QueueConfig()},
         teams={"t": TeamConfig(limit_tasks=1000, limit_cpu_milli=1_000_000)},
+        queues={"q": QueueConfig()},
     )
 
 
