Prove the configuration on real processes and settle lost writes by reading first

Cause: a proposal whose answer was lost was written again before it was read, so a store that loses each answer of a write never settled it; the same held for the number of partitions. A slow store, whose answers are 1.5 s apart, counted as away and durable work was refused. Ruled out: a head hint written with each change (a write more per change). Change: read, then write again while the key is absent. Durable work is refused 3 s after the last answer of the store.

--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -41,6 +41,7 @@
 IO_THREADS = 128
 STALE_RETRY_MS = 1000
 STORE_RETRY_MS = 2000
+STORE_AWAY_MS = 3000  # a slow store may leave more than 1500 ms between two answers
 
 
 class Application:
@@ -163,7 +164,7 @@
 
     def _check_store(self, body: Submit | RequestRef) -> None:
         """Refuse work that needs the journal while the store is away."""
-        if not isinstance(body, Submit) or self.members.reaches_store():
+        if not isinstance(body, Submit) or self.store.reached(STORE_AWAY_MS):
             return
         if body.kind != WorkKind.INTERACTIVE.value or not body.repeatable:
             text = "the work needs the store, which cannot be reached"
--- a/packages/server/lagoonshelf_server/cell_size.py
+++ b/packages/server/lagoonshelf_server/cell_size.py
@@ -18,21 +18,15 @@
     """
     while True:
         try:
-            if not await store.cas(KEY, str(partitions), 0):
-                break
-            return Success(None)
+            held = (await store.get(KEY)).value
+            if held is not None:
+                return _compare(held, partitions)
+            await store.cas(KEY, str(partitions), 0)  # its answer may be lost: read again
         except StoreError:
             await asyncio.sleep(RETRY_S)
-    return await _compare(store, partitions)
 
 
-async def _compare(store: StoreClient, partitions: int) -> Result[None, Fault]:
-    while True:
-        try:
-            held = (await store.get(KEY)).value
-            break
-        except StoreError:
-            await asyncio.sleep(RETRY_S)
+def _compare(held: str, partitions: int) -> Result[None, Fault]:
     if held == str(partitions):
         return Success(None)
     text = f"partitions: this process has {partitions}, the cell has {held}"
--- a/packages/server/lagoonshelf_server/config_sync.py
+++ b/packages/server/lagoonshelf_server/config_sync.py
@@ -185,18 +185,19 @@
     async def _write(self, key: str, text: str) -> Result[bool, Fault]:
         """Create a revision key; settle a lost answer by the token in the value.
 
-        The write is repeated until its outcome is known. It creates the key only if absent,
-        so it cannot take effect twice.
+        The key is read until its value is known, and written again while it is absent. A
+        write creates the key only if absent, so it cannot take effect twice.
         """
         end_ms = self._clock.now_ms() + SETTLE_MS
         while self._clock.now_ms() < end_ms:
-            try:
+            with suppress(StoreError):
                 if await self._store.cas(key, text, 0):
                     return Success(True)
+            with suppress(StoreError):
                 item = await self._store.get(key)
-                return Success(item.value == text)
-            except StoreError:
-                await asyncio.sleep(SETTLE_INTERVAL_S)
+                if item.value is not None:
+                    return Success(item.value == text)
+            await asyncio.sleep(SETTLE_INTERVAL_S)
         message = "the outcome is not known; read the configuration before retrying"
         return Failure(Fault(ResultCode.WRITE_UNKNOWN, message))
 
--- /dev/null
+++ b/tests/processes/test_config.py
@@ -0,0 +1,167 @@
+"""The configuration on real processes."""
+
+import copy
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import orjson
+from lagoonshelf_core.ids import KeyId, TeamId
+from lagoonshelf_core.keys import new_key
+from lagoonshelf_standins.cell import wait_until
+
+from tests.support.base import CellTestCase, interactive
+
+IN_EFFECT_S = 6.0  # bound of the design for a change to take effect everywhere
+NAMES = ("d1", "d2", "d3")
+
+
+class ConfigTest(CellTestCase):
+    """Three processes; team slips loses its key in most tests."""
+
+    def config(self, name: str) -> dict:
+        return self.cell.call(f"{self.cell.daemons[name].url}/v1/config", operator=True)
+
+    def propose(self, name: str, document: dict, base: int | None = None) -> dict:
+        """Propose a document through a process, on the revision that it shows."""
+        base = self.config(name)["revision"] if base is None else base
+        body = {"base_revision": base, "document": document}
+        return self.cell.call(f"{self.cell.daemons[name].url}/v1/config", body, operator=True)
+
+    def without_key(self) -> dict:
+        document = copy.deepcopy(self.config("d1")["document"])
+        del document["keys"]["key-slips"]
+        return document
+
+    def withdraw(self) -> float:
+        """Withdraw the key of team slips through d1; return when it was accepted."""
+        answer = self.propose("d1", self.without_key())
+        self.assertEqual(answer.get("code"), 2, answer)
+        return time.monotonic()
+
+    def code(self, daemon: str, team: str = "slips", timeout_s: float = 30) -> str:
+        """Submit a request and return the name of its code."""
+        self.sent = getattr(self, "sent", 0) + 1
+        body = interactive(f"k{self.sent}")
+        return (self.cell.submit(daemon, team, body, timeout_s) or {"name": ""})["name"]
+
+    def check_withdrawn(self, daemon: str, accepted: float) -> None:
+        """Check that the key stops within the bound and stays refused."""
+        while time.monotonic() < accepted + IN_EFFECT_S:
+            if self.code(daemon) != "OK":
+                break
+            time.sleep(0.05)
+        for _ in range(10):
+            self.assertIn(self.code(daemon), ("KEY_INVALID", "CONFIG_STALE"))
+        wait_until(lambda: self.code(daemon) == "KEY_INVALID", f"{daemon} knows")
+
+    def peer_addresses(self) -> str:
+        """Return the peer addresses of all processes as the store lists them."""
+        body = {"prefix": "members/"}
+        items = self.cell.call(self.cell.store_url + "/list", body)["items"]
+        return ",".join(orjson.loads(item["value"])["address"] for item in items)
+
+    def test_a_withdrawn_key_stops_on_every_process(self) -> None:
+        """Guards against a process that never hears of a withdrawal (I4)."""
+        accepted = self.withdraw()
+        with ThreadPoolExecutor(3) as pool:
+            list(pool.map(lambda name: self.check_withdrawn(name, accepted), NAMES))
+        self.assertEqual(self.code("d2", "fitting"), "OK")
+
+    def test_a_withdrawn_key_stops_on_a_process_cut_off_from_the_store(self) -> None:
+        """Guards against a process that serves for ever on what it knew before."""
+        self.cell.control_store(blocked=["d2"])
+        wait_until(lambda: not self.cell.state("d2")["store_reached"], "d2 is cut off")
+        time.sleep(4.5)
+        wait_until(lambda: self.code("d2") == "OK", "d2 serves by its peers")
+        self.check_withdrawn("d2", self.withdraw())
+        self.assertEqual(self.code("d2", "fitting"), "OK")
+
+    def test_a_withdrawn_key_stops_on_a_process_that_was_paused(self) -> None:
+        """Guards against work admitted right after a pause on a stale configuration."""
+        self.cell.daemons["d2"].signal(signal.SIGSTOP)
+        accepted = self.withdraw()
+        with ThreadPoolExecutor(8) as pool:
+            waiting = [pool.submit(self.code, "d2") for _ in range(8)]
+            time.sleep(max(0.0, accepted + IN_EFFECT_S - time.monotonic()))
+            self.cell.daemons["d2"].signal(signal.SIGCONT)
+            codes = {future.result() for future in waiting}
+        self.assertLessEqual(codes, {"KEY_INVALID", "CONFIG_STALE"})
+        self.check_withdrawn("d2", accepted)
+
+    def test_a_process_started_in_an_outage_uses_the_configuration_of_its_peers(self) -> None:
+        """Guards against a new process that admits withdrawn keys, or serves nobody."""
+        peers = self.peer_addresses()
+        self.withdraw()
+        for name in NAMES:
+            wait_until(lambda n=name: self.config(n)["revision"] == 2, f"{name} knows")
+        self.cell.control_store(mode="down")
+        self.cell.start_daemon("d4", 4, peers=peers)
+        wait_until(lambda: self.code("d4", "fitting", 5) == "OK", "d4 serves")
+        self.assertEqual(self.code("d4"), "KEY_INVALID")
+        self.cell.control_store(mode="up")
+        wait_until(lambda: bool(self.cell.state("d4")["lease"]), "d4 registered")
+        wait_until(lambda: self.code("d4", "fitting") == "OK", "d4 serves on")
+
+    def test_a_lost_answer_of_the_accepting_write(self) -> None:
+        """Guards against an operator who is told that an accepted change failed."""
+        self.cell.control_store(mode="lose_answers")
+        accepted = self.withdraw()
+        for name in NAMES:
+            self.check_withdrawn(name, accepted)
+
+    def test_racing_operators_and_restarts_never_revert_a_change(self) -> None:
+        """Guards against two winners, a lost change, and a process that falls back."""
+        self.cell.daemons["d3"].signal(signal.SIGSTOP)
+        document = copy.deepcopy(self.config("d1")["document"])
+        for number in range(70):
+            mine, theirs = copy.deepcopy(document), copy.deepcopy(document)
+            mine["teams"]["slips"]["limit_tasks"] = 1000 + number
+            theirs["teams"]["slips"]["limit_tasks"] = 2000 + number
+            base = 1 + number
+            with ThreadPoolExecutor(2) as pool:
+                calls = [
+                    pool.submit(self.propose, "d1", mine, base),
+                    pool.submit(self.propose, "d2", theirs, base),
+                ]
+            answers = [call.result() for call in calls]
+            self.assertEqual(sorted(a["code"] for a in answers), [2, 405], answers)
+            won = mine if answers[0]["code"] == 2 else theirs
+            for name in ("d1", "d2"):
+                wait_until(lambda n=name, b=base: self.config(n)["revision"] == b + 1, "applied")
+                self.assertEqual(self.config(name)["document"], won)
+            document = won
+        self.cell.daemons["d3"].signal(signal.SIGCONT)
+        self.cell.kill("d1")
+        self.cell.start_daemon("d1", 1)
+        self.cell.start_daemon("d4", 4)
+        for name in ("d1", "d2", "d3", "d4"):
+            wait_until(lambda n=name: (self.config(n) or {"revision": 0})["revision"] == 71, name)
+            self.assertEqual(self.config(name)["document"], document)
+
+    def test_a_new_key_and_queue_work_at_once_and_a_removed_queue_breaks_no_owner(self) -> None:
+        """Guards against refusals by an owner that lags, and an owner that dies of a removal."""
+        document = copy.deepcopy(self.config("d1")["document"])
+        text, entry = new_key(KeyId("key-new"), TeamId("slips"))
+        self.cell.keys["new"] = text
+        document["keys"]["key-new"] = entry.model_dump()
+        document["queues"]["added"] = {}
+        self.assertEqual(self.propose("d1", document)["code"], 2)
+        for number in range(12):
+            body = interactive(f"new{number}", queue="added")
+            self.assertEqual(self.cell.submit("d1", "new", body)["name"], "OK")
+        batch = interactive("job", kind="batch", tasks=40, queue="added", run_ms=400)
+        self.assertEqual(self.cell.submit("d1", "new", batch)["name"], "ACCEPTED")
+        del document["queues"]["added"]
+        self.assertEqual(self.propose("d1", document)["code"], 2)
+        self.cell.kill("d3")
+        body = interactive("late", queue="added")
+        wait_until(lambda: self.cell.submit("d2", "new", body)["name"] == "BAD_REQUEST", "gone")
+        wait_until(lambda: self.cell.lookup("d2", "new", "job")["state"] == "finished", "job")
+
+    def test_another_number_of_partitions_is_refused(self) -> None:
+        """Guards against processes that send the same request to different partitions."""
+        daemon = self.cell.start_daemon("d4", 4, partitions=5)
+        self.assertEqual(daemon.process.wait(30), 3)
+        self.assertIn("PARTITION_MISMATCH", daemon.log_path.read_text())
+        del self.cell.daemons["d4"]
--- a/tests/processes/test_outage.py
+++ b/tests/processes/test_outage.py
@@ -70,6 +70,16 @@
         refused = [key for key in self.starts() if key.startswith(("batch", "hold"))]
         self.assertEqual(refused, [])
 
+    def test_a_slow_store_changes_no_owner(self) -> None:
+        """Guards against leases that lapse, or stops, because renewals wait for each other."""
+        self.cell.control_store(mode="slow")
+        end = time.monotonic() + OUTAGE_S
+        while time.monotonic() < end:
+            self.check_all_ok(f"s{end - time.monotonic():.3f}")
+        for name in NAMES:
+            for owner in self.cell.state(name)["partitions"].values():
+                self.assertEqual((owner["epoch"], owner["state"]), (1, "active"))
+
     def test_all_works_again_after_the_outage_and_nothing_ran_twice(self) -> None:
         """Guards against two owners, or lost or doubled work, when the store comes back."""
         self.stop_store()
@@ -81,6 +91,7 @@
         self.check_all_ok("losing", timeout_ms=60_000)
         self.check_all_ok("hold-losing", timeout_ms=60_000, repeatable=False, number=2)
         self.cell.control_store(mode="up")
+        self.cell.wait_healthy()
         self.cell.wait_owned()
         self.check_all_ok("up", timeout_ms=60_000)
         self.check_all_ok("hold-up", timeout_ms=60_000, repeatable=False)
@@ -101,6 +112,7 @@
             self.assertEqual(answer["effect"], "not_run")
         self.assertEqual(self.starts(), before)
         self.cell.control_store(mode="up")
+        self.cell.wait_healthy()
         self.cell.wait_owned()
         self.check_all_ok("back", timeout_ms=60_000)
         doubled = {key: count for key, count in self.starts().items() if count > 1}
