Bound what one peer connection can cost the others

Cause: a connection could make the server buffer 4 MiB before its hello, an unread reply queue grew without bound, half-open and stalled connections stayed open, a message of a newer version closed the connection, a value outside the schema ended the sending task, and packed zeros expand a thousandfold. Ruled out: stopping to read from a member with too many open messages, because its pings would wait too and it would count as dead; such messages are refused as OVERLOADED (not run). Change: new module frames with limits on greeting, frame, idle and write time and on unsent bytes; a link without answers for 5 s is dialled again; newer messages are refused alone. Conclusion: each fault is confined to its own connection.

--- a/packages/server/lagoonshelf_server/codec.py
+++ b/packages/server/lagoonshelf_server/codec.py
@@ -6,7 +6,7 @@
 from typing import get_args, get_origin, get_type_hints
 
 import capnp
-from lagoonshelf_core.errors import Fault, ResultCode
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from returns.result import Failure, Result, Success
 
 from lagoonshelf_server.messages import (
@@ -33,6 +33,7 @@
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+MAX_UNPACKED_WORDS = 2 * 1024 * 1024  # 16 MiB; packed zeros expand about a thousandfold
 SCHEMA_PATH = Path(__file__).parent / "wire" / "lagoonshelf.capnp"
 
 BODY_TYPES: dict[str, type] = {
@@ -62,12 +63,23 @@
 
 
 def encode(envelope: Envelope) -> bytes:
-    """Return the bytes of a message."""
+    """Return the bytes of a message.
+
+    :raises LagoonshelfError: when a value does not fit the schema or the message is too large
+    """
     message = _schema.Message.new_message(
         version=PROTOCOL_VERSION, id=envelope.id, reply=envelope.reply
     )
-    message.body.from_dict({envelope.kind: _to_dict(envelope.body)})
-    return message.to_bytes_packed()
+    try:
+        message.body.from_dict({envelope.kind: _to_dict(envelope.body)})
+    except (capnp.KjException, TypeError, ValueError, OverflowError) as exc:
+        text = f"{envelope.kind}: a value does not fit the schema: {type(exc).__name__}"
+        raise LagoonshelfError(Fault(ResultCode.PROTOCOL, text)) from exc
+    data = message.to_bytes_packed()
+    if len(data) > MAX_MESSAGE_BYTES:
+        text = f"{envelope.kind} of {len(data)} bytes exceeds {MAX_MESSAGE_BYTES}"
+        raise LagoonshelfError(Fault(ResultCode.PROTOCOL, text))
+    return data
 
 
 def decode(data: bytes) -> Result[Envelope, Fault]:
@@ -79,7 +91,7 @@
         text = f"message of {len(data)} bytes exceeds {MAX_MESSAGE_BYTES}"
         return Failure(Fault(ResultCode.PROTOCOL, text))
     try:
-        message = _schema.Message.from_bytes_packed(data)
+        message = _schema.Message.from_bytes_packed(data, MAX_UNPACKED_WORDS)
         kind = str(message.body.which())
         raw = getattr(message.body, kind).to_dict()
         body = _from_dict(BODY_TYPES[kind], raw)
@@ -88,6 +100,18 @@
         return Failure(Fault(ResultCode.PROTOCOL, f"garbled message: {type(exc).__name__}"))
 
 
+def newer_message_id(data: bytes) -> int | None:
+    """Return the number of a message whose kind only a newer protocol version knows.
+
+    :param data: packed bytes that ``decode`` refused
+    """
+    try:
+        message = _schema.Message.from_bytes_packed(data, MAX_UNPACKED_WORDS)
+        return message.id if message.version > PROTOCOL_VERSION else None
+    except (capnp.KjException, ValueError):
+        return None
+
+
 def _camel(name: str) -> str:
     head, *tail = name.split("_")
     return head + "".join(part.title() for part in tail)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/frames.py
@@ -0,0 +1,75 @@
+"""One peer connection: frames, time limits, and bounds on what is buffered."""
+
+import asyncio
+import struct
+
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+
+from lagoonshelf_server.codec import MAX_MESSAGE_BYTES, encode
+from lagoonshelf_server.messages import Envelope
+
+FRAME_HEADER = struct.Struct(">I")
+FRAME_TIMEOUT_S = 10.0
+WRITE_TIMEOUT_S = 10.0
+MAX_UNSENT_BYTES = 4 * MAX_MESSAGE_BYTES
+
+
+class Connection:
+    """A stream of frames; memory and time spent on the other side are bounded."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Wrap an open connection."""
+        self.in_flight = 0
+        self._reader = reader
+        self._writer = writer
+        self._draining: asyncio.Task | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the connection is closed or closing."""
+        return self._writer.is_closing()
+
+    async def read(self, idle_s: float, limit: int = MAX_MESSAGE_BYTES) -> bytes:
+        """Read one frame.
+
+        :param idle_s: longest wait for the beginning of the frame
+        :param limit: largest frame
+        :raises LagoonshelfError: when the frame is too large
+        :raises TimeoutError: when it did not begin or end in time
+        """
+        header = await asyncio.wait_for(self._reader.readexactly(FRAME_HEADER.size), idle_s)
+        (length,) = FRAME_HEADER.unpack(header)
+        if length > limit:
+            text = f"frame of {length} bytes exceeds {limit}"
+            raise LagoonshelfError(Fault(ResultCode.PROTOCOL, text))
+        return await asyncio.wait_for(self._reader.readexactly(length), FRAME_TIMEOUT_S)
+
+    def send(self, envelope: Envelope) -> None:
+        """Queue one frame; a connection whose other side does not read is cut.
+
+        :raises LagoonshelfError: when the message cannot be encoded
+        """
+        data = encode(envelope)
+        if self.closed:
+            return
+        self._writer.write(FRAME_HEADER.pack(len(data)) + data)
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.abort()
+        elif self._draining is None or self._draining.done():
+            self._draining = asyncio.ensure_future(self._drain())
+
+    def close(self) -> None:
+        """Close after what is queued has been sent."""
+        self._writer.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._writer.transport.abort()
+
+    async def _drain(self) -> None:
+        try:
+            await asyncio.wait_for(self._writer.drain(), WRITE_TIMEOUT_S)
+        except TimeoutError:
+            self.abort()
+        except OSError:
+            self.close()
--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -1,22 +1,26 @@
-"""Connections between daemon processes: framing, requests and replies."""
+"""Connections between daemon processes: greeting, requests and replies."""
 
 import asyncio
 import hashlib
 import hmac
-import struct
 from collections.abc import Awaitable, Callable
 
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId
 from returns.result import Failure
 
-from lagoonshelf_server.codec import MAX_MESSAGE_BYTES, decode, encode
+from lagoonshelf_server.codec import decode, newer_message_id
+from lagoonshelf_server.frames import Connection
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import Ack, Body, Envelope, Hello
 
-FRAME_HEADER = struct.Struct(">I")
 HELLO_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+SERVE_IDLE_S = 30.0
+LINK_IDLE_S = 5.0  # pings are answered twice a second on a link that works
+MAX_GREETING_BYTES = 4096
+MAX_GREETINGS = 128
+MAX_IN_FLIGHT = 8192
 
 Handler = Callable[[MemberId, str, Body], Awaitable[tuple[str, Body]]]
 _log = logger("peers")
@@ -39,37 +43,18 @@
     return hmac.new(secret.encode(), member.encode(), hashlib.sha256).hexdigest()
 
 
-async def read_frame(reader: asyncio.StreamReader) -> bytes:
-    """Read one frame.
-
-    :raises LagoonshelfError: when the frame is too large
-    """
-    (length,) = FRAME_HEADER.unpack(await reader.readexactly(FRAME_HEADER.size))
-    if length > MAX_MESSAGE_BYTES:
-        text = f"frame of {length} bytes exceeds {MAX_MESSAGE_BYTES}"
-        raise LagoonshelfError(Fault(ResultCode.PROTOCOL, text))
-    return await reader.readexactly(length)
-
-
-def write_frame(writer: asyncio.StreamWriter, envelope: Envelope) -> None:
-    """Queue one frame for sending."""
-    data = encode(envelope)
-    writer.write(FRAME_HEADER.pack(len(data)) + data)
-
-
 class _Link:
     """An outgoing connection and the calls that wait for replies on it."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader = reader
-        self.writer = writer
+    def __init__(self, conn: Connection) -> None:
+        self.conn = conn
         self.waiting: dict[int, asyncio.Future[Body]] = {}
         self.next_id = 1
         self.closed = False
 
     def close(self) -> None:
         self.closed = True
-        self.writer.close()
+        self.conn.abort()
         for fut in self.waiting.values():
             if not fut.done():
                 fut.set_exception(PeerLostError("connection closed"))
@@ -93,6 +78,7 @@
         self._dialing: dict[str, asyncio.Lock] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._greetings = 0
 
     async def listen(self, host: str, port: int) -> None:
         """Accept connections of other members."""
@@ -111,7 +97,7 @@
         fut: asyncio.Future[Body] = asyncio.get_running_loop().create_future()
         link.waiting[number] = fut
         try:
-            write_frame(link.writer, Envelope(number, kind, body))
+            link.conn.send(Envelope(number, kind, body))
             return await asyncio.wait_for(fut, timeout_s)
         except (TimeoutError, OSError) as exc:
             raise PeerLostError(f"{address}: {type(exc).__name__}") from exc
@@ -130,14 +116,16 @@
             self._server.close()
         for address in list(self._links):
             self.drop(address)
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _link(self, address: str) -> _Link:
         lock = self._dialing.setdefault(address, asyncio.Lock())
         async with lock:
             link = self._links.get(address)
-            if link is None or link.closed:
+            if link is None or link.closed or link.conn.closed:
                 link = await self._dial(address)
                 self._links[address] = link
             return link
@@ -148,76 +136,114 @@
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
             )
-        except (TimeoutError, OSError) as exc:
+        except (TimeoutError, OSError, ValueError) as exc:
             raise PeerUnreachableError(f"{address}: {type(exc).__name__}") from exc
-        link = _Link(reader, writer)
-        write_frame(writer, Envelope(0, "hello", self._hello))
+        link = _Link(Connection(reader, writer))
+        link.conn.send(Envelope(0, "hello", self._hello))
         self._keep(self._read_replies(link))
         return link
 
     async def _read_replies(self, link: _Link) -> None:
+        """Pass replies on; a link that is silent for long is closed and dialled again."""
         try:
             while True:
-                result = decode(await read_frame(link.reader))
+                result = decode(await link.conn.read(LINK_IDLE_S))
                 if isinstance(result, Failure):
                     break
                 envelope = result.unwrap()
                 fut = link.waiting.get(envelope.id)
                 if fut is not None and not fut.done():
                     fut.set_result(envelope.body)
-        except (OSError, asyncio.IncompleteReadError, LagoonshelfError):
+        except (TimeoutError, OSError, asyncio.IncompleteReadError, LagoonshelfError):
             pass
         finally:
             link.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection; runs as a task of asyncio's server, which expects no error."""
+        conn = Connection(reader, writer)
+        task = asyncio.current_task()
+        self._tasks.add(task)
         try:
-            member = await asyncio.wait_for(self._greet(reader, writer), HELLO_TIMEOUT_S)
-            while member is not None:
-                result = decode(await read_frame(reader))
-                if isinstance(result, Failure):
-                    self._refuse(writer, result.failure())
-                    break
-                self._keep(self._answer(member, writer, result.unwrap()))
+            await self._serve_frames(conn)
         except LagoonshelfError as exc:
-            self._refuse(writer, exc.fault)
-        except (TimeoutError, OSError, asyncio.IncompleteReadError):
+            self._refuse(conn, exc.fault)
+        except (TimeoutError, OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
-            writer.close()
+            self._tasks.discard(task)
+            conn.close()
+
+    async def _serve_frames(self, conn: Connection) -> None:
+        member = await self._admit(conn)
+        while member is not None and not conn.closed:
+            data = await conn.read(SERVE_IDLE_S)
+            result = decode(data)
+            if not isinstance(result, Failure):
+                self._handle(member, conn, result.unwrap())
+                continue
+            number = newer_message_id(data)
+            self._refuse(conn, result.failure(), number or 0)
+            if number is None:
+                return
+
+    async def _admit(self, conn: Connection) -> MemberId | None:
+        """Return the member behind a new connection, none when it is refused."""
+        if self._greetings >= MAX_GREETINGS:
+            return None
+        self._greetings += 1
+        try:
+            return await asyncio.wait_for(self._greet(conn), HELLO_TIMEOUT_S)
+        finally:
+            self._greetings -= 1
 
-    async def _greet(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> MemberId | None:
-        result = decode(await read_frame(reader))
+    async def _greet(self, conn: Connection) -> MemberId | None:
+        result = decode(await conn.read(HELLO_TIMEOUT_S, MAX_GREETING_BYTES))
         if isinstance(result, Failure):
-            self._refuse(writer, result.failure())
+            self._refuse(conn, result.failure())
             return None
         hello = result.unwrap().body
-        expected = hello_proof(self._secret, getattr(hello, "member", ""))
-        if not isinstance(hello, Hello) or not hmac.compare_digest(expected, hello.proof):
-            self._refuse(writer, Fault(ResultCode.PEER_REFUSED, "hello with a wrong secret"))
+        if not isinstance(hello, Hello):
+            self._refuse(conn, Fault(ResultCode.PEER_REFUSED, "the first message is no hello"))
+            return None
+        if not _is_proof(self._secret, hello):
+            self._refuse(conn, Fault(ResultCode.PEER_REFUSED, "hello with a wrong secret"))
             return None
         return MemberId(hello.member)
 
-    def _refuse(self, writer: asyncio.StreamWriter, fault: Fault) -> None:
+    def _refuse(self, conn: Connection, fault: Fault, number: int = 0) -> None:
         _log.warning("peer message refused", code=fault.code.number, reason=fault.message)
-        write_frame(writer, Envelope(0, "ack", Ack(fault.code.number, fault.message), True))
-
-    async def _answer(
-        self, member: MemberId, writer: asyncio.StreamWriter, envelope: Envelope
-    ) -> None:
+        conn.send(Envelope(number, "ack", Ack(fault.code.number, fault.message), True))
+
+    def _handle(self, member: MemberId, conn: Connection, envelope: Envelope) -> None:
+        """Answer a message in the background; refuse it when too many are being answered."""
+        if conn.in_flight >= MAX_IN_FLIGHT:
+            fault = Fault(ResultCode.OVERLOADED, "too many messages of one member at once")
+            self._refuse(conn, fault, envelope.id)
+            return
+        conn.in_flight += 1
+        self._keep(self._answer(member, conn, envelope))
+
+    async def _answer(self, member: MemberId, conn: Connection, envelope: Envelope) -> None:
         try:
             kind, body = await self._handler(member, envelope.kind, envelope.body)
+            conn.send(Envelope(envelope.id, kind, body, True))
         except LagoonshelfError as exc:
-            kind, body = "ack", Ack(exc.fault.code.number, exc.fault.message)
+            fault = exc.fault
+            conn.send(Envelope(envelope.id, "ack", Ack(fault.code.number, fault.message), True))
         except Exception as exc:
             _log.error("message handler failed", kind=envelope.kind, exc_info=True)
-            kind, body = "ack", Ack(ResultCode.INTERNAL.number, type(exc).__name__)
-        if not writer.is_closing():
-            write_frame(writer, Envelope(envelope.id, kind, body, True))
+            ack = Ack(ResultCode.INTERNAL.number, type(exc).__name__)
+            conn.send(Envelope(envelope.id, "ack", ack, True))
+        finally:
+            conn.in_flight -= 1
 
     def _keep(self, coro: Awaitable[None]) -> None:
         task = asyncio.ensure_future(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _is_proof(secret: str, hello: Hello) -> bool:
+    expected = hello_proof(secret, hello.member)
+    return hmac.compare_digest(expected.encode(), hello.proof.encode())
