Forget members that vanished behind a watch reset and survive garbled keys

Cause: after a reset of the watch only present keys were read, so a member deleted meanwhile stayed known for ever and would have blocked every extension; one garbled key ended the watch loop. Renewals were sent every 500 ms instead of the 1,000 ms of the setting. Ruled out: forgetting members as soon as their key is gone; their lease may have lapsed in the same outage as ours, so they count until a renewal sent after it succeeds. Further proofs: a takeover while every write loses its answer, and the owner's own check of key, team and queue.

--- a/packages/server/lagoonshelf_server/members.py
+++ b/packages/server/lagoonshelf_server/members.py
@@ -93,17 +93,18 @@
         While the store is slow, renewals overlap, so that one is answered before the previous
         one runs out.
         """
-        half_s = self.cfg.lease_renew_ms / 2000
+        interval_s = self.cfg.lease_renew_ms / 1000
         while True:
+            started_ms = self.clock.now_ms()
             task = asyncio.ensure_future(self._renew_or_register())
             self._renewals.add(task)
             task.add_done_callback(self._renewals.discard)
-            if self.lease is None:
-                await task
-            else:
-                await asyncio.wait({task}, timeout=half_s)
-            if task.done():
-                await asyncio.sleep(half_s if task.result() else RENEW_RETRY_S)
+            await asyncio.wait({task}, timeout=None if self.lease is None else interval_s / 2)
+            if task.done() and task.result():
+                spent_s = (self.clock.now_ms() - started_ms) / 1000
+                await asyncio.sleep(max(0.0, interval_s - spent_s))
+            elif task.done():
+                await asyncio.sleep(RENEW_RETRY_S)
 
     def may_act(self) -> bool:
         """Tell whether what this process owns is still its own."""
@@ -145,15 +146,14 @@
             self.apply(item.key, item.value)
 
     def apply(self, key: str, value: str | None) -> None:
-        """Take in a change of a ``members/`` or ``owners/`` key."""
-        if key.startswith(MEMBER_PREFIX):
-            self._apply_member(MemberId(key.removeprefix(MEMBER_PREFIX)), value)
-        elif key.startswith(OWNER_PREFIX):
-            partition = PartitionId(int(key.removeprefix(OWNER_PREFIX)))
-            if value is None:
-                self.owner_keys.pop(partition, None)
-            else:
-                self.owner_keys[partition] = MemberId(orjson.loads(value)["member"])
+        """Take in a change of a ``members/`` or ``owners/`` key; skip a garbled one."""
+        try:
+            if key.startswith(MEMBER_PREFIX):
+                self._apply_member(MemberId(key.removeprefix(MEMBER_PREFIX)), value)
+            elif key.startswith(OWNER_PREFIX):
+                self._apply_owner(PartitionId(int(key.removeprefix(OWNER_PREFIX))), value)
+        except (ValueError, KeyError, TypeError) as exc:
+            _log.error("key of the store skipped", key=key, reason=repr(exc))
 
     def introduce(self, address: str, status: Status) -> None:
         """Take in a member from the settings while the store's list was never read."""
@@ -230,6 +230,12 @@
         if self.view.complete and sent_ms > self._removed_ms:
             set_known(self.view, set(self.others))
 
+    def _apply_owner(self, partition: PartitionId, value: str | None) -> None:
+        if value is None:
+            self.owner_keys.pop(partition, None)
+        else:
+            self.owner_keys[partition] = MemberId(orjson.loads(value)["member"])
+
     def _apply_member(self, name: MemberId, value: str | None) -> None:
         if name == self.me:
             return
--- a/tests/processes/test_config.py
+++ b/tests/processes/test_config.py
@@ -1,14 +1,18 @@
 """The configuration on real processes."""
 
+import asyncio
 import copy
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import orjson
+from lagoonshelf_core.errors import CODES_BY_NUMBER
 from lagoonshelf_core.ids import KeyId, TeamId
 from lagoonshelf_core.keys import new_key
-from lagoonshelf_standins.cell import wait_until
+from lagoonshelf_server.messages import Hello, Submit
+from lagoonshelf_server.peers import PeerNet, hello_proof
+from lagoonshelf_standins.cell import CLUSTER_SECRET, wait_until
 
 from tests.support.base import CellTestCase, interactive
 
@@ -159,6 +163,31 @@
         wait_until(lambda: self.cell.submit("d2", "new", body)["name"] == "BAD_REQUEST", "gone")
         wait_until(lambda: self.cell.lookup("d2", "new", "job")["state"] == "finished", "job")
 
+    def test_the_owner_does_not_take_a_members_word_for_the_team(self) -> None:
+        """Guards against work of a team whose key was never shown (I3)."""
+        cases = {
+            ("slips", "key-slips", "urgent"): "OK",
+            ("slips", "key-fitting", "urgent"): "TEAM_FORBIDDEN",
+            ("slips", "key-slips", "fitting-only"): "TEAM_FORBIDDEN",
+            ("slips", "key-gone", "urgent"): "KEY_INVALID",
+            ("slips", "key-slips", "missing"): "BAD_REQUEST",
+        }
+        for number, (names, expected) in enumerate(cases.items()):
+            codes = asyncio.run(self.submit_as_member(*names, f"word{number}"))
+            self.assertEqual(codes - {"NO_OWNER"}, {expected}, names)
+
+    async def submit_as_member(self, team: str, key: str, queue: str, request: str) -> set[str]:
+        """Send a request to each process as a member would; return the names of the codes."""
+        proof = hello_proof(CLUSTER_SECRET, "fake")
+        net = PeerNet(Hello("fake", proof, "127.0.0.1:1", "fd"), CLUSTER_SECRET, None)
+        body = Submit(
+            team, key, queue, request, "interactive", True, 1000, 512, 0, 10, 1, "", 5000
+        )
+        addresses = self.peer_addresses().split(",")
+        replies = [await net.call(address, "submit", body, 10) for address in addresses]
+        await net.close()
+        return {CODES_BY_NUMBER[reply.code].name for reply in replies}
+
     def test_another_number_of_partitions_is_refused(self) -> None:
         """Guards against processes that send the same request to different partitions."""
         daemon = self.cell.start_daemon("d4", 4, partitions=5)
--- a/tests/processes/test_outage.py
+++ b/tests/processes/test_outage.py
@@ -98,6 +98,17 @@
         doubled = {key: count for key, count in self.starts().items() if count > 1}
         self.assertEqual(doubled, {})
 
+    def test_a_takeover_when_every_write_loses_its_answer(self) -> None:
+        """Guards against a claimed partition on which nobody acts, as its answer was lost."""
+        self.check_all_ok("before")
+        self.cell.control_store(mode="lose_answers")
+        self.cell.kill("d1")
+        wait_until(lambda: len(self.owned_by(NAMES[1:])) == 4, "d2 and d3 own all partitions")
+        self.check_all_ok("after")
+        self.cell.control_store(mode="up")
+        self.check_all_ok("up")
+        self.assertEqual([key for key, count in self.starts().items() if count > 1], [])
+
     def test_a_member_that_dies_in_an_outage_stops_placement(self) -> None:
         """Guards against placing while a member that is not heard may have taken over."""
         self.stop_store()
--- /dev/null
+++ b/tests/server/test_watch.py
@@ -0,0 +1,82 @@
+"""Tests of following the store's keys, against the stand-in store on loopback."""
+
+import asyncio
+import threading
+import unittest
+
+import orjson
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_server.bridge import Bridge
+from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.members import Members
+from lagoonshelf_server.settings import Settings
+from lagoonshelf_server.store import StoreClient
+from lagoonshelf_server.watch import Watch
+from lagoonshelf_standins.http import make_server
+from lagoonshelf_standins.store import EVENT_HISTORY, Mode, Store
+
+OTHER = orjson.dumps({"address": "127.0.0.1:1", "failure_domain": "fd", "lease": "l"}).decode()
+
+
+class WatchTest(unittest.IsolatedAsyncioTestCase):
+    """One process that watches a store."""
+
+    async def asyncSetUp(self) -> None:
+        self.backend = Store()
+        server = make_server("127.0.0.1", 0, self.backend.handle, 8)
+        server.prepare()
+        threading.Thread(target=server.serve, daemon=True).start()
+        self.addCleanup(server.stop)
+        url = f"http://127.0.0.1:{server.bind_addr[1]}"
+        cfg = Settings(
+            member="me",
+            failure_domain="fd",
+            store_url=url,
+            cluster_secret="secret-of-the-test",
+            operator_key_sha256="0" * 64,
+        )
+        clock = Clock()
+        self.bridge = Bridge(asyncio.get_running_loop(), 4)
+        self.addCleanup(self.bridge.close)
+        store = StoreClient(url, self.bridge, clock.now_ms, "me")
+        self.members = Members(cfg, store, clock)
+        self.config = ConfigSync(store, clock, self.members.view, 4000, self.bridge.spawn)
+        watch = Watch(store, self.members, self.config)
+        self.task = self.bridge.spawn(watch.follow_forever())
+
+    def put(self, key: str, value: str, version: int = 0) -> None:
+        self.backend.handle("/cas", {"key": key, "value": value, "version": version})
+
+    def remove(self, key: str) -> None:
+        version = self.backend.handle("/get", {"key": key})[1]["version"]
+        self.backend.handle("/delete", {"key": key, "version": version})
+
+    async def wait_known(self, *names: str) -> None:
+        for _ in range(1000):
+            if set(self.members.others) == set(names):
+                return
+            await asyncio.sleep(0.01)
+        self.fail(f"known: {set(self.members.others)}, expected: {names}")
+
+    async def test_members_deleted_while_the_history_was_lost_are_forgotten(self) -> None:
+        """Guards against a dead member that stays known after a reset of the watch."""
+        self.put("members/a", OTHER)
+        self.put("members/b", OTHER)
+        await self.wait_known("a", "b")
+        self.backend.handle("/control", {"mode": Mode.DOWN.value, "blocked": ["me"]})
+        await asyncio.sleep(0.5)  # lets the pending watch end
+        self.backend.handle("/control", {"mode": Mode.UP.value})
+        self.remove("members/a")
+        for number in range(EVENT_HISTORY + 1):
+            self.put(f"filler/{number}", "")
+        self.backend.handle("/control", {"blocked": []})
+        await self.wait_known("b")
+
+    async def test_a_garbled_key_does_not_end_the_watch(self) -> None:
+        """Guards against a process that follows nothing any more after one bad value."""
+        await asyncio.sleep(0)
+        for key in ("owners/x", "owners/1", "members/bad", "config/000000000001"):
+            self.put(key, "{")
+        self.put("members/a", OTHER)
+        await self.wait_known("a")
+        self.assertFalse(self.task.done())
