--- a/tests/processes/test_outage.py
+++ b/tests/processes/test_outage.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from threading import Event
 
 from lagoonshelf_standins.cell import wait_until
 
@@ -70,22 +71,48 @@
         refused = [key for key in self.starts() if key.startswith(("batch", "hold"))]
         self.assertEqual(refused, [])
 
+    def test_a_slow_store_changes_no_owner(self) -> None:
+        """Guards against leases that lapse, or stops, because renewals wait for each other."""
+        self.cell.control_store(mode="slow")
+        end = time.monotonic() + OUTAGE_S
+        while time.monotonic() < end:
+            self.check_all_ok(f"s{end - time.monotonic():.3f}")
+        for name in NAMES:
+            for owner in self.cell.state(name)["partitions"].values():
+                self.assertEqual((owner["epoch"], owner["state"]), (1, "active"))
+
     def test_all_works_again_after_the_outage_and_nothing_ran_twice(self) -> None:
         """Guards against two owners, or lost or doubled work, when the store comes back."""
         self.stop_store()
         time.sleep(5)
         self.check_all_ok("down")
+        old = {name: self.cell.state(name)["lease"] for name in NAMES}
         self.cell.control_store(mode="slow")
+        for name in NAMES:
+            wait_until(lambda n=name: self.cell.state(n)["lease"] not in (None, old[n]), name)
         self.check_all_ok("slow", timeout_ms=60_000)
         self.cell.control_store(mode="lose_answers")
         self.check_all_ok("losing", timeout_ms=60_000)
         self.check_all_ok("hold-losing", timeout_ms=60_000, repeatable=False, number=2)
         self.cell.control_store(mode="up")
+        self.cell.wait_healthy()
         self.cell.wait_owned()
         self.check_all_ok("up", timeout_ms=60_000)
         self.check_all_ok("hold-up", timeout_ms=60_000, repeatable=False)
         doubled = {key: count for key, count in self.starts().items() if count > 1}
         self.assertEqual(doubled, {})
+        self.check_epochs_in_order()
+
+    def test_a_takeover_when_every_write_loses_its_answer(self) -> None:
+        """Guards against a claimed partition on which nobody acts, as its answer was lost."""
+        self.check_all_ok("before")
+        self.cell.control_store(mode="lose_answers")
+        self.cell.kill("d1")
+        wait_until(lambda: len(self.owned_by(NAMES[1:])) == 4, "d2 and d3 own all partitions")
+        self.check_all_ok("after")
+        self.cell.control_store(mode="up")
+        self.check_all_ok("up")
+        self.assertEqual([key for key, count in self.starts().items() if count > 1], [])
 
     def test_a_member_that_dies_in_an_outage_stops_placement(self) -> None:
         """Guards against placing while a member that is not heard may have taken over."""
@@ -101,11 +128,48 @@
             self.assertEqual(answer["effect"], "not_run")
         self.assertEqual(self.starts(), before)
         self.cell.control_store(mode="up")
+        self.cell.wait_healthy()
         self.cell.wait_owned()
         self.check_all_ok("back", timeout_ms=60_000)
         doubled = {key: count for key, count in self.starts().items() if count > 1}
         self.assertEqual(doubled, {})
 
+    def test_the_store_is_back_for_one_member_only(self) -> None:
+        """Guards against owners that go on by promises while one member takes over."""
+        self.stop_store()
+        self.check_all_ok("down")
+        time.sleep(4)
+        stop = Event()
+        with ThreadPoolExecutor(3) as pool:
+            callers = [pool.submit(self.submit_until, stop, name) for name in NAMES]
+            self.cell.control_store(mode="up", blocked=["d2", "d3"])
+            wait_until(lambda: len(self.owned_by(("d1",))) == 4, "d1 owns all partitions")
+            time.sleep(2)
+            stop.set()
+            answers = [answer for caller in callers for answer in caller.result()]
+        self.assertEqual({answer["name"] for answer in answers}, {"OK"})
+        self.check_epochs_in_order()
+        self.assertEqual([key for key, count in self.starts().items() if count > 1], [])
+
+    def submit_until(self, stop: Event, name: str) -> list[dict]:
+        """Submit one request after the other through a process."""
+        answers = []
+        while not stop.is_set():
+            body = interactive(f"{name}-{len(answers)}", timeout_ms=30_000)
+            answers.append(self.cell.submit(name, "fitting", body))
+        return answers
+
+    def check_epochs_in_order(self) -> None:
+        """Check that no partition was placed by an old owner after a newer one."""
+        events = [event for events in self.cell.history().values() for event in events]
+        newest: dict[int, int] = {}
+        for event in sorted(events, key=lambda event: event["at_ms"]):
+            if event["event"] != "start":
+                continue
+            partition, epoch, _ = map(int, event["task"].split("."))
+            self.assertGreaterEqual(epoch, newest.get(partition, 0), event)
+            newest[partition] = epoch
+
     def test_a_paused_owner_sends_nothing_after_another_took_over(self) -> None:
         """Guards against an owner that resumes in an outage and is extended by its successor."""
         self.cell.daemons["d1"].signal(signal.SIGSTOP)
