Register while the store is slow

Cause: registering took three calls one after the other, the lease being granted by the first; with answers after 1.5 s each it lapsed about when the member key was written, so the cell did not work again while the store stayed slow after an outage. Ruled out: a longer lease (takeover would be slower for all). Also new: the store is back for one member only; no partition is placed by an old epoch after a newer one.

--- a/packages/server/lagoonshelf_server/members.py
+++ b/packages/server/lagoonshelf_server/members.py
@@ -201,19 +201,28 @@
         _log.warning("lease lapsed", lease=lease)
 
     async def _register(self) -> None:
-        sent_ms = self.clock.now_ms()
+        """Take a lease and write the member key.
+
+        The lease is renewed while the key is written: with a slow store it would otherwise
+        lapse before the first regular renewal.
+        """
+        started_ms = self.clock.now_ms()
+        key = MEMBER_PREFIX + self.me
+        old = await self.store.get(key)
         lease = await self.store.grant_lease(self.cfg.lease_ttl_ms)
         record = {
             "address": f"{self.cfg.host}:{self.cfg.peer_port}",
             "failure_domain": self.cfg.failure_domain,
             "lease": lease,
         }
-        key = MEMBER_PREFIX + self.me
-        old = await self.store.get(key)
         text = orjson.dumps(record).decode()
-        if not await self.store.cas_settled(key, text, old.version, lease):
+        sent_ms = self.clock.now_ms()
+        written, held = await asyncio.gather(
+            self.store.cas_settled(key, text, old.version, lease), self.store.renew_lease(lease)
+        )
+        if not written or not held:
             return
-        away_ms = sent_ms - self._away_since_ms if self._away_since_ms != NEVER else 0
+        away_ms = started_ms - self._away_since_ms if self._away_since_ms != NEVER else 0
         if away_ms > self.cfg.lease_ttl_ms:
             regain_store(self.tenure, self.terms, self.clock.now_ms())
         self.lease = lease
--- a/tests/processes/test_outage.py
+++ b/tests/processes/test_outage.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from threading import Event
 
 from lagoonshelf_standins.cell import wait_until
 
@@ -85,7 +86,10 @@
         self.stop_store()
         time.sleep(5)
         self.check_all_ok("down")
+        old = {name: self.cell.state(name)["lease"] for name in NAMES}
         self.cell.control_store(mode="slow")
+        for name in NAMES:
+            wait_until(lambda n=name: self.cell.state(n)["lease"] not in (None, old[n]), name)
         self.check_all_ok("slow", timeout_ms=60_000)
         self.cell.control_store(mode="lose_answers")
         self.check_all_ok("losing", timeout_ms=60_000)
@@ -97,6 +101,7 @@
         self.check_all_ok("hold-up", timeout_ms=60_000, repeatable=False)
         doubled = {key: count for key, count in self.starts().items() if count > 1}
         self.assertEqual(doubled, {})
+        self.check_epochs_in_order()
 
     def test_a_takeover_when_every_write_loses_its_answer(self) -> None:
         """Guards against a claimed partition on which nobody acts, as its answer was lost."""
@@ -129,6 +134,42 @@
         doubled = {key: count for key, count in self.starts().items() if count > 1}
         self.assertEqual(doubled, {})
 
+    def test_the_store_is_back_for_one_member_only(self) -> None:
+        """Guards against owners that go on by promises while one member takes over."""
+        self.stop_store()
+        self.check_all_ok("down")
+        time.sleep(4)
+        stop = Event()
+        with ThreadPoolExecutor(3) as pool:
+            callers = [pool.submit(self.submit_until, stop, name) for name in NAMES]
+            self.cell.control_store(mode="up", blocked=["d2", "d3"])
+            wait_until(lambda: len(self.owned_by(("d1",))) == 4, "d1 owns all partitions")
+            time.sleep(2)
+            stop.set()
+            answers = [answer for caller in callers for answer in caller.result()]
+        self.assertEqual({answer["name"] for answer in answers}, {"OK"})
+        self.check_epochs_in_order()
+        self.assertEqual([key for key, count in self.starts().items() if count > 1], [])
+
+    def submit_until(self, stop: Event, name: str) -> list[dict]:
+        """Submit one request after the other through a process."""
+        answers = []
+        while not stop.is_set():
+            body = interactive(f"{name}-{len(answers)}", timeout_ms=30_000)
+            answers.append(self.cell.submit(name, "fitting", body))
+        return answers
+
+    def check_epochs_in_order(self) -> None:
+        """Check that no partition was placed by an old owner after a newer one."""
+        events = [event for events in self.cell.history().values() for event in events]
+        newest: dict[int, int] = {}
+        for event in sorted(events, key=lambda event: event["at_ms"]):
+            if event["event"] != "start":
+                continue
+            partition, epoch, _ = map(int, event["task"].split("."))
+            self.assertGreaterEqual(epoch, newest.get(partition, 0), event)
+            newest[partition] = epoch
+
     def test_a_paused_owner_sends_nothing_after_another_took_over(self) -> None:
         """Guards against an owner that resumes in an outage and is extended by its successor."""
         self.cell.daemons["d1"].signal(signal.SIGSTOP)
