--- a/tests/processes/test_delegation.py
+++ b/tests/processes/test_delegation.py
@@ -10,19 +10,21 @@
 
 PARTITIONS = 4
 EMPTY = 0  # no stand-in worker hashes to this partition
+MANY = 30  # enough to use all partitions that have workers, whoever owns them
 SMALL = 1  # holds one worker with 8 slots
 
 
 class DelegationTest(CellTestCase):
     """Requests whose home partition has no room."""
 
-    def prefix(self, home: int, count: int) -> str:
-        """Return a new prefix with which the keys 0 to count - 1 belong to a partition."""
-        while True:
-            self.prefixes = getattr(self, "prefixes", 0) + 1
-            names = [f"{self.prefixes}x{index}" for index in range(count)]
-            if all(partition_of_request("fitting", n, PARTITIONS) == home for n in names):
-                return f"{self.prefixes}x"
+    def keys(self, home: int, count: int) -> list[str]:
+        """Return new request keys that belong to a partition."""
+        found: list[str] = []
+        while len(found) < count:
+            self.tried = getattr(self, "tried", 0) + 1
+            if partition_of_request("fitting", f"k{self.tried}", PARTITIONS) == home:
+                found.append(f"k{self.tried}")
+        return found
 
     def owner_of(self, partition: int) -> str:
         for name in self.cell.daemons:
@@ -38,7 +40,7 @@
         wait_until(lambda: len(starts(self.cell)) >= count, f"{count} started")
 
     def send(self, entry: str, home: int, count: int, **fields: object) -> Burst:
-        return Burst(self.cell, [entry], count, self.prefix(home, count), **fields)
+        return Burst(self.cell, [entry], self.keys(home, count), **fields)
 
     def assert_each_ran_once(self, count: int) -> None:
         runs = starts(self.cell)
@@ -57,20 +59,20 @@
     def test_other_owner_killed(self) -> None:
         """Guards against a second run when the owner that runs a delegated task dies."""
         entry = self.owner_of(EMPTY)
-        holds = self.send(entry, EMPTY, 4, run_ms=6000, repeatable=False)
-        maps = self.send(entry, EMPTY, 4, run_ms=6000)
-        self.wait_started(5)
+        holds = self.send(entry, EMPTY, MANY // 2, run_ms=6000, repeatable=False)
+        maps = self.send(entry, EMPTY, MANY // 2, run_ms=6000)
+        self.wait_started(MANY)
         victims = {self.owner_of(p) for p in self.partitions_used()} - {entry}
         self.cell.kill(victims.pop())
-        self.assertEqual(holds.names(), {"OK": 4})
-        self.assertEqual(maps.names(), {"OK": 4})
-        self.assert_each_ran_once(8)
+        self.assertEqual(holds.names(), {"OK": MANY // 2})
+        self.assertEqual(maps.names(), {"OK": MANY // 2})
+        self.assert_each_ran_once(MANY)
 
     def test_other_owner_paused(self) -> None:
         """Guards against an owner that goes on after a pause beside its successor."""
         entry = self.owner_of(EMPTY)
-        holds = self.send(entry, EMPTY, 4, run_ms=7000, repeatable=False)
-        self.wait_started(4)
+        holds = self.send(entry, EMPTY, MANY, run_ms=7000, repeatable=False)
+        self.wait_started(MANY)
         victims = {self.owner_of(p) for p in self.partitions_used()} - {entry}
         paused = self.cell.daemons.pop(victims.pop())
         paused.signal(signal.SIGSTOP)
@@ -79,8 +81,8 @@
         finally:
             self.cell.daemons[paused.name] = paused
             paused.signal(signal.SIGCONT)
-        self.assertEqual(holds.names(), {"OK": 4})
-        self.assert_each_ran_once(4)
+        self.assertEqual(holds.names(), {"OK": MANY})
+        self.assert_each_ran_once(MANY)
 
     def test_home_owner_killed(self) -> None:
         """Guards against a successor that does not know what runs in other partitions."""
@@ -107,10 +109,10 @@
     def test_home_and_other_owner_killed_together(self) -> None:
         """Guards against a successor that goes on before the other partition is read."""
         home = self.owner_of(EMPTY)
-        holds = self.send("d3", EMPTY, 6, run_ms=9000, repeatable=False)
+        entry = next(name for name in self.cell.daemons if name != home)
+        holds = self.send(entry, EMPTY, 6, run_ms=9000, repeatable=False)
         self.wait_started(6)
-        victims = {self.owner_of(p) for p in self.partitions_used()} - {home, "d3"}
-        for victim in {home, *victims} - {"d3"}:
+        for victim in {home, *map(self.owner_of, self.partitions_used())} - {entry}:
             self.cell.kill(victim)
         self.assertEqual(holds.names(), {"OK": 6})
         self.assert_each_ran_once(6)
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -9,6 +9,11 @@
 LOWERED = 3
 
 
+def keys(count: int, prefix: str = "b") -> list[str]:
+    """Return request keys."""
+    return [f"{prefix}{number}" for number in range(count)]
+
+
 class LimitsTest(CellTestCase):
     """A team whose limit is far below the room of the cell."""
 
@@ -35,13 +40,13 @@
 
     def test_burst_through_all_processes(self) -> None:
         """Guards against each partition granting the whole limit."""
-        burst = Burst(self.cell, ["d1", "d2", "d3"], 60, run_ms=150)
+        burst = Burst(self.cell, ["d1", "d2", "d3"], keys(60), run_ms=150)
         self.assertEqual(burst.names(), {"OK": 60})
         self.judge()
 
     def test_owner_killed_with_grants_in_hand(self) -> None:
         """Guards against a successor that forgets what still runs under the grant."""
-        burst = Burst(self.cell, ["d1", "d3"], 30, run_ms=600)
+        burst = Burst(self.cell, ["d1", "d3"], keys(30), run_ms=600)
         wait_until(lambda: running(self.cell, "fitting") >= LIMIT // 2, "half the limit used")
         self.cell.kill("d2")
         self.assertEqual(burst.names(), {"OK": 30})
@@ -65,17 +70,17 @@
     def test_grant_moves_while_answers_are_lost(self) -> None:
         """Guards against counting a write twice whose answer was lost."""
         self.cell.control_store(mode="lose_answers")
-        burst = Burst(self.cell, ["d1", "d2", "d3"], 40, run_ms=100)
+        burst = Burst(self.cell, ["d1", "d2", "d3"], keys(40), run_ms=100)
         self.assertEqual(burst.names(), {"OK": 40})
         self.judge()
         self.cell.control_store(mode="up")
 
     def test_outage_moves_no_grant(self) -> None:
         """Guards against starts beyond the grants while the store is down."""
-        warm = Burst(self.cell, ["d1", "d2", "d3"], 9, run_ms=50)
+        warm = Burst(self.cell, ["d1", "d2", "d3"], keys(9), run_ms=50)
         self.assertEqual(warm.names(), {"OK": 9})
         self.cell.control_store(mode="down")
-        burst = Burst(self.cell, ["d1", "d2", "d3"], 40, prefix="out", run_ms=200)
+        burst = Burst(self.cell, ["d1", "d2", "d3"], keys(40, "out"), run_ms=200)
         wait_until(lambda: any(k.startswith("out") for k in starts(self.cell)), "a start")
         self.cell.control_store(mode="up")
         self.assertEqual(burst.names(), {"OK": 40})
--- a/tests/support/runs.py
+++ b/tests/support/runs.py
@@ -46,18 +46,13 @@
 class Burst:
     """Interactive requests sent at once through several daemons."""
 
-    def __init__(
-        self, cell: Cell, daemons: list[str], count: int, prefix: str = "b", **fields: object
-    ) -> None:
-        """Begin to send.
-
-        :param prefix: before the number in each request key
-        """
-        self._pool = ThreadPoolExecutor(count)
+    def __init__(self, cell: Cell, daemons: list[str], keys: list[str], **fields: object) -> None:
+        """Begin to send one request for each key."""
+        self._pool = ThreadPoolExecutor(len(keys))
         self._answers: list[Future] = []
-        for number in range(count):
+        for number, key in enumerate(keys):
             name = daemons[number % len(daemons)]
-            body = interactive(f"{prefix}{number}", **{"timeout_ms": 40_000, **fields})
+            body = interactive(key, **{"timeout_ms": 40_000, **fields})
             self._answers.append(self._pool.submit(cell.submit, name, "fitting", body))
 
     def results(self) -> set[str]:
