Carry out the scheduler's contract in the owner

Cause: the scheduler frees throttled room only after the worker confirmed it, and names times at which a pass is due; nobody told it of confirmations, shares or reserves, and passes ran only on events. Ruled out: a fixed wait after each event, since it delays a single request on an idle partition; passes are 10 ms apart instead, and the first runs at once. Change: Kicks collects events and wakes the pass loop when a pass is due; Policy hands shares and reserves over per revision; dispatch confirms throttles; the end of a task asks should_requeue before the release.

--- a/packages/server/lagoonshelf_server/dispatch.py
+++ b/packages/server/lagoonshelf_server/dispatch.py
@@ -111,15 +111,21 @@
             call = self._client.throttle(address, self._authority, command.task, command.percent)
         else:
             call = self._client.warm(address, self._authority, command.queue, command.slots)
-        await self._command(link, call)
+        done = await self._command(link, call)
+        if done and isinstance(command, Throttle):
+            self._scheduler.confirm_throttle(command.task, command.percent)
+            self._hooks.kick()
 
-    async def _command(self, link: WorkerLink, call: Awaitable[None]) -> None:
+    async def _command(self, link: WorkerLink, call: Awaitable[None]) -> bool:
+        """Make a call; return whether the worker confirmed it."""
         try:
             await call
+            return True
         except WorkerError:
             link.set_state(WorkerState.UNREAD)
         except StaleEpochError:
             self._hooks.on_stale()
+        return False
 
     def _give_up(self, command: GiveUp) -> None:
         task = self._scheduler.tasks.get(command.task)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/kicks.py
@@ -0,0 +1,41 @@
+"""Collects requests for scheduling passes, so that passes do not run per event."""
+
+import asyncio
+from contextlib import suppress
+
+from lagoonshelf_core.clock import Clock
+
+# Under load, a pass per event would spend most of its time on unchanged state.
+COLLECT_MS = 10
+# Bounds the passes per second while a due time stays in the past.
+MIN_DUE_WAIT_MS = 50
+
+
+class Kicks:
+    """Events that call for a pass, and the time at which one is due without any."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Begin without a request."""
+        self._clock = clock
+        self._event = asyncio.Event()
+        self._last_ms = 0
+
+    def set(self) -> None:
+        """Ask for a pass."""
+        self._event.set()
+
+    async def wait(self, due_ms: int | None) -> None:
+        """Wait until a pass is asked for or due; two passes are ``COLLECT_MS`` apart.
+
+        :param due_ms: when a pass is due without an event, or none
+        """
+        timeout_s = None
+        if due_ms is not None:
+            timeout_s = max(MIN_DUE_WAIT_MS, due_ms - self._clock.now_ms()) / 1000
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._event.wait(), timeout_s)
+        left_ms = self._last_ms + COLLECT_MS - self._clock.now_ms()
+        if left_ms > 0:
+            await asyncio.sleep(left_ms / 1000)
+        self._event.clear()
+        self._last_ms = self._clock.now_ms()
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -20,6 +20,7 @@
 from lagoonshelf_server.dispatch import Dispatch
 from lagoonshelf_server.intake import Intake, no_owner
 from lagoonshelf_server.journal_writer import JournalWriter
+from lagoonshelf_server.kicks import Kicks
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.members import Members
 from lagoonshelf_server.owner_parts import (
@@ -86,7 +87,7 @@
         self._journal: JournalWriter | None = None
         self._journal_first = 1
         self._hosts_tried_ms = 0
-        self._kicked = asyncio.Event()
+        self._kicked = Kicks(clock)
         self._background: list[asyncio.Task] = []
         self._part = Partition(
             partition,
@@ -238,10 +239,10 @@
 
     async def _pass_forever(self) -> None:
         while True:
-            await self._kicked.wait()
-            self._kicked.clear()
+            await self._kicked.wait(self.scheduler.next_pass_ms())
             await self._read_old_hosts()
             if self.may_start():
+                self._part.policy.begin_pass(self.scheduler)
                 self.grants.begin_pass()
                 commands = self.scheduler.run_pass(self._clock.now_ms(), self.grants.may_start)
                 await self.dispatch.execute(commands)
--- a/packages/server/lagoonshelf_server/partition.py
+++ b/packages/server/lagoonshelf_server/partition.py
@@ -13,6 +13,7 @@
 
 from lagoonshelf_server.answers import Waiters
 from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.policy import Policy
 from lagoonshelf_server.settings import Settings
 
 Append = Callable[[list[Entry], bool], Awaitable[None]]
@@ -39,7 +40,8 @@
     may_act: Callable[[], bool]
     kick: Callable[[], None]
     epoch: Epoch = Epoch(0)
-    scheduler: Scheduler = field(default_factory=Scheduler)
+    policy: Policy = field(init=False)
+    scheduler: Scheduler = field(init=False)
     book: RecordBook = field(default_factory=RecordBook)
     waiters: Waiters = field(default_factory=Waiters)
     ending: set[TaskId] = field(default_factory=set)
@@ -47,6 +49,11 @@
     held: bool = True
     _sequence: int = 0
 
+    def __post_init__(self) -> None:
+        """Let the policy state take part in the scheduler's passes."""
+        self.policy = Policy(self.clock, self.config)
+        self.scheduler = Scheduler(self.policy.hooks())
+
     def find(self, task: Task) -> Record | None:
         """Return the record of a task if the task is the current one of its index."""
         record = self.book.find(task.team, task.request_key)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/policy.py
@@ -0,0 +1,28 @@
+"""Policy state of one owned partition, and how it takes part in scheduling passes."""
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.hooks import Hooks
+from lagoonshelf_core.scheduler import Scheduler
+
+from lagoonshelf_server.config_sync import ConfigSync
+
+
+class Policy:
+    """What the decisions of one partition remember between passes."""
+
+    def __init__(self, clock: Clock, config: ConfigSync) -> None:
+        """Begin before the first pass."""
+        self._clock = clock
+        self._config = config
+        self._revision: int | None = None
+
+    def hooks(self) -> Hooks:
+        """Return the decisions that a scheduling pass asks for."""
+        return Hooks()
+
+    def begin_pass(self, scheduler: Scheduler) -> None:
+        """Bring the scheduler's shares and reserves up to the configuration in force."""
+        if self._revision != self._config.revision:
+            self._revision = self._config.revision
+            document = self._config.document
+            scheduler.set_policy(document.teams, document.queues)
--- a/packages/server/lagoonshelf_server/task_events.py
+++ b/packages/server/lagoonshelf_server/task_events.py
@@ -97,6 +97,7 @@
         if task is None:
             return
         worker = task.worker
+        yielded = self._part.scheduler.should_requeue(task.task)
         self._part.scheduler.release(task.task)
         self._part.kick()
         stop = self.dispatch.stops.get(task.task)
@@ -110,7 +111,7 @@
             return
         record.begun.add(task.index)
         record.attempts[task.index] = max(task.attempt, report.meta.attempt)
-        requeue = stop is None or stop.requeue
+        requeue = yielded or stop is None or stop.requeue
         if not record.cancelled and runs_again(task, report.state, requeue):
             task.failures += report.state == "failed"
             self.run_again(task)
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -110,6 +110,8 @@
     stops: list[str] = field(default_factory=list)
     acks: list[str] = field(default_factory=list)
     renewed: set[str] = field(default_factory=set)
+    throttles: list[tuple[str, int]] = field(default_factory=list)
+    warmed: list[tuple[str, int]] = field(default_factory=list)
 
 
 class FakeWorkers:
@@ -160,6 +162,14 @@
             if task in worker.runs and worker.runs[task].state == "running":
                 self.finish(address, task, "checkpointed" if checkpoint else "stopped", "")
 
+    async def throttle(self, address, authority, task, percent):
+        worker = await self._reach(address, authority)
+        worker.throttles.append((task, percent))
+
+    async def warm(self, address, authority, queue, slots):
+        worker = await self._reach(address, authority)
+        worker.warmed.append((queue, slots))
+
     async def inventory(self, address, authority):
         worker = await self._reach(address, authority)
         tasks = tuple(worker.runs.values())
@@ -239,6 +249,7 @@
         self.store.host_list = self.workers.infos()
         self.members = FakeMembers()
         self.bridge = Bridge(asyncio.get_running_loop(), 1)
+        self.config = FakeConfig()
 
     def new(self) -> Owner:
         """Return an owner before its takeover."""
@@ -250,7 +261,7 @@
             self.store,
             self.workers,
             self.members,
-            FakeConfig(),
+            self.config,
             PartitionCalls(self.members, None, {}),
         )
 
