Refuse infeasible and excess requests at the owner

Cause: work that no worker can hold waited until its timeout, and queues had no bound. Ruled out: counting each departure from the queue, since tasks leave it in many ways (start, cancel, timeout, delegation) and a missed one would hold a place for ever; the waiting tasks are counted again before a refusal, at most once per millisecond and 100 tasks. Checking resent interactive repeatable requests, since an earlier owner may have started them and "not run" could be untrue. Change: PartitionAdmission checks feasibility against all listed workers, bounds and the retry budget before a record begins. Conclusion: refusals carry their reason or a retry hint and leave no record.

--- /dev/null
+++ b/packages/server/lagoonshelf_server/admit.py
@@ -0,0 +1,108 @@
+"""Admission state of one owned partition: what is refused before a record begins."""
+
+from collections import Counter, OrderedDict
+from collections.abc import Collection, Iterable
+
+from lagoonshelf_core.admission import RETRY_WINDOW_MS, Admission, CellShape
+from lagoonshelf_core.document import QueueConfig
+from lagoonshelf_core.errors import Fault, ResultCode
+from lagoonshelf_core.ids import PartitionId, QueueId, TeamId
+from lagoonshelf_core.model import RequestSpec, Task, TaskState, WorkerInfo
+from lagoonshelf_core.records import RequestId
+from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.routing import partition_of_worker
+from returns.result import Failure
+
+# A recount reads all tasks; a flood of refusals would otherwise cause one each.
+RECOUNTED_TASKS_PER_MS = 100
+MAX_REFUSED_KEYS = 10_000
+Lane = tuple[TeamId, QueueId]
+
+
+class PartitionAdmission:
+    """Bounds, feasibility and retry budget of one partition.
+
+    Departures are not counted one by one: the waiting tasks are counted again before a refusal,
+    so that a task that left in any way cannot hold a place.
+    """
+
+    def __init__(self) -> None:
+        """Begin without known workers, which refuses nothing as infeasible."""
+        self._admission = Admission(CellShape([]))
+        self._shape: list[tuple[PartitionId, Resources]] = []
+        self._accepting: dict[RequestId, RequestSpec] = {}
+        self._refused_ms: OrderedDict[RequestId, int] = OrderedDict()
+        self._lanes: set[Lane] = set()
+        self._counted_ms: int | None = None
+
+    def set_hosts(self, hosts: Iterable[WorkerInfo], partitions: int) -> None:
+        """Take in the workers of the whole cell.
+
+        :param partitions: number of partitions of the cell
+        """
+        shape = [(partition_of_worker(h.worker, partitions), h.capacity) for h in hosts]
+        if shape != self._shape:
+            self._shape = shape
+            self._admission.shape = CellShape(shape)
+
+    def check(
+        self, spec: RequestSpec, queue: QueueConfig, tasks: Collection[Task], now_ms: int
+    ) -> Fault | None:
+        """Count a new request as waiting, or return why it is refused.
+
+        :param tasks: all tasks that the scheduler knows
+        """
+        self._admission.forget_idle(now_ms)
+        lane = (spec.team, spec.queue)
+        if self._admission.bounds.waiting(*lane) + spec.tasks > queue.max_queued:
+            self._recount(tasks, now_ms)
+        self._lanes.add(lane)
+        request = (spec.team, spec.request_key)
+        result = self._admission.admit(
+            spec, queue.max_queued, now_ms, self._was_refused(request, now_ms)
+        )
+        if isinstance(result, Failure):
+            self._note_refusal(request, result.failure(), now_ms)
+            return result.failure()
+        self._refused_ms.pop(request, None)
+        self._accepting[request] = spec
+        return None
+
+    def settled(self, request: RequestId) -> None:
+        """Note that the tasks of an admitted request are queued, or that it was dropped."""
+        self._accepting.pop(request, None)
+
+    def _was_refused(self, request: RequestId, now_ms: int) -> bool:
+        refused_ms = self._refused_ms.get(request)
+        return refused_ms is not None and now_ms - refused_ms <= RETRY_WINDOW_MS
+
+    def _note_refusal(self, request: RequestId, fault: Fault, now_ms: int) -> None:
+        if fault.code is ResultCode.NEVER_FITS:
+            return
+        self._refused_ms[request] = now_ms
+        self._refused_ms.move_to_end(request)
+        if len(self._refused_ms) > MAX_REFUSED_KEYS:
+            self._refused_ms.popitem(last=False)
+
+    def _recount(self, tasks: Collection[Task], now_ms: int) -> None:
+        """Bring the counts in line with the queue."""
+        least_ms = len(tasks) // RECOUNTED_TASKS_PER_MS
+        if self._counted_ms is not None and now_ms - self._counted_ms < least_ms:
+            return
+        self._counted_ms = now_ms
+        counts: Counter[Lane] = Counter(
+            (task.team, task.queue) for task in tasks if task.state is TaskState.QUEUED
+        )
+        for spec in self._accepting.values():
+            counts[(spec.team, spec.queue)] += spec.tasks
+        for lane in self._lanes | counts.keys():
+            self._correct(lane, counts[lane], now_ms)
+        self._lanes = set(counts)
+
+    def _correct(self, lane: Lane, count: int, now_ms: int) -> None:
+        bounds = self._admission.bounds
+        excess = bounds.waiting(*lane) - count
+        if excess > 0:
+            bounds.leave(*lane, excess, now_ms)
+        for _ in range(-excess):
+            bounds.put_back(*lane, now_ms)
--- a/packages/server/lagoonshelf_server/intake.py
+++ b/packages/server/lagoonshelf_server/intake.py
@@ -35,15 +35,16 @@
         self._may_start = may_start
         self._accepting: dict[RequestId, asyncio.Task[None]] = {}
 
-    async def submit(self, spec: RequestSpec) -> Record:
+    async def submit(self, spec: RequestSpec, resent: bool = False) -> Record:
         """Begin a request or join its record; return when it is accepted or has ended.
 
+        :param resent: whether an entry process may have sent it to an earlier owner
         :raises LagoonshelfError: when the request was refused, timed out, or the owner left
         """
         self._check_active()
         end_ms = self._part.clock.now_ms() + spec.timeout_ms
         try:
-            record = await self._admit(spec, end_ms)
+            record = await self._admit(spec, end_ms, resent)
             if spec.kind is WorkKind.INTERACTIVE:
                 await self._wait_ended(record, end_ms)
         except LagoonshelfError:
@@ -73,10 +74,11 @@
         self._recovery.begin(record)
         self._check_may_answer()
 
-    async def _admit(self, spec: RequestSpec, end_ms: int) -> Record:
+    async def _admit(self, spec: RequestSpec, end_ms: int, resent: bool) -> Record:
         if spec.repeatable and spec.kind is WorkKind.INTERACTIVE:
             await self._wait_known((spec.team, spec.request_key), end_ms)
             self._check_active()
+        self._check_policy(spec, resent)
         result = self._part.book.submit(spec, self._part.clock.now_ms())
         if isinstance(result, Failure):
             raise LagoonshelfError(result.failure())
@@ -87,8 +89,23 @@
             accepting.add_done_callback(_retrieve)
         await self.wait_accepted(record.id)
         self._part.create_tasks(record)
+        self._part.policy.admission.settled(record.id)
         return record
 
+    def _check_policy(self, spec: RequestSpec, resent: bool) -> None:
+        """Refuse a new request that the policy does not let in; a known one joins its record.
+
+        An earlier owner may have started a resent request whose starts are not journaled, so
+        that refusing it as not run could be untrue.
+        """
+        if self._part.book.find(spec.team, spec.request_key) is not None:
+            return
+        if resent and spec.repeatable and spec.kind is WorkKind.INTERACTIVE:
+            return
+        fault = self._part.policy.refusal(spec, self._part.scheduler)
+        if fault is not None:
+            raise LagoonshelfError(fault)
+
     async def _wait_known(self, request: RequestId, end_ms: int) -> None:
         left_s = max(0, end_ms - self._part.clock.now_ms()) / 1000
         try:
@@ -107,6 +124,7 @@
             raise
         finally:
             del self._accepting[record.id]
+            self._part.policy.admission.settled(record.id)
 
     async def wait_accepted(self, request: RequestId) -> None:
         """Wait until an acceptance in progress is known to be durable."""
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -182,6 +182,7 @@
         """Take in the platform's host list."""
         self.hosts_tried()
         self.delegation.set_hosts(hosts)
+        self._part.policy.admission.set_hosts(hosts, self._cfg.partitions)
         mine = [
             host
             for host in hosts
@@ -194,12 +195,13 @@
         """Note that the host list was asked for, whether or not the store answered."""
         self._hosts_tried_ms = self._clock.now_ms()
 
-    async def submit(self, spec: RequestSpec) -> Record:
+    async def submit(self, spec: RequestSpec, resent: bool = False) -> Record:
         """Begin a request or join its record; return when it is accepted or has ended.
 
+        :param resent: whether an entry process may have sent it to an earlier owner
         :raises LagoonshelfError: when the request was refused, timed out, or the owner left
         """
-        return await self._intake.submit(spec)
+        return await self._intake.submit(spec, resent)
 
     async def cancel(self, record: Record) -> None:
         """Cancel what has not ended yet."""
--- a/packages/server/lagoonshelf_server/policy.py
+++ b/packages/server/lagoonshelf_server/policy.py
@@ -1,9 +1,13 @@
 """Policy state of one owned partition, and how it takes part in scheduling passes."""
 
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.document import QueueConfig
+from lagoonshelf_core.errors import Fault
 from lagoonshelf_core.hooks import Hooks
+from lagoonshelf_core.model import RequestSpec
 from lagoonshelf_core.scheduler import Scheduler
 
+from lagoonshelf_server.admit import PartitionAdmission
 from lagoonshelf_server.config_sync import ConfigSync
 
 
@@ -12,6 +16,7 @@
 
     def __init__(self, clock: Clock, config: ConfigSync) -> None:
         """Begin before the first pass."""
+        self.admission = PartitionAdmission()
         self._clock = clock
         self._config = config
         self._revision: int | None = None
@@ -20,6 +25,12 @@
         """Return the decisions that a scheduling pass asks for."""
         return Hooks()
 
+    def refusal(self, spec: RequestSpec, scheduler: Scheduler) -> Fault | None:
+        """Count a new request as waiting, or return why it is not let in."""
+        queue = self._config.document.queues.get(spec.queue) or QueueConfig()
+        tasks = scheduler.tasks.values()
+        return self.admission.check(spec, queue, tasks, self._clock.now_ms())
+
     def begin_pass(self, scheduler: Scheduler) -> None:
         """Bring the scheduler's shares and reserves up to the configuration in force."""
         if self._revision != self._config.revision:
--- a/packages/server/lagoonshelf_server/requests.py
+++ b/packages/server/lagoonshelf_server/requests.py
@@ -81,7 +81,7 @@
         if kind != "submit" or record is None:  # a known request was authorized before it ran
             await self._authorize(body)
         if kind == "submit":
-            return answer_of(await owner.submit(spec_of(body)))
+            return answer_of(await owner.submit(spec_of(body), body.retry))
         if record is None:
             text = f"no request {body.request_key!r}"
             raise LagoonshelfError(Fault(ResultCode.NOT_FOUND, text))
--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -8,6 +8,7 @@
 from lagoonshelf_core.document import Document, QueueConfig, TeamConfig
 from lagoonshelf_core.errors import LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import Revision
+from lagoonshelf_core.model import WorkKind
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.kicks import COLLECT_MS, Kicks
 
@@ -103,3 +104,75 @@
         kicks.set()
         await kicks.wait(None)
         self.assertGreaterEqual(clock.now_ms() - first_ms, COLLECT_MS - 1)
+
+
+class AdmissionTest(PolicyTestCase):
+    """What is refused, and that a refusal leaves nothing behind."""
+
+    async def full(self) -> list[asyncio.Future]:
+        """Fill the worker, then the queue."""
+        self.configure(q=QueueConfig(max_queued=2))
+        fields = {"size": WHOLE_WORKER, "repeatable": False, "timeout_ms": 20_000}
+        jobs = [self.submit("k0", **fields)]
+        await self.started()
+        jobs += [self.submit(f"k{n}", **fields) for n in (1, 2)]
+        await until(lambda: self.owner.scheduler.queue_length() == 2)
+        return jobs
+
+    async def test_work_larger_than_each_worker_is_refused_with_the_reason(self) -> None:
+        """Guards against a caller who waits for work that can never run."""
+        fault = await self.fault_of(self.submit("huge", size=Resources(9000, 1, 0, 1)))
+        self.assertIs(fault.code, ResultCode.NEVER_FITS)
+        self.assertIn("the largest worker has 8000", fault.message)
+        self.assertFalse(self.owner.book.records)
+        self.assertFalse(self.owner.scheduler.tasks)
+
+    async def test_gang_larger_than_the_partition_is_refused(self) -> None:
+        """Guards against a gang that holds the reservation for ever."""
+        fault = await self.fault_of(
+            self.submit("gang", kind=WorkKind.GANG, tasks=2, size=WHOLE_WORKER)
+        )
+        self.assertIs(fault.code, ResultCode.NEVER_FITS)
+        self.assertFalse(self.owner.book.records)
+
+    async def test_full_queue_refuses_with_a_hint_and_leaves_no_record(self) -> None:
+        """Guards against unbounded queues, and against a refused key that is blocked."""
+        jobs = await self.full()
+        fault = await self.fault_of(self.submit("late"))
+        self.assertIs(fault.code, ResultCode.QUEUE_FULL)
+        self.assertGreater(fault.retry_after_ms, 0)
+        self.assertIsNone(self.owner.book.find("t", "late"))
+        other = self.submit("other", team="u", size=WHOLE_WORKER, timeout_ms=20_000)
+        await until(lambda: self.owner.book.find("u", "other") is not None)
+        joined = self.submit("k1", size=WHOLE_WORKER, repeatable=False, timeout_ms=20_000)
+        for count in range(1, 5):
+            self.cell.workers.finish("w0", await self.started(count))
+        for job in (*jobs, other, joined):
+            self.assertIs((await job).outcomes[0].code, ResultCode.OK)
+
+    async def test_place_of_a_cancelled_task_is_free_again(self) -> None:
+        """Guards against bounds that count tasks which left without a start."""
+        jobs = await self.full()
+        await self.owner.cancel(self.owner.book.find("t", "k1"))
+        await jobs[1]
+        batch = await self.owner.submit(spec("batch", kind=WorkKind.BATCH, size=WHOLE_WORKER))
+        self.assertFalse(batch.ended)
+        for job in jobs:
+            job.cancel()
+
+    async def test_retries_of_a_refused_key_use_up_the_budget(self) -> None:
+        """Guards against retries that multiply the load of a full partition."""
+        jobs = await self.full()
+        codes = [(await self.fault_of(self.submit("late"))).code for _ in range(5)]
+        self.assertEqual(codes[:4], [ResultCode.QUEUE_FULL] * 4)
+        self.assertIs(codes[4], ResultCode.RETRY_BUDGET)
+        for job in jobs:
+            job.cancel()
+
+    async def test_resent_request_is_not_refused_as_not_run(self) -> None:
+        """Guards against an untrue refusal of what an earlier owner may have started."""
+        jobs = await self.full()
+        again = asyncio.ensure_future(self.owner.submit(spec("again"), resent=True))
+        await until(lambda: self.owner.book.find("t", "again") is not None)
+        for job in (*jobs, again):
+            job.cancel()
