--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import sys
 from importlib import import_module
 
-BENCHMARKS = ("decisions",)
+BENCHMARKS = ("decisions", "capacity")
 
 
 def main(names: list[str]) -> int:
