--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -72,7 +72,13 @@
             cfg, self.clock, self.members, self.net, self._active_owner, self._authorize
         )
         self.claims = Claims(
-            self.clock, self.bridge, self.store, self.members, self.owners, self._new_owner
+            self.clock,
+            self.bridge,
+            self.store,
+            self.members,
+            self.owners,
+            self._new_owner,
+            lambda: self._drain.may_claim(),
         )
         self.gossip = Gossip(
             cfg,
@@ -138,7 +144,7 @@
             self.stopped.set()
             return
         self._keeping_lease = self.bridge.spawn(self.members.keep_lease())
-        self.bridge.spawn(self.claims.claim_forever(self._drain.may_claim))
+        self.bridge.spawn(self.claims.claim_forever())
 
     def _healthy(self) -> bool:
         fresh = self.config.fresh_left_ms() > 0
--- a/packages/server/lagoonshelf_server/away.py
+++ b/packages/server/lagoonshelf_server/away.py
@@ -5,10 +5,11 @@
 from enum import Enum
 
 from lagoonshelf_core.ids import Epoch, PartitionId
-from lagoonshelf_core.journal import Entry
+from lagoonshelf_core.journal import Entry, IntentEntry
 from lagoonshelf_core.model import Task
 from lagoonshelf_core.records import Outcome
 
+from lagoonshelf_server.hosting import boots_digest
 from lagoonshelf_server.messages import TaskMeta
 
 STOP_INTERVAL_MS = 500
@@ -74,3 +75,24 @@
     lacks_grant: Callable[[Task], bool]
     digest_of: Callable[[Task], str]
     spawn: Callable[[Coroutine], object]
+
+
+def intent_of(away: Away, digest: str) -> IntentEntry:
+    """Return the intent to give a task to another partition.
+
+    Its boot id stands for all workers of that partition when the task is sent.
+
+    :param digest: content hash of the request
+    """
+    task = away.task
+    return IntentEntry(
+        task.task,
+        task.attempt,
+        "",
+        boots_digest(away.boots),
+        away.partition,
+        task.team,
+        task.request_key,
+        digest,
+        task.index,
+    )
--- a/packages/server/lagoonshelf_server/claims.py
+++ b/packages/server/lagoonshelf_server/claims.py
@@ -30,11 +30,13 @@
         members: Members,
         owners: dict[PartitionId, Owner],
         new_owner: Callable[[PartitionId], Owner],
+        may_claim: Callable[[], bool],
     ) -> None:
         """Set up.
 
         :param owners: partitions of this process, kept up to date here
         :param new_owner: builds the owner of a claimed partition
+        :param may_claim: false while a drain hands partitions over
         """
         self._clock = clock
         self._bridge = bridge
@@ -42,19 +44,17 @@
         self._members = members
         self._owners = owners
         self._new_owner = new_owner
+        self._may_claim = may_claim
         self._takeovers: dict[PartitionId, asyncio.Task] = {}
         self._free_since_ms: dict[PartitionId, int] = {}
         self._former: dict[PartitionId, int] = {}
 
-    async def claim_forever(self, may_claim: Callable[[], bool]) -> None:
-        """Drop lost partitions and claim free ones for ever.
-
-        :param may_claim: whether this process takes partitions over, see ``Drain.may_claim``
-        """
+    async def claim_forever(self) -> None:
+        """Drop lost partitions and claim free ones for ever."""
         while True:
             await asyncio.sleep(CLAIM_INTERVAL_S)
             self._drop_lost()
-            if self._members.lease and self._members.holds_lease() and may_claim():
+            if self._members.lease and self._members.holds_lease() and self._may_claim():
                 await asyncio.gather(*(self._claim(partition) for partition in self._due()))
 
     def drop(self, partition: PartitionId) -> None:
@@ -92,7 +92,7 @@
         return due
 
     def _preferred(self) -> dict[PartitionId, MemberId]:
-        """Return who should own each partition; any member that may claim, if all drain."""
+        """Return who should own each partition; this process when all members are draining."""
         everywhere = map(PartitionId, range(self._members.cfg.partitions))
         return self._members.preferred() or dict.fromkeys(everywhere, self._members.me)
 
--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -4,7 +4,6 @@
 import os
 import signal
 import sys
-from typing import NoReturn
 
 import cherrypy
 from fire import Fire
@@ -30,21 +29,21 @@
     """
     result = load_settings(flags, os.environ)
     if isinstance(result, Failure):
-        _fail(result.failure(), EXIT_BAD_SETTING)
+        print(_describe(result.failure()), file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTING)
     cfg = result.unwrap()
     set_up_logs(cfg.log_level, cfg.member)
     fault = asyncio.run(_serve(cfg))
     if fault is not None:
-        _fail(fault, EXIT_PARTITION_MISMATCH)
+        print(_describe(fault), file=sys.stderr)
     # Threads in long polls would hold the end of the process for up to 12 s.
     sys.stdout.flush()
     sys.stderr.flush()
-    os._exit(0)
+    os._exit(EXIT_PARTITION_MISMATCH if fault else 0)
 
 
-def _fail(fault: Fault, exit_code: int) -> NoReturn:
-    print(f"{fault.code.name} ({fault.code.number}): {fault.message}", file=sys.stderr)
-    raise SystemExit(exit_code)
+def _describe(fault: Fault) -> str:
+    return f"{fault.code.name} ({fault.code.number}): {fault.message}"
 
 
 async def _serve(cfg: Settings) -> Fault | None:
--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.commands import Stop
@@ -31,17 +31,18 @@
 from lagoonshelf_core.ids import Epoch, PartitionId, TeamId
 from lagoonshelf_core.model import Task
 
+from lagoonshelf_server.grant_state import PendingWrite, TeamGrants
 from lagoonshelf_server.grant_usage import GrantUsage
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import GrantAsk
 from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 
 WRITE_INTERVAL_MS = 1000
-CONFLICT_RETRY_MS = 50
+CONFLICT_RETRY_S = 0.02
 IDLE_MS = 5000
 ASK_INTERVAL_MS = 500
 ASKED_MS = 2000
-TICK_S = 0.25
+TICK_S = 0.5
 BEGIN_RETRY_S = 0.2
 _log = logger("grants")
 
@@ -53,6 +54,7 @@
     :param known: limit of a team, none before the first configuration
     :param teams: all teams of the configuration
     :param may_act: whether this process still owns the partition
+    :param settled: whether all that runs in the partition is known
     :param tasks: tasks of the partition's scheduler
     :param ask: sends a message to the owner of another partition
     :param stop: carries out stop commands
@@ -63,6 +65,7 @@
     known: Callable[[TeamId], KnownLimit | None]
     teams: Callable[[], Iterable[TeamId]]
     may_act: Callable[[], bool]
+    settled: Callable[[], bool]
     tasks: Callable[[], Iterable[Task]]
     ask: Callable[[PartitionId, GrantAsk], Awaitable[None]]
     stop: Callable[[list[Stop]], Awaitable[None]]
@@ -70,36 +73,6 @@
     spawn: Callable[[Coroutine], object]
 
 
-@dataclass(frozen=True, slots=True)
-class _Pending:
-    """A write whose outcome is not known yet."""
-
-    text: str
-    token: str
-    serial: int
-    after: Amount
-
-
-@dataclass(slots=True)
-class _TeamState:
-    """What is known of one team's grants.
-
-    :param asked: what other owners asked for until ``asked_until_ms``
-    :param idle_since_ms: since when part of the grant is idle, none when it is not
-    :param peak: largest need since then
-    """
-
-    doc: GrantDocument = field(default_factory=GrantDocument)
-    pending: _Pending | None = None
-    busy: bool = False
-    next_write_ms: int = 0
-    next_ask_ms: int = 0
-    asked: Amount = NONE
-    asked_until_ms: int = -1
-    idle_since_ms: int | None = None
-    peak: Amount = NONE
-
-
 class GrantKeeper:
     """Grants of all teams in one owned partition."""
 
@@ -121,8 +94,9 @@
         self._store = store
         self._hooks = hooks
         self._epoch = Epoch(0)
-        self._teams: dict[TeamId, _TeamState] = defaultdict(_TeamState)
+        self._teams: dict[TeamId, TeamGrants] = defaultdict(TeamGrants)
         self._usage = GrantUsage(hooks.tasks)
+        self._pass_allowed: dict[TeamId, Amount] = {}
         self._wake = asyncio.Event()
 
     async def begin(self, epoch: Epoch) -> None:
@@ -150,13 +124,17 @@
     def begin_pass(self) -> None:
         """Count what runs now; the following starts are added to it."""
         self._usage.begin_pass()
+        self._pass_allowed.clear()
 
     def may_start(self, task: Task) -> bool:
         """Tell whether the grant allows a start, and count it; a gang counts as a whole.
 
         Ask this last, when a worker has been found: what was allowed counts until the next pass.
         """
-        if self._usage.approve(task, self.allowed(task.team)):
+        allowed = self._pass_allowed.get(task.team)
+        if allowed is None:
+            allowed = self._pass_allowed[task.team] = self.allowed(task.team)
+        if self._usage.approve(task, allowed):
             return True
         known = self._hooks.known(task.team)
         if known is not None and self._usage.required(task).fits_in(known.amount):
@@ -167,12 +145,12 @@
 
     def lacks_grant(self, task: Task) -> bool:
         """Tell whether a waiting task was held back by its team's grant."""
-        return self._usage.is_short(task.task)
+        return self._usage.is_short(task)
 
     def allowed(self, team: TeamId) -> Amount:
         """Return how much of a team may run here when another task starts."""
         state, known = self._teams.get(team), self._hooks.known(team)
-        if state is None or known is None:
+        if state is None or known is None or not self._hooks.settled():
             return NONE
         limit = limit_in_force(state.doc, known)
         usable = state.doc.usable(self._partition, self._epoch)
@@ -212,7 +190,7 @@
             _ = self._teams[team]
         for team, state in list(self._teams.items()):
             known = self._hooks.known(team)
-            if known is None:
+            if known is None or self._is_unused(team, state, known):
                 continue
             if self._usage.could_start(team, self.allowed(team)):
                 self._hooks.kick()
@@ -223,31 +201,33 @@
             self._ask(team, state, known, now_ms)
             await self._stop_excess(team, state, known, now_ms)
 
-    def _need(self, team: TeamId, state: _TeamState, limit: Amount) -> Amount:
-        need = self._usage.need(team)
+    def _need(self, team: TeamId, state: TeamGrants, limit: Amount) -> Amount:
         if self._is_asked(state):
-            return self._usage.running(team).most(need.least(self._fair(limit)))
-        return need
+            return self._usage.useful(team, self._fair(limit))
+        return self._usage.need(team)
 
-    def _is_asked(self, state: _TeamState) -> bool:
+    def _is_asked(self, state: TeamGrants) -> bool:
         return self._clock.now_ms() < state.asked_until_ms
 
     def _fair(self, limit: Amount) -> Amount:
         """Return what an owner keeps for waiting work while another one lacks grant."""
         return Amount(limit.tasks // self._partitions, limit.cpu_milli // self._partitions)
 
-    def _wanted(self, team: TeamId, state: _TeamState) -> Amount | None:
+    def _wanted(self, team: TeamId, state: TeamGrants) -> Amount | None:
         """Return the grant that the partition should hold, none if it must not write."""
         known, doc = self._hooks.known(team), state.doc
         entry = doc.entries.get(self._partition)
         if known is None or (entry is not None and entry.epoch > self._epoch):
             return None
         held, limit = doc.amount(self._partition), limit_in_force(doc, known)
-        if not doc.total().fits_in(limit):
-            return after_lowering(doc, self._partition, self._usage.running(team), limit)
+        if not doc.total.fits_in(limit):
+            left = after_lowering(doc, self._partition, self._usage.running(team), limit)
+            return left.least(self._usage.useful(team, left))
         need = self._need(team, state, limit)
         if not need.fits_in(held):
-            return take(doc, self._partition, need, known)
+            amount = take(doc, self._partition, need, known)
+            # Parts of a task or a gang are left to others, or two owners could hold half each.
+            return amount if need.fits_in(amount) else self._usage.useful(team, amount)
         if self._is_asked(state):
             return need.most(held - state.asked)
         kept = need.most(base(limit, self._partitions))
@@ -257,11 +237,16 @@
             return give_back(held, kept.most(state.peak), limit)
         return held
 
-    def _is_idle(self, state: _TeamState) -> bool:
+    def _is_unused(self, team: TeamId, state: TeamGrants, known: KnownLimit) -> bool:
+        held = state.doc.amount(self._partition)
+        kept = self._usage.need(team).most(base(known.amount, self._partitions))
+        return held == NONE and state.pending is None and kept == NONE
+
+    def _is_idle(self, state: TeamGrants) -> bool:
         since_ms = state.idle_since_ms
         return since_ms is not None and self._clock.now_ms() - since_ms >= IDLE_MS
 
-    def _watch_idle(self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int) -> None:
+    def _watch_idle(self, team: TeamId, state: TeamGrants, known: KnownLimit, now_ms: int) -> None:
         held, limit = state.doc.amount(self._partition), limit_in_force(state.doc, known)
         need = self._need(team, state, limit).most(base(limit, self._partitions))
         if give_back(held, need, limit) == held:
@@ -273,10 +258,10 @@
             if self._is_idle(state) and give_back(held, state.peak, limit) == held:
                 state.idle_since_ms, state.peak = now_ms, need
 
-    def _is_due(self, team: TeamId, state: _TeamState) -> bool:
+    def _is_due(self, team: TeamId, state: TeamGrants) -> bool:
         return state.pending is not None or self._changes(state, self._wanted(team, state))
 
-    def _changes(self, state: _TeamState, amount: Amount | None) -> bool:
+    def _changes(self, state: TeamGrants, amount: Amount | None) -> bool:
         if amount is None:
             return False
         entry = state.doc.entries.get(self._partition)
@@ -284,16 +269,10 @@
             return amount != NONE
         return amount != entry.amount or (entry.epoch != self._epoch and amount != NONE)
 
-    async def _update(self, team: TeamId, state: _TeamState) -> None:
-        key = grant_key(team)
+    async def _update(self, team: TeamId, state: TeamGrants) -> None:
         try:
-            item = await self._store.get(key)
-            self._take_in(state, decode_grants(item.value))
-            self._usage.scan()
-            if state.pending is None:
-                self._prepare(team, state)
-            if state.pending is not None and self._hooks.may_act():
-                await self._write(state, key, item.version)
+            while not await self._try_update(team, state):
+                await asyncio.sleep(CONFLICT_RETRY_S)
         except StoreError as exc:
             state.next_write_ms = self._clock.now_ms() + WRITE_INTERVAL_MS
             _log.info("grant not settled", team=team, reason=str(exc))
@@ -301,25 +280,36 @@
             state.busy = False
             self._wake.set()
 
-    def _prepare(self, team: TeamId, state: _TeamState) -> None:
+    async def _try_update(self, team: TeamId, state: TeamGrants) -> bool:
+        """Read the grants and change them where needed; false when another owner was faster."""
+        key = grant_key(team)
+        item = await self._store.get(key)
+        self._take_in(state, decode_grants(item.value))
+        self._usage.scan()
+        if state.pending is None:
+            self._prepare(team, state)
+        if state.pending is None or not self._hooks.may_act():
+            return True
+        return await self._write(state, key, item.version)
+
+    def _prepare(self, team: TeamId, state: TeamGrants) -> None:
         amount = self._wanted(team, state)
         if not self._changes(state, amount):
             return
         token = writer_token()
         entry = GrantEntry(amount, self._epoch, token)
         doc = with_entry(state.doc, self._partition, entry, self._hooks.known(team))
-        state.pending = _Pending(encode_grants(doc), token, doc.serial, amount)
+        state.pending = PendingWrite(encode_grants(doc), token, doc.serial, amount)
 
-    async def _write(self, state: _TeamState, key: str, version: int) -> None:
+    async def _write(self, state: TeamGrants, key: str, version: int) -> bool:
         """Send the pending write; sent again it has the same text, so it counts once."""
         pending = state.pending
         state.next_write_ms = self._clock.now_ms() + WRITE_INTERVAL_MS
-        if await self._store.cas(key, pending.text, version):
+        if done := await self._store.cas(key, pending.text, version):
             self._take_in(state, decode_grants(pending.text))
-        else:
-            state.next_write_ms = self._clock.now_ms() + CONFLICT_RETRY_MS
+        return done
 
-    def _take_in(self, state: _TeamState, doc: GrantDocument) -> None:
+    def _take_in(self, state: TeamGrants, doc: GrantDocument) -> None:
         """Keep the newer document; it settles a pending write of the same or a lower number."""
         pending = state.pending
         if pending is not None and doc.serial >= pending.serial:
@@ -332,12 +322,12 @@
             state.doc = doc
             self._hooks.kick()
 
-    def _ask(self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int) -> None:
+    def _ask(self, team: TeamId, state: TeamGrants, known: KnownLimit, now_ms: int) -> None:
         doc, limit = state.doc, limit_in_force(state.doc, known)
         need = self._need(team, state, limit)
         if need.fits_in(doc.amount(self._partition)) or now_ms < state.next_ask_ms:
             return
-        missing = to_ask(doc, self._partition, need, limit) - (limit - doc.total())
+        missing = to_ask(doc, self._partition, need, limit) - (limit - doc.total)
         if missing == NONE:
             return
         state.next_ask_ms = now_ms + ASK_INTERVAL_MS
@@ -347,11 +337,11 @@
                 self._hooks.spawn(self._hooks.ask(partition, ask))
 
     async def _stop_excess(
-        self, team: TeamId, state: _TeamState, known: KnownLimit, now_ms: int
+        self, team: TeamId, state: TeamGrants, known: KnownLimit, now_ms: int
     ) -> None:
         """Stop repeatable work above the share that a lowered limit leaves, newest first."""
         limit = limit_in_force(state.doc, known)
-        if state.doc.total().fits_in(limit):
+        if state.doc.total.fits_in(limit):
             return
         kept = share(state.doc, self._partition, limit)
         stops = self._usage.excess_stops(team, kept, now_ms)
--- a/packages/server/lagoonshelf_server/hosting.py
+++ b/packages/server/lagoonshelf_server/hosting.py
@@ -1,7 +1,7 @@
 """Tasks of other partitions that run on this partition's workers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -11,6 +11,7 @@
 from lagoonshelf_core.ids import Epoch, PartitionId, TaskId, WorkerId
 from lagoonshelf_core.model import Task
 from lagoonshelf_core.scheduler import Scheduler
+from xxhash import xxh3_64_hexdigest
 
 from lagoonshelf_server.dispatch import Dispatch
 from lagoonshelf_server.logs import logger
@@ -78,6 +79,7 @@
         self._digests: dict[TaskId, str] = {}
         self._ended: dict[TaskId, _Ended] = {}
         self._refused_ms: dict[tuple[str, int], int] = {}
+        self._settled = False
         self._wake = asyncio.Event()
 
     def start(self, body: Delegate) -> DelegateReply:
@@ -165,6 +167,14 @@
         dispatch = self._hooks.dispatch()
         return dispatch is not None and dispatch.fleet.knows_hosts and dispatch.fleet.all_read()
 
+    def is_settled(self) -> bool:
+        """Tell whether each worker was read once, or lost, since the takeover."""
+        dispatch = self._hooks.dispatch()
+        if not self._settled and dispatch is not None and dispatch.fleet.knows_hosts:
+            links = dispatch.fleet.links.values()
+            self._settled = all(link.boot_id or link.lost for link in links)
+        return self._settled
+
     def boots(self) -> tuple[str, ...]:
         """Return name and boot id of each worker that was read."""
         dispatch = self._hooks.dispatch()
@@ -229,5 +239,10 @@
     return f"{worker}={boot_id}"
 
 
+def boots_digest(boots: Iterable[str]) -> str:
+    """Return a hash of a partition's workers and their boot ids, kept in intents."""
+    return xxh3_64_hexdigest("\n".join(sorted(boots)).encode())
+
+
 def _refusal() -> DelegateReply:
     return DelegateReply(False, ResultCode.OVERLOADED.number)
--- a/packages/server/lagoonshelf_server/journal_writer.py
+++ b/packages/server/lagoonshelf_server/journal_writer.py
@@ -177,6 +177,7 @@
                 return False
         if item.value is None and not answered:
             return False
+        # A key that was taken and is gone was compacted by a later owner.
         if item.value is not None and decode_segment(item.value).token == token:
             return True
         raise JournalLostError(key)
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -1,7 +1,7 @@
 """Lifecycle of one owned partition: takeover, requests, hand-over."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from enum import Enum
 from typing import TypeVar
 
@@ -173,7 +173,7 @@
             self.delegation.watch_forever(),
             self.hosting.report_forever(),
         ):
-            self._background.append(self._bridge.spawn(loop))
+            self._background.append(self._bridge.spawn(self._guard(loop)))
         self._kicked.set()
         _log.info("partition active", partition=self.partition, epoch=self.epoch)
 
@@ -238,6 +238,14 @@
         self._recovery.close()
         self._part.waiters.refuse_all(self._part.owner_left())
 
+    async def _guard(self, loop: Coroutine[object, object, None]) -> None:
+        """Give the partition up when one of its loops fails, so that a takeover restores it."""
+        try:
+            await loop
+        except Exception as exc:
+            _log.error("loop failed", partition=self.partition, error=repr(exc), exc_info=True)
+            self.close()
+
     async def _pass_forever(self) -> None:
         while True:
             await self._kicked.wait()
--- a/tests/server/test_grant_keeper.py
+++ b/tests/server/test_grant_keeper.py
@@ -74,11 +74,13 @@
     def __init__(self, test: "GrantKeeperTest", number: int, epoch: int = 1) -> None:
         self.test, self.number, self.epoch = test, number, epoch
         self.tasks: dict[str, Task] = {}
+        self.settled = True
         self.stops: list = []
         hooks = GrantHooks(
             known=lambda team: test.known if team == "fitting" else None,
             teams=lambda: ["fitting"],
             may_act=lambda: True,
+            settled=lambda: self.settled,
             tasks=lambda: list(self.tasks.values()),
             ask=self._ask,
             stop=self._stop,
@@ -273,6 +275,17 @@
         await self.turns(3)
         self.assertEqual(new.running, 16)
 
+    async def test_nothing_starts_before_all_workers_are_read(self) -> None:
+        """Guards against a successor that counts too little because a worker is still unread."""
+        await self.begin(0, tasks=16)
+        await self.turns(3)
+        new = await self.begin(0, epoch=2, tasks=20)
+        new.settled = False
+        await self.turns(3, limit=0)
+        new.settled = True
+        await self.turns(1)
+        self.assertEqual(new.running, 16)
+
     async def test_write_of_a_dead_owner_cannot_lower_a_claimed_grant(self) -> None:
         """Guards against a return of the predecessor that lands after its successor counts."""
         old = await self.begin(0, tasks=4)
@@ -325,3 +338,21 @@
         self.assertEqual(part.run(), 1)
         await self.turns(3)
         self.assertEqual(part.running, 6)
+
+    async def test_two_gangs_do_not_hold_half_of_the_limit_each(self) -> None:
+        """Guards against two partitions that wait for each other's part of the limit."""
+        for number in range(2):
+            part = await self.begin(number)
+            for index in range(12):
+                name = f"g{number}.{index}"
+                part.add(name, kind=WorkKind.GANG, request_key=f"g{number}", gang_size=12)
+        await self.turns(6)
+        self.assertEqual(self.total(), 12)
+
+    async def test_parts_of_a_task_are_not_held(self) -> None:
+        """Guards against a limit that is divided into parts too small for any task."""
+        self.known = KnownLimit(Amount(16, 3 * CPU), 1)
+        for number in range(4):
+            await self.begin(number, tasks=2)
+        await self.turns(6)
+        self.assertEqual(self.total(), 3)
--- a/tests/server/test_recovery.py
+++ b/tests/server/test_recovery.py
@@ -18,7 +18,7 @@
 from lagoonshelf_core.records import digest_spec
 from lagoonshelf_server.messages import TaskMeta
 
-from tests.support.fakes import OWNER_KEY, OneOwner, spec, until
+from tests.support.fakes import OneOwner, spec, until
 
 
 def meta_of(req, task: str, attempt: int = 1, index: int = 0, home: int = 0) -> TaskMeta:
@@ -189,7 +189,7 @@
     async def test_release_during_the_takeover_begins_no_epoch(self) -> None:
         """Guards against an epoch entry that follows the deletion of the owner key."""
         owner = self.cell.new()
-        self.cell.store._write("owners/0", OWNER_KEY, 0)
+        self.cell.store._write("owners/0", '{"lease": "lease-1"}', 0)
         takeover = asyncio.ensure_future(owner.take_over())
         await asyncio.sleep(0)
         await owner.release()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -5,7 +5,15 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.document import Document, QueueConfig, TeamConfig
-from lagoonshelf_core.ids import PartitionId, QueueId, RequestKey, TeamId, WorkerId
+from lagoonshelf_core.ids import (
+    MemberId,
+    PartitionId,
+    QueueId,
+    RequestKey,
+    Revision,
+    TeamId,
+    WorkerId,
+)
 from lagoonshelf_core.model import RequestSpec, WorkerInfo, WorkKind
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.bridge import Bridge
@@ -23,7 +31,6 @@
 
 CAPACITY = Resources(8000, 8192, 0, 8)
 POLL_S = 0.005
-OWNER_KEY = '{"member": "m1", "lease": "lease-1"}'
 
 
 class FakeStore:
@@ -46,9 +53,11 @@
     async def get(self, key: str) -> Item:
         return await self._answer("get", key, lambda: self.items.get(key, Item(key, None, 0)))
 
-    async def list_keys(self, prefix: str, page: int = 500) -> tuple[list[Item], int]:
+    async def list_keys(
+        self, prefix: str, after: str = "", page: int = 500
+    ) -> tuple[list[Item], int]:
         del page
-        keys = sorted(key for key in self.items if key.startswith(prefix))
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
         return await self._answer(
             "list", prefix, lambda: ([self.items[key] for key in keys], self.revision)
         )
@@ -66,7 +75,8 @@
     async def _answer(self, name: str, key: str, call):
         self.calls.append((name, key))
         await asyncio.sleep(0)
-        planned = self.faults.get(name)
+        # Grants are written in the background, which must not use up planned faults.
+        planned = [] if key.startswith("grants/") else self.faults.get(name)
         fault = planned.pop(0) if planned else None
         if fault == "down":
             raise StoreError(f"{name}: down")
@@ -182,16 +192,16 @@
 
 
 class FakeMembers:
-    """The only member, with a lease that lasts until a test ends it."""
+    """A lease that lasts until a test ends it."""
 
     def __init__(self) -> None:
-        self.me = "m1"
-        self.others: dict = {}
         self.lease = "lease-1"
         self.alive = True
+        self.clock = Clock()
+        self.me = MemberId("m1")
+        self.others: dict[MemberId, object] = {}
 
     def owner_of(self, partition: PartitionId) -> None:
-        """Return no owner, since no other member has announced one."""
         del partition
 
     def may_act(self) -> bool:
@@ -199,12 +209,12 @@
 
 
 class FakeConfig:
-    """A configuration with one team and one queue."""
+    """A configuration with one queue and one team."""
 
-    revision = 1
+    revision = Revision(1)
     document = Document(
-        teams={"t": TeamConfig(limit_tasks=1000, limit_cpu_milli=1_000_000)},
         queues={"q": QueueConfig()},
+        teams={"t": TeamConfig(limit_tasks=1000, limit_cpu_milli=1_000_000)},
     )
 
 
