--- a/tests/server/test_owner.py
+++ b/tests/server/test_owner.py
@@ -11,7 +11,7 @@
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.owner import OwnerState
 
-from tests.support.fakes import OWNER_KEY, OneOwner, spec, until
+from tests.support.fakes import OneOwner, spec, until
 
 
 class ActiveOwnerTest(unittest.IsolatedAsyncioTestCase):
@@ -173,8 +173,7 @@
 
     async def test_given_up_task_tells_the_reason(self) -> None:
         """Guards against a caller who waits for work that can never run."""
-        self.owner.dispatch.fleet.links["w0"].set_leaving()
-        waiting = self.submit("huge", size=Resources(8000, 1, 0, 1))
+        waiting = self.submit("huge", size=Resources(10**6, 1, 0, 1))
         await until(lambda: self.owner.scheduler.queue_length() == 1)
         (task,) = self.owner.scheduler.tasks
         await self.owner.dispatch.execute([GiveUp(task, "larger than every worker")])
@@ -249,7 +248,7 @@
 
     async def test_release_sends_waiting_callers_on_and_frees_the_key(self) -> None:
         """Guards against callers cut off by a hand-over, and a start after the release."""
-        self.cell.store._write("owners/0", OWNER_KEY, 0)
+        self.cell.store._write("owners/0", '{"lease": "lease-1"}', 0)
         waiting = self.submit("moved")
         task = await self.started()
         await self.owner.release()
@@ -289,6 +288,12 @@
         await until(lambda: not self.owner.book.records)
         self.assertEqual([e.request_key for e in self.entries(ForgetEntry)], ["once"])
 
+    async def test_owner_whose_pass_fails_gives_the_partition_up(self) -> None:
+        """Guards against a partition that stays owned while nothing in it is placed."""
+        self.owner.scheduler.run_pass = lambda *args: 1 // 0
+        self.assertIs(await self.code_of(self.submit("late")), ResultCode.OWNER_LEFT)
+        self.assertIs(self.owner.state, OwnerState.LOST)
+
     async def test_loops_end_when_a_close_meets_a_wake_up(self) -> None:
         """Guards against loops of a closed owner that swallow their cancellation."""
         for steps in range(5):
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -5,7 +5,15 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.document import Document, QueueConfig, TeamConfig
-from lagoonshelf_core.ids import PartitionId, QueueId, RequestKey, TeamId, WorkerId
+from lagoonshelf_core.ids import (
+    MemberId,
+    PartitionId,
+    QueueId,
+    RequestKey,
+    Revision,
+    TeamId,
+    WorkerId,
+)
 from lagoonshelf_core.model import RequestSpec, WorkerInfo, WorkKind
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.bridge import Bridge
@@ -23,7 +31,6 @@
 
 CAPACITY = Resources(8000, 8192, 0, 8)
 POLL_S = 0.005
-OWNER_KEY = '{"member": "m1", "lease": "lease-1"}'
 
 
 class FakeStore:
@@ -104,8 +111,6 @@
     stops: list[str] = field(default_factory=list)
     acks: list[str] = field(default_factory=list)
     renewed: set[str] = field(default_factory=set)
-    throttles: list[tuple[str, int]] = field(default_factory=list)
-    warmed: list[tuple[str, int]] = field(default_factory=list)
 
 
 class FakeWorkers:
@@ -157,14 +162,6 @@
             if task in worker.runs and worker.runs[task].state == "running":
                 self.finish(address, task, "checkpointed" if checkpoint else "stopped", "")
 
-    async def throttle(self, address, authority, task, percent):
-        worker = await self._reach(address, authority)
-        worker.throttles.append((task, percent))
-
-    async def warm(self, address, authority, queue, slots):
-        worker = await self._reach(address, authority)
-        worker.warmed.append((queue, slots))
-
     async def inventory(self, address, authority):
         worker = await self._reach(address, authority)
         tasks = tuple(worker.runs.values())
@@ -195,17 +192,16 @@
 
 
 class FakeMembers:
-    """The only member, with a lease that lasts until a test ends it."""
+    """A lease that lasts until a test ends it."""
 
     def __init__(self) -> None:
-        self.me = "m1"
-        self.clock = Clock()
-        self.others: dict = {}
         self.lease = "lease-1"
         self.alive = True
+        self.clock = Clock()
+        self.me = MemberId("m1")
+        self.others: dict[MemberId, object] = {}
 
     def owner_of(self, partition: PartitionId) -> None:
-        """Return no owner, since no other member has announced one."""
         del partition
 
     def may_act(self) -> bool:
@@ -213,12 +209,12 @@
 
 
 class FakeConfig:
-    """A configuration with one team and one queue."""
+    """A configuration with one queue and one team."""
 
-    revision = 1
+    revision = Revision(1)
     document = Document(
-        teams={"t": TeamConfig(limit_tasks=1000, limit_cpu_milli=1_000_000)},
         queues={"q": QueueConfig()},
+        teams={"t": TeamConfig(limit_tasks=1000, limit_cpu_milli=1_000_000)},
     )
 
 
@@ -246,7 +242,6 @@
         self.store.host_list = self.workers.infos()
         self.members = FakeMembers()
         self.bridge = Bridge(asyncio.get_running_loop(), 1)
-        self.config = FakeConfig()
 
     def new(self) -> Owner:
         """Return an owner before its takeover."""
@@ -258,7 +253,7 @@
             self.store,
             self.workers,
             self.members,
-            self.config,
+            FakeConfig(),
             PartitionCalls(self.members, None, {}),
         )
 
