Keep work away from workers that fail everything

Cause: a worker that fails fast looks empty and attracted the work; a task could use up its attempts on that one worker. Ruled out: counting refused and lost starts as failures of the worker, since they follow from the network or from leases; they only close the open start. Change: WorkerHealth answers may_use from the outcomes of tasks, counts what one pass offers to a worker with failures, and sends a failed task to another worker while one fits. A task at fault ends as failed; services restart until cancelled. The loops of grants and hosting wait with asyncio.timeout: wait_for of Python 3.11 lost a cancellation that came with the event, and the loop outlived its owner. A stack dump of the hanging test showed GrantKeeper.run_forever still waiting. Conclusion: of 60 tasks on four workers, fewer than 15 starts reach the bad one.

--- a/packages/server/lagoonshelf_server/fleet.py
+++ b/packages/server/lagoonshelf_server/fleet.py
@@ -99,6 +99,10 @@
                 found[task.worker].append(task)
         return found
 
+    def ready(self) -> list[WorkerInfo]:
+        """Return the workers that may get tasks."""
+        return [link.info for link in self.links.values() if link.state is WorkerState.READY]
+
     def all_read(self) -> bool:
         """Tell whether no worker can run a task that is not known."""
         return all(
--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -194,7 +194,9 @@
         while True:
             await self.tick()
             try:
-                await asyncio.wait_for(self._wake.wait(), TICK_S)
+                # wait_for of Python 3.11 loses a cancellation that arrives with the event.
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
             except TimeoutError:
                 continue
 
--- a/packages/server/lagoonshelf_server/hosting.py
+++ b/packages/server/lagoonshelf_server/hosting.py
@@ -178,7 +178,9 @@
             waiting = [entry for entry in self._ended.values() if entry.acked_ms is None]
             await asyncio.gather(*(self._report(entry) for entry in waiting))
             try:
-                await asyncio.wait_for(self._wake.wait(), REPORT_INTERVAL_S)
+                # wait_for of Python 3.11 loses a cancellation that arrives with the event.
+                async with asyncio.timeout(REPORT_INTERVAL_S):
+                    await self._wake.wait()
             except TimeoutError:
                 continue
 
--- a/packages/server/lagoonshelf_server/kicks.py
+++ b/packages/server/lagoonshelf_server/kicks.py
@@ -32,8 +32,10 @@
         timeout_s = None
         if due_ms is not None:
             timeout_s = max(MIN_DUE_WAIT_MS, due_ms - self._clock.now_ms()) / 1000
+        # wait_for of Python 3.11 loses a cancellation that arrives with the event.
         with suppress(TimeoutError):
-            await asyncio.wait_for(self._event.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._event.wait()
         left_ms = self._last_ms + COLLECT_MS - self._clock.now_ms()
         if left_ms > 0:
             await asyncio.sleep(left_ms / 1000)
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -244,9 +244,8 @@
             await self._kicked.wait(self.scheduler.next_pass_ms())
             await self._read_old_hosts()
             if self.may_start():
-                self._part.policy.begin_pass(self.scheduler)
                 self.grants.begin_pass()
-                commands = self.scheduler.run_pass(self._clock.now_ms(), self.grants.may_start)
+                commands = self._part.run_pass(self.grants.may_start)
                 await self.dispatch.execute(commands)
                 self.delegation.offer()
 
@@ -254,9 +253,7 @@
         """Start a task of another partition at once if a worker and the grant allow it."""
         self.grants.begin_pass()
         self.scheduler.enqueue(task)
-        commands = self.scheduler.run_pass(
-            self._clock.now_ms(), lambda other: other is task and self.grants.may_start(task)
-        )
+        commands = self._part.run_pass(lambda other: other is task and self.grants.may_start(task))
         placed = task.worker is not None
         if not placed:
             self.scheduler.release(task.task)
@@ -324,6 +321,7 @@
             hooks,
         )
         self._events.dispatch = self._recovery.dispatch = self.dispatch
+        self._part.policy.ready_workers = self.dispatch.fleet.ready
         # Tasks found on workers keep their leases while others are still being read.
         self._background.append(self._bridge.spawn(self.dispatch.renew_forever()))
 
--- a/packages/server/lagoonshelf_server/partition.py
+++ b/packages/server/lagoonshelf_server/partition.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.commands import Command
 from lagoonshelf_core.errors import Fault, ResultCode
 from lagoonshelf_core.ids import Epoch, PartitionId, TaskId, task_id
 from lagoonshelf_core.journal import Entry
 from lagoonshelf_core.model import Task, WorkClass, WorkKind
 from lagoonshelf_core.records import Record, RecordBook
-from lagoonshelf_core.scheduler import Scheduler
+from lagoonshelf_core.scheduler import MayStart, Scheduler
 
 from lagoonshelf_server.answers import Waiters
 from lagoonshelf_server.config_sync import ConfigSync
@@ -54,6 +55,13 @@
         self.policy = Policy(self.clock, self.config)
         self.scheduler = Scheduler(self.policy.hooks())
 
+    def run_pass(self, may_start: MayStart) -> list[Command]:
+        """Decide what starts and what yields now."""
+        self.policy.begin_pass(self.scheduler)
+        commands = self.scheduler.run_pass(self.clock.now_ms(), may_start)
+        self.policy.end_pass(commands)
+        return commands
+
     def find(self, task: Task) -> Record | None:
         """Return the record of a task if the task is the current one of its index."""
         record = self.book.find(task.team, task.request_key)
--- a/packages/server/lagoonshelf_server/policy.py
+++ b/packages/server/lagoonshelf_server/policy.py
@@ -1,14 +1,19 @@
 """Policy state of one owned partition, and how it takes part in scheduling passes."""
 
+from collections.abc import Callable, Iterable
+
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.commands import Command
 from lagoonshelf_core.document import QueueConfig
 from lagoonshelf_core.errors import Fault
 from lagoonshelf_core.hooks import Hooks
-from lagoonshelf_core.model import RequestSpec
+from lagoonshelf_core.model import RequestSpec, Task, WorkerInfo
 from lagoonshelf_core.scheduler import Scheduler
 
 from lagoonshelf_server.admit import PartitionAdmission
 from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.worker_health import WorkerHealth
+from lagoonshelf_server.workers import TaskReport
 
 
 class Policy:
@@ -16,14 +21,16 @@
 
     def __init__(self, clock: Clock, config: ConfigSync) -> None:
         """Begin before the first pass."""
+        self.ready_workers: Callable[[], Iterable[WorkerInfo]] = tuple
         self.admission = PartitionAdmission()
+        self.health = WorkerHealth(clock, lambda: self.ready_workers())
         self._clock = clock
         self._config = config
         self._revision: int | None = None
 
     def hooks(self) -> Hooks:
         """Return the decisions that a scheduling pass asks for."""
-        return Hooks()
+        return Hooks(may_use=self.health.may_use)
 
     def refusal(self, spec: RequestSpec, scheduler: Scheduler) -> Fault | None:
         """Count a new request as waiting, or return why it is not let in."""
@@ -37,3 +44,15 @@
             self._revision = self._config.revision
             document = self._config.document
             scheduler.set_policy(document.teams, document.queues)
+        self.health.begin_pass(scheduler.tasks)
+
+    def end_pass(self, commands: list[Command]) -> None:
+        """Take in what a pass decided."""
+        self.health.end_pass(commands)
+
+    def ended(self, task: Task, report: TaskReport) -> bool:
+        """Learn from the reported end of a task that still is on its worker.
+
+        :returns: whether the task failed on so many workers that it is at fault itself
+        """
+        return self.health.ended(task.worker, task.task, report.state)
--- a/packages/server/lagoonshelf_server/task_events.py
+++ b/packages/server/lagoonshelf_server/task_events.py
@@ -97,6 +97,7 @@
         if task is None:
             return
         worker = task.worker
+        at_fault = self._part.policy.ended(task, report)
         yielded = self._part.scheduler.should_requeue(task.task)
         self._part.scheduler.release(task.task)
         self._part.kick()
@@ -112,7 +113,8 @@
         record.begun.add(task.index)
         record.attempts[task.index] = max(task.attempt, report.meta.attempt)
         requeue = yielded or stop is None or stop.requeue
-        if not record.cancelled and runs_again(task, report.state, requeue):
+        again = runs_again(task, report.state, requeue) and not self._ends_for_good(task, at_fault)
+        if not record.cancelled and again:
             task.failures += report.state == "failed"
             self.run_again(task)
             return
@@ -191,6 +193,10 @@
             )
         self._set_outcome(record, task.index, outcome)
 
+    def _ends_for_good(self, task: Task, at_fault: bool) -> bool:
+        """Tell whether a task at fault is given up; a service is started until cancelled."""
+        return at_fault and task.kind is not WorkKind.SERVICE
+
     def _is_foreign(self, task: Task) -> bool:
         return task.home != self._part.number
 
--- /dev/null
+++ b/packages/server/lagoonshelf_server/worker_health.py
@@ -0,0 +1,106 @@
+"""Keeps work away from workers that fail everything, and tasks from where they failed."""
+
+from collections.abc import Callable, Iterable
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.commands import Command, Start
+from lagoonshelf_core.health import Health, Verdict
+from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.model import Task, WorkerInfo
+
+# Starts that ended without a report (refused, lost) are noticed at this interval.
+SWEEP_MS = 1_000
+
+
+class WorkerHealth:
+    """Health of the workers of one partition as the scheduling pass sees it."""
+
+    def __init__(self, clock: Clock, ready: Callable[[], Iterable[WorkerInfo]]) -> None:
+        """Begin with all workers trusted.
+
+        :param ready: workers that may get tasks
+        """
+        self.health = Health()
+        self._clock = clock
+        self._ready = ready
+        self._offered: dict[TaskId, WorkerId] = {}
+        self._open: dict[TaskId, WorkerId] = {}
+        self._swept_ms = 0
+
+    def may_use(self, worker: WorkerId, task: Task) -> bool:
+        """Tell whether a task may be placed on a worker.
+
+        An allowed placement on a worker with failures counts as a start until the pass ends, so
+        that one pass does not place more there than the worker may get.
+        """
+        if self._offered.get(task.task) == worker:
+            return True
+        if not self.health.may_start(worker, task.repeatable, self._clock.now_ms()):
+            return False
+        if worker in self.health.avoid(task.task) and self._fits_elsewhere(task):
+            return False
+        if self.health.penalty(worker):
+            self._offer(worker, task.task)
+        return True
+
+    def begin_pass(self, tasks: dict[TaskId, Task]) -> None:
+        """Forget starts whose tasks are gone or elsewhere.
+
+        :param tasks: all tasks that the scheduler knows
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._swept_ms < SWEEP_MS:
+            return
+        self._swept_ms = now_ms
+        for name, worker in list(self._open.items()):
+            task = tasks.get(name)
+            if task is None or task.worker != worker:
+                self._drop(name, worker)
+
+    def end_pass(self, commands: Iterable[Command]) -> None:
+        """Count the starts of a pass, and take back what was allowed and not used."""
+        started = {c.task: c.worker for c in commands if isinstance(c, Start)}
+        for name, worker in self._offered.items():
+            if started.get(name) != worker:
+                self.health.dropped(worker, name)
+        self._offered.clear()
+        for name, worker in started.items():
+            self.health.started(worker, name)
+        self._open.update(started)
+
+    def ended(self, worker: WorkerId, task: TaskId, state: str) -> bool:
+        """Count the reported end of a task.
+
+        :param state: final state of the report
+        :returns: whether the task failed on so many workers that it is at fault itself
+        """
+        self._open.pop(task, None)
+        if state == "finished":
+            self.health.succeeded(worker, task, self._clock.now_ms())
+        elif state == "failed":
+            return self.health.failed(worker, task, self._clock.now_ms()) is Verdict.TASK_FAULT
+        else:
+            self.health.dropped(worker, task)
+        return False
+
+    def _offer(self, worker: WorkerId, task: TaskId) -> None:
+        before = self._offered.get(task)
+        if before is not None:
+            self.health.dropped(before, task)
+        self._offered[task] = worker
+        self.health.started(worker, task)
+
+    def _drop(self, task: TaskId, worker: WorkerId) -> None:
+        del self._open[task]
+        self.health.dropped(worker, task)
+
+    def _fits_elsewhere(self, task: Task) -> bool:
+        """Tell whether a trusted worker on which the task did not fail could hold it."""
+        now_ms = self._clock.now_ms()
+        avoided = self.health.avoid(task.task)
+        return any(
+            info.worker not in avoided
+            and task.size.fits_in(info.capacity)
+            and not self.health.is_quarantined(info.worker, now_ms)
+            for info in self._ready()
+        )
--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -176,3 +176,57 @@
         await until(lambda: self.owner.book.find("t", "again") is not None)
         for job in (*jobs, again):
             job.cancel()
+
+
+class BadWorkerTest(PolicyTestCase):
+    """Workers that fail everything, and tasks that fail everywhere."""
+
+    worker_names = ("w0", "w1", "w2", "w3")
+
+    async def play(self, bad: set[str], rounds: set[asyncio.Future]) -> None:
+        """Let bad workers fail and the others finish what they are given, until all ended."""
+        while not all(fut.done() for fut in rounds):
+            for name, worker in self.cell.workers.workers.items():
+                for task, report in list(worker.runs.items()):
+                    if report.state == "running":
+                        state = "failed" if name in bad else "finished"
+                        self.cell.workers.finish(name, task, state)
+            await asyncio.sleep(0.005)
+
+    async def test_worker_that_fails_everything_gets_little_work(self) -> None:
+        """Guards against a worker that fails fast, looks empty and attracts the work."""
+        jobs = {self.submit(f"k{n}", timeout_ms=20_000) for n in range(60)}
+        await self.play({"w0"}, jobs)
+        for job in jobs:
+            self.assertIs((await job).outcomes[0].code, ResultCode.OK)
+        self.assertLess(len(self.cell.workers.workers["w0"].starts), 15)
+        health = self.owner._part.policy.health.health
+        self.assertTrue(health.is_quarantined("w0", Clock().now_ms()))
+
+    async def test_task_ends_as_failed_after_three_different_workers(self) -> None:
+        """Guards against a task that fails for ever, and one blamed for a single worker."""
+        job = self.submit("bad", timeout_ms=20_000)
+        await self.play(set(self.worker_names), {job})
+        self.assertIs((await job).outcomes[0].code, ResultCode.TASK_FAILED)
+        used = [name for name, worker in self.cell.workers.workers.items() if worker.starts]
+        self.assertEqual(len(used), 3)
+
+    async def test_probe_after_the_quarantine_is_one_repeatable_task(self) -> None:
+        """Guards against work that must not run twice on a worker that may still be bad."""
+        health = self.owner._part.policy.health
+        for number in range(5):
+            health.ended("w0", f"0.1.{900 + number}", "failed")
+        entry = health.health._workers["w0"]
+        once = spec("once", repeatable=False)
+        self.assertFalse(health.may_use("w0", self.task(once)))
+        entry.until_ms = Clock().now_ms() - 1
+        self.assertFalse(health.may_use("w0", self.task(once)))
+        self.assertTrue(health.may_use("w0", self.task(spec("first"))))
+        self.assertFalse(health.may_use("w0", self.task(spec("second"))))
+        health.end_pass([])
+        self.assertTrue(health.may_use("w0", self.task(spec("third"))))
+
+    def task(self, request) -> object:
+        """Return a task of a request that is in no queue."""
+        record = self.owner.book.submit(request, 0).unwrap()[0]
+        return self.owner._part._new_task(record, 0)
