Correct sizes and run times from the workers' reports

Cause: placement trusted declared sizes, so that a worker got more than its tasks use, and backfill trusted declared run times. Ruled out: correcting gangs, since a corrected gang might exceed what admission has checked and hold the reservation for ever; run times of failed and stopped tasks, which end early. Change: Corrections feeds Estimates from reports and answers estimate_ms and reserved_size; a correction is cut at the largest ready worker that holds the declared size. Figures: python -m tests tests.server.test_policy tests.server.test_owner tests.processes.test_whole_path: 38 passed, 0 failed (36 before). Conclusion: with a reported peak of 3,600 of 8,000 millicores two tasks share the worker instead of eight.

--- a/packages/server/lagoonshelf_server/policy.py
+++ b/packages/server/lagoonshelf_server/policy.py
@@ -12,6 +12,7 @@
 
 from lagoonshelf_server.admit import PartitionAdmission
 from lagoonshelf_server.config_sync import ConfigSync
+from lagoonshelf_server.corrections import Corrections
 from lagoonshelf_server.worker_health import WorkerHealth
 from lagoonshelf_server.workers import TaskReport
 
@@ -24,13 +25,18 @@
         self.ready_workers: Callable[[], Iterable[WorkerInfo]] = tuple
         self.admission = PartitionAdmission()
         self.health = WorkerHealth(clock, lambda: self.ready_workers())
+        self.corrections = Corrections(lambda: self.ready_workers())
         self._clock = clock
         self._config = config
         self._revision: int | None = None
 
     def hooks(self) -> Hooks:
         """Return the decisions that a scheduling pass asks for."""
-        return Hooks(may_use=self.health.may_use)
+        return Hooks(
+            estimate_ms=self.corrections.run_ms,
+            may_use=self.health.may_use,
+            reserved_size=self.corrections.size,
+        )
 
     def refusal(self, spec: RequestSpec, scheduler: Scheduler) -> Fault | None:
         """Count a new request as waiting, or return why it is not let in."""
@@ -44,6 +50,7 @@
             self._revision = self._config.revision
             document = self._config.document
             scheduler.set_policy(document.teams, document.queues)
+        self.corrections.begin_pass()
         self.health.begin_pass(scheduler.tasks)
 
     def end_pass(self, commands: list[Command]) -> None:
@@ -55,4 +62,5 @@
 
         :returns: whether the task failed on so many workers that it is at fault itself
         """
+        self.corrections.ended(task, report)
         return self.health.ended(task.worker, task.task, report.state)
--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from dataclasses import replace
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.document import Document, QueueConfig, TeamConfig
@@ -230,3 +231,38 @@
         """Return a task of a request that is in no queue."""
         record = self.owner.book.submit(request, 0).unwrap()[0]
         return self.owner._part._new_task(record, 0)
+
+
+class CorrectionTest(PolicyTestCase):
+    """Sizes and run times that reports correct."""
+
+    async def learn(self, peak: dict[str, int]) -> None:
+        """Let tasks of a queue report a peak and a run time."""
+        for number in range(1, 7):
+            job = self.submit(f"past{number}")
+            task = await self.started(number)
+            run = self.cell.workers.workers["w0"].runs[task]
+            ended = replace(run, state="finished", result="done", ran_ms=700, peak=peak)
+            self.cell.workers.workers["w0"].runs[task] = ended
+            self.cell.workers.workers["w0"].reports.append(ended)
+            await job
+
+    async def test_reported_peak_limits_what_runs_together(self) -> None:
+        """Guards against a worker that is given more than its tasks really use."""
+        await self.learn({"cpu_milli": 3600, "memory_mib": 100})
+        jobs = [self.submit(f"next{n}") for n in range(4)]
+        await self.started(8)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.cell.workers.starts()), 6 + 2)
+        task = self.owner.scheduler.tasks[self.cell.workers.starts()[-1][0]]
+        self.assertEqual(task.reserved.memory_mib, task.size.memory_mib)
+        self.assertEqual(self.owner._part.policy.corrections.run_ms(task), 700)
+        for job in jobs:
+            job.cancel()
+
+    async def test_exaggerated_peak_does_not_keep_work_from_starting(self) -> None:
+        """Guards against a feasible task that waits for ever after a wrong report."""
+        await self.learn({"cpu_milli": 10**6})
+        job = self.submit("next")
+        self.cell.workers.finish("w0", await self.started(7))
+        self.assertIs((await job).outcomes[0].code, ResultCode.OK)
