Raise work whose deadline comes near

Cause: finish_by of a queue and deadline_wall_ms of a task had no effect. Ruled out: planning in each pass, since a plan reads all tasks of the queue and slack is judged in minutes; plans are 5 s apart. Change: DueWork plans queues with deadlines and answers effective_class; it warns of forecasts that miss a deadline, at most once a minute and queue, and counts the warnings in lagoonshelf_deadline_warnings_total. Conclusion: a background task close to its deadline starts before older normal work.

--- a/packages/server/lagoonshelf_server/metrics.py
+++ b/packages/server/lagoonshelf_server/metrics.py
@@ -10,6 +10,10 @@
 revision = Gauge("lagoonshelf_config_revision", "Revision of the configuration in force.")
 waited_ms = Counter("lagoonshelf_waited_ms_total", "Waiting time of started requests in ms.")
 
+deadline_warnings = Counter(
+    "lagoonshelf_deadline_warnings_total", "Forecasts of a missed deadline by queue."
+)
+
 
 def page() -> tuple[bytes, str]:
     """Return the metrics page and its content type."""
--- a/packages/server/lagoonshelf_server/policy.py
+++ b/packages/server/lagoonshelf_server/policy.py
@@ -13,6 +13,7 @@
 from lagoonshelf_server.admit import PartitionAdmission
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.corrections import Corrections
+from lagoonshelf_server.due_work import DueWork
 from lagoonshelf_server.worker_health import WorkerHealth
 from lagoonshelf_server.workers import TaskReport
 
@@ -26,6 +27,7 @@
         self.admission = PartitionAdmission()
         self.health = WorkerHealth(clock, lambda: self.ready_workers())
         self.corrections = Corrections(lambda: self.ready_workers())
+        self.due_work = DueWork(clock, config, self.corrections)
         self._clock = clock
         self._config = config
         self._revision: int | None = None
@@ -34,6 +36,7 @@
         """Return the decisions that a scheduling pass asks for."""
         return Hooks(
             estimate_ms=self.corrections.run_ms,
+            effective_class=self.due_work.effective_class,
             may_use=self.health.may_use,
             reserved_size=self.corrections.size,
         )
@@ -52,6 +55,7 @@
             scheduler.set_policy(document.teams, document.queues)
         self.corrections.begin_pass()
         self.health.begin_pass(scheduler.tasks)
+        self.due_work.begin_pass(scheduler.tasks.values(), lambda: scheduler.free().slots)
 
     def end_pass(self, commands: list[Command]) -> None:
         """Take in what a pass decided."""
--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -11,6 +11,7 @@
 from lagoonshelf_core.ids import Revision
 from lagoonshelf_core.model import WorkKind
 from lagoonshelf_core.resources import Resources
+from lagoonshelf_server import metrics
 from lagoonshelf_server.kicks import COLLECT_MS, Kicks
 
 from tests.support.fakes import OneOwner, spec, until
@@ -266,3 +267,50 @@
         job = self.submit("next")
         self.cell.workers.finish("w0", await self.started(7))
         self.assertIs((await job).outcomes[0].code, ResultCode.OK)
+
+
+class DeadlineTest(PolicyTestCase):
+    """Work that is raised when its deadline comes near."""
+
+    async def full(self) -> str:
+        """Fill the worker with normal work that cannot be stopped; return the task."""
+        fields = {"size": WHOLE_WORKER, "repeatable": False, "timeout_ms": 20_000}
+        self.running = self.submit("first", **fields)
+        return await self.started()
+
+    async def next_of(self, task: str, *keys: str) -> str:
+        """End a task and return which of the waiting requests starts next."""
+        await until(lambda: self.owner.scheduler.queue_length() == len(keys))
+        self.owner._part.policy.due_work._planned_ms = None
+        await asyncio.sleep(0.3)  # effective classes are read again after 250 ms
+        self.cell.workers.finish("w0", task)
+        name = await self.started(2)
+        return self.owner.scheduler.tasks[name].request_key
+
+    async def test_task_close_to_its_deadline_goes_first(self) -> None:
+        """Guards against due work that waits behind older work of a higher class."""
+        self.configure(q=QueueConfig(), late=QueueConfig(work_class="background"))
+        task = await self.full()
+        fields = {"size": WHOLE_WORKER, "timeout_ms": 20_000}
+        due_ms = Clock().wall_ms() + 60_000
+        jobs = [
+            self.submit("normal", **fields),
+            self.submit("due", queue="late", deadline_wall_ms=due_ms, **fields),
+        ]
+        self.assertEqual(await self.next_of(task, "normal", "due"), "due")
+        for job in jobs:
+            job.cancel()
+
+    async def test_missed_deadline_is_warned_of_once(self) -> None:
+        """Guards against missed deadlines nobody hears of, and against a flood of warnings."""
+        before = metrics.deadline_warnings.values.get({"queue": "q"}, 0)
+        await self.full()
+        due_ms = Clock().wall_ms() + 60_000
+        job = self.submit("due", run_ms=600_000, deadline_wall_ms=due_ms, timeout_ms=20_000)
+        due_work = self.owner._part.policy.due_work
+        await until(lambda: self.owner.scheduler.queue_length() == 1)
+        for _ in range(3):
+            due_work._planned_ms = None
+            due_work.begin_pass(self.owner.scheduler.tasks.values(), lambda: 0)
+        self.assertEqual(metrics.deadline_warnings.values.get({"queue": "q"}) - before, 1)
+        job.cancel()
