--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from dataclasses import replace
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.document import Document, QueueConfig, TeamConfig
@@ -10,6 +11,7 @@
 from lagoonshelf_core.ids import Revision
 from lagoonshelf_core.model import WorkKind
 from lagoonshelf_core.resources import Resources
+from lagoonshelf_server import metrics
 from lagoonshelf_server.kicks import COLLECT_MS, Kicks
 
 from tests.support.fakes import OneOwner, spec, until
@@ -176,3 +178,139 @@
         await until(lambda: self.owner.book.find("t", "again") is not None)
         for job in (*jobs, again):
             job.cancel()
+
+
+class BadWorkerTest(PolicyTestCase):
+    """Workers that fail everything, and tasks that fail everywhere."""
+
+    worker_names = ("w0", "w1", "w2", "w3")
+
+    async def play(self, bad: set[str], rounds: set[asyncio.Future]) -> None:
+        """Let bad workers fail and the others finish what they are given, until all ended."""
+        while not all(fut.done() for fut in rounds):
+            for name, worker in self.cell.workers.workers.items():
+                for task, report in list(worker.runs.items()):
+                    if report.state == "running":
+                        state = "failed" if name in bad else "finished"
+                        self.cell.workers.finish(name, task, state)
+            await asyncio.sleep(0.005)
+
+    async def test_worker_that_fails_everything_gets_little_work(self) -> None:
+        """Guards against a worker that fails fast, looks empty and attracts the work."""
+        jobs = {self.submit(f"k{n}", timeout_ms=20_000) for n in range(60)}
+        await self.play({"w0"}, jobs)
+        for job in jobs:
+            self.assertIs((await job).outcomes[0].code, ResultCode.OK)
+        self.assertLess(len(self.cell.workers.workers["w0"].starts), 15)
+        health = self.owner._part.policy.health.health
+        self.assertTrue(health.is_quarantined("w0", Clock().now_ms()))
+
+    async def test_task_ends_as_failed_after_three_different_workers(self) -> None:
+        """Guards against a task that fails for ever, and one blamed for a single worker."""
+        job = self.submit("bad", timeout_ms=20_000)
+        await self.play(set(self.worker_names), {job})
+        self.assertIs((await job).outcomes[0].code, ResultCode.TASK_FAILED)
+        used = [name for name, worker in self.cell.workers.workers.items() if worker.starts]
+        self.assertEqual(len(used), 3)
+
+    async def test_probe_after_the_quarantine_is_one_repeatable_task(self) -> None:
+        """Guards against work that must not run twice on a worker that may still be bad."""
+        health = self.owner._part.policy.health
+        for number in range(5):
+            health.ended("w0", f"0.1.{900 + number}", "failed")
+        entry = health.health._workers["w0"]
+        once = spec("once", repeatable=False)
+        self.assertFalse(health.may_use("w0", self.task(once)))
+        entry.until_ms = Clock().now_ms() - 1
+        self.assertFalse(health.may_use("w0", self.task(once)))
+        self.assertTrue(health.may_use("w0", self.task(spec("first"))))
+        self.assertFalse(health.may_use("w0", self.task(spec("second"))))
+        health.end_pass([])
+        self.assertTrue(health.may_use("w0", self.task(spec("third"))))
+
+    def task(self, request) -> object:
+        """Return a task of a request that is in no queue."""
+        record = self.owner.book.submit(request, 0).unwrap()[0]
+        return self.owner._part._new_task(record, 0)
+
+
+class CorrectionTest(PolicyTestCase):
+    """Sizes and run times that reports correct."""
+
+    async def learn(self, peak: dict[str, int]) -> None:
+        """Let tasks of a queue report a peak and a run time."""
+        for number in range(1, 7):
+            job = self.submit(f"past{number}")
+            task = await self.started(number)
+            run = self.cell.workers.workers["w0"].runs[task]
+            ended = replace(run, state="finished", result="done", ran_ms=700, peak=peak)
+            self.cell.workers.workers["w0"].runs[task] = ended
+            self.cell.workers.workers["w0"].reports.append(ended)
+            await job
+
+    async def test_reported_peak_limits_what_runs_together(self) -> None:
+        """Guards against a worker that is given more than its tasks really use."""
+        await self.learn({"cpu_milli": 3600, "memory_mib": 100})
+        jobs = [self.submit(f"next{n}") for n in range(4)]
+        await self.started(8)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.cell.workers.starts()), 6 + 2)
+        task = self.owner.scheduler.tasks[self.cell.workers.starts()[-1][0]]
+        self.assertEqual(task.reserved.memory_mib, task.size.memory_mib)
+        self.assertEqual(self.owner._part.policy.corrections.run_ms(task), 700)
+        for job in jobs:
+            job.cancel()
+
+    async def test_exaggerated_peak_does_not_keep_work_from_starting(self) -> None:
+        """Guards against a feasible task that waits for ever after a wrong report."""
+        await self.learn({"cpu_milli": 10**6})
+        job = self.submit("next")
+        self.cell.workers.finish("w0", await self.started(7))
+        self.assertIs((await job).outcomes[0].code, ResultCode.OK)
+
+
+class DeadlineTest(PolicyTestCase):
+    """Work that is raised when its deadline comes near."""
+
+    async def full(self) -> str:
+        """Fill the worker with normal work that cannot be stopped; return the task."""
+        fields = {"size": WHOLE_WORKER, "repeatable": False, "timeout_ms": 20_000}
+        self.running = self.submit("first", **fields)
+        return await self.started()
+
+    async def next_of(self, task: str, *keys: str) -> str:
+        """End a task and return which of the waiting requests starts next."""
+        await until(lambda: self.owner.scheduler.queue_length() == len(keys))
+        self.owner._part.policy.due_work._planned_ms = None
+        await asyncio.sleep(0.3)  # effective classes are read again after 250 ms
+        self.cell.workers.finish("w0", task)
+        name = await self.started(2)
+        return self.owner.scheduler.tasks[name].request_key
+
+    async def test_task_close_to_its_deadline_goes_first(self) -> None:
+        """Guards against due work that waits behind older work of a higher class."""
+        self.configure(q=QueueConfig(), late=QueueConfig(work_class="background"))
+        task = await self.full()
+        fields = {"size": WHOLE_WORKER, "timeout_ms": 20_000}
+        due_ms = Clock().wall_ms() + 60_000
+        jobs = [
+            self.submit("normal", **fields),
+            self.submit("due", queue="late", deadline_wall_ms=due_ms, **fields),
+        ]
+        self.assertEqual(await self.next_of(task, "normal", "due"), "due")
+        for job in jobs:
+            job.cancel()
+
+    async def test_missed_deadline_is_warned_of_once(self) -> None:
+        """Guards against missed deadlines nobody hears of, and against a flood of warnings."""
+        before = metrics.deadline_warnings.values.get({"queue": "q"}, 0)
+        await self.full()
+        due_ms = Clock().wall_ms() + 60_000
+        job = self.submit("due", run_ms=600_000, deadline_wall_ms=due_ms, timeout_ms=20_000)
+        due_work = self.owner._part.policy.due_work
+        await until(lambda: self.owner.scheduler.queue_length() == 1)
+        for _ in range(3):
+            due_work._planned_ms = None
+            due_work.begin_pass(self.owner.scheduler.tasks.values(), lambda: 0)
+        self.assertEqual(metrics.deadline_warnings.values.get({"queue": "q"}) - before, 1)
+        job.cancel()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -107,10 +107,12 @@
     runs: dict[str, TaskReport] = field(default_factory=dict)
     reports: list[TaskReport] = field(default_factory=list)
     starts: list[tuple[str, int]] = field(default_factory=list)
-    payloads: list[str] = field(default_factory=list)
     stops: list[str] = field(default_factory=list)
     acks: list[str] = field(default_factory=list)
     renewed: set[str] = field(default_factory=set)
+    payloads: list[str] = field(default_factory=list)
+    throttles: list[tuple[str, int]] = field(default_factory=list)
+    warmed: list[tuple[str, int]] = field(default_factory=list)
 
 
 class FakeWorkers:
@@ -162,6 +164,14 @@
             if task in worker.runs and worker.runs[task].state == "running":
                 self.finish(address, task, "checkpointed" if checkpoint else "stopped", "")
 
+    async def throttle(self, address, authority, task, percent):
+        worker = await self._reach(address, authority)
+        worker.throttles.append((task, percent))
+
+    async def warm(self, address, authority, queue, slots):
+        worker = await self._reach(address, authority)
+        worker.warmed.append((queue, slots))
+
     async def inventory(self, address, authority):
         worker = await self._reach(address, authority)
         tasks = tuple(worker.runs.values())
@@ -195,9 +205,9 @@
     """A lease that lasts until a test ends it."""
 
     def __init__(self) -> None:
+        self.clock = Clock()
         self.lease = "lease-1"
         self.alive = True
-        self.clock = Clock()
         self.me = MemberId("m1")
         self.others: dict[MemberId, object] = {}
 
@@ -242,6 +252,7 @@
         self.store.host_list = self.workers.infos()
         self.members = FakeMembers()
         self.bridge = Bridge(asyncio.get_running_loop(), 1)
+        self.config = FakeConfig()
 
     def new(self) -> Owner:
         """Return an owner before its takeover."""
@@ -253,7 +264,7 @@
             self.store,
             self.workers,
             self.members,
-            FakeConfig(),
+            self.config,
             PartitionCalls(self.members, None, {}),
         )
 
