Hand partitions over to their preferred owners

Cause: the first process that is up claims all partitions and keeps them; in a trial of four cells, two had one process that owned all four partitions, so the other hosts carried nothing and a single death stopped the whole cell. Ruled out: waiting for other members before the first claim, since a cell must start with one process and nobody knows how many will come. Change: a process that owns a partition whose preferred owner is another member that is heard releases it, one partition in three seconds. The stand-in cell waits until no daemon has more than its part before a test begins.

--- a/packages/server/lagoonshelf_server/claims.py
+++ b/packages/server/lagoonshelf_server/claims.py
@@ -5,6 +5,7 @@
 
 import orjson
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.errors import LagoonshelfError
 from lagoonshelf_core.ids import MemberId, PartitionId
 from lagoonshelf_core.membership import NEVER
 from lagoonshelf_core.ownership import claim_due, may_take_over
@@ -16,6 +17,8 @@
 from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 
 CLAIM_INTERVAL_S = 0.2
+# Longer than a restart of pings, so that a member that only hiccups moves nothing.
+REBALANCE_MS = 3000
 _log = logger("claims")
 
 
@@ -48,6 +51,7 @@
         self._takeovers: dict[PartitionId, asyncio.Task] = {}
         self._free_since_ms: dict[PartitionId, int] = {}
         self._former: dict[PartitionId, int] = {}
+        self._unbalanced_since_ms = NEVER
 
     async def claim_forever(self) -> None:
         """Drop lost partitions and claim free ones for ever."""
@@ -56,6 +60,7 @@
             self._drop_lost()
             if self._members.lease and self._members.holds_lease() and self._may_claim():
                 await asyncio.gather(*(self._claim(partition) for partition in self._due()))
+                await self._rebalance()
 
     def drop(self, partition: PartitionId) -> None:
         """Stop acting for a partition at once."""
@@ -75,6 +80,38 @@
                 self._former[partition] = self._members.tenure.reclaim_until_ms
                 self.drop(partition)
 
+    async def _rebalance(self) -> None:
+        """Hand one partition over to its preferred owner when it was elsewhere for a while."""
+        partition = self._misplaced()
+        now_ms = self._clock.now_ms()
+        if partition is None:
+            self._unbalanced_since_ms = NEVER
+        elif self._unbalanced_since_ms == NEVER:
+            self._unbalanced_since_ms = now_ms
+        elif now_ms - self._unbalanced_since_ms >= REBALANCE_MS:
+            self._unbalanced_since_ms = now_ms
+            await self._release(partition)
+
+    def _misplaced(self) -> PartitionId | None:
+        """Return an active partition that a member that is heard should own instead."""
+        preferred = self._members.preferred()
+        for partition, owner in self._owners.items():
+            wanted = preferred.get(partition, self._members.me)
+            active = owner.state is OwnerState.ACTIVE
+            if active and wanted != self._members.me and self._members.hears(wanted):
+                return partition
+        return None
+
+    async def _release(self, partition: PartitionId) -> None:
+        owner = self._owners[partition]
+        _log.info("partition handed over", partition=partition)
+        try:
+            await owner.release()
+        except LagoonshelfError as exc:
+            _log.warning("not released", partition=partition, reason=exc.fault.message)
+            self.drop(partition)
+        self._owners.pop(partition, None)
+
     def _due(self) -> list[PartitionId]:
         """Return the partitions to claim now, and those whose claim's answer was lost."""
         now_ms = self._clock.now_ms()
--- a/packages/server/lagoonshelf_server/members.py
+++ b/packages/server/lagoonshelf_server/members.py
@@ -27,6 +27,7 @@
 MEMBER_PREFIX = "members/"
 OWNER_PREFIX = "owners/"
 REACHED_WITHIN_MS = 1500
+HEARD_WITHIN_MS = 1500
 RENEW_RETRY_S = 0.3
 _log = logger("members")
 
@@ -120,6 +121,11 @@
         """Tell whether this process reached the store recently."""
         return self.store.reached(REACHED_WITHIN_MS)
 
+    def hears(self, name: MemberId) -> bool:
+        """Tell whether a member answered a ping recently."""
+        member = self.others.get(name)
+        return member is not None and self.clock.now_ms() - member.heard_ms < HEARD_WITHIN_MS
+
     def extend(self) -> None:
         """Set the deadline by the promises of all known members."""
         extend(self.tenure, self.terms, self.view, self.clock.now_ms())
--- a/packages/standins/lagoonshelf_standins/cell.py
+++ b/packages/standins/lagoonshelf_standins/cell.py
@@ -137,8 +137,14 @@
             wait_until(lambda url=url: self._status(url + "/healthz") == 200, f"{name} healthy")
 
     def wait_owned(self, partitions: int = 4) -> None:
-        """Wait until each partition has an active owner in a live daemon."""
-        wait_until(lambda: len(self._active()) == partitions, "all partitions active")
+        """Wait until each partition has an active owner and no daemon has more than its part."""
+
+        def balanced() -> bool:
+            owned = [self._active_in(name) for name in self.daemons]
+            bound = -(-partitions // len(owned))
+            return len(set().union(*owned)) == partitions and max(map(len, owned)) <= bound
+
+        wait_until(balanced, "all partitions active and balanced")
 
     def configure(self, document: dict) -> int:
         """Make a document the next revision, whatever the current one is."""
@@ -218,12 +224,9 @@
         for process in processes:
             process.wait()
 
-    def _active(self) -> set[str]:
-        found: set[str] = set()
-        for name in self.daemons:
-            state = self.state(name) or {"partitions": {}}
-            found |= {p for p, o in state["partitions"].items() if o["state"] == "active"}
-        return found
+    def _active_in(self, name: str) -> set[str]:
+        state = self.state(name) or {"partitions": {}}
+        return {p for p, owner in state["partitions"].items() if owner["state"] == "active"}
 
     def _status(self, url: str) -> int:
         try:
