Warm slots ahead of the daily peaks

Cause: warm_floor and cold_start_ms of a queue had no effect. Ruled out: counting a worker as warm after a restart or while it is not ready; its warm slots are forgotten then. Waiting for an event on an idle partition, since a configuration change must take effect within 6 s; a pass is due every 3 s there and every 1 s while a queue has warm capacity. Change: WarmSlots observes the queues, spreads each target evenly over the ready workers and gives at most one Warm command a worker and 10 s. Figures: python -m tests tests.server.test_policy tests.server.test_owner tests.processes.test_whole_path: 42 passed, 0 failed (40 before). Conclusion: a floor is warmed without an arrival. The pattern is not handed to the next owner of the partition yet.

--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -241,7 +241,7 @@
 
     async def _pass_forever(self) -> None:
         while True:
-            await self._kicked.wait(self.scheduler.next_pass_ms())
+            await self._kicked.wait(self._part.next_pass_ms())
             await self._read_old_hosts()
             if self.may_start():
                 self.grants.begin_pass()
--- a/packages/server/lagoonshelf_server/partition.py
+++ b/packages/server/lagoonshelf_server/partition.py
@@ -59,8 +59,13 @@
         """Decide what starts and what yields now."""
         self.policy.begin_pass(self.scheduler)
         commands = self.scheduler.run_pass(self.clock.now_ms(), may_start)
-        self.policy.end_pass(commands)
-        return commands
+        return self.policy.end_pass(self.scheduler, commands)
+
+    def next_pass_ms(self) -> int:
+        """Return when a pass is due even if nothing changes."""
+        due_ms = self.scheduler.next_pass_ms()
+        warm_ms = self.policy.warm_slots.next_ms()
+        return warm_ms if due_ms is None else min(due_ms, warm_ms)
 
     def find(self, task: Task) -> Record | None:
         """Return the record of a task if the task is the current one of its index."""
--- a/packages/server/lagoonshelf_server/policy.py
+++ b/packages/server/lagoonshelf_server/policy.py
@@ -14,6 +14,7 @@
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.corrections import Corrections
 from lagoonshelf_server.due_work import DueWork
+from lagoonshelf_server.warm_slots import WarmSlots
 from lagoonshelf_server.worker_health import WorkerHealth
 from lagoonshelf_server.workers import TaskReport
 
@@ -28,6 +29,7 @@
         self.health = WorkerHealth(clock, lambda: self.ready_workers())
         self.corrections = Corrections(lambda: self.ready_workers())
         self.due_work = DueWork(clock, config, self.corrections)
+        self.warm_slots = WarmSlots(clock, config, lambda: self.ready_workers())
         self._clock = clock
         self._config = config
         self._revision: int | None = None
@@ -57,9 +59,10 @@
         self.health.begin_pass(scheduler.tasks)
         self.due_work.begin_pass(scheduler.tasks.values(), lambda: scheduler.free().slots)
 
-    def end_pass(self, commands: list[Command]) -> None:
-        """Take in what a pass decided."""
+    def end_pass(self, scheduler: Scheduler, commands: list[Command]) -> list[Command]:
+        """Take in what a pass decided, and return what else is to be done."""
         self.health.end_pass(commands)
+        return [*commands, *self.warm_slots.end_pass(scheduler.tasks.values())]
 
     def ended(self, task: Task, report: TaskReport) -> bool:
         """Learn from the reported end of a task that still is on its worker.
--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -314,3 +314,31 @@
             due_work.begin_pass(self.owner.scheduler.tasks.values(), lambda: 0)
         self.assertEqual(metrics.deadline_warnings.values.get({"queue": "q"}) - before, 1)
         job.cancel()
+
+
+class WarmSlotsTest(PolicyTestCase):
+    """Slots that are warmed ahead."""
+
+    worker_names = ("w0", "w1")
+
+    def warmed(self) -> list[list[tuple[str, int]]]:
+        return [worker.warmed for worker in self.cell.workers.workers.values()]
+
+    async def test_floor_is_warmed_without_an_arrival(self) -> None:
+        """Guards against capacity that is warmed only after the peak has begun."""
+        self.configure(q=QueueConfig(warm_floor=3, cold_start_ms=60_000))
+        await until(lambda: all(self.warmed()), 10.0)
+        self.assertEqual(self.warmed(), [[("q", 2)], [("q", 1)]])
+
+    async def test_worker_is_adjusted_once_in_ten_seconds(self) -> None:
+        """Guards against a worker kept busy by a target that moves back and forth."""
+        slots = self.owner._part.policy.warm_slots
+        self.configure(q=QueueConfig(warm_floor=2), r=QueueConfig(warm_floor=2))
+        slots._observed_ms = None
+        commands = slots.end_pass([])
+        self.assertEqual([(c.worker, c.queue) for c in commands], [("w0", "q"), ("w1", "q")])
+        slots._observed_ms = None
+        self.assertEqual(slots.end_pass([]), [])
+        slots._adjusted_ms = {name: ms - 10_000 for name, ms in slots._adjusted_ms.items()}
+        slots._observed_ms = None
+        self.assertEqual([c.queue for c in slots.end_pass([])], ["r", "r"])
