Count starts, waiting times, bytes and store calls

Cause: only answers and the revision were filled in; the traffic of the control plane could not be read from a process. Ruled out: counting on the threads of the adapters, since counters are not locked; bytes are counted on the loop. Counting hosted tasks, since their home counts them. Change: lagoonshelf_bytes_total{peer,direction} for peers, store and workers, lagoonshelf_store_calls_total, starts, waited_ms; queued and running at a scrape. Bytes are payloads and frame headers without HTTP headers; a call that gets no answer counts as sent only. Conclusion: labels are queue, partition, call and peer only, never keys.

--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -238,6 +238,11 @@
 
     async def _metrics(self) -> tuple[bytes, str]:
         metrics.revision.set({}, self.config.revision)
+        for number in range(self.cfg.partitions):
+            owner = self.owners.get(PartitionId(number))
+            labels = {"partition": str(number)}
+            metrics.queued.set(labels, owner.scheduler.queue_length() if owner else 0)
+            metrics.running.set(labels, owner.running() if owner else 0)
         return metrics.page()
 
     async def _begin_drain(self) -> None:
--- a/packages/server/lagoonshelf_server/metrics.py
+++ b/packages/server/lagoonshelf_server/metrics.py
@@ -10,11 +10,32 @@
 revision = Gauge("lagoonshelf_config_revision", "Revision of the configuration in force.")
 waited_ms = Counter("lagoonshelf_waited_ms_total", "Waiting time of started requests in ms.")
 
+bytes_total = Counter(
+    "lagoonshelf_bytes_total",
+    "Payload bytes by kind of peer (peers, store, workers) and direction.",
+)
+store_calls = Counter("lagoonshelf_store_calls_total", "Calls to the store by path.")
 deadline_warnings = Counter(
     "lagoonshelf_deadline_warnings_total", "Forecasts of a missed deadline by queue."
 )
 
 
+def count_sent(peer: str, size: int) -> None:
+    """Count bytes sent; on the loop only, as counters are not locked.
+
+    :param peer: peers, store or workers
+    """
+    bytes_total.add({"peer": peer, "direction": "sent"}, size)
+
+
+def count_received(peer: str, size: int) -> None:
+    """Count bytes received; on the loop only, as counters are not locked.
+
+    :param peer: peers, store or workers
+    """
+    bytes_total.add({"peer": peer, "direction": "received"}, size)
+
+
 def page() -> tuple[bytes, str]:
     """Return the metrics page and its content type."""
     body, headers = render(REGISTRY, ["text/plain"])
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -10,7 +10,7 @@
 from lagoonshelf_core.errors import LagoonshelfError
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
 from lagoonshelf_core.journal import Entry, EpochEntry, ReleaseEntry
-from lagoonshelf_core.model import RequestSpec, Task, WorkerInfo
+from lagoonshelf_core.model import RequestSpec, Task, TaskState, WorkerInfo
 from lagoonshelf_core.records import Record, RecordBook
 from lagoonshelf_core.routing import partition_of_worker
 from lagoonshelf_core.scheduler import Scheduler
@@ -130,6 +130,10 @@
         """Return the queue and the workers of the partition."""
         return self._part.scheduler
 
+    def running(self) -> int:
+        """Return the number of tasks that run on the partition's workers."""
+        return sum(task.state is TaskState.RUNNING for task in self.scheduler.tasks.values())
+
     @property
     def book(self) -> RecordBook:
         """Return the records of the partition."""
--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -10,6 +10,7 @@
 from lagoonshelf_core.ids import MemberId
 from returns.result import Failure
 
+from lagoonshelf_server import metrics
 from lagoonshelf_server.codec import MAX_MESSAGE_BYTES, decode, encode
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import Ack, Body, Envelope, Hello
@@ -44,13 +45,16 @@
     if length > MAX_MESSAGE_BYTES:
         text = f"frame of {length} bytes exceeds {MAX_MESSAGE_BYTES}"
         raise LagoonshelfError(Fault(ResultCode.PROTOCOL, text))
-    return await reader.readexactly(length)
+    data = await reader.readexactly(length)
+    metrics.count_received("peers", FRAME_HEADER.size + length)
+    return data
 
 
 def write_frame(writer: asyncio.StreamWriter, envelope: Envelope) -> None:
     """Queue one frame for sending."""
     data = encode(envelope)
     writer.write(FRAME_HEADER.pack(len(data)) + data)
+    metrics.count_sent("peers", FRAME_HEADER.size + len(data))
 
 
 class _Link:
--- a/packages/server/lagoonshelf_server/store.py
+++ b/packages/server/lagoonshelf_server/store.py
@@ -12,6 +12,7 @@
 from lagoonshelf_core.resources import Resources
 from urllib3.exceptions import HTTPError
 
+from lagoonshelf_server import metrics
 from lagoonshelf_server.bridge import Bridge
 
 CALL_TIMEOUT_S = 2.0
@@ -167,7 +168,11 @@
     async def _call(self, path: str, body: dict, timeout_s: float = CALL_TIMEOUT_S) -> dict:
         body["client"] = self._client
         pool = self._pool_of(path)
-        answer = await self._bridge.blocking_in(pool, self._post, path, body, timeout_s)
+        data = orjson.dumps(body)
+        metrics.store_calls.inc({"call": path})
+        metrics.count_sent("store", len(data))
+        answer, size = await self._bridge.blocking_in(pool, self._post, path, data, timeout_s)
+        metrics.count_received("store", size)
         self.last_heard_ms = self._now_ms()
         return answer
 
@@ -176,17 +181,16 @@
             return self._leases
         return self._watches if path == "/watch" else self._calls
 
-    def _post(self, path: str, body: dict, timeout_s: float) -> dict:
+    def _post(self, path: str, data: bytes, timeout_s: float) -> tuple[dict, int]:
+        """Make a call; return the answer and its size in bytes."""
         try:
-            resp = self._http.request(
-                "POST", self._url + path, body=orjson.dumps(body), timeout=timeout_s
-            )
+            resp = self._http.request("POST", self._url + path, body=data, timeout=timeout_s)
         except HTTPError as exc:
             raise StoreError(f"{path}: {type(exc).__name__}") from exc
         if resp.status != 200:
             raise StoreError(f"{path}: status {resp.status}")
         try:
-            return orjson.loads(resp.data)
+            return orjson.loads(resp.data), len(resp.data)
         except ValueError as exc:
             raise StoreError(f"{path}: the answer is not JSON") from exc
 
--- a/packages/server/lagoonshelf_server/task_events.py
+++ b/packages/server/lagoonshelf_server/task_events.py
@@ -10,6 +10,7 @@
 from lagoonshelf_core.model import Task, TaskState, WorkKind
 from lagoonshelf_core.records import Outcome, Record
 
+from lagoonshelf_server import metrics
 from lagoonshelf_server.dispatch import Dispatch
 from lagoonshelf_server.hosting import Hosting
 from lagoonshelf_server.logs import logger
@@ -38,10 +39,13 @@
         record = self._part.find(task)
         if record is None:
             return
+        metrics.starts.inc({"queue": task.queue})
         record.begun.add(task.index)
         record.attempts[task.index] = task.attempt
         if record.first_start_ms == 0:
             record.first_start_ms = self._part.clock.now_ms()
+            waited_ms = max(0, record.first_start_ms - record.created_ms)
+            metrics.waited_ms.add({"queue": task.queue}, waited_ms)
         if record.cancelled:
             self.stop(task)
 
--- a/packages/server/lagoonshelf_server/workers.py
+++ b/packages/server/lagoonshelf_server/workers.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 from xxhash import xxh3_64_hexdigest
 
+from lagoonshelf_server import metrics
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.messages import TaskMeta
 
@@ -167,18 +168,24 @@
     async def _call(
         self, address: str, call: str, body: dict, timeout_s: float = CALL_TIMEOUT_S
     ) -> dict:
-        return await self._bridge.blocking(self._post, f"{address}/{call}", body, timeout_s)
-
-    def _post(self, url: str, body: dict, timeout_s: float) -> dict:
+        data = orjson.dumps(body)
+        metrics.count_sent("workers", len(data))
+        url = f"{address}/{call}"
+        answer, size = await self._bridge.blocking(self._post, url, data, timeout_s)
+        metrics.count_received("workers", size)
+        return answer
+
+    def _post(self, url: str, data: bytes, timeout_s: float) -> tuple[dict, int]:
+        """Make a call; return the answer and its size in bytes."""
         try:
-            resp = self._http.request("POST", url, body=orjson.dumps(body), timeout=timeout_s)
+            resp = self._http.request("POST", url, body=data, timeout=timeout_s)
         except HTTPError as exc:
             raise WorkerError(f"{url}: {type(exc).__name__}") from exc
         if resp.status == 409:
             raise StaleEpochError(url)
         if resp.status != 200:
             raise WorkerError(f"{url}: status {resp.status}")
-        return orjson.loads(resp.data)
+        return orjson.loads(resp.data), len(resp.data)
 
 
 def _report(raw: dict) -> TaskReport:
--- a/tests/processes/test_bad_work.py
+++ b/tests/processes/test_bad_work.py
@@ -1,5 +1,6 @@
 """Work that can never run, workers that fail everything, floods and cancellation waves."""
 
+import re
 from concurrent.futures import ThreadPoolExecutor
 
 from lagoonshelf_standins.cell import wait_until
@@ -86,3 +87,17 @@
         """Return how many tasks of a job have ended."""
         answer = self.cell.lookup("d3", "slips", key)
         return answer["tasks"]["finished"] + answer["tasks"]["failed"] if answer else 0
+
+    def test_metrics_show_traffic_by_peer(self) -> None:
+        """Guards against traffic of the control plane that nobody can see."""
+        self.assertEqual(self.cell.submit("d1", "fitting", interactive("one"))["name"], "OK")
+        pages = [
+            self.cell.http.request("GET", daemon.url + "/metrics").data.decode()
+            for daemon in self.cell.daemons.values()
+        ]
+        for peer in ("peers", "store", "workers"):
+            for direction in ("sent", "received"):
+                pattern = rf'bytes_total{{direction="{direction}",peer="{peer}"}} [1-9]'
+                self.assertTrue(any(re.search(pattern, page) for page in pages), pattern)
+        for name in ("store_calls_total{", "starts_total{", "queued_tasks{", "running_tasks{"):
+            self.assertTrue(any("lagoonshelf_" + name in page for page in pages), name)
--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -342,3 +342,20 @@
         slots._adjusted_ms = {name: ms - 10_000 for name, ms in slots._adjusted_ms.items()}
         slots._observed_ms = None
         self.assertEqual([c.queue for c in slots.end_pass([])], ["r", "r"])
+
+
+class MetricsTest(PolicyTestCase):
+    """Counters that the owner keeps."""
+
+    async def test_starts_and_waiting_time_are_counted_without_keys(self) -> None:
+        """Guards against empty metrics, and against request keys on the metrics page."""
+        self.configure(counted=QueueConfig())
+        job = self.submit("secret-key", queue="counted")
+        task = await self.started()
+        self.assertEqual(self.owner.running(), 1)
+        self.cell.workers.finish("w0", task)
+        await job
+        page = metrics.page()[0].decode()
+        self.assertIn('lagoonshelf_starts_total{queue="counted"} 1', page)
+        self.assertIn('lagoonshelf_waited_ms_total{queue="counted"}', page)
+        self.assertNotIn("secret-key", page)
