Follow the drain chart in the daemon

Cause: the shutdown had states of its own beside charts/drain.toml, with other names. Ruled out: the chart for owners, since none exists for a partition's lifecycle; the membership chart, since members.py keeps a draining flag and a lease and no state that it could replace in a few lines. Change: Drain takes each step through the chart; an event that the chart does not allow raises ChartError. The log names its states. Conclusion: one definition of the shutdown's states.

--- a/packages/server/lagoonshelf_server/drain.py
+++ b/packages/server/lagoonshelf_server/drain.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum
 
+from lagoonshelf_core.charts import load_chart
 from lagoonshelf_core.errors import LagoonshelfError
 from lagoonshelf_core.ids import PartitionId
 
@@ -18,18 +18,12 @@
 STORE_POLL_S = 0.3
 # Covers the time between the answer on the loop and its last byte on an HTTP thread.
 LAST_ANSWER_S = 0.3
+CHART = load_chart("drain")
+SERVING = CHART.initial
+WAITING = "waiting"
 _log = logger("drain")
 
 
-class DrainState(Enum):
-    """States of a graceful shutdown."""
-
-    SERVING = "serving"
-    RELEASING = "releasing"
-    FINISHING = "finishing"
-    CLOSED = "closed"
-
-
 class Drain:
     """The graceful shutdown of one process; it takes at most ``drain_timeout_ms``."""
 
@@ -48,7 +42,7 @@
         :param stop_lease: ends the renewal of the process lease
         :param stopped: set when the process may end
         """
-        self.state = DrainState.SERVING
+        self.state = SERVING
         self._cfg = cfg
         self._store = store
         self._members = members
@@ -59,17 +53,19 @@
 
     async def run(self) -> None:
         """Hand over the partitions one by one, wait for callers, and let the process end."""
-        if self.state is not DrainState.SERVING:
+        if self.state != SERVING:
             return
         self._members.draining = True
-        self._enter(DrainState.RELEASING)
+        self._note("drain")
         try:
             await asyncio.wait_for(self._finish(), self._cfg.drain_timeout_ms / 1000)
         except TimeoutError:
             _log.warning("drain timed out", in_flight=self._requests.in_flight)
+            if self.state != WAITING:
+                self._note("timeout")
             self._requests.give_up()
             await asyncio.sleep(LAST_ANSWER_S)
-        self._enter(DrainState.CLOSED)
+        self._note("all_answered")
         await self._leave()
         self._stopped.set()
 
@@ -78,9 +74,9 @@
 
         A draining process does so only for callers that it holds, when nobody else will.
         """
-        if self.state is DrainState.SERVING:
+        if self.state == SERVING:
             return True
-        held = self.state is not DrainState.CLOSED and self._requests.in_flight > 0
+        held = self.state not in CHART.final and self._requests.in_flight > 0
         return held and not self._has_successor()
 
     async def _finish(self) -> None:
@@ -90,8 +86,10 @@
                 await self._wait_answered()
             for partition in sorted(self._owners):
                 await self._release(partition)
-            self._enter(DrainState.FINISHING)
+            self._note("answered" if self.state == WAITING else "all_released")
             await self._wait_answered()
+        if self.state != WAITING:
+            self._note("all_released")
 
     async def _release(self, partition: PartitionId) -> None:
         """Release a partition; it is kept and served while the store cannot be reached."""
@@ -134,6 +132,7 @@
         others = self._members.others.values()
         return any(not (member.status and member.status.draining) for member in others)
 
-    def _enter(self, state: DrainState) -> None:
-        _log.info("drain", state=state.value)
-        self.state = state
+    def _note(self, event: str) -> None:
+        """Follow the chart after an event."""
+        self.state = CHART.next(self.state, event)
+        _log.info("drain", state=self.state)
