--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -145,7 +145,7 @@
     text = cell.http.request("GET", cell.daemons[name].url + "/metrics", timeout=5).data.decode()
     total = 0.0
     for line in text.splitlines():
-        is_sent = line.startswith("lagoonshelf_bytes_total") and 'direction="out"' in line
+        is_sent = line.startswith("lagoonshelf_bytes_total") and 'direction="sent"' in line
         if is_sent and 'peer="peers"' in line:
             total += float(line.rpartition(" ")[2])
     return total
--- a/packages/server/lagoonshelf_server/frames.py
+++ b/packages/server/lagoonshelf_server/frames.py
@@ -5,6 +5,7 @@
 
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 
+from lagoonshelf_server import metrics
 from lagoonshelf_server.codec import MAX_MESSAGE_BYTES, encode
 from lagoonshelf_server.messages import Envelope
 
@@ -42,7 +43,9 @@
         if length > limit:
             text = f"frame of {length} bytes exceeds {limit}"
             raise LagoonshelfError(Fault(ResultCode.PROTOCOL, text))
-        return await asyncio.wait_for(self._reader.readexactly(length), FRAME_TIMEOUT_S)
+        data = await asyncio.wait_for(self._reader.readexactly(length), FRAME_TIMEOUT_S)
+        metrics.count_received("peers", FRAME_HEADER.size + length)
+        return data
 
     def send(self, envelope: Envelope) -> None:
         """Queue one frame; a connection whose other side does not read is cut.
@@ -53,6 +56,7 @@
         if self.closed:
             return
         self._writer.write(FRAME_HEADER.pack(len(data)) + data)
+        metrics.count_sent("peers", FRAME_HEADER.size + len(data))
         if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
         elif self._draining is None or self._draining.done():
