Test the operator command; hand partitions over faster

Cause: the client package had no tests, and a cell of three needed up to 9 s until ownership was even. Change: tests of exit codes, files and keys; a misplaced partition moves after 2 s, the next ones 400 ms apart.

--- a/packages/server/lagoonshelf_server/claims.py
+++ b/packages/server/lagoonshelf_server/claims.py
@@ -17,8 +17,9 @@
 from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 
 CLAIM_INTERVAL_S = 0.2
-# Longer than a restart of pings, so that a member that only hiccups moves nothing.
-REBALANCE_MS = 3000
+# Longer than a few missed pings, so that a short disturbance moves nothing.
+REBALANCE_MS = 2000
+NEXT_RELEASE_MS = 400
 _log = logger("claims")
 
 
@@ -89,7 +90,7 @@
         elif self._unbalanced_since_ms == NEVER:
             self._unbalanced_since_ms = now_ms
         elif now_ms - self._unbalanced_since_ms >= REBALANCE_MS:
-            self._unbalanced_since_ms = now_ms
+            self._unbalanced_since_ms = now_ms - REBALANCE_MS + NEXT_RELEASE_MS
             await self._release(partition)
 
     def _misplaced(self) -> PartitionId | None:
--- /dev/null
+++ b/tests/client/test_commands.py
@@ -0,0 +1,63 @@
+"""Tests of the operator command on files and keys."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import orjson
+from lagoonshelf_client.commands import Commands
+from lagoonshelf_core.errors import ResultCode
+from returns.result import Failure, Result, Success
+
+
+class FakeClient:
+    """Keeps one configuration in memory."""
+
+    def __init__(self) -> None:
+        self.current = {"revision": 3, "document": {"teams": {}, "keys": {}, "queues": {}}}
+        self.proposed: list[tuple[int, dict]] = []
+
+    def get_config(self) -> Result:
+        return Success(self.current)
+
+    def put_config(self, base_revision: int, document: dict) -> Result:
+        self.proposed.append((base_revision, document))
+        return Success({"code": ResultCode.DONE.number, "revision": base_revision + 1})
+
+
+class CommandsTest(unittest.TestCase):
+    """Commands with a client in memory."""
+
+    def setUp(self) -> None:
+        self.results: list[Result] = []
+        self.client = FakeClient()
+        self.commands = Commands(self.results.append)
+        self.commands.config._client = self.commands.keys._client = lambda: self.client
+
+    def check(self, text: str) -> Result:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "cell.json"
+            path.write_text(text)
+            self.commands.config.check(str(path))
+        return self.results[-1]
+
+    def test_bad_files_are_named_with_the_reason(self) -> None:
+        """Guards against a stack trace, or silence, for a file that is not a configuration."""
+        wrong = {"revision": 1, "document": {"teams": {"a": {"share": 0}}}}
+        for text, mention in [("{", "not valid JSON"), ("[]", "revision and document")]:
+            self.assertIn(mention, self.check(text).failure().message)
+        self.assertIn("teams.a.share", self.check(orjson.dumps(wrong).decode()).failure().message)
+
+    def test_new_key_is_shown_once_and_stored_as_a_hash(self) -> None:
+        """Guards against secrets in the configuration."""
+        self.commands.keys.create("desk", "fitting")
+        secret = self.results[-1].unwrap()["key"].partition(".")[2]
+        base, document = self.client.proposed[0]
+        self.assertEqual(base, 3)
+        self.assertNotIn(secret, orjson.dumps(document).decode())
+
+    def test_unknown_key_is_not_withdrawn(self) -> None:
+        """Guards against a typing error that looks like a withdrawal."""
+        self.commands.keys.withdraw("desk")
+        self.assertIsInstance(self.results[-1], Failure)
+        self.assertEqual(self.client.proposed, [])
