Measure state sizes, codec, configuration changes and the entry

Cause: docs/CAPACITY.md needs measured slopes; issue asks for ratios at the edges. Change: bench.state_size and bench.edges.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import sys
 from importlib import import_module
 
-BENCHMARKS = ("decisions", "capacity")
+BENCHMARKS = ("decisions", "edges", "capacity", "state_size")
 
 
 def main(names: list[str]) -> int:
--- /dev/null
+++ b/bench/edges.py
@@ -0,0 +1,126 @@
+"""Measures codec, configuration changes and the entry: ratios within one run.
+
+Usage: python -m bench edges
+"""
+
+import statistics
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import orjson
+from lagoonshelf_core.document import Document, difference, digest_document, parse_document
+from lagoonshelf_server.codec import decode, encode
+from lagoonshelf_server.messages import Envelope, Owned, Status, Submit
+from lagoonshelf_standins.cell import Cell, new_cell, sample_document
+
+from bench.state_size import TEAMS, sample_teams
+
+REPEATS = 7
+LOOPS = 200
+CONNECTIONS = 12
+REQUESTS = 600
+BATCH = 50
+SIZE = {"cpu_milli": 100, "memory_mib": 64}
+
+
+def run() -> list[str]:
+    """Return one line for each measurement."""
+    return [*_codec_rows(), *_config_rows(), *_entry_rows()]
+
+
+def _median_us(call: Callable[[], object]) -> float:
+    times = []
+    for _ in range(REPEATS):
+        begin = time.perf_counter()
+        for _ in range(LOOPS):
+            call()
+        times.append((time.perf_counter() - begin) / LOOPS * 1e6)
+    return statistics.median(times)
+
+
+def _codec_rows() -> list[str]:
+    submit = Submit("t", "k", "q", "key", "interactive", True, 1, 1, 0, 1, 1, "x" * 200, 1000)
+    status = Status("m1", 7, True, 0, False, tuple(Owned(n, 3, True) for n in range(4)))
+    rows = []
+    for name, kind, body in (("submit", "submit", submit), ("ping", "ping", status)):
+        envelope = Envelope(1, kind, body)
+        data = encode(envelope)
+        both_us = _median_us(lambda e=envelope: decode(encode(e)))
+        text_us = _median_us(lambda e=envelope: orjson.loads(orjson.dumps(e)))
+        rows.append(
+            f"codec {name}: {both_us:.0f} us there and back, {len(data)} bytes; "
+            f"plain JSON of the same message {text_us:.0f} us (ratio {both_us / text_us:.1f})"
+        )
+    return rows
+
+
+def _config_rows() -> list[str]:
+    old = sample_teams(TEAMS)
+    raw = old.model_dump()
+    new = {**raw, "teams": {**raw["teams"], "team-0": {**raw["teams"]["team-0"], "share": 9}}}
+    whole = len(orjson.dumps(raw))
+    patch = len(orjson.dumps(difference(raw, new)))
+
+    def apply() -> Document:
+        document = parse_document(new).unwrap()
+        digest_document(document)
+        return document
+
+    return [
+        f"configuration with {TEAMS} teams, keys and queues: a change is checked and applied in "
+        f"{_median_us(apply) / 1000:.2f} ms; {patch} bytes against {whole} of the whole document "
+        f"(ratio {whole / patch:.0f})"
+    ]
+
+
+def _entry_rows() -> list[str]:
+    cell = new_cell()
+    try:
+        cell.start_platform(12)
+        cell.start_daemon("m1", 1)
+        document = sample_document(cell)
+        for team in document["teams"].values():
+            team["limit_tasks"] = 10_000
+            team["limit_cpu_milli"] = 10_000_000
+        cell.configure(document)
+        cell.wait_healthy()
+        cell.wait_owned()
+        _send(cell, "warm", 1)
+        single, batched = _send(cell, "single", 1), _send(cell, "batch", BATCH)
+        return [
+            f"entry, one process: {single:.0f} requests/s one by one, {batched:.0f} in batches of "
+            f"{BATCH} (ratio {batched / single:.1f}), {CONNECTIONS} connections, each request "
+            "placed, run for 1 ms and answered"
+        ]
+    finally:
+        cell.close()
+
+
+def _send(cell: Cell, prefix: str, size: int) -> float:
+    """Send requests and return how many were answered a second."""
+    url = cell.daemons["m1"].url + "/v1/batch"
+
+    def call(number: int) -> int:
+        bodies = [_body(f"{prefix}-{number}-{index}") for index in range(size)]
+        if size == 1:
+            return cell.submit("m1", "fitting", bodies[0])["name"] == "OK"
+        answers = cell.call(url, {"requests": bodies}, "fitting")["answers"]
+        return sum(answer["name"] == "OK" for answer in answers)
+
+    begin = time.perf_counter()
+    with ThreadPoolExecutor(CONNECTIONS) as pool:
+        done = sum(pool.map(call, range(REQUESTS // size)))
+    return done / (time.perf_counter() - begin)
+
+
+def _body(key: str) -> dict:
+    return {
+        "queue": "urgent",
+        "request_key": key,
+        "repeatable": True,
+        "size": SIZE,
+        "run_ms": 1,
+        "payload": key,
+        "timeout_ms": 20_000,
+    }
