--- a/bench/policies.py
+++ b/bench/policies.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from lagoonshelf_core.commands import Command, Start
+from lagoonshelf_core.document import TeamConfig
 from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.model import Task, TaskState, WorkerInfo, WorkerState, WorkKind
 from lagoonshelf_core.resources import Resources
@@ -11,6 +12,7 @@
 from bench.workloads import Workload
 
 MayStart = Callable[[Task], bool]
+NO_LIMIT = 1_000_000_000
 
 
 class Baseline:
@@ -120,9 +122,15 @@
     return Baseline(3, lambda task: task.work_class.value)
 
 
-def make_real(_workload: Workload) -> Scheduler:
-    """Return the real scheduler, configured for a workload."""
-    return Scheduler()
+def make_real(workload: Workload) -> Scheduler:
+    """Return the real scheduler, configured for a workload; limits are out of reach."""
+    scheduler = Scheduler()
+    teams = {
+        team: TeamConfig(share=share, limit_tasks=NO_LIMIT, limit_cpu_milli=NO_LIMIT)
+        for team, share in workload.shares.items()
+    }
+    scheduler.set_policy(teams, workload.queues)
+    return scheduler
 
 
 POLICIES = {"fifo": make_fifo, "strict": make_strict, "real": make_real}
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -45,6 +45,7 @@
         self._events: list[tuple] = []
         self._sequence = 0
         self._pass_due = False
+        self._wake_ms = -1
         self._gangs: dict[RequestKey, set[TaskId]] = defaultdict(set)
         self._gang_ended: Counter[RequestKey] = Counter()
         self._warm = WarmTargets(workload.queues)
@@ -83,6 +84,14 @@
         self._pass_due = False
         for command in self.policy.run_pass(self.clock.now_ms(), lambda task: True):
             self._apply(command)
+        if hasattr(self.policy, "next_pass_ms"):
+            self._pass_at(self.policy.next_pass_ms())
+
+    def _pass_at(self, at_ms: int | None) -> None:
+        """Ask for the pass that the policy wants even if nothing changes until then."""
+        if at_ms is not None and not self.clock.now_ms() < self._wake_ms <= at_ms:
+            self._wake_ms = max(at_ms, self.clock.now_ms() + 1)
+            self._at(self._wake_ms, self._request_pass)
 
     def _arrive(self, arrival: Arrival) -> None:
         for index, actual_ms in enumerate(arrival.actual_ms):
@@ -190,6 +199,8 @@
             self._progress(run)
             self._set_speed(run, percent)
             self._schedule_end(run)
+        if hasattr(self.policy, "confirm_throttle"):
+            self.policy.confirm_throttle(run.task.task, percent)
 
     def _set_speed(self, run: Run, percent: int) -> None:
         """Change the processor amount that a running task holds on its worker."""
