--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 import psutil
+
 from lagoonshelf_standins.callers import Callers, Work
 from lagoonshelf_standins.cell import Cell, new_cell, sample_document
 
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -8,14 +8,13 @@
 from itertools import count
 from random import Random
 
+from bench.baseline import FirstFit
+from bench.rows import MICROSECONDS, Row, compare, growth, seconds
 from lagoonshelf_core.ids import Epoch, FailureDomain, PartitionId, RackId, TaskId, WorkerId
 from lagoonshelf_core.model import Task, WorkClass, WorkerInfo, WorkerState, WorkKind
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.scheduler import Scheduler
 
-from bench.baseline import FirstFit
-from bench.rows import MICROSECONDS, Row, compare, growth, seconds
-
 SEED = 1
 CAPACITY = Resources(64_000, 131_072, 0, 8)
 SIZES = tuple(Resources(cpu, mem, 0, 1) for cpu in (1000, 4000, 8000) for mem in (1024, 8192))
--- a/bench/edges.py
+++ b/bench/edges.py
@@ -9,13 +9,13 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import orjson
+
+from bench.state_size import TEAMS, sample_teams
 from lagoonshelf_core.document import Document, difference, digest_document, parse_document
 from lagoonshelf_server.codec import decode, encode
 from lagoonshelf_server.messages import Envelope, Owned, Status, Submit
 from lagoonshelf_standins.cell import Cell, new_cell, sample_document
 
-from bench.state_size import TEAMS, sample_teams
-
 REPEATS = 7
 LOOPS = 200
 CONNECTIONS = 12
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -3,13 +3,12 @@
 import math
 from collections import Counter, defaultdict
 
+from bench.runs import Run
+from bench.workloads import Workload
 from lagoonshelf_core.ids import TeamId
 from lagoonshelf_core.model import WorkClass
 from lagoonshelf_core.resources import Resources
 
-from bench.runs import Run
-from bench.workloads import Workload
-
 # The sliding window of shares on the design page.
 SHARE_WINDOW_MS = 300_000
 SHOWN_WARNINGS = 3
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from bench.workloads import Workload
 from lagoonshelf_core.commands import Command, Start
 from lagoonshelf_core.document import TeamConfig
 from lagoonshelf_core.ids import TaskId, WorkerId
@@ -9,8 +10,6 @@
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.scheduler import Scheduler
 
-from bench.workloads import Workload
-
 MayStart = Callable[[Task], bool]
 NO_LIMIT = 1_000_000_000
 
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -10,16 +10,15 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from lagoonshelf_core.clock import ManualClock
-from lagoonshelf_core.commands import Command, GiveUp, Start, Stop, Throttle, Warm, Warning
-from lagoonshelf_core.ids import RequestKey, TaskId, WorkerId
-from lagoonshelf_core.model import TaskState, WorkerState, WorkKind
-
 from bench.measures import Measures
 from bench.policies import POLICIES
 from bench.runs import Run, new_task
 from bench.warm_targets import WarmTargets
 from bench.workloads import WORKLOADS, Arrival, Workload
+from lagoonshelf_core.clock import ManualClock
+from lagoonshelf_core.commands import Command, GiveUp, Start, Stop, Throttle, Warm, Warning
+from lagoonshelf_core.ids import RequestKey, TaskId, WorkerId
+from lagoonshelf_core.model import TaskState, WorkerState, WorkKind
 
 PASS_MS = 100
 TICK_MS = 5_000
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -2,13 +2,12 @@
 
 from dataclasses import dataclass
 
+from bench.workloads import Arrival, Workload
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.deadlines import deadline_of
 from lagoonshelf_core.ids import Epoch, PartitionId, WorkerId, task_id
 from lagoonshelf_core.model import Task, WorkClass, WorkKind
 
-from bench.workloads import Arrival, Workload
-
 HOME = PartitionId(0)
 EPOCH = Epoch(1)
 
--- a/packages/client/lagoonshelf_client/api.py
+++ b/packages/client/lagoonshelf_client/api.py
@@ -6,10 +6,11 @@
 
 import orjson
 import urllib3
-from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, ResultCode
 from returns.result import Failure, Result, Success
 from urllib3.exceptions import HTTPError
 
+from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, ResultCode
+
 RETRY_PAUSE_S = 0.3
 MAX_RETRY_PAUSE_S = 5.0
 CALL_MARGIN_S = 10.0
--- a/packages/client/lagoonshelf_client/commands.py
+++ b/packages/client/lagoonshelf_client/commands.py
@@ -6,13 +6,13 @@
 from pathlib import Path
 
 import orjson
+from returns.result import Failure, Result, Success
+
+from lagoonshelf_client.api import Client, Connection
 from lagoonshelf_core.document import difference, parse_document
 from lagoonshelf_core.errors import Fault, ResultCode
 from lagoonshelf_core.ids import KeyId, TeamId, is_valid_id
 from lagoonshelf_core.keys import new_key
-from returns.result import Failure, Result, Success
-
-from lagoonshelf_client.api import Client, Connection
 
 URLS_VARIABLE = "LAGOONSHELF_URLS"
 KEY_VARIABLE = "LAGOONSHELF_KEY"
--- a/packages/client/lagoonshelf_client/reporting.py
+++ b/packages/client/lagoonshelf_client/reporting.py
@@ -4,9 +4,10 @@
 from typing import TextIO
 
 import orjson
-from lagoonshelf_core.errors import CODES_BY_NUMBER, Effect, Fault, ResultCode
 from returns.result import Failure, Result
 
+from lagoonshelf_core.errors import CODES_BY_NUMBER, Effect, Fault, ResultCode
+
 EXIT_DONE = 0
 EXIT_RAN_AND_FAILED = 1
 EXIT_WRONG_CALL = 2
--- a/packages/core/lagoonshelf_core/scheduler.py
+++ b/packages/core/lagoonshelf_core/scheduler.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 
-from lagoonshelf_core.claims import Claims
 from lagoonshelf_core.commands import Command
 from lagoonshelf_core.document import QueueConfig, TeamConfig
 from lagoonshelf_core.gang_pass import GangPass
@@ -12,6 +11,7 @@
 from lagoonshelf_core.model import Task, TaskState, WorkClass, WorkerInfo, WorkerState, WorkKind
 from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.resources import Resources
+from lagoonshelf_core.room_claims import Claims
 from lagoonshelf_core.throttles import Throttles
 from lagoonshelf_core.waiting import Bucket
 
--- a/packages/server/lagoonshelf_server/admit.py
+++ b/packages/server/lagoonshelf_server/admit.py
@@ -3,6 +3,8 @@
 from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterable
 
+from returns.result import Failure
+
 from lagoonshelf_core.admission import RETRY_WINDOW_MS, Admission, CellShape
 from lagoonshelf_core.document import QueueConfig
 from lagoonshelf_core.errors import Fault, ResultCode
@@ -11,7 +13,6 @@
 from lagoonshelf_core.records import RequestId
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.routing import partition_of_worker
-from returns.result import Failure
 
 # A recount reads all tasks; a flood of refusals would otherwise cause one each.
 RECOUNTED_TASKS_PER_MS = 100
--- a/packages/server/lagoonshelf_server/application.py
+++ b/packages/server/lagoonshelf_server/application.py
@@ -3,14 +3,14 @@
 import asyncio
 from contextlib import suppress
 
+from returns.result import Failure, Result, Success
+
 from lagoonshelf_core.authorization import authorize_key, authorize_work
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import KeyId, MemberId, PartitionId, QueueId, TeamId
 from lagoonshelf_core.keys import Caller, authenticate
 from lagoonshelf_core.model import WorkKind
-from returns.result import Failure, Result, Success
-
 from lagoonshelf_server import metrics
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.cell_size import check_partitions
--- a/packages/server/lagoonshelf_server/away.py
+++ b/packages/server/lagoonshelf_server/away.py
@@ -8,7 +8,6 @@
 from lagoonshelf_core.journal import Entry, IntentEntry
 from lagoonshelf_core.model import Task
 from lagoonshelf_core.records import Outcome
-
 from lagoonshelf_server.hosting import boots_digest
 from lagoonshelf_server.messages import TaskMeta
 
--- a/packages/server/lagoonshelf_server/cell_size.py
+++ b/packages/server/lagoonshelf_server/cell_size.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from lagoonshelf_core.errors import Fault, ResultCode
 from returns.result import Failure, Result, Success
 
+from lagoonshelf_core.errors import Fault, ResultCode
 from lagoonshelf_server.store import StoreClient, StoreError
 
 KEY = "cell/partitions"
--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -7,9 +7,9 @@
 
 import cherrypy
 from fire import Fire
-from lagoonshelf_core.errors import Fault
 from returns.result import Failure
 
+from lagoonshelf_core.errors import Fault
 from lagoonshelf_server.application import Application
 from lagoonshelf_server.console import Console, mount_console
 from lagoonshelf_server.entry import Entry
--- a/packages/server/lagoonshelf_server/codec.py
+++ b/packages/server/lagoonshelf_server/codec.py
@@ -7,9 +7,9 @@
 from typing import get_args, get_origin, get_type_hints
 
 import capnp
-from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from returns.result import Failure, Result, Success
 
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_server.messages import (
     Ack,
     Answer,
@@ -27,7 +27,6 @@
     FenceReply,
     GrantAsk,
     Hello,
-    Released,
     RequestRef,
     Status,
     Submit,
@@ -57,7 +56,6 @@
     "grantAsk": GrantAsk,
     "configAsk": ConfigAsk,
     "configReply": ConfigReply,
-    "released": Released,
     "ack": Ack,
 }
 
--- a/packages/server/lagoonshelf_server/config_sync.py
+++ b/packages/server/lagoonshelf_server/config_sync.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from returns.result import Failure, Result, Success
+
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.document import Document, parse_document
 from lagoonshelf_core.errors import Fault, ResultCode
@@ -18,8 +20,6 @@
     encode_snapshot,
     trimmed_before,
 )
-from returns.result import Failure, Result, Success
-
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 
--- a/packages/server/lagoonshelf_server/console.py
+++ b/packages/server/lagoonshelf_server/console.py
@@ -8,9 +8,9 @@
 import cherrypy
 import orjson
 from jinja2 import Environment, PackageLoader, select_autoescape
+
 from lagoonshelf_core.document import check_document, difference
 from lagoonshelf_core.errors import LagoonshelfError, ResultCode
-
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.console_form import (
     SECTIONS,
--- a/packages/server/lagoonshelf_server/corrections.py
+++ b/packages/server/lagoonshelf_server/corrections.py
@@ -5,7 +5,6 @@
 from lagoonshelf_core.estimates import Estimates
 from lagoonshelf_core.model import Task, WorkerInfo, WorkKind
 from lagoonshelf_core.resources import Resources
-
 from lagoonshelf_server.workers import TaskReport
 
 
--- a/packages/server/lagoonshelf_server/delegation.py
+++ b/packages/server/lagoonshelf_server/delegation.py
@@ -11,7 +11,6 @@
 from lagoonshelf_core.records import Outcome
 from lagoonshelf_core.routing import partition_of_worker
 from lagoonshelf_core.scheduler import Scheduler
-
 from lagoonshelf_server.away import STOP_INTERVAL_MS, Away, AwayState, HomeHooks, intent_of
 from lagoonshelf_server.hosting import boot_text, boots_digest
 from lagoonshelf_server.logs import logger
--- a/packages/server/lagoonshelf_server/dispatch.py
+++ b/packages/server/lagoonshelf_server/dispatch.py
@@ -9,7 +9,6 @@
 from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.model import Task, TaskState, WorkerState
 from lagoonshelf_core.scheduler import Scheduler
-
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.fleet import Fleet
 from lagoonshelf_server.logs import logger
--- a/packages/server/lagoonshelf_server/drain.py
+++ b/packages/server/lagoonshelf_server/drain.py
@@ -6,7 +6,6 @@
 from lagoonshelf_core.charts import load_chart
 from lagoonshelf_core.errors import LagoonshelfError
 from lagoonshelf_core.ids import PartitionId
-
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.members import Members
 from lagoonshelf_server.owner import Owner, OwnerState
--- a/packages/server/lagoonshelf_server/due_work.py
+++ b/packages/server/lagoonshelf_server/due_work.py
@@ -14,7 +14,6 @@
 from lagoonshelf_core.document import QueueConfig
 from lagoonshelf_core.ids import QueueId, TaskId
 from lagoonshelf_core.model import Task, TaskState, WorkClass
-
 from lagoonshelf_server import metrics
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.corrections import Corrections
--- a/packages/server/lagoonshelf_server/entry.py
+++ b/packages/server/lagoonshelf_server/entry.py
@@ -7,11 +7,11 @@
 from typing import BinaryIO
 
 import orjson
+from returns.result import Failure
+
 from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import is_valid_id
 from lagoonshelf_core.keys import Caller
-from returns.result import Failure
-
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import Answer, RequestRef
--- a/packages/server/lagoonshelf_server/fleet.py
+++ b/packages/server/lagoonshelf_server/fleet.py
@@ -8,7 +8,6 @@
 from lagoonshelf_core.ids import WorkerId
 from lagoonshelf_core.model import Task, WorkerInfo, WorkerState
 from lagoonshelf_core.scheduler import Scheduler
-
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.settings import Settings
--- a/packages/server/lagoonshelf_server/frames.py
+++ b/packages/server/lagoonshelf_server/frames.py
@@ -4,7 +4,6 @@
 import struct
 
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
-
 from lagoonshelf_server import metrics
 from lagoonshelf_server.codec import MAX_MESSAGE_BYTES, encode
 from lagoonshelf_server.messages import Envelope
--- a/packages/server/lagoonshelf_server/gossip.py
+++ b/packages/server/lagoonshelf_server/gossip.py
@@ -7,7 +7,6 @@
 from lagoonshelf_core.ids import MemberId, PartitionId
 from lagoonshelf_core.membership import PeerReport, hear_ping, hear_pong
 from lagoonshelf_core.ownership import give_promise
-
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.logs import logger
--- a/packages/server/lagoonshelf_server/grant_keeper.py
+++ b/packages/server/lagoonshelf_server/grant_keeper.py
@@ -30,7 +30,6 @@
 )
 from lagoonshelf_core.ids import Epoch, PartitionId, TeamId
 from lagoonshelf_core.model import Task
-
 from lagoonshelf_server.grant_state import PendingWrite, TeamGrants
 from lagoonshelf_server.grant_usage import GrantUsage
 from lagoonshelf_server.logs import logger
--- a/packages/server/lagoonshelf_server/hosting.py
+++ b/packages/server/lagoonshelf_server/hosting.py
@@ -5,14 +5,14 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+from xxhash import xxh3_64_hexdigest
+
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.commands import Stop
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import Epoch, PartitionId, TaskId, WorkerId
 from lagoonshelf_core.model import Task
 from lagoonshelf_core.scheduler import Scheduler
-from xxhash import xxh3_64_hexdigest
-
 from lagoonshelf_server.dispatch import Dispatch
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
--- a/packages/server/lagoonshelf_server/intake.py
+++ b/packages/server/lagoonshelf_server/intake.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
+from returns.result import Failure
+
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import PartitionId
 from lagoonshelf_core.journal import AcceptEntry, CancelEntry
 from lagoonshelf_core.model import RequestSpec, TaskState, WorkKind
 from lagoonshelf_core.records import Record, RequestId, spec_to_dict
-from returns.result import Failure
-
 from lagoonshelf_server.partition import Partition
 from lagoonshelf_server.recovery import Recovery
 from lagoonshelf_server.task_events import TaskEvents
--- a/packages/server/lagoonshelf_server/journal_writer.py
+++ b/packages/server/lagoonshelf_server/journal_writer.py
@@ -18,7 +18,6 @@
     split_entry,
 )
 from lagoonshelf_core.replay import JournalState
-
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.store import StoreClient, StoreError, writer_token
 
--- a/packages/server/lagoonshelf_server/members.py
+++ b/packages/server/lagoonshelf_server/members.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import orjson
+
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
 from lagoonshelf_core.membership import NEVER, Membership, Peer, set_known
@@ -18,7 +19,6 @@
     renew,
 )
 from lagoonshelf_core.routing import preferred_owners
-
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import Status
 from lagoonshelf_server.settings import Settings
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -260,14 +260,6 @@
     changes: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Released:
-    """Announces that a partition is free."""
-
-    partition: int
-    epoch: int
-
-
 @dataclass(frozen=True, slots=True)
 class Ack:
     """Plain reply.
@@ -296,7 +288,6 @@
     | GrantAsk
     | ConfigAsk
     | ConfigReply
-    | Released
     | Ack
 )
 
--- a/packages/server/lagoonshelf_server/offers.py
+++ b/packages/server/lagoonshelf_server/offers.py
@@ -7,7 +7,6 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import PartitionId, TaskId
 from lagoonshelf_core.model import Task, TaskState, WorkKind
-
 from lagoonshelf_server.partition_calls import Room
 
 OFFERS_AT_ONCE = 64
--- a/packages/server/lagoonshelf_server/owner.py
+++ b/packages/server/lagoonshelf_server/owner.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 import orjson
+
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import LagoonshelfError
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
@@ -14,7 +15,6 @@
 from lagoonshelf_core.records import Record, RecordBook
 from lagoonshelf_core.routing import partition_of_worker
 from lagoonshelf_core.scheduler import Scheduler
-
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.dispatch import Dispatch
--- a/packages/server/lagoonshelf_server/owner_parts.py
+++ b/packages/server/lagoonshelf_server/owner_parts.py
@@ -13,7 +13,6 @@
 from lagoonshelf_core.journal import Entry
 from lagoonshelf_core.model import Task
 from lagoonshelf_core.records import Outcome
-
 from lagoonshelf_server.away import HomeHooks
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.config_sync import ConfigSync
--- a/packages/server/lagoonshelf_server/partition.py
+++ b/packages/server/lagoonshelf_server/partition.py
@@ -11,7 +11,6 @@
 from lagoonshelf_core.model import Task, WorkClass, WorkKind
 from lagoonshelf_core.records import Record, RecordBook
 from lagoonshelf_core.scheduler import MayStart, Scheduler
-
 from lagoonshelf_server.answers import Waiters
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.policy import Policy
--- a/packages/server/lagoonshelf_server/partition_calls.py
+++ b/packages/server/lagoonshelf_server/partition_calls.py
@@ -9,7 +9,6 @@
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import Epoch, MemberId, PartitionId
 from lagoonshelf_core.resources import Resources
-
 from lagoonshelf_server.members import Members
 from lagoonshelf_server.messages import (
     Ack,
--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -5,10 +5,10 @@
 import hmac
 from collections.abc import Awaitable, Callable
 
-from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
-from lagoonshelf_core.ids import MemberId
 from returns.result import Failure
 
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.ids import MemberId
 from lagoonshelf_server.codec import decode, newer_message_id
 from lagoonshelf_server.frames import Connection
 from lagoonshelf_server.logs import logger
--- a/packages/server/lagoonshelf_server/policy.py
+++ b/packages/server/lagoonshelf_server/policy.py
@@ -9,7 +9,6 @@
 from lagoonshelf_core.hooks import Hooks
 from lagoonshelf_core.model import RequestSpec, Task, WorkerInfo
 from lagoonshelf_core.scheduler import Scheduler
-
 from lagoonshelf_server.admit import PartitionAdmission
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.corrections import Corrections
--- a/packages/server/lagoonshelf_server/recovery.py
+++ b/packages/server/lagoonshelf_server/recovery.py
@@ -9,7 +9,6 @@
 from lagoonshelf_core.records import Outcome, Record, RequestId, digest_spec, spec_from_dict
 from lagoonshelf_core.replay import JournaledRequest, JournalState
 from lagoonshelf_core.resources import Resources
-
 from lagoonshelf_server.dispatch import Dispatch
 from lagoonshelf_server.fleet import lease_over_ms
 from lagoonshelf_server.hosting import Hosting
--- a/packages/server/lagoonshelf_server/request_body.py
+++ b/packages/server/lagoonshelf_server/request_body.py
@@ -4,11 +4,11 @@
 import secrets
 from typing import Annotated
 
-from lagoonshelf_core.errors import Fault, ResultCode
-from lagoonshelf_core.keys import Caller
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
 from returns.result import Failure, Result, Success
 
+from lagoonshelf_core.errors import Fault, ResultCode
+from lagoonshelf_core.keys import Caller
 from lagoonshelf_server.messages import Submit
 
 MAX_BODY_BYTES = 1024 * 1024
--- a/packages/server/lagoonshelf_server/requests.py
+++ b/packages/server/lagoonshelf_server/requests.py
@@ -11,7 +11,6 @@
 from lagoonshelf_core.records import Record
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.routing import partition_of_request
-
 from lagoonshelf_server.members import Members, OwnerInfo
 from lagoonshelf_server.messages import Ack, Answer, Body, RequestRef, Submit
 from lagoonshelf_server.owner import Owner
--- a/packages/server/lagoonshelf_server/settings.py
+++ b/packages/server/lagoonshelf_server/settings.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Mapping
 
-from lagoonshelf_core.errors import Fault, ResultCode
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
+from lagoonshelf_core.errors import Fault, ResultCode
+
 ENV_PREFIX = "LAGOONSHELF_"
 ID = r"^[A-Za-z0-9._-]{1,64}$"
 IP_V4 = r"^(\d{1,3}\.){3}\d{1,3}$"
--- a/packages/server/lagoonshelf_server/snapshots.py
+++ b/packages/server/lagoonshelf_server/snapshots.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import orjson
+
 from lagoonshelf_core.ids import Epoch, PartitionId
 from lagoonshelf_core.journal import (
     MAX_ENTRY_BYTES,
@@ -23,7 +24,6 @@
     split_entry,
 )
 from lagoonshelf_core.replay import JournalState
-
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.store import Item, StoreClient, StoreError, writer_token
 
--- a/packages/server/lagoonshelf_server/starter.py
+++ b/packages/server/lagoonshelf_server/starter.py
@@ -8,7 +8,6 @@
 from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.journal import Entry, IntentEntry
 from lagoonshelf_core.model import Task, TaskState, WorkerState
-
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.settings import Settings
 from lagoonshelf_server.task_meta import task_meta
--- a/packages/server/lagoonshelf_server/store.py
+++ b/packages/server/lagoonshelf_server/store.py
@@ -7,11 +7,11 @@
 
 import orjson
 import urllib3
+from urllib3.exceptions import HTTPError
+
 from lagoonshelf_core.ids import FailureDomain, RackId, WorkerId
 from lagoonshelf_core.model import WorkerInfo
 from lagoonshelf_core.resources import Resources
-from urllib3.exceptions import HTTPError
-
 from lagoonshelf_server import metrics
 from lagoonshelf_server.bridge import Bridge
 
--- a/packages/server/lagoonshelf_server/task_events.py
+++ b/packages/server/lagoonshelf_server/task_events.py
@@ -9,7 +9,6 @@
 from lagoonshelf_core.journal import OutcomeEntry, VoidEntry
 from lagoonshelf_core.model import Task, TaskState, WorkKind
 from lagoonshelf_core.records import Outcome, Record
-
 from lagoonshelf_server import metrics
 from lagoonshelf_server.dispatch import Dispatch
 from lagoonshelf_server.hosting import Hosting
--- a/packages/server/lagoonshelf_server/task_meta.py
+++ b/packages/server/lagoonshelf_server/task_meta.py
@@ -3,7 +3,6 @@
 from lagoonshelf_core.ids import Epoch, PartitionId, QueueId, RequestKey, TaskId, TeamId
 from lagoonshelf_core.model import RequestSpec, Task, WorkClass, WorkKind
 from lagoonshelf_core.resources import Resources
-
 from lagoonshelf_server.messages import TaskMeta
 
 
--- a/packages/server/lagoonshelf_server/upkeep.py
+++ b/packages/server/lagoonshelf_server/upkeep.py
@@ -5,7 +5,6 @@
 
 from lagoonshelf_core.errors import LagoonshelfError
 from lagoonshelf_core.journal import ForgetEntry
-
 from lagoonshelf_server.journal_writer import JournalWriter
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.partition import Partition
--- a/packages/server/lagoonshelf_server/warm_slots.py
+++ b/packages/server/lagoonshelf_server/warm_slots.py
@@ -9,7 +9,6 @@
 from lagoonshelf_core.ids import QueueId, WorkerId
 from lagoonshelf_core.model import Task, WorkerInfo
 from lagoonshelf_core.warmth import Warmth
-
 from lagoonshelf_server.config_sync import ConfigSync
 
 # Short peaks count too; the pattern keeps the highest value of a quarter of an hour.
--- a/packages/server/lagoonshelf_server/watch.py
+++ b/packages/server/lagoonshelf_server/watch.py
@@ -4,7 +4,6 @@
 
 from lagoonshelf_core.grants import GRANT_PREFIX
 from lagoonshelf_core.ids import PartitionId, TeamId
-
 from lagoonshelf_server.config_sync import PREFIX as CONFIG_PREFIX
 from lagoonshelf_server.config_sync import ConfigSync
 from lagoonshelf_server.members import MEMBER_PREFIX, OWNER_PREFIX, Members
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -21,7 +21,7 @@
     grantAsk @15 :GrantAsk;
     configAsk @16 :ConfigAsk;
     configReply @17 :ConfigReply;
-    released @18 :Released;
+    released @18 :Released;  # not sent; released owner keys are seen by the watch
     ack @19 :Ack;
     delegateQuery @20 :DelegateQuery;
     delegateStates @21 :DelegateStates;
--- a/packages/server/lagoonshelf_server/worker_link.py
+++ b/packages/server/lagoonshelf_server/worker_link.py
@@ -6,7 +6,6 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.model import WorkerInfo, WorkerState
-
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.workers import (
     Authority,
--- a/packages/server/lagoonshelf_server/workers.py
+++ b/packages/server/lagoonshelf_server/workers.py
@@ -4,10 +4,10 @@
 
 import orjson
 import urllib3
-from lagoonshelf_core.ids import Epoch, PartitionId
 from urllib3.exceptions import HTTPError
 from xxhash import xxh3_64_hexdigest
 
+from lagoonshelf_core.ids import Epoch, PartitionId
 from lagoonshelf_server import metrics
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.messages import TaskMeta
--- a/packages/standins/lagoonshelf_standins/cell.py
+++ b/packages/standins/lagoonshelf_standins/cell.py
@@ -14,9 +14,10 @@
 
 import orjson
 import urllib3
+from urllib3.exceptions import HTTPError
+
 from lagoonshelf_core.ids import KeyId, TeamId
 from lagoonshelf_core.keys import new_key
-from urllib3.exceptions import HTTPError
 
 OPERATOR_KEY = "operator-key-of-the-stand-in-cell"
 CLUSTER_SECRET = "secret-of-the-stand-in-cell"
--- a/packages/standins/lagoonshelf_standins/demo.py
+++ b/packages/standins/lagoonshelf_standins/demo.py
@@ -11,7 +11,6 @@
 from collections import defaultdict
 
 from lagoonshelf_core.errors import ResultCode
-
 from lagoonshelf_standins.callers import Callers, Work
 from lagoonshelf_standins.cell import Cell, new_cell, sample_document, wait_until
 from lagoonshelf_standins.checker import Violation, check_all
--- a/tests/bench/test_replay.py
+++ b/tests/bench/test_replay.py
@@ -3,17 +3,16 @@
 import unittest
 from dataclasses import replace
 
+from bench.measures import Measures
+from bench.policies import Baseline
+from bench.replay import Replay
+from bench.workloads import WORKLOADS, Arrival, Workload
 from lagoonshelf_core.commands import Command, GiveUp, Start, Stop, Throttle, Warm, Warning
 from lagoonshelf_core.document import QueueConfig
 from lagoonshelf_core.ids import QueueId, RequestKey, TeamId
 from lagoonshelf_core.model import RequestSpec, WorkKind
 from lagoonshelf_core.resources import Resources
 
-from bench.measures import Measures
-from bench.policies import Baseline
-from bench.replay import Replay
-from bench.workloads import WORKLOADS, Arrival, Workload
-
 BASE = WORKLOADS["inkbridge"](1)
 TEAM, QUEUE = TeamId("t"), QueueId("q")
 W0, W1 = (info.worker for info in BASE.workers[:2])
--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -5,9 +5,10 @@
 from pathlib import Path
 
 import orjson
+from returns.result import Failure, Result, Success
+
 from lagoonshelf_client.commands import Commands
 from lagoonshelf_core.errors import ResultCode
-from returns.result import Failure, Result, Success
 
 
 class FakeClient:
--- a/tests/client/test_reporting.py
+++ b/tests/client/test_reporting.py
@@ -4,9 +4,10 @@
 import unittest
 
 import orjson
+from returns.result import Failure, Success
+
 from lagoonshelf_client.reporting import Reporter, exit_code_of
 from lagoonshelf_core.errors import Effect, Fault, ResultCode
-from returns.result import Failure, Success
 
 
 class ReportingTest(unittest.TestCase):
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -5,12 +5,13 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
 from lagoonshelf_core.admission import Admission, CellShape, QueueBounds, RetryBudget
 from lagoonshelf_core.errors import ResultCode
 from lagoonshelf_core.ids import PartitionId, QueueId, RequestKey, TeamId
 from lagoonshelf_core.model import RequestSpec, WorkKind
 from lagoonshelf_core.resources import Resources
-from returns.pipeline import is_successful
 
 A, B, Q = TeamId("a"), TeamId("b"), QueueId("q")
 SMALL = Resources(64_000, 128_000, 0, 8)
--- a/tests/core/test_deadlines.py
+++ b/tests/core/test_deadlines.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from lagoonshelf_core.deadlines import (
     DAY_MS,
     FINISH_MARGIN_MS,
--- a/tests/core/test_estimates.py
+++ b/tests/core/test_estimates.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from lagoonshelf_core.estimates import MAX_CLASSES, WINDOW, Estimates, quantile, running_size
 from lagoonshelf_core.ids import QueueId, TeamId
 from lagoonshelf_core.resources import Resources
--- a/tests/core/test_fairness.py
+++ b/tests/core/test_fairness.py
@@ -5,13 +5,13 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
 from lagoonshelf_core.commands import Stop
 from lagoonshelf_core.document import QueueConfig, TeamConfig
 from lagoonshelf_core.fairness import HELD_WEIGHT, TIME_CONSTANT_MS, Fairness
 from lagoonshelf_core.model import WorkClass
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.scheduler import Scheduler
-
 from tests.support.scheduling import SLOT, cell, enqueue, run, started, stopped, task
 
 CAPACITY = Resources(64_000, 65_536, 4, 64)
--- a/tests/core/test_gangs.py
+++ b/tests/core/test_gangs.py
@@ -5,12 +5,12 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
 from lagoonshelf_core.commands import Stop
 from lagoonshelf_core.model import WorkerState, WorkKind
 from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.scheduler import Scheduler
-
 from tests.support.scheduling import (
     SLOT,
     cell,
--- a/tests/core/test_grants.py
+++ b/tests/core/test_grants.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from lagoonshelf_core.grants import (
     Amount,
     GrantDocument,
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -5,10 +5,10 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
 from lagoonshelf_core.model import WorkKind
 from lagoonshelf_core.placement import Placement, fit_key
 from lagoonshelf_core.resources import Resources
-
 from tests.support.scheduling import SLOT, cell, enqueue, group, run, started, worker
 
 
--- a/tests/core/test_preemption.py
+++ b/tests/core/test_preemption.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
 from lagoonshelf_core.commands import Start, Stop, Throttle
 from lagoonshelf_core.document import QueueConfig
 from lagoonshelf_core.holding import Holdings
@@ -13,7 +14,6 @@
 from lagoonshelf_core.preemption import THROTTLED_PERCENT
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.scheduler import Scheduler
-
 from tests.support.scheduling import cell, enqueue, group, run, started, stopped, task
 
 FOUR = Resources(4000, 4096, 0, 4)
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -9,6 +9,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
 from lagoonshelf_core.commands import Start, Stop, Throttle
 from lagoonshelf_core.document import QueueConfig
 from lagoonshelf_core.hooks import Hooks
@@ -16,7 +17,6 @@
 from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_core.scheduler import Scheduler
-
 from tests.support.scheduling import SLOT, cell, enqueue, group, run, started, task, worker
 
 CAPACITY = Resources(8000, 13_000, 2, 6)  # a gang of five of any size fits
--- a/tests/processes/test_bad_work.py
+++ b/tests/processes/test_bad_work.py
@@ -4,7 +4,6 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from lagoonshelf_standins.cell import wait_until
-
 from tests.support.base import SIZE, CellTestCase, interactive
 
 CELL_SLOTS = 24 * 8
--- a/tests/processes/test_config.py
+++ b/tests/processes/test_config.py
@@ -7,13 +7,13 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import orjson
+
 from lagoonshelf_core.errors import CODES_BY_NUMBER
 from lagoonshelf_core.ids import KeyId, TeamId
 from lagoonshelf_core.keys import new_key
 from lagoonshelf_server.messages import Hello, Submit
 from lagoonshelf_server.peers import PeerNet, hello_proof
 from lagoonshelf_standins.cell import CLUSTER_SECRET, wait_until
-
 from tests.support.base import CellTestCase, interactive
 
 IN_EFFECT_S = 6.0  # bound of the design for a change to take effect everywhere
--- a/tests/processes/test_console.py
+++ b/tests/processes/test_console.py
@@ -3,8 +3,8 @@
 import re
 
 import urllib3
-from lagoonshelf_standins.cell import OPERATOR_KEY
 
+from lagoonshelf_standins.cell import OPERATOR_KEY
 from tests.support.base import CellTestCase
 
 INPUT = re.compile(r'<input[^>]*name="([^"]+)"[^>]*value="([^"]*)"')
--- a/tests/processes/test_delegation.py
+++ b/tests/processes/test_delegation.py
@@ -4,7 +4,6 @@
 
 from lagoonshelf_core.routing import partition_of_request, partition_of_worker
 from lagoonshelf_standins.cell import wait_until
-
 from tests.support.base import CellTestCase
 from tests.support.runs import Burst, events, starts
 
--- a/tests/processes/test_drain.py
+++ b/tests/processes/test_drain.py
@@ -3,7 +3,6 @@
 import subprocess
 
 from lagoonshelf_standins.cell import wait_until
-
 from tests.support.base import CellTestCase, interactive
 from tests.support.failures import Call, key_owned_by, other_than, owner_of, starts_of
 
--- a/tests/processes/test_fault_schedule.py
+++ b/tests/processes/test_fault_schedule.py
@@ -8,7 +8,6 @@
 from lagoonshelf_standins.callers import Callers
 from lagoonshelf_standins.checker import check_all
 from lagoonshelf_standins.workers import DEFAULT_CAPACITY
-
 from tests.support.base import CellTestCase
 from tests.support.faults import make_schedule, run_under_faults
 
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -1,7 +1,6 @@
 """Upper limits over separate processes, judged by the workers' start and end events."""
 
 from lagoonshelf_standins.cell import wait_until
-
 from tests.support.base import SIZE, CellTestCase, interactive
 from tests.support.runs import Burst, events, most_running, running, starts
 
--- a/tests/processes/test_outage.py
+++ b/tests/processes/test_outage.py
@@ -7,7 +7,6 @@
 from threading import Event
 
 from lagoonshelf_standins.cell import wait_until
-
 from tests.support.base import CellTestCase, interactive
 
 NAMES = ("d1", "d2", "d3")
--- a/tests/processes/test_owner_failures.py
+++ b/tests/processes/test_owner_failures.py
@@ -1,7 +1,6 @@
 """Owners, workers and the store fail while callers wait, on real processes."""
 
 from lagoonshelf_standins.cell import wait_until
-
 from tests.support.base import CellTestCase, interactive
 from tests.support.failures import (
     Call,
--- a/tests/processes/test_owner_storm.py
+++ b/tests/processes/test_owner_storm.py
@@ -7,7 +7,6 @@
 from collections import Counter
 
 from lagoonshelf_standins.cell import wait_until
-
 from tests.support.base import CellTestCase, interactive
 from tests.support.failures import most_at_once, pause
 
--- a/tests/processes/test_recovery.py
+++ b/tests/processes/test_recovery.py
@@ -2,7 +2,6 @@
 
 from lagoonshelf_core.routing import partition_of_request
 from lagoonshelf_standins.cell import wait_until
-
 from tests.support.base import CellTestCase, interactive
 from tests.support.failures import PARTITIONS, most_at_once, starts_of
 
--- a/tests/server/test_config_sync.py
+++ b/tests/server/test_config_sync.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import orjson
+
 from lagoonshelf_core.clock import ManualClock
 from lagoonshelf_core.membership import Membership
 from lagoonshelf_server import config_sync
--- a/tests/server/test_journal_writer.py
+++ b/tests/server/test_journal_writer.py
@@ -20,7 +20,6 @@
 from lagoonshelf_server.journal_writer import JournalWriter
 from lagoonshelf_server.snapshots import SnapshotError, read_journal, write_snapshot
 from lagoonshelf_server.store import StoreError
-
 from tests.support.fakes import FakeStore, spec, until
 
 
--- a/tests/server/test_owner.py
+++ b/tests/server/test_owner.py
@@ -10,7 +10,6 @@
 from lagoonshelf_core.model import WorkerState, WorkKind
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.owner import OwnerState
-
 from tests.support.fakes import OneOwner, spec, until
 
 
--- a/tests/server/test_peers.py
+++ b/tests/server/test_peers.py
@@ -8,6 +8,7 @@
 from unittest.mock import patch
 
 import capnp
+
 from lagoonshelf_core.errors import LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId
 from lagoonshelf_server import frames, peers
--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -13,7 +13,6 @@
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server import metrics
 from lagoonshelf_server.kicks import COLLECT_MS, Kicks
-
 from tests.support.fakes import OneOwner, spec, until
 
 TEAM = TeamConfig(limit_tasks=1000, limit_cpu_milli=1_000_000)
--- a/tests/server/test_recovery.py
+++ b/tests/server/test_recovery.py
@@ -17,7 +17,6 @@
 from lagoonshelf_core.model import TaskState, WorkKind
 from lagoonshelf_core.records import digest_spec
 from lagoonshelf_server.messages import TaskMeta
-
 from tests.support.fakes import OneOwner, spec, until
 
 
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -11,7 +11,6 @@
 from lagoonshelf_server.peers import PeerLostError, PeerUnreachableError
 from lagoonshelf_server.requests import Requests
 from lagoonshelf_server.settings import Settings
-
 from tests.support.fakes import until
 
 OK = Answer(ResultCode.OK.number, state="finished", result="r")
--- a/tests/server/test_watch.py
+++ b/tests/server/test_watch.py
@@ -5,6 +5,7 @@
 import unittest
 
 import orjson
+
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_server.bridge import Bridge
 from lagoonshelf_server.config_sync import ConfigSync
--- a/tests/support/faults.py
+++ b/tests/support/faults.py
@@ -10,7 +10,6 @@
 
 from lagoonshelf_standins.callers import Callers, Work
 from lagoonshelf_standins.cell import Cell, wait_until
-
 from tests.support.base import SIZE
 
 PAUSE_LONGER_THAN_LEASE_S = 4.5
--- a/tests/support/runs.py
+++ b/tests/support/runs.py
@@ -4,7 +4,6 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 
 from lagoonshelf_standins.cell import Cell
-
 from tests.support.base import interactive
 
 
--- a/tests/support/scheduling.py
+++ b/tests/support/scheduling.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 from hypothesis import settings
+
 from lagoonshelf_core.commands import Start, Stop
 from lagoonshelf_core.ids import Epoch, FailureDomain, PartitionId, RackId, WorkerId
 from lagoonshelf_core.model import (
--- a/tests/tools/test_pages.py
+++ b/tests/tools/test_pages.py
@@ -4,7 +4,6 @@
 from pathlib import Path
 
 from lagoonshelf_core.errors import ResultCode
-
 from tools.result_codes import render as render_codes
 from tools.settings_page import render as render_settings
 
