Let test cells wait until no hand-over is due; accept bursts of connections

Cause: in a full run from a fresh clone test_outage got NO_OWNER: the cell was balanced by count but not yet at the preferred owners, so a partition was being handed over when the store went away, and nobody could claim it. This case is allowed by the design; it is listed in docs/proofs.md. Ruled out: retries in the test, which would hide a real stop in an outage. Change: the stand-in cell waits until each partition is active at its preferred owner; the daemon's listen queue holds 512 connections instead of 5.

--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -19,6 +19,8 @@
 EXIT_BAD_SETTING = 2
 EXIT_PARTITION_MISMATCH = 3
 SOCKET_TIMEOUT_S = 10
+# Room for a burst of connections; the default is 5.
+SOCKET_QUEUE_SIZE = 512
 
 
 def run(**flags: object) -> None:
@@ -71,6 +73,7 @@
             "server.socket_port": cfg.http_port,
             "server.thread_pool": cfg.http_threads,
             "server.socket_timeout": SOCKET_TIMEOUT_S,
+            "server.socket_queue_size": SOCKET_QUEUE_SIZE,
             # The entry refuses large bodies itself, with a result code.
             "server.max_request_body_size": 0,
             "log.screen": False,
--- a/packages/standins/lagoonshelf_standins/cell.py
+++ b/packages/standins/lagoonshelf_standins/cell.py
@@ -16,8 +16,9 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from lagoonshelf_core.ids import KeyId, TeamId
+from lagoonshelf_core.ids import KeyId, MemberId, TeamId
 from lagoonshelf_core.keys import new_key
+from lagoonshelf_core.routing import preferred_owners
 
 OPERATOR_KEY = "operator-key-of-the-stand-in-cell"
 CLUSTER_SECRET = "secret-of-the-stand-in-cell"
@@ -138,14 +139,15 @@
             wait_until(lambda url=url: self._status(url + "/healthz") == 200, f"{name} healthy")
 
     def wait_owned(self, partitions: int = 4) -> None:
-        """Wait until each partition has an active owner and no daemon has more than its part."""
+        """Wait until each partition is active at its preferred owner, so that none moves on."""
 
-        def balanced() -> bool:
-            owned = [self._active_in(name) for name in self.daemons]
-            bound = -(-partitions // len(owned))
-            return len(set().union(*owned)) == partitions and max(map(len, owned)) <= bound
+        def settled() -> bool:
+            active = {name: self._active_in(name) for name in self.daemons}
+            live = [MemberId(name) for name, owned in active.items() if owned is not None]
+            wanted = preferred_owners(live, partitions)
+            return bool(wanted) and all(str(p) in active[name] for p, name in wanted.items())
 
-        wait_until(balanced, "all partitions active and balanced")
+        wait_until(settled, "all partitions active at their preferred owners")
 
     def configure(self, document: dict) -> int:
         """Make a document the next revision, whatever the current one is."""
@@ -225,9 +227,13 @@
         for process in processes:
             process.wait()
 
-    def _active_in(self, name: str) -> set[str]:
-        state = self.state(name) or {"partitions": {}}
-        return {p for p, owner in state["partitions"].items() if owner["state"] == "active"}
+    def _active_in(self, name: str) -> set[str] | None:
+        """Return the active partitions of a daemon, none when it does not answer."""
+        state = self.state(name)
+        if state is None:
+            return None
+        owners = state["partitions"].items()
+        return {partition for partition, owner in owners if owner["state"] == "active"}
 
     def _status(self, url: str) -> int:
         try:
