--- a/packages/standins/lagoonshelf_standins/cell.py
+++ b/packages/standins/lagoonshelf_standins/cell.py
@@ -16,6 +16,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from lagoonshelf_core.grants import BASE_SHARE_DIVISOR
 from lagoonshelf_core.ids import KeyId, MemberId, TeamId
 from lagoonshelf_core.keys import new_key
 from lagoonshelf_core.routing import preferred_owners
@@ -149,6 +150,26 @@
 
         wait_until(settled, "all partitions active at their preferred owners")
 
+    def wait_grants(self, document: dict, partitions: int = 4) -> None:
+        """Wait until each partition holds its base grant, without which it starts nothing.
+
+        :param document: configuration in force; teams with a small limit have no base grant
+        """
+        least = BASE_SHARE_DIVISOR * partitions
+        teams = [n for n, team in document["teams"].items() if team["limit_tasks"] >= least]
+        wait_until(lambda: all(self._holds_grants(n, partitions) for n in teams), "base grants")
+
+    def _holds_grants(self, team: str, partitions: int) -> bool:
+        found = self.call(self.store_url + "/get", {"key": f"grants/{team}"}) or {}
+        entries = orjson.loads(found.get("value") or '{"grants": {}}')["grants"]
+        epochs = {
+            partition: owner["epoch"]
+            for name in self.daemons
+            for partition, owner in (self.state(name) or {"partitions": {}})["partitions"].items()
+        }
+        held = {p for p, (_, _, epoch, _) in entries.items() if epochs.get(p) == epoch}
+        return len(held) == partitions
+
     def configure(self, document: dict) -> int:
         """Make a document the next revision, whatever the current one is."""
         name = next(iter(self.daemons))
--- a/tests/support/base.py
+++ b/tests/support/base.py
@@ -23,6 +23,12 @@
         self.cell.configure(self.document())
         self.cell.wait_healthy()
         self.cell.wait_owned()
+        self.cell.wait_grants(self.document_in_force())
+
+    def document_in_force(self) -> dict:
+        """Return the document that a daemon has in force."""
+        url = next(iter(self.cell.daemons.values())).url
+        return self.cell.call(url + "/v1/config", operator=True)["document"]
 
     def document(self) -> dict:
         """Return the configuration of the cell."""
