--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,10 @@
 
 .PHONY: demo test bench format lint docs
 
-$(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%) -e platform
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/packages/core/lagoonshelf_core/health.py
+++ b/packages/core/lagoonshelf_core/health.py
@@ -20,6 +20,25 @@
 SUSPECT_STARTS = 4
 
 
+@dataclass(frozen=True, slots=True)
+class HealthLimits:
+    """When a worker is kept away from work, and for how long.
+
+    :param streak: failures in a row that begin a quarantine
+    :param history: recent outcomes; a quarantine begins when over half of them failed
+    :param task_workers: workers on which a task may fail before it is blamed itself
+    """
+
+    streak: int = STREAK_LIMIT
+    history: int = HISTORY
+    first_quarantine_ms: int = FIRST_QUARANTINE_MS
+    max_quarantine_ms: int = MAX_QUARANTINE_MS
+    forgive_ms: int = FORGIVE_MS
+    probes_to_clear: int = PROBES_TO_CLEAR
+    task_workers: int = TASK_WORKER_LIMIT
+    suspect_starts: int = SUSPECT_STARTS
+
+
 class Verdict(Enum):
     """What a failure says about the task."""
 
@@ -36,7 +55,8 @@
     :param probes: probes that ended well since the quarantine
     """
 
-    outcomes: deque[tuple[TaskId, bool]] = field(default_factory=lambda: deque(maxlen=HISTORY))
+    limits: HealthLimits
+    outcomes: deque[tuple[TaskId, bool]] = field(default_factory=deque)
     unresolved: set[TaskId] = field(default_factory=set)
     suspended: bool = False
     until_ms: int = 0
@@ -44,6 +64,12 @@
     cleared_ms: int = 0
     probes: int = 0
 
+    def note(self, task: TaskId, succeeded: bool) -> None:
+        """Add an outcome and drop the oldest one beyond the history."""
+        self.outcomes.append((task, succeeded))
+        if len(self.outcomes) > self.limits.history:
+            self.outcomes.popleft()
+
     def streak(self) -> int:
         """Return the number of failures since the last success."""
         count = 0
@@ -59,7 +85,7 @@
 
     def is_bad(self) -> bool:
         """Tell whether the recent outcomes call for a quarantine."""
-        return self.streak() >= STREAK_LIMIT or self.failures() > HISTORY // 2
+        return self.streak() >= self.limits.streak or self.failures() > self.limits.history // 2
 
 
 class Health:
@@ -68,8 +94,9 @@
     A stopped or cancelled task is neither a success nor a failure: report it with ``dropped``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: HealthLimits | None = None) -> None:
         """Start with all workers trusted."""
+        self._limits = limits or HealthLimits()
         self._workers: dict[WorkerId, _Worker] = {}
         self._failed_on: OrderedDict[TaskId, set[WorkerId]] = OrderedDict()
 
@@ -86,7 +113,7 @@
         streak = entry.streak()
         if streak == 0:
             return True
-        return len(entry.unresolved) < max(1, SUSPECT_STARTS - streak + 1)
+        return len(entry.unresolved) < max(1, self._limits.suspect_starts - streak + 1)
 
     def penalty(self, worker: WorkerId) -> int:
         """Return the recent failures; placement prefers workers with fewer before free room."""
@@ -109,7 +136,7 @@
 
     def started(self, worker: WorkerId, task: TaskId) -> None:
         """Note a start whose outcome is open."""
-        self._workers.setdefault(worker, _Worker()).unresolved.add(task)
+        self._workers.setdefault(worker, _Worker(self._limits)).unresolved.add(task)
 
     def dropped(self, worker: WorkerId, task: TaskId) -> None:
         """Note that a start ended without an outcome of its own: stopped, cancelled, refused."""
@@ -120,20 +147,20 @@
     def succeeded(self, worker: WorkerId, task: TaskId, now_ms: int) -> None:
         """Note that a task ended well."""
         self._failed_on.pop(task, None)
-        entry = self._workers.setdefault(worker, _Worker())
+        entry = self._workers.setdefault(worker, _Worker(self._limits))
         entry.unresolved.discard(task)
-        entry.outcomes.append((task, True))
+        entry.note(task, True)
         if not entry.suspended or now_ms < entry.until_ms:
             return
         entry.probes += 1
-        if entry.probes >= PROBES_TO_CLEAR:
+        if entry.probes >= self._limits.probes_to_clear:
             _clear(entry, now_ms)
 
     def failed(self, worker: WorkerId, task: TaskId, now_ms: int) -> Verdict:
         """Note that a task failed, and tell whether to try it again."""
-        entry = self._workers.setdefault(worker, _Worker())
+        entry = self._workers.setdefault(worker, _Worker(self._limits))
         entry.unresolved.discard(task)
-        entry.outcomes.append((task, False))
+        entry.note(task, False)
         if self._blame(task, worker):
             self._acquit(task, now_ms)
             return Verdict.TASK_FAULT
@@ -155,7 +182,7 @@
         self._failed_on.move_to_end(task)
         if len(self._failed_on) > MAX_FAILED_TASKS:
             self._failed_on.popitem(last=False)
-        return len(workers) >= TASK_WORKER_LIMIT
+        return len(workers) >= self._limits.task_workers
 
     def _acquit(self, task: TaskId, now_ms: int) -> None:
         """Take the failures of a task back from the workers it ran on."""
@@ -164,7 +191,7 @@
             if entry is None:
                 continue
             kept = [outcome for outcome in entry.outcomes if outcome != (task, False)]
-            entry.outcomes = deque(kept, maxlen=HISTORY)
+            entry.outcomes = deque(kept)
             if entry.suspended and not entry.is_bad():
                 _clear(entry, now_ms)
 
@@ -178,14 +205,14 @@
         return
     if not entry.is_bad():
         return
-    if now_ms - entry.cleared_ms > FORGIVE_MS:
+    if now_ms - entry.cleared_ms > entry.limits.forgive_ms:
         entry.quarantine_ms = 0
     _quarantine(entry, now_ms)
 
 
 def _quarantine(entry: _Worker, now_ms: int) -> None:
-    doubled_ms = min(entry.quarantine_ms * 2, MAX_QUARANTINE_MS)
-    entry.quarantine_ms = max(doubled_ms, FIRST_QUARANTINE_MS)
+    doubled_ms = min(entry.quarantine_ms * 2, entry.limits.max_quarantine_ms)
+    entry.quarantine_ms = max(doubled_ms, entry.limits.first_quarantine_ms)
     entry.suspended = True
     entry.until_ms = now_ms + entry.quarantine_ms
     entry.probes = 0
--- /dev/null
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -0,0 +1,478 @@
+"""State of the whole cell at its holder: jobs, workers, runs, and what events mean for them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lagoonshelf_core.health import Health, HealthLimits
+from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
+from lagoonshelf_core.jobs.commands import Command, StopRun
+from lagoonshelf_core.jobs.config import CellConfig, Queue
+from lagoonshelf_core.jobs.permits import Permits
+from lagoonshelf_core.jobs.progress import (
+    ATTEMPTS_SKIPPED,
+    Job,
+    JobState,
+    Run,
+    RunEnd,
+    RunPhase,
+    StepRun,
+    Task,
+    restore_progress,
+)
+from lagoonshelf_core.jobs.rates import TeamRates
+from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence
+from lagoonshelf_core.jobs.workers import Worker, WorkerInfo
+from lagoonshelf_core.resources import NOTHING, Resources
+
+# A worker is kept away from work after two failures in a row of different jobs; both sites' calm
+# days have 2% to 5% of runs that fail by chance.
+WORKER_LIMITS = HealthLimits(
+    streak=2,
+    history=8,
+    first_quarantine_ms=4_000,
+    max_quarantine_ms=16_000,
+    forgive_ms=60_000,
+    probes_to_clear=1,
+    task_workers=2,
+    suspect_starts=8,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RunningRow:
+    """A run that a worker lists as running.
+
+    :param load: tail in ms of a service's task, processor use of another one
+    """
+
+    name: str
+    attempt: int
+    checkpoint: str
+    percent: int
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRow:
+    """A run that a worker lists as ended; ``number`` counts the ends of its incarnation."""
+
+    number: int
+    name: str
+    attempt: int
+    how: RunEnd
+    checkpoint: str
+
+
+class Cell:
+    """Jobs, workers and runs; events come in, changed jobs and commands go out."""
+
+    def __init__(self, cfg: CellConfig) -> None:
+        """Start empty.
+
+        :param cfg: configuration in force
+        """
+        self.cfg = cfg
+        self.jobs: dict[JobId, Job] = {}
+        self.live: dict[JobId, Job] = {}
+        self.open_steps: set[StepRun] = set()
+        self.workers: dict[WorkerId, Worker] = {}
+        self.team_use: dict[TeamId, Resources] = {}
+        self.permits = Permits()
+        self.health = Health(WORKER_LIMITS)
+        self.rates = TeamRates()
+        self.changed: set[Job] = set()
+        self.commands: list[Command] = []
+        self.notes: list[tuple[str, dict[str, object]]] = []
+
+    # Jobs
+
+    def accept(self, spec: JobSpec, now_ms: int, *, is_inherited: bool = False) -> Job:
+        """Take a stored job in; a job that is known is returned as it is."""
+        known = self.jobs.get(spec.id)
+        if known is not None:
+            return known
+        job = Job(spec, now_ms, is_inherited=is_inherited)
+        job.attempt_floor = ATTEMPTS_SKIPPED if is_inherited else 0
+        team = self.cfg.teams.get(spec.team)
+        job.is_excess = team is not None and not self.rates.admit(team, now_ms)
+        self.jobs[spec.id] = job
+        self.live[spec.id] = job
+        if not spec.occurrences:
+            job.occurrence_steps(Occurrence(0))
+            self.refresh_steps(job)
+        return job
+
+    def restore(self, spec: JobSpec, progress: bytes | None, now_ms: int) -> Job:
+        """Take in a job with the durable record of its progress.
+
+        :raises ValueError: when the record cannot be read
+        """
+        job = self.accept(spec, now_ms, is_inherited=True)
+        job.is_excess = False
+        if progress is not None:
+            restore_progress(job, progress)
+        if job.is_final:
+            self._close(job)
+        else:
+            self.refresh_steps(job)
+        return job
+
+    def cancel(self, job_id: JobId, now_wall_ms: int) -> bool:
+        """Cancel a job; tell whether it was known and not final."""
+        job = self.jobs.get(job_id)
+        if job is None or job.is_final:
+            return False
+        self._finish(job, JobState.CANCELLED, now_wall_ms)
+        return True
+
+    def forget_job(self, job_id: JobId) -> None:
+        """Drop a final job."""
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self.live.pop(job_id, None)
+            self.changed.discard(job)
+
+    def queue_of(self, job: Job) -> Queue | None:
+        """Return the queue of a job, none when the configuration no longer has it."""
+        return self.cfg.queues.get(job.spec.queue)
+
+    def pending(self) -> dict[str, int]:
+        """Return the number of jobs by queue of which no task has started."""
+        counts: dict[str, int] = {}
+        for job in self.live.values():
+            if not job.has_started:
+                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+        return counts
+
+    def refresh_steps(self, job: Job) -> None:
+        """Note which steps of a job have tasks that could start."""
+        for step in job.steps.values():
+            is_open = not job.is_final and job.is_ready(step)
+            if is_open and any(task.is_waiting for task in step.tasks):
+                self.open_steps.add(step)
+            else:
+                self.open_steps.discard(step)
+
+    def open_due(self, now_wall_ms: int) -> None:
+        """Open the occurrences whose time has come."""
+        for job in self.live.values():
+            spec = job.spec
+            if not spec.occurrences:
+                continue
+            opened = len(job.steps) // len(spec.steps)
+            while opened < spec.occurrences:
+                if now_wall_ms < spec.first_due_ms + opened * spec.interval_ms:
+                    break
+                job.occurrence_steps(Occurrence(opened))
+                opened += 1
+                self.refresh_steps(job)
+
+    # Workers
+
+    def see_worker(self, info: WorkerInfo, now_ms: int) -> Worker:
+        """Note what a worker says of itself; a new incarnation has none of the old runs."""
+        worker = self.workers.get(info.id)
+        if worker is not None and info.born_ms < worker.info.born_ms:
+            return worker
+        if worker is None:
+            worker = self.workers[info.id] = Worker(info)
+        elif worker.info.born_ms != info.born_ms:
+            self.end_all(worker, now_ms, "worker started again")
+            worker.is_read = False
+            worker.lapse_ms = 0
+            self.health.forget_worker(info.id)
+        if info.is_draining and not worker.info.is_draining:
+            worker.leaves_ms = now_ms + info.remaining_ms
+        worker.info = info
+        worker.is_listed = True
+        return worker
+
+    def drop_worker(self, worker: Worker) -> None:
+        """Forget a worker on which nothing can run any more."""
+        self.workers.pop(worker.id, None)
+
+    def end_all(self, worker: Worker, now_ms: int, reason: str) -> None:
+        """End all runs of a worker that has lost them."""
+        for run in list(worker.runs.values()):
+            self.note("run lost", run, reason=reason)
+            self.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
+
+    def report(
+        self,
+        worker: Worker,
+        running: Iterable[RunningRow],
+        ended: Iterable[EndedRow],
+        asked_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Apply what a worker lists.
+
+        :param asked_ms: clock time at which the list was asked for
+        """
+        for row in ended:
+            self._apply_end(worker, row, now_ms)
+        listed = set()
+        for row in running:
+            listed.add((row.name, row.attempt))
+            self._apply_running(worker, row, now_ms)
+        for key, run in list(worker.runs.items()):
+            if key not in listed and run.confirmed_ms and run.confirmed_ms < asked_ms:
+                self.note("run missing", run, reason="not listed by its worker")
+                self.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
+
+    def _apply_running(self, worker: Worker, row: RunningRow, now_ms: int) -> None:
+        run = worker.runs.get((row.name, row.attempt))
+        if run is None:
+            run = self._adopt(worker, row, now_ms)
+        elif run.phase is RunPhase.STARTING:
+            self.start_confirmed(run, now_ms)
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.percent_at_ms = now_ms
+        run.load = row.load
+        if row.checkpoint:
+            run.checkpoint = row.checkpoint
+            if run.task is not None and run.task.run is run:
+                run.task.checkpoint = row.checkpoint
+
+    def _adopt(self, worker: Worker, row: RunningRow, now_ms: int) -> Run:
+        """Take over a run that this holder did not start, or stop it when it is not wanted."""
+        task = self.find_task(row.name)
+        step = None if task is None else task.step
+        run = Run(
+            row.name,
+            row.attempt,
+            worker.id,
+            NOTHING if step is None else step.spec.size,
+            None if step is None else step.job.spec.team,
+            task,
+            RunPhase.RUNNING,
+            now_ms,
+            is_filler=step is not None and step.spec.is_filler,
+            is_service=step is not None and step.spec.is_service,
+            confirmed_ms=now_ms,
+            percent_at_ms=now_ms,
+        )
+        self._hold(worker, run)
+        if task is None or task.job.is_final or not task.is_waiting or not self._is_current(run):
+            self.stop(run, "not wanted")
+            return run
+        task.run = run
+        task.attempt = max(task.attempt, row.attempt)
+        task.job.has_started = True
+        self.health.started(worker.id, TaskId(task.job.id))
+        self._settle(task.job, now_ms)
+        self.note("run adopted", run)
+        return run
+
+    def _is_current(self, run: Run) -> bool:
+        """Tell whether a run found on a worker is of the gang's newest attempt."""
+        task = run.task
+        if task is None or not task.step.spec.is_gang:
+            return True
+        attempts = [other.run.attempt for other in task.step.tasks if other.run is not None]
+        return all(attempt == run.attempt for attempt in attempts)
+
+    # Runs
+
+    def find_task(self, name: str) -> Task | None:
+        """Return a task by its name, none when it is not known here."""
+        parts = name.split(".")
+        job = self.jobs.get(JobId(parts[0]))
+        if job is None or len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+            return None
+        occurrence, step, index = (int(part) for part in parts[1:])
+        return job.find_task(occurrence, step, index)
+
+    def begin(self, task: Task, worker: Worker, attempt: int, now_ms: int) -> Run:
+        """Hold room for a run that is about to be started."""
+        spec = task.step.spec
+        run = Run(
+            task.name,
+            attempt,
+            worker.id,
+            spec.size,
+            task.job.spec.team,
+            task,
+            RunPhase.STARTING,
+            now_ms,
+            is_filler=spec.is_filler,
+            is_service=spec.is_service,
+            percent_at_ms=now_ms,
+        )
+        task.run = run
+        task.attempt = attempt
+        self._hold(worker, run)
+        self.health.started(worker.id, TaskId(task.job.id))
+        return run
+
+    def start_confirmed(self, run: Run, now_ms: int) -> None:
+        """Note that a worker has begun a run."""
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+        run.confirmed_ms = now_ms
+        run.percent_at_ms = now_ms
+        if run.task is not None and not run.task.job.has_started:
+            job = run.task.job
+            job.has_started = True
+            if job.state is JobState.QUEUED:
+                job.state = JobState.RUNNING
+                self.changed.add(job)
+
+    def start_refused(self, run: Run) -> None:
+        """Note that a worker did not begin a run and never will."""
+        self._release(run)
+        self.health.dropped(run.worker, TaskId(run.name.partition(".")[0]))
+        if run.task is not None and run.task.run is run:
+            run.task.run = None
+            self.refresh_steps(run.task.job)
+
+    def stop(self, run: Run, reason: str) -> None:
+        """Order the stop of a run; its room stays held until its end is listed."""
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        self.commands.append(StopRun(run, reason))
+
+    def end_run(self, run: Run, how: RunEnd, checkpoint: str, now_ms: int) -> None:
+        """Apply the end of a run."""
+        self._release(run)
+        task = run.task
+        if task is None:
+            return
+        job_id = TaskId(task.job.id)
+        if how is RunEnd.DONE:
+            self.health.succeeded(run.worker, job_id, now_ms)
+        elif how is RunEnd.FAILED:
+            self.health.failed(run.worker, job_id, now_ms)
+        else:
+            self.health.dropped(run.worker, job_id)
+        if task.run is run:
+            task.run = None
+        self._count_end(task, run.attempt, how, checkpoint, now_ms)
+
+    def _apply_end(self, worker: Worker, row: EndedRow, now_ms: int) -> None:
+        run = worker.runs.get((row.name, row.attempt))
+        if run is not None:
+            self.note("run ended", run, how=row.how.value, percent=run.percent)
+            self.end_run(run, row.how, row.checkpoint, now_ms)
+            return
+        task = self.find_task(row.name)
+        if task is not None and row.attempt > task.settled_attempt:
+            self._count_end(task, row.attempt, row.how, row.checkpoint, now_ms)
+
+    def _count_end(
+        self, task: Task, attempt: int, how: RunEnd, checkpoint: str, now_ms: int
+    ) -> None:
+        """Count an end once for its task, its gang and its job."""
+        if attempt <= task.settled_attempt:
+            return
+        step, job = task.step, task.job
+        task.settled_attempt = attempt
+        task.attempt = max(task.attempt, attempt)
+        if checkpoint:
+            task.checkpoint = checkpoint
+        if how is RunEnd.DONE:
+            self._mark_done(task, attempt)
+        elif how is RunEnd.FAILED:
+            task.failures += 1
+            if step.spec.is_gang and step.gang_failed_attempt < attempt:
+                step.gang_failures += 1
+                step.gang_failed_attempt = attempt
+        if step.spec.is_gang and how in (RunEnd.FAILED, RunEnd.LAPSED, RunEnd.ALONE):
+            self.break_gang(step, attempt)
+        self.changed.add(job)
+        self._settle(job, now_ms)
+
+    def _mark_done(self, task: Task, attempt: int) -> None:
+        """Mark a task as done; the end of one member stands for all of its gang's attempt."""
+        members = task.step.tasks if task.step.spec.is_gang else [task]
+        for member in members:
+            member.is_done = True
+            member.checkpoint = ""
+            run = member.run
+            if run is not None and run.attempt != attempt:
+                self.stop(run, "another run is done")
+
+    def break_gang(self, step: StepRun, attempt: int) -> None:
+        """Stop what is left of a gang's attempt; its workers may not know of the end yet."""
+        for member in step.tasks:
+            run = member.run
+            if run is not None and run.attempt == attempt:
+                self.stop(run, "another member ended")
+
+    def _settle(self, job: Job, now_ms: int) -> None:
+        """Bring the state of a job up to date after an end."""
+        del now_ms
+        if job.is_final:
+            return
+        queue = self.queue_of(job)
+        if queue is not None and self._has_failed(job, queue.max_failures):
+            self._finish(job, JobState.FAILED, 0)
+        elif job.is_complete():
+            self._finish(job, JobState.COMPLETE, 0)
+        else:
+            if job.has_started and job.state is JobState.QUEUED:
+                job.state = JobState.RUNNING
+                self.changed.add(job)
+            self.refresh_steps(job)
+
+    def _has_failed(self, job: Job, max_failures: int) -> bool:
+        for step in job.steps.values():
+            if step.spec.is_service:
+                continue
+            if step.spec.is_gang:
+                if step.gang_failures >= max_failures and not step.is_done:
+                    return True
+            elif any(t.failures >= max_failures and not t.is_done for t in step.tasks):
+                return True
+        return False
+
+    def _finish(self, job: Job, state: JobState, now_wall_ms: int) -> None:
+        job.state = state
+        job.ended_wall_ms = now_wall_ms
+        self._close(job)
+        self.changed.add(job)
+        for step in job.steps.values():
+            for task in step.tasks:
+                if task.run is not None and not task.is_done:
+                    self.stop(task.run, f"job is {state.value}")
+
+    def _close(self, job: Job) -> None:
+        self.live.pop(job.id, None)
+        self.refresh_steps(job)
+        for step in job.steps.values():
+            self.permits.forget(step.name)
+
+    def _hold(self, worker: Worker, run: Run) -> None:
+        worker.add(run)
+        if run.team is not None:
+            used = self.team_use.get(run.team, NOTHING)
+            self.team_use[run.team] = used + run.size
+
+    def _release(self, run: Run) -> None:
+        worker = self.workers.get(run.worker)
+        if worker is None or worker.runs.get((run.name, run.attempt)) is not run:
+            return
+        worker.remove(run)
+        if run.team is not None:
+            self.team_use[run.team] = self.team_use[run.team] - run.size
+
+    def is_within_limit(self, team_id: TeamId, more: Resources) -> bool:
+        """Tell whether a team may have so much more running."""
+        team = self.cfg.teams.get(team_id)
+        if team is None:
+            return True
+        use = self.team_use.get(team_id, NOTHING) + more
+        limit = team.limit
+        return (
+            (limit.cpu_milli == 0 or use.cpu_milli <= limit.cpu_milli)
+            and (limit.memory_mib == 0 or use.memory_mib <= limit.memory_mib)
+            and (limit.accelerators == 0 or use.accelerators <= limit.accelerators)
+        )
+
+    def note(self, message: str, run: Run, **fields: object) -> None:
+        """Keep a decision for the log."""
+        fields.update(request=run.name.partition(".")[0], task=run.name, attempt=run.attempt)
+        fields["worker"] = run.worker
+        self.notes.append((message, fields))
--- /dev/null
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -0,0 +1,317 @@
+"""The pass that decides which tasks start, and where."""
+
+from dataclasses import dataclass, field
+
+from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
+from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.commands import AskAdvice, StartRun
+from lagoonshelf_core.jobs.config import Queue
+from lagoonshelf_core.jobs.progress import StepRun, Task
+from lagoonshelf_core.jobs.ranking import Band, rank
+from lagoonshelf_core.jobs.workers import Worker, room_of
+from lagoonshelf_core.resources import NOTHING, Resources
+
+# Workers named in one question to the placement policy.
+MAX_NAMED = 40
+# Waiting steps whose permits are kept valid while they wait for room.
+MAX_ADVISED_STEPS = 24
+# Room that batch work leaves on each worker for urgent tasks, in thousandths of its processors.
+URGENT_RESERVE_PERMILLE = 80
+# Gangs that may hold back other batch work from workers at once.
+MAX_RESERVATIONS = 2
+# Members of a gang on one worker when they need none of its resources.
+MAX_GANG_ON_WORKER = 1_000
+
+
+@dataclass(slots=True)
+class _Pass:
+    """State of one pass."""
+
+    now_ms: int
+    usable: dict[str, list[Worker]]
+    advised: int = 0
+    reservations: int = 0
+    reserved: set[WorkerId] = field(default_factory=set)
+    advice_budget_ms: float = 0.0
+    blocked_teams: set[tuple[TeamId, Resources]] = field(default_factory=set)
+
+
+def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> None:
+    """Add commands to the cell for what should start now.
+
+    :param advice_budget_ms: time of the placement policy that may be asked for
+    """
+    cell.open_due(now_wall_ms)
+    usable: dict[str, list[Worker]] = {}
+    for worker in cell.workers.values():
+        if worker.is_usable and not cell.health.is_quarantined(worker.id, now_ms):
+            usable.setdefault(worker.info.pool, []).append(worker)
+    state = _Pass(now_ms, usable, advice_budget_ms=advice_budget_ms)
+    ranked = []
+    for step in cell.open_steps:
+        queue = cell.queue_of(step.job)
+        if queue is not None:
+            ranked.append((rank(step, queue, now_ms), step.name, step, queue))
+    ranked.sort(key=lambda row: row[:2])
+    has_unread = any(worker.blocks_inherited for worker in cell.workers.values())
+    for (band, _), _, step, queue in ranked:
+        if step.job.is_inherited and has_unread:
+            continue
+        _serve(cell, state, step, queue, Band(band))
+
+
+def _serve(cell: Cell, state: _Pass, step: StepRun, queue: Queue, band: Band) -> None:
+    """Start what can be started of one step."""
+    workers = state.usable.get(queue.pool, [])
+    workers = [worker for worker in workers if _suits(step, worker)]
+    permits: dict[WorkerId, str] | None = None
+    if queue.advice is not None:
+        permits = cell.permits.valid(step.name, state.now_ms)
+        _ask_advice(cell, state, step, queue, workers)
+        if not permits:
+            return
+        workers = [worker for worker in workers if worker.id in permits]
+    if step.spec.is_gang:
+        placed = _place_gang(cell, state, step, workers, band)
+    else:
+        placed = _place_tasks(cell, state, step, workers, band)
+    gang_attempt = max(task.attempt for task in step.tasks) + 1
+    checkpoint = max(task.checkpoint for task in step.tasks)
+    for task, worker in placed:
+        permit = "" if permits is None else permits[worker.id]
+        if step.spec.is_gang:
+            _start(cell, state, task, worker, gang_attempt, checkpoint, permit)
+        else:
+            _start(cell, state, task, worker, task.attempt + 1, task.checkpoint, permit)
+    if placed:
+        cell.refresh_steps(step.job)
+
+
+def _suits(step: StepRun, worker: Worker) -> bool:
+    return not step.spec.label or step.spec.label in worker.info.labels
+
+
+def _ask_advice(
+    cell: Cell, state: _Pass, step: StepRun, queue: Queue, workers: list[Worker]
+) -> None:
+    terms = queue.advice
+    if terms is None or state.advised >= MAX_ADVISED_STEPS or not workers:
+        return
+    state.advised += 1
+    named = _to_name(cell, step, workers)
+    cost_ms = terms.base_ms + terms.per_worker_ms * len(named)
+    if not named or not cell.permits.is_due(step.name, cost_ms, state.now_ms):
+        return
+    if state.advice_budget_ms < cost_ms and state.advised > 1:
+        return
+    state.advice_budget_ms -= cost_ms
+    cell.permits.asking(step.name)
+    cell.commands.append(AskAdvice(step, named, cost_ms))
+
+
+def _to_name(cell: Cell, step: StepRun, workers: list[Worker]) -> tuple[WorkerId, ...]:
+    """Return the workers to ask about, those with most free processors first."""
+    by_room = sorted(workers, key=lambda w: (w.used.cpu_milli - w.info.capacity.cpu_milli, w.id))
+    return tuple(cell.permits.to_ask(step.name, [w.id for w in by_room])[:MAX_NAMED])
+
+
+def _place_tasks(
+    cell: Cell, state: _Pass, step: StepRun, workers: list[Worker], band: Band
+) -> list[tuple[Task, Worker]]:
+    """Choose a worker for each waiting task of a step whose tasks are independent."""
+    spec = step.spec
+    placed: list[tuple[Task, Worker]] = []
+    on_worker = _count_by_worker(step)
+    extra: dict[WorkerId, Resources] = {}
+    total = NOTHING
+    for task in step.waiting_tasks:
+        if not cell.is_within_limit(step.job.spec.team, total + spec.size):
+            break
+        best = _choose(cell, state, task, workers, extra, on_worker, band)
+        if best is None:
+            break
+        placed.append((task, best))
+        total += spec.size
+        extra[best.id] = extra.get(best.id, NOTHING) + room_of(spec.size, spec.is_filler)
+        on_worker[best.id] = on_worker.get(best.id, 0) + 1
+    return placed
+
+
+def _count_by_worker(step: StepRun) -> dict[WorkerId, int]:
+    counts: dict[WorkerId, int] = {}
+    for task in step.tasks:
+        if task.run is not None:
+            counts[task.run.worker] = counts.get(task.run.worker, 0) + 1
+    return counts
+
+
+def _choose(
+    cell: Cell,
+    state: _Pass,
+    task: Task,
+    workers: list[Worker],
+    extra: dict[WorkerId, Resources],
+    on_worker: dict[WorkerId, int],
+    band: Band,
+) -> Worker | None:
+    """Return the best worker with room for a task, none when no worker has room."""
+    spec = task.step.spec
+    best: Worker | None = None
+    best_score: tuple | None = None
+    avoided = cell.health.avoid(TaskId(task.job.id))
+    for worker in workers:
+        if spec.max_per_worker and on_worker.get(worker.id, 0) >= spec.max_per_worker:
+            continue
+        if worker.id in state.reserved and band > Band.URGENT:
+            continue
+        free = _free(worker, extra.get(worker.id, NOTHING), band)
+        if not room_of(spec.size, spec.is_filler).fits_in(free):
+            continue
+        if not cell.health.may_start(worker.id, True, state.now_ms):
+            continue
+        score = _score(task, worker, free, worker.id in avoided)
+        if best_score is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
+def _free(worker: Worker, extra: Resources, band: Band) -> Resources:
+    """Return the free room of a worker for work of a band."""
+    free = worker.info.capacity - worker.used - extra
+    if band <= Band.URGENT:
+        return free
+    reserve = worker.info.capacity.cpu_milli * URGENT_RESERVE_PERMILLE // 1000
+    return free - Resources(cpu_milli=reserve)
+
+
+def _score(task: Task, worker: Worker, free: Resources, is_avoided: bool) -> tuple:
+    """Return how badly a worker suits a task, lowest best."""
+    spec = task.step.spec
+    is_far = bool(spec.rack) and worker.info.rack != spec.rack
+    if spec.is_service:
+        return (is_avoided, is_far, worker.fillers + worker.services, -free.cpu_milli, worker.id)
+    if spec.is_filler:
+        return (is_avoided, worker.services, worker.fillers, -free.cpu_milli, worker.id)
+    return (is_avoided, is_far, free.cpu_milli, worker.id)
+
+
+def _place_gang(
+    cell: Cell, state: _Pass, step: StepRun, workers: list[Worker], band: Band
+) -> list[tuple[Task, Worker]]:
+    """Choose workers for all tasks of a gang, or for none."""
+    spec = step.spec
+    if not all(task.is_waiting for task in step.tasks):
+        return []
+    if not cell.is_within_limit(step.job.spec.team, spec.size.scaled(spec.count)):
+        return []
+    placed = _fit_gang(cell, state, step, workers, band)
+    if placed:
+        return placed
+    if band <= Band.ON_TIME and state.reservations < MAX_RESERVATIONS:
+        _reserve(cell, state, step, workers)
+    return []
+
+
+def _fit_gang(
+    cell: Cell, state: _Pass, step: StepRun, workers: list[Worker], band: Band
+) -> list[tuple[Task, Worker]]:
+    """Return a worker for each member, fullest workers first; empty when they do not all fit."""
+    spec = step.spec
+    size = room_of(spec.size, spec.is_filler)
+    avoided = cell.health.avoid(TaskId(step.job.id))
+    slots: list[tuple[tuple, Worker, int]] = []
+    for worker in workers:
+        if worker.id in state.reserved and band > Band.URGENT:
+            continue
+        if not cell.health.may_start(worker.id, True, state.now_ms):
+            continue
+        free = _free(worker, NOTHING, band)
+        count = _times_in(size, free)
+        if spec.max_per_worker:
+            count = min(count, spec.max_per_worker)
+        if count:
+            is_far = bool(spec.rack) and worker.info.rack != spec.rack
+            key = (worker.id in avoided, is_far, -count, free.cpu_milli, worker.id)
+            slots.append((key, worker, count))
+    slots.sort(key=lambda row: row[0])
+    if spec.same_rack:
+        slots = _one_rack(slots, spec.count)
+    placed: list[tuple[Task, Worker]] = []
+    waiting = list(step.tasks)
+    for _, worker, count in slots:
+        for _ in range(min(count, len(waiting))):
+            placed.append((waiting.pop(), worker))
+        if not waiting:
+            return placed
+    return []
+
+
+def _one_rack(
+    slots: list[tuple[tuple, Worker, int]], needed: int
+) -> list[tuple[tuple, Worker, int]]:
+    """Return the slots of one rack that holds the whole gang, all of them when none does."""
+    by_rack: dict[str, int] = {}
+    for _, worker, count in slots:
+        by_rack[worker.info.rack] = by_rack.get(worker.info.rack, 0) + count
+    fitting = sorted(rack for rack, count in by_rack.items() if count >= needed)
+    if not fitting:
+        return slots
+    return [row for row in slots if row[1].info.rack == fitting[0]]
+
+
+def _times_in(size: Resources, free: Resources) -> int:
+    """Return how many tasks of a size fit into free room."""
+    counts = [
+        whole // part
+        for part, whole in (
+            (size.cpu_milli, free.cpu_milli),
+            (size.memory_mib, free.memory_mib),
+            (size.accelerators, free.accelerators),
+        )
+        if part > 0
+    ]
+    return max(0, min(counts, default=MAX_GANG_ON_WORKER))
+
+
+def _reserve(cell: Cell, state: _Pass, step: StepRun, workers: list[Worker]) -> None:
+    """Hold back other batch work from the workers where a gang will fit first."""
+    size = room_of(step.spec.size, step.spec.is_filler)
+    needed = step.spec.count
+    chosen: list[WorkerId] = []
+    for worker in sorted(workers, key=lambda w: (w.used.cpu_milli, w.id)):
+        if worker.id in state.reserved:
+            continue
+        services = _service_use(worker)
+        reserve = Resources(worker.info.capacity.cpu_milli * URGENT_RESERVE_PERMILLE // 1000)
+        count = _times_in(size, worker.info.capacity - services - reserve)
+        if count <= 0:
+            continue
+        chosen.append(worker.id)
+        needed -= count
+        if needed <= 0:
+            state.reservations += 1
+            state.reserved.update(chosen)
+            return
+
+
+def _service_use(worker: Worker) -> Resources:
+    use = NOTHING
+    for run in worker.runs.values():
+        if run.is_service:
+            use += run.size
+    return use
+
+
+def _start(
+    cell: Cell,
+    state: _Pass,
+    task: Task,
+    worker: Worker,
+    attempt: int,
+    checkpoint: str,
+    permit: str,
+) -> None:
+    run = cell.begin(task, worker, attempt, state.now_ms)
+    cell.commands.append(StartRun(run, task.job.spec.payload, checkpoint, permit))
+    waited_ms = state.now_ms - task.job.received_ms
+    cell.note("run placed", run, queue=task.job.spec.queue, waited_ms=waited_ms)
--- /dev/null
+++ b/packages/core/lagoonshelf_core/jobs/ranking.py
@@ -0,0 +1,62 @@
+"""Order in which waiting steps are served."""
+
+from enum import IntEnum
+
+from lagoonshelf_core.jobs.config import Queue
+from lagoonshelf_core.jobs.progress import StepRun, longest_chain_ms
+
+# A job that ends later than this multiple of its objective is of no more use to its caller.
+LATE_FACTOR = 3.0
+
+
+class Band(IntEnum):
+    """Bands of the order; a lower one goes first."""
+
+    SERVICE = 0
+    URGENT = 1
+    ON_TIME = 2
+    LATE = 3
+    EXCESS = 4
+    TOO_LATE = 5
+
+
+Rank = tuple[int, float]
+
+
+def remaining_ms(step: StepRun) -> float:
+    """Return the estimated time from a step's start to the end of its job."""
+    steps = step.job.spec.steps
+    ends = {step.index: float(step.spec.estimate_ms)}
+    for index in range(step.index + 1, len(steps)):
+        before = [ends[number] for number in steps[index].after if number in ends]
+        if before:
+            ends[index] = max(before) + steps[index].estimate_ms
+    return max(ends.values())
+
+
+def objective_ms(step: StepRun, queue: Queue) -> float:
+    """Return the time from receipt within which the step's job should end."""
+    return queue.stretch * longest_chain_ms(step.job.spec) + queue.latency_ms
+
+
+def slack_ms(step: StepRun, queue: Queue, now_ms: int) -> float:
+    """Return how long the step may still wait without its job missing its objective."""
+    waited = now_ms - step.job.received_ms
+    return objective_ms(step, queue) - waited - remaining_ms(step)
+
+
+def rank(step: StepRun, queue: Queue, now_ms: int) -> Rank:
+    """Return the place of a step in the order, lowest first."""
+    job = step.job
+    if step.spec.is_service:
+        return (Band.SERVICE, job.received_ms)
+    if job.spec.occurrences:
+        return (Band.ON_TIME, 0.0)
+    slack = slack_ms(step, queue, now_ms)
+    if slack < -(LATE_FACTOR - 1.0) * objective_ms(step, queue):
+        return (Band.TOO_LATE, job.received_ms)
+    if job.is_excess:
+        return (Band.EXCESS, job.received_ms)
+    if slack < 0:
+        return (Band.LATE, job.received_ms)
+    return (Band.URGENT if queue.priority == 0 else Band.ON_TIME, slack)
--- /dev/null
+++ b/packages/core/lagoonshelf_core/jobs/rates.py
@@ -0,0 +1,35 @@
+"""How many jobs a second each team hands in, against what it is entitled to."""
+
+from dataclasses import dataclass
+
+from lagoonshelf_core.ids import TeamId
+from lagoonshelf_core.jobs.config import Team
+
+# Seconds of its rate that a team may hand in at once.
+BURST_S = 2.0
+
+
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    at_ms: int
+
+
+class TeamRates:
+    """A token bucket for each team."""
+
+    def __init__(self) -> None:
+        """Start with full buckets."""
+        self._buckets: dict[TeamId, _Bucket] = {}
+
+    def admit(self, team: Team, now_ms: int) -> bool:
+        """Count a job; tell whether it is within the team's rate."""
+        burst = max(1.0, team.weight * BURST_S)
+        bucket = self._buckets.setdefault(team.id, _Bucket(burst, now_ms))
+        gained = (now_ms - bucket.at_ms) * team.weight / 1000.0
+        bucket.tokens = min(burst, bucket.tokens + gained)
+        bucket.at_ms = now_ms
+        if bucket.tokens < 1.0:
+            return False
+        bucket.tokens -= 1.0
+        return True
--- a/packages/server/lagoonshelf_server/codec.py
+++ b/packages/server/lagoonshelf_server/codec.py
@@ -12,6 +12,8 @@
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_server.messages import (
     Ack,
+    Advice,
+    AdviceAsk,
     Answer,
     Body,
     ConfigAsk,
@@ -27,6 +29,12 @@
     FenceReply,
     GrantAsk,
     Hello,
+    JobRecord,
+    JobRef,
+    JobStateReply,
+    Pulse,
+    PulseReply,
+    Relayed,
     RequestRef,
     Status,
     Submit,
@@ -57,6 +65,17 @@
     "configAsk": ConfigAsk,
     "configReply": ConfigReply,
     "ack": Ack,
+    "jobAccepted": JobRecord,
+    "jobCancelled": JobRef,
+    "jobStateAsk": JobRef,
+    "jobState": JobStateReply,
+    "pulse": Pulse,
+    "pulseReply": PulseReply,
+    "adviceAsk": AdviceAsk,
+    "advice": Advice,
+    "relayJob": JobRecord,
+    "relayCancel": JobRef,
+    "relayed": Relayed,
 }
 
 capnp.remove_import_hook()
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -0,0 +1,90 @@
+"""The configuration in force in this process; its version never falls."""
+
+import asyncio
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.jobs.config import CellConfig
+from lagoonshelf_server.jobs.ports import (
+    HistoryLostError,
+    Item,
+    PlatformViews,
+    Store,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from lagoonshelf_server.logs import logger
+
+WATCH_MS = 2_000
+# A watch may be cut or silent, so the key is read as well.
+READ_S = 0.6
+RETRY_S = 0.1
+
+_log = logger("config")
+
+
+class ConfigView:
+    """Follows the configuration in the store."""
+
+    def __init__(self, store: Store, views: PlatformViews, clock: Clock) -> None:
+        """Start without a configuration."""
+        self._store = store
+        self._views = views
+        self._clock = clock
+        self._revision = 0
+        self.current = CellConfig(0)
+        self.read_ms = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether any configuration has been read."""
+        return self.current.version > 0
+
+    async def poll(self) -> None:
+        """Read the configuration now and then; runs for the life of the process."""
+        while True:
+            try:
+                item = await self._store.read(self._views.config_key)
+                if item is not None:
+                    self._see(item)
+                self.read_ms = self._clock.now_ms()
+                await asyncio.sleep(READ_S if self.is_known else RETRY_S)
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                _log.debug("configuration not read", reason=str(exc))
+                await asyncio.sleep(RETRY_S)
+
+    async def watch(self) -> None:
+        """Follow changes of the configuration; runs for the life of the process."""
+        revision = 0
+        while True:
+            try:
+                if not revision:
+                    _, revision = await self._store.read_all(self._views.config_key)
+                changes, revision = await self._store.watch(
+                    self._views.config_key, revision, WATCH_MS
+                )
+                for change in changes:
+                    if change.item is not None and change.key == self._views.config_key:
+                        self._see(change.item)
+            except HistoryLostError:
+                revision = 0
+            except (StoreUnavailableError, StoreUncertainError):
+                await asyncio.sleep(RETRY_S)
+
+    def _see(self, item: Item) -> None:
+        if item.revision <= self._revision:
+            return
+        cfg = self._views.decode_config(item.value)
+        if cfg is None:
+            _log.error("configuration unreadable", revision=item.revision)
+            return
+        self._revision = item.revision
+        if cfg.version <= self.current.version:
+            return
+        _log.info(
+            "configuration in force",
+            version=cfg.version,
+            before=self.current.version,
+            queues=len(cfg.queues),
+            teams=len(cfg.teams),
+        )
+        self.current = cfg
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/front.py
@@ -0,0 +1,211 @@
+"""What callers ask of any process: hand in a job, show its state, cancel it, count a queue."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from returns.result import Failure
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import QueueId
+from lagoonshelf_core.jobs.progress import FINAL_STATES, JobState, decode_state
+from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job, encode_job
+from lagoonshelf_server.jobs.keys import cancel_key, job_key, progress_key
+from lagoonshelf_server.jobs.ports import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Put,
+    Store,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from lagoonshelf_server.logs import logger
+
+# Time limit of one try to write; a try without answer is followed by a read.
+WRITE_TIMEOUT_MS = 900
+RETRY_S = 0.05
+# Part of a caller's time that is kept for the answer's way back.
+ANSWER_MARGIN_MS = 250
+MAX_SHOWN_STATES = 20_000
+
+_log = logger("front")
+
+
+class Written(Enum):
+    """What became of a change in the store."""
+
+    STORED = "stored"
+    UNAVAILABLE = "unavailable"
+    UNCERTAIN = "uncertain"
+    UNKNOWN_JOB = "unknown job"
+
+
+@dataclass(frozen=True, slots=True)
+class HolderLink:
+    """How this process reaches the holder, which may be itself.
+
+    Each raises ``ConnectionError`` when the holder does not answer.
+
+    :param relay: has the holder write a job or, without a record, a cancellation
+    """
+
+    announce: Callable[[JobSpec, str], Awaitable[None]]
+    announce_cancel: Callable[[JobId], Awaitable[None]]
+    state: Callable[[JobId], Awaitable[JobState | None]]
+    relay: Callable[[JobId, str], Awaitable[Written]]
+
+
+class JobWriter:
+    """Writes jobs and cancellations into the store, each exactly once."""
+
+    def __init__(self, store: Store, clock: Clock) -> None:
+        """Set up.
+
+        :param clock: for deadlines
+        """
+        self._store = store
+        self._clock = clock
+
+    async def write_job(self, job: JobId, record: bytes, deadline_ms: int) -> Written:
+        """Store a job unless its id is known.
+
+        :param deadline_ms: clock time at which to give up
+        """
+        return await self._create(job_key(job), record, deadline_ms)
+
+    async def write_cancel(self, job: JobId, deadline_ms: int) -> Written:
+        """Store a cancellation of a job that is stored."""
+        try:
+            if await self._store.read(job_key(job)) is None:
+                return Written.UNKNOWN_JOB
+        except (StoreUnavailableError, StoreUncertainError):
+            return Written.UNAVAILABLE
+        return await self._create(cancel_key(job), b"{}", deadline_ms)
+
+    async def _create(self, key: str, value: bytes, deadline_ms: int) -> Written:
+        outcome = Written.UNAVAILABLE
+        while True:
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return outcome
+            try:
+                result = await self._store.commit(
+                    {key: ABSENT}, [Put(key, value)], timeout_ms=min(WRITE_TIMEOUT_MS, left_ms)
+                )
+                if isinstance(result, Committed | Conflict):
+                    return Written.STORED
+            except StoreUncertainError:
+                # An earlier try may still take effect, so no later refusal makes it void.
+                outcome = Written.UNCERTAIN
+            except StoreUnavailableError:
+                if outcome is Written.UNAVAILABLE:
+                    return outcome
+            await asyncio.sleep(RETRY_S)
+
+
+class Front:
+    """Answers callers; the store decides what is accepted, the holder knows the states."""
+
+    def __init__(self, store: Store, clock: Clock, link: HolderLink) -> None:
+        """Set up.
+
+        :param link: way to the holder
+        """
+        self._store = store
+        self._clock = clock
+        self._link = link
+        self._final: dict[JobId, JobState] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self.writer = JobWriter(store, clock)
+        self.pending: dict[QueueId, int] = {}
+        self.pending_at_ms = 0
+
+    async def submit(self, spec: JobSpec, wait_ms: int) -> Written:
+        """Accept a job; it is stored before this returns ``STORED``.
+
+        :param wait_ms: how long the caller waits
+        """
+        record = encode_job(spec)
+        deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
+        written = await self.writer.write_job(spec.id, record, deadline_ms)
+        if written is Written.UNAVAILABLE:
+            written = await self._relay(spec.id, record.decode(), deadline_ms)
+        if written is Written.STORED:
+            self._spawn(self._link.announce(spec, record.decode()))
+        _log.info("job handed in", request=spec.id, queue=spec.queue, outcome=written.value)
+        return written
+
+    async def cancel(self, job: JobId, wait_ms: int) -> Written:
+        """Cancel a job; the cancellation is stored before this returns ``STORED``."""
+        deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
+        written = await self.writer.write_cancel(job, deadline_ms)
+        if written is Written.UNAVAILABLE:
+            written = await self._relay(job, "", deadline_ms)
+        if written is Written.STORED:
+            self._spawn(self._link.announce_cancel(job))
+        _log.info("job cancel asked", request=job, outcome=written.value)
+        return written
+
+    async def state(self, job: JobId) -> JobState | None:
+        """Return the state of a job, none when no such job is stored.
+
+        :raises StoreUnavailableError: when neither the holder nor the store answers
+        """
+        known = self._final.get(job)
+        if known is not None:
+            return known
+        try:
+            state = await self._link.state(job)
+        except ConnectionError as exc:
+            _log.info("state not known by the holder", request=job, reason=str(exc))
+            state = None
+        if state is None:
+            state = await self._stored_state(job)
+        if state in FINAL_STATES:
+            if len(self._final) >= MAX_SHOWN_STATES:
+                self._final.pop(next(iter(self._final)))
+            self._final[job] = state
+        return state
+
+    async def _stored_state(self, job: JobId) -> JobState | None:
+        try:
+            progress = await self._store.read(progress_key(job))
+            if progress is not None:
+                return decode_state(progress.value)
+            record = await self._store.read(job_key(job))
+        except StoreUncertainError as exc:
+            raise StoreUnavailableError(str(exc)) from exc
+        if record is None:
+            return None
+        result = decode_job(record.value)
+        if not isinstance(result, Failure):
+            self._spawn(self._link.announce(result.unwrap(), record.value.decode()))
+        return JobState.QUEUED
+
+    async def _relay(self, job: JobId, record: str, deadline_ms: int) -> Written:
+        """Have the holder write, when this process does not reach the store."""
+        left_ms = deadline_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            return Written.UNAVAILABLE
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                return await self._link.relay(job, record)
+        except TimeoutError:
+            return Written.UNCERTAIN
+        except ConnectionError as exc:
+            _log.info("job not relayed", request=job, reason=str(exc))
+            return Written.UNAVAILABLE
+
+    def _spawn(self, coro: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(self._quietly(coro))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _quietly(self, coro: Awaitable[None]) -> None:
+        """Run an announcement; the holder also learns of the change from the store."""
+        try:
+            await coro
+        except ConnectionError as exc:
+            _log.info("holder not told", reason=str(exc))
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/keys.py
@@ -0,0 +1,26 @@
+"""Keys of the store that the cell's own state lies under."""
+
+from lagoonshelf_core.jobs.spec import JobId
+
+SEAT = "cell/holder"
+SECRET = "cell/secret"
+USED_WORKERS = "cell/workers"
+INTAKE_PREFIX = "in/"
+JOB_PREFIX = "in/job/"
+CANCEL_PREFIX = "in/cancel/"
+PROGRESS_PREFIX = "progress/"
+
+
+def job_key(job: JobId) -> str:
+    """Return the key of an accepted job's record."""
+    return JOB_PREFIX + job
+
+
+def cancel_key(job: JobId) -> str:
+    """Return the key of a job's cancellation."""
+    return CANCEL_PREFIX + job
+
+
+def progress_key(job: JobId) -> str:
+    """Return the key of the record of a job's progress."""
+    return PROGRESS_PREFIX + job
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/lag.py
@@ -0,0 +1,24 @@
+"""How late the loop of this process runs."""
+
+import asyncio
+
+TICK_S = 0.05
+# Weight of the newest figure in the mean.
+NEWEST = 0.1
+
+
+class LoopLag:
+    """Mean delay of a short timer."""
+
+    def __init__(self) -> None:
+        """Start without delay."""
+        self.mean_ms = 0.0
+
+    async def run(self) -> None:
+        """Measure; runs for the life of the process."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + TICK_S
+            await asyncio.sleep(TICK_S)
+            late_ms = max(0.0, loop.time() - due) * 1000
+            self.mean_ms += (late_ms - self.mean_ms) * NEWEST
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -0,0 +1,386 @@
+"""One process of the cell: entry for callers, advisor, and holder when it has the seat."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+
+from returns.result import Failure
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
+from lagoonshelf_core.jobs.progress import JobState
+from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job
+from lagoonshelf_server.jobs.config_view import ConfigView
+from lagoonshelf_server.jobs.front import Front, HolderLink, Written
+from lagoonshelf_server.jobs.holder import Holder, Ports
+from lagoonshelf_server.jobs.keys import SECRET
+from lagoonshelf_server.jobs.lag import LoopLag
+from lagoonshelf_server.jobs.ports import (
+    ABSENT,
+    AdvicePort,
+    Committed,
+    NoAnswerError,
+    Put,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from lagoonshelf_server.jobs.seat import HolderView, Seat
+from lagoonshelf_server.logs import logger
+from lagoonshelf_server.messages import (
+    Ack,
+    Advice,
+    AdviceAsk,
+    Body,
+    Hello,
+    JobRecord,
+    JobRef,
+    JobStateReply,
+    Permit,
+    Pulse,
+    PulseReply,
+    QueueCount,
+    Relayed,
+)
+from lagoonshelf_server.peers import (
+    PeerLostError,
+    PeerNet,
+    PeerUnreachableError,
+    hello_proof,
+)
+
+PULSE_S = 0.25
+PULSE_TIMEOUT_S = 0.5
+# Refused connections in a row after which the holder's process is taken as dead.
+DEAD_AFTER = 2
+DEAD_RETRY_S = 0.05
+STATE_TIMEOUT_S = 0.4
+ANNOUNCE_TIMEOUT_S = 0.5
+ANNOUNCE_TRIES = 4
+RELAY_TIMEOUT_S = 1.5
+RELAY_WRITE_MS = 1_200
+ADVICE_TIMEOUT_S = 2.8
+# A process that has not reached the store for so long says so.
+STORE_REACHED_MS = 1_200
+# Counts of a queue may be 2 s old.
+PENDING_MAX_AGE_MS = 1_900
+RETRY_S = 0.1
+# A loop that runs so late is on a slow host, which should not hold the cell.
+MAX_HOLDER_LAG_MS = 120.0
+
+_log = logger("node")
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Who this process is and where others reach it."""
+
+    member: MemberId
+    failure_domain: FailureDomain
+    host: str
+    peer_port: int
+
+    @property
+    def address(self) -> str:
+        """Return the address for other members."""
+        return f"{self.host}:{self.peer_port}"
+
+
+class Node:
+    """All parts of one process."""
+
+    def __init__(
+        self, cfg: NodeSettings, ports: Ports, advice: AdvicePort | None, clock: Clock
+    ) -> None:
+        """Set up; ``start`` begins to work."""
+        self._cfg = cfg
+        self._ports = ports
+        self._advice = advice
+        self._clock = clock
+        self._net: PeerNet | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._holder: Holder | None = None
+        self._dead_pulses = 0
+        self._advice_lock = asyncio.Lock()
+        self.is_draining = False
+        self.lag = LoopLag()
+        self.config = ConfigView(ports.store, ports.views, clock)
+        self.seat = Seat(ports.store, clock, cfg.member, cfg.address)
+        link = HolderLink(self._announce, self._announce_cancel, self._state, self._relay)
+        self.front = Front(ports.store, clock, link)
+
+    async def start(self) -> None:
+        """Start all loops; returns at once."""
+        for coro in (
+            self.config.poll(),
+            self.config.watch(),
+            self.seat.follow(),
+            self.seat.contend(),
+            self.seat.renew(),
+            self.lag.run(),
+            self._join(),
+            self._hold(),
+        ):
+            self._tasks.append(asyncio.ensure_future(self._forever(coro)))
+
+    def is_ready(self) -> bool:
+        """Tell whether new callers should be sent here."""
+        return not self.is_draining and self.config.is_known and self._net is not None
+
+    def pending(self, queue: QueueId) -> int | None:
+        """Return the number of jobs of a queue that have not started, none when too old."""
+        holder = self._holder
+        if holder is not None and holder.is_ready:
+            return holder.cell.pending().get(queue, 0)
+        age_ms = self._clock.now_ms() - self.front.pending_at_ms
+        if not self.front.pending_at_ms or age_ms > PENDING_MAX_AGE_MS:
+            return None
+        return self.front.pending.get(queue, 0)
+
+    async def drain(self) -> None:
+        """Give the seat back and stop taking it; callers are still served."""
+        self.is_draining = True
+        self.seat.is_willing = False
+        await self.seat.release()
+
+    # Loops
+
+    async def _forever(self, coro: object) -> None:
+        try:
+            await coro
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            _log.critical("a loop of the process failed", exc_info=True)
+            raise SystemExit(1) from None
+
+    async def _join(self) -> None:
+        """Find the cell's secret, open the peer port, and send signs of life."""
+        secret = await self._read_secret()
+        cfg = self._cfg
+        proof = hello_proof(secret, cfg.member)
+        hello = Hello(cfg.member, proof, cfg.address, cfg.failure_domain)
+        net = PeerNet(hello, secret, self._handle)
+        await net.listen(cfg.host, cfg.peer_port)
+        self._net = net
+        _log.info("peer port open", address=cfg.address)
+        while True:
+            started = asyncio.get_running_loop().time()
+            pause_s = await self._pulse()
+            passed_s = asyncio.get_running_loop().time() - started
+            await asyncio.sleep(max(0.0, pause_s - passed_s))
+
+    async def _read_secret(self) -> str:
+        """Return the secret that all members share, made by the first one."""
+        while True:
+            try:
+                item = await self._ports.store.read(SECRET)
+                if item is not None:
+                    return item.value.decode()
+                made = secrets.token_hex(16)
+                result = await self._ports.store.commit(
+                    {SECRET: ABSENT}, [Put(SECRET, made.encode())]
+                )
+                if isinstance(result, Committed):
+                    return made
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                _log.info("secret not read", reason=str(exc))
+                await asyncio.sleep(RETRY_S)
+
+    async def _hold(self) -> None:
+        """Run a term whenever the seat is taken."""
+        while True:
+            await self.seat.taken.wait()
+            holder = Holder(self._ports, self.seat, self.config, self._clock)
+            holder.advisors.heard(self._cfg.member, self._ask_here)
+            self._holder = holder
+            await holder.run()
+            self._holder = None
+            _log.info("term ended", seat=self.seat.revision)
+
+    async def _pulse(self) -> float:
+        """Send a sign of life to the holder; return the pause until the next one."""
+        view = self.seat.view
+        self.seat.is_willing = not self.is_draining and self.lag.mean_ms < MAX_HOLDER_LAG_MS
+        holder = self._holder
+        if holder is not None:
+            holder.advisors.heard(self._cfg.member, self._ask_here)
+            return PULSE_S
+        if view is None or view.member == self._cfg.member:
+            return PULSE_S
+        pulse = Pulse(self._cfg.member, self._cfg.address, view.revision, self._reaches_store())
+        try:
+            reply = await self._net.call(view.address, "pulse", pulse, PULSE_TIMEOUT_S)
+        except PeerUnreachableError as exc:
+            return self._not_answered(view.revision, is_refused="Refused" in str(exc))
+        except PeerLostError:
+            return self._not_answered(view.revision, is_refused=False)
+        self._dead_pulses = 0
+        if not isinstance(reply, PulseReply):
+            return PULSE_S
+        if reply.is_holder:
+            self.seat.heard(HolderView.ANSWERS, reply.seat)
+            self.front.pending = {QueueId(row.queue): row.count for row in reply.pending}
+            self.front.pending_at_ms = self._clock.now_ms()
+        else:
+            # A process that started again at the holder's address does not hold the seat.
+            self.seat.heard(HolderView.DEAD, view.revision)
+        return PULSE_S
+
+    def _not_answered(self, seat: int, *, is_refused: bool) -> float:
+        self._dead_pulses = self._dead_pulses + 1 if is_refused else 0
+        is_dead = self._dead_pulses >= DEAD_AFTER
+        view = HolderView.DEAD if is_dead else HolderView.SILENT
+        self.seat.heard(view, seat)
+        return DEAD_RETRY_S
+
+    def _reaches_store(self) -> bool:
+        answer_ms = self._ports.store.last_answer_ms()
+        return self._clock.now_ms() - answer_ms < STORE_REACHED_MS
+
+    # Calls to the holder
+
+    async def _call_holder(self, kind: str, body: Body, timeout_s: float) -> Body:
+        view = self.seat.view
+        if view is None or self._net is None:
+            raise ConnectionError("no holder is known")
+        if view.member == self._cfg.member:
+            raise ConnectionError("this process is not ready to hold the cell")
+        return await self._net.call(view.address, kind, body, timeout_s)
+
+    async def _announce(self, spec: JobSpec, record: str) -> None:
+        for _ in range(ANNOUNCE_TRIES):
+            holder = self._holder
+            if holder is not None and holder.is_ready:
+                holder.accept(spec)
+                return
+            try:
+                body = JobRecord(spec.id, record)
+                reply = await self._call_holder("jobAccepted", body, ANNOUNCE_TIMEOUT_S)
+                if isinstance(reply, Ack) and reply.code == ResultCode.DONE.number:
+                    return
+            except (ConnectionError, PeerLostError) as exc:
+                _log.debug("job not announced", request=spec.id, reason=str(exc))
+            await asyncio.sleep(RETRY_S)
+
+    async def _announce_cancel(self, job: JobId) -> None:
+        for _ in range(ANNOUNCE_TRIES):
+            holder = self._holder
+            if holder is not None and holder.is_ready:
+                holder.cancel(job)
+                return
+            try:
+                reply = await self._call_holder("jobCancelled", JobRef(job), ANNOUNCE_TIMEOUT_S)
+                if isinstance(reply, Ack) and reply.code == ResultCode.DONE.number:
+                    return
+            except (ConnectionError, PeerLostError) as exc:
+                _log.debug("cancel not announced", request=job, reason=str(exc))
+            await asyncio.sleep(RETRY_S)
+
+    async def _state(self, job: JobId) -> JobState | None:
+        holder = self._holder
+        if holder is not None:
+            return holder.state(job) if holder.is_ready else None
+        try:
+            reply = await self._call_holder("jobStateAsk", JobRef(job), STATE_TIMEOUT_S)
+        except PeerLostError as exc:
+            raise ConnectionError(str(exc)) from exc
+        if not isinstance(reply, JobStateReply) or not reply.state:
+            return None
+        return JobState(reply.state)
+
+    async def _relay(self, job: JobId, record: str) -> Written:
+        try:
+            if record:
+                body: Body = JobRecord(job, record)
+                reply = await self._call_holder("relayJob", body, RELAY_TIMEOUT_S)
+            else:
+                reply = await self._call_holder("relayCancel", JobRef(job), RELAY_TIMEOUT_S)
+        except PeerUnreachableError as exc:
+            raise ConnectionError(str(exc)) from exc
+        except PeerLostError:
+            return Written.UNCERTAIN
+        if isinstance(reply, Relayed):
+            return Written(reply.outcome)
+        return Written.UNAVAILABLE
+
+    # Advice
+
+    async def _ask_here(self, step: str, workers: tuple[WorkerId, ...]) -> dict[WorkerId, str]:
+        if self._advice is None:
+            raise NoAnswerError("no placement policy is set")
+        async with self._advice_lock:
+            return await self._advice.ask(step, workers)
+
+    def _ask_at(self, address: str) -> object:
+        async def ask(step: str, workers: tuple[WorkerId, ...]) -> dict[WorkerId, str]:
+            try:
+                body = AdviceAsk(step, tuple(workers))
+                reply = await self._net.call(address, "adviceAsk", body, ADVICE_TIMEOUT_S)
+            except PeerLostError as exc:
+                raise NoAnswerError(str(exc)) from exc
+            if not isinstance(reply, Advice) or not reply.is_answered:
+                raise NoAnswerError(f"{address}: no advice")
+            return {WorkerId(row.worker): row.permit for row in reply.permits}
+
+        return ask
+
+    # Messages of other members
+
+    async def _handle(self, member: MemberId, kind: str, body: Body) -> tuple[str, Body]:
+        if kind == "pulse":
+            return "pulseReply", self._on_pulse(member, body)
+        if kind == "adviceAsk":
+            return "advice", await self._on_advice(body)
+        holder = self._holder
+        if holder is None or not holder.is_ready:
+            raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "this process holds no cell"))
+        if kind == "jobStateAsk":
+            state = holder.state(JobId(body.job))
+            return "jobState", JobStateReply(True, "" if state is None else state.value)
+        if kind == "jobAccepted":
+            result = decode_job(body.record.encode())
+            if isinstance(result, Failure):
+                raise LagoonshelfError(result.failure())
+            holder.accept(result.unwrap())
+        elif kind == "jobCancelled":
+            holder.cancel(JobId(body.job))
+        elif kind in ("relayJob", "relayCancel"):
+            return "relayed", await self._on_relay(holder, body)
+        else:
+            raise LagoonshelfError(Fault(ResultCode.PROTOCOL, f"unexpected message {kind}"))
+        return "ack", Ack(ResultCode.DONE.number, "")
+
+    def _on_pulse(self, member: MemberId, body: Pulse) -> PulseReply:
+        self.seat.contradicted(body.seat)
+        holder = self._holder
+        if holder is None:
+            return PulseReply(False, self.seat.revision, self._reaches_store())
+        holder.advisors.heard(member, self._ask_at(body.address))
+        counts = holder.cell.pending() if holder.is_ready else {}
+        rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
+        return PulseReply(True, self.seat.revision, self._reaches_store(), rows)
+
+    async def _on_advice(self, body: AdviceAsk) -> Advice:
+        try:
+            permits = await self._ask_here(body.step, tuple(map(WorkerId, body.workers)))
+        except NoAnswerError as exc:
+            _log.info("no advice", step=body.step, reason=str(exc))
+            return Advice(False)
+        return Advice(True, tuple(Permit(name, text) for name, text in permits.items()))
+
+    async def _on_relay(self, holder: Holder, body: JobRecord | JobRef) -> Relayed:
+        deadline_ms = self._clock.now_ms() + RELAY_WRITE_MS
+        job = JobId(body.job)
+        if isinstance(body, JobRecord):
+            record = body.record.encode()
+            written = await self.front.writer.write_job(job, record, deadline_ms)
+            result = decode_job(record)
+            if written is Written.STORED and not isinstance(result, Failure):
+                holder.accept(result.unwrap())
+        else:
+            written = await self.front.writer.write_cancel(job, deadline_ms)
+            if written is Written.STORED:
+                holder.cancel(job)
+        _log.info("relayed", request=job, outcome=written.value)
+        return Relayed(written.value)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/orders.py
@@ -0,0 +1,169 @@
+"""Carries out the commands of planning, each until its effect is known."""
+
+import asyncio
+from collections.abc import Callable
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import TaskId
+from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.commands import PaceRun, StartRun, StopRun
+from lagoonshelf_core.jobs.progress import ATTEMPTS_SKIPPED, Run, RunPhase
+from lagoonshelf_core.jobs.workers import Worker
+from lagoonshelf_server.jobs.contact import Contact
+from lagoonshelf_server.jobs.ports import (
+    Answered,
+    NoAnswerError,
+    StartOrder,
+    StartOutcome,
+    StopOutcome,
+    WorkerPort,
+    WorkerUnreachableError,
+)
+from lagoonshelf_server.jobs.seat import Seat
+from lagoonshelf_server.logs import logger
+
+# Time limits of the tries of a start; a worker answers within milliseconds.
+START_TIMEOUTS_MS = (200, 300, 600)
+ORDER_TIMEOUT_MS = 500
+RETRY_S = 0.1
+
+_log = logger("orders")
+
+
+class Orders:
+    """Orders of one holder to its workers."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        port: WorkerPort,
+        seat: Seat,
+        clock: Clock,
+        contacts: dict[str, Contact],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Set up without orders.
+
+        :param contacts: contacts by worker id
+        :param on_change: called when there is something to plan
+        """
+        self._cell = cell
+        self._port = port
+        self._seat = seat
+        self._clock = clock
+        self._contacts = contacts
+        self._on_change = on_change
+
+    async def start(self, command: StartRun) -> None:
+        """Start a run; an unanswered order is repeated, then made void by a stop."""
+        run = command.run
+        for timeout_ms in START_TIMEOUTS_MS:
+            worker = self._cell.workers.get(run.worker)
+            contact = self._contacts.get(run.worker)
+            until_ms = None if contact is None else contact.until_ms()
+            if worker is None or until_ms is None or not self._seat.may_order():
+                break
+            if run.phase is not RunPhase.STARTING:
+                return
+            order = StartOrder(
+                run.name,
+                run.attempt,
+                command.payload,
+                until_ms,
+                self._seat.revision,
+                command.checkpoint,
+                command.permit,
+            )
+            try:
+                answer = await self._port.start(worker.info, order, timeout_ms)
+            except WorkerUnreachableError as exc:
+                self._cell.note("start not sent", run, reason=str(exc))
+                continue
+            except NoAnswerError as exc:
+                self._cell.note("start not answered", run, reason=str(exc))
+                continue
+            contact.heard_clock(answer.worker_clock_ms)
+            self._apply_start(run, answer)
+            return
+        if run.phase is RunPhase.STARTING:
+            self._cell.stop(run, "start not answered")
+            self._on_change()
+
+    async def stop(self, command: StopRun) -> None:
+        """Stop a run; repeated until the worker has answered or the run is gone."""
+        run = command.run
+        while self._is_held(run):
+            worker = self._cell.workers[run.worker]
+            try:
+                answer = await self._port.stop(
+                    worker.info, run.name, run.attempt, self._seat.revision, ORDER_TIMEOUT_MS
+                )
+            except (WorkerUnreachableError, NoAnswerError) as exc:
+                self._cell.note("stop not answered", run, reason=str(exc))
+                await asyncio.sleep(RETRY_S)
+                continue
+            if answer.outcome is StopOutcome.FENCED:
+                self._seat.step_down(f"fenced at worker {run.worker}")
+                return
+            # A run that was never begun has no end; the next list without it frees its room.
+            run.confirmed_ms = run.confirmed_ms or self._clock.now_ms()
+            run.stop_sent_ms = self._clock.now_ms()
+            return
+
+    async def pace(self, command: PaceRun) -> None:
+        """Let a run work at a share of full speed; planning repeats what gets lost."""
+        run = command.run
+        if not self._is_held(run):
+            return
+        worker = self._cell.workers[run.worker]
+        try:
+            await self._port.pace(
+                worker.info,
+                run.name,
+                run.attempt,
+                command.percent,
+                self._seat.revision,
+                ORDER_TIMEOUT_MS,
+            )
+        except (WorkerUnreachableError, NoAnswerError) as exc:
+            self._cell.note("pace not answered", run, reason=str(exc))
+            run.paced_at_ms = 0
+
+    def _is_held(self, run: Run) -> bool:
+        worker = self._cell.workers.get(run.worker)
+        return (
+            self._seat.is_held
+            and worker is not None
+            and worker.runs.get((run.name, run.attempt)) is run
+        )
+
+    def _apply_start(self, run: Run, answer: Answered) -> None:
+        outcome = answer.outcome
+        if outcome is StartOutcome.STARTED:
+            self._cell.start_confirmed(run, self._clock.now_ms())
+            return
+        if outcome is StartOutcome.FENCED:
+            self._seat.step_down(f"fenced at worker {run.worker}")
+            return
+        self._cell.note("start refused", run, reason=outcome.value)
+        worker = self._cell.workers.get(run.worker)
+        if run.phase is RunPhase.STARTING:
+            self._cell.start_refused(run)
+            self._learn(run, outcome, worker)
+        self._on_change()
+
+    def _learn(self, run: Run, outcome: StartOutcome, worker: Worker | None) -> None:
+        """Draw the conclusions from a refused start."""
+        task = run.task
+        if task is None:
+            return
+        if outcome is StartOutcome.ATTEMPT_TOO_LOW:
+            task.attempt += ATTEMPTS_SKIPPED
+        elif outcome is StartOutcome.PERMIT_REFUSED:
+            self._cell.permits.refused(task.step.name, run.worker)
+        elif outcome is StartOutcome.OTHER_INCARNATION and worker is not None:
+            worker.is_read = False
+        elif outcome in (StartOutcome.UNHEALTHY, StartOutcome.NO_ROOM):
+            self._cell.health.failed(run.worker, TaskId(task.job.id), self._clock.now_ms())
+        if task.step.spec.is_gang:
+            self._cell.break_gang(task.step, run.attempt)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/seat.py
@@ -0,0 +1,228 @@
+"""The seat of the cell's holder: one store key that names the process which gives all orders."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+import orjson
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import MemberId
+from lagoonshelf_server.jobs.keys import SEAT
+from lagoonshelf_server.jobs.ports import (
+    ABSENT,
+    Committed,
+    HistoryLostError,
+    Item,
+    Put,
+    Store,
+    StoreLease,
+    StoreRevision,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from lagoonshelf_server.logs import logger
+
+# A silent holder is replaced when its lease has ended; the shortest lease of the store is 1 s.
+SEAT_TTL_MS = 1_200
+RENEW_MS = 300
+CLAIM_TICK_S = 0.05
+WATCH_MS = 5_000
+RETRY_S = 0.1
+# An answering holder whose key has lapsed gets this long to write it again.
+INCUMBENT_GRACE_MS = 1_000
+# A holder that does not reach the store goes on for the length of an ordinary outage.
+OUTAGE_MS = 6_500
+
+_log = logger("seat")
+
+
+class HolderView(Enum):
+    """What signs of life say of the holder."""
+
+    UNKNOWN = "unknown"
+    ANSWERS = "answers"
+    SILENT = "silent"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True)
+class SeatView:
+    """The holder by the store."""
+
+    revision: StoreRevision
+    member: MemberId
+    address: str
+
+
+class Seat:
+    """Follows the seat, claims it when it is free, and renews it while held."""
+
+    def __init__(self, store: Store, clock: Clock, member: MemberId, address: str) -> None:
+        """Set up as a follower.
+
+        :param address: where other members reach this process
+        """
+        self._store = store
+        self._clock = clock
+        self._member = member
+        self._address = address
+        self._lease: StoreLease | None = None
+        self._absent_since_ms: int | None = None
+        self.view: SeatView | None = None
+        self.is_read = False
+        self.is_held = False
+        self.is_willing = True
+        self.holder_view = HolderView.UNKNOWN
+        self.renewed_ms = 0
+        self.predecessor_is_dead = False
+        self.taken = asyncio.Event()
+        self.lost = asyncio.Event()
+
+    @property
+    def revision(self) -> StoreRevision:
+        """Return the revision of the seat, which is the fencing token of its holder."""
+        return self.view.revision if self.view is not None else ABSENT
+
+    def may_order(self) -> bool:
+        """Tell whether this process may give orders that begin something."""
+        return self.is_held and self._clock.now_ms() - self.renewed_ms < OUTAGE_MS
+
+    async def follow(self) -> None:
+        """Keep the view of the seat up to date; runs for the life of the process."""
+        while True:
+            try:
+                revision = await self._refresh()
+                while True:
+                    changes, revision = await self._store.watch(SEAT, revision, WATCH_MS)
+                    for change in changes:
+                        if change.key == SEAT:
+                            self._see(change.item)
+            except (StoreUnavailableError, StoreUncertainError, HistoryLostError) as exc:
+                _log.debug("seat not read", reason=str(exc))
+                await asyncio.sleep(RETRY_S)
+
+    async def contend(self) -> None:
+        """Claim the seat whenever it is free; runs for the life of the process."""
+        while True:
+            await asyncio.sleep(CLAIM_TICK_S)
+            if self.is_held or not self.is_willing or not self.is_read:
+                continue
+            if self._is_free():
+                await self._try_claim()
+
+    async def renew(self) -> None:
+        """Renew the lease while the seat is held; runs for the life of the process."""
+        while True:
+            await asyncio.sleep(RENEW_MS / 1000)
+            if not self.is_held:
+                continue
+            sent_ms = self._clock.now_ms()
+            try:
+                if await self._store.keep_lease(self._lease):
+                    self.renewed_ms = max(self.renewed_ms, sent_ms)
+                elif self.is_held:
+                    await self._write_again()
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                _log.info("seat not renewed", reason=str(exc), age_ms=sent_ms - self.renewed_ms)
+
+    async def release(self) -> None:
+        """Give the seat back, so that another member can claim it at once."""
+        if not self.is_held:
+            return
+        revision = self.revision
+        self.step_down("released")
+        try:
+            await self._store.commit({SEAT: revision}, deletes=[SEAT])
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            _log.warning("seat not released", reason=str(exc))
+
+    def step_down(self, reason: str) -> None:
+        """Stop holding the seat."""
+        if self.is_held:
+            _log.warning("seat lost", reason=reason, seat=self.revision)
+            self.is_held = False
+            self.taken.clear()
+            self.lost.set()
+
+    def heard(self, view: HolderView, seat: int) -> None:
+        """Note what a sign of life said of the holder of a seat."""
+        if seat == self.revision:
+            self.holder_view = view
+
+    def contradicted(self, seat: int) -> None:
+        """Note that another member knows a newer seat."""
+        if self.is_held and seat > self.revision:
+            self.step_down(f"seat {seat} is newer")
+
+    async def _refresh(self) -> StoreRevision:
+        items, revision = await self._store.read_all(SEAT)
+        self._see(next((item for item in items if item.key == SEAT), None))
+        self.is_read = True
+        return StoreRevision(revision)
+
+    def _see(self, item: Item | None) -> None:
+        if item is None:
+            if self._absent_since_ms is None:
+                self._absent_since_ms = self._clock.now_ms()
+                _log.info("seat is free", seat=self.revision)
+            return
+        if self.view is not None and item.revision <= self.view.revision:
+            if item.revision == self.view.revision:
+                self._absent_since_ms = None
+            return
+        raw = orjson.loads(item.value)
+        self._absent_since_ms = None
+        self.holder_view = HolderView.UNKNOWN
+        if raw["member"] == self._member and self.is_held:
+            self.view = SeatView(item.revision, self._member, self._address)
+        else:
+            self.step_down(f"held by {raw['member']}")
+            self.view = SeatView(item.revision, MemberId(raw["member"]), raw["address"])
+            _log.info("seat seen", holder=raw["member"], seat=item.revision)
+
+    def _is_free(self) -> bool:
+        if self.view is None:
+            return self._absent_since_ms is not None
+        if self.holder_view is HolderView.DEAD or self.view.member == self._member:
+            return True
+        if self._absent_since_ms is None:
+            return False
+        absent_ms = self._clock.now_ms() - self._absent_since_ms
+        return self.holder_view is not HolderView.ANSWERS or absent_ms > INCUMBENT_GRACE_MS
+
+    async def _try_claim(self) -> None:
+        expected = ABSENT if self._absent_since_ms is not None else self.revision
+        self.predecessor_is_dead = self.holder_view is HolderView.DEAD
+        try:
+            await self._write(expected)
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            _log.info("seat not claimed", reason=str(exc))
+            await asyncio.sleep(RETRY_S)
+
+    async def _write_again(self) -> None:
+        """Write the key again after its lease lapsed; another holder may have come between."""
+        item = await self._store.read(SEAT)
+        if item is not None and item.revision != self.revision:
+            self._see(item)
+            return
+        await self._write(ABSENT if item is None else item.revision)
+
+    async def _write(self, expected: StoreRevision) -> None:
+        sent_ms = self._clock.now_ms()
+        lease = await self._store.grant_lease(SEAT_TTL_MS)
+        value = orjson.dumps({"member": self._member, "address": self._address})
+        result = await self._store.commit({SEAT: expected}, [Put(SEAT, value, lease)])
+        if not isinstance(result, Committed):
+            await self._refresh()
+            return
+        was_held = self.is_held
+        self._lease = lease
+        self.renewed_ms = sent_ms
+        self._absent_since_ms = None
+        self.view = SeatView(result.revision, self._member, self._address)
+        self.is_held = True
+        _log.info("seat taken", seat=result.revision, again=was_held)
+        if not was_held:
+            self.lost.clear()
+            self.taken.set()
--- a/packages/server/lagoonshelf_server/logs.py
+++ b/packages/server/lagoonshelf_server/logs.py
@@ -1,6 +1,7 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 import sys
+from typing import TextIO
 
 import orjson
 from logbook import Handler, Logger, LogRecord, StreamHandler
@@ -26,13 +27,14 @@
     return orjson.dumps(line, default=str).decode()
 
 
-def set_up_logs(level: str, member: str) -> None:
-    """Send all log records of the process to standard error.
+def set_up_logs(level: str, member: str, stream: TextIO | None = None) -> None:
+    """Send all log records of the process to one stream.
 
     :param level: least level
     :param member: name of the process, put into each line
+    :param stream: standard error when none is given
     """
-    handler = StreamHandler(sys.stderr, level=level)
+    handler = StreamHandler(stream or sys.stderr, level=level)
     handler.formatter = lambda record, h: _with_member(json_line(record, h), member)
     handler.push_application()
 
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -271,6 +271,91 @@
     message: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class JobRecord:
+    """A job that was stored, or is to be stored, by its durable record."""
+
+    job: str
+    record: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobRef:
+    """A job by its id."""
+
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobStateReply:
+    """State of a job; empty when the holder does not know the job."""
+
+    is_holder: bool
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class QueueCount:
+    """Jobs of a queue of which no task has started."""
+
+    queue: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pulse:
+    """Sign of life of a member to the holder of the cell.
+
+    :param seat: revision of the seat that the sender knows
+    """
+
+    member: str
+    address: str
+    seat: int
+    store_reached: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PulseReply:
+    """The holder's answer to a sign of life."""
+
+    is_holder: bool
+    seat: int
+    store_reached: bool
+    pending: tuple[QueueCount, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceAsk:
+    """The holder asks a member to ask the placement policy."""
+
+    step: str
+    workers: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Permission for one worker."""
+
+    worker: str
+    permit: str
+
+
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """What the placement policy answered."""
+
+    is_answered: bool
+    permits: tuple[Permit, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Relayed:
+    """What became of a change that another member wrote into the store."""
+
+    outcome: str
+
+
 Body = (
     Hello
     | Status
@@ -289,6 +374,14 @@
     | ConfigAsk
     | ConfigReply
     | Ack
+    | JobRecord
+    | JobRef
+    | JobStateReply
+    | Pulse
+    | PulseReply
+    | AdviceAsk
+    | Advice
+    | Relayed
 )
 
 
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -26,6 +26,17 @@
     delegateQuery @20 :DelegateQuery;
     delegateStates @21 :DelegateStates;
     delegateStop @22 :DelegateStop;
+    jobAccepted @23 :JobRecord;
+    jobCancelled @24 :JobRef;
+    jobStateAsk @25 :JobRef;
+    jobState @26 :JobStateReply;
+    pulse @27 :Pulse;
+    pulseReply @28 :PulseReply;
+    adviceAsk @29 :AdviceAsk;
+    advice @30 :Advice;
+    relayJob @31 :JobRecord;
+    relayCancel @32 :JobRef;
+    relayed @33 :Relayed;
   }
 }
 
@@ -207,3 +218,55 @@
   code @0 :UInt16;
   message @1 :Text;
 }
+
+struct JobRecord {
+  job @0 :Text;
+  record @1 :Text;
+}
+
+struct JobRef {
+  job @0 :Text;
+}
+
+struct JobStateReply {
+  isHolder @0 :Bool;
+  state @1 :Text;
+}
+
+struct QueueCount {
+  queue @0 :Text;
+  count @1 :UInt32;
+}
+
+struct Pulse {
+  member @0 :Text;
+  address @1 :Text;
+  seat @2 :UInt64;
+  storeReached @3 :Bool;
+}
+
+struct PulseReply {
+  isHolder @0 :Bool;
+  seat @1 :UInt64;
+  storeReached @2 :Bool;
+  pending @3 :List(QueueCount);
+}
+
+struct AdviceAsk {
+  step @0 :Text;
+  workers @1 :List(Text);
+}
+
+struct Permit {
+  worker @0 :Text;
+  permit @1 :Text;
+}
+
+struct Advice {
+  isAnswered @0 :Bool;
+  permits @1 :List(Permit);
+}
+
+struct Relayed {
+  outcome @0 :Text;
+}
