--- a/packages/server/lagoonshelf_server/jobs/contact.py
+++ b/packages/server/lagoonshelf_server/jobs/contact.py
@@ -45,10 +45,12 @@
         ledger: Ledger,
         seat: Seat,
         clock: Clock,
+        on_report: Callable[[], None],
         on_change: Callable[[], None],
     ) -> None:
         """Set up without a call.
 
+        :param on_report: called after each list; hands the changed jobs to the ledger
         :param on_change: called when there is something to plan
         """
         self._worker = worker
@@ -57,6 +59,7 @@
         self._ledger = ledger
         self._seat = seat
         self._clock = clock
+        self._on_report = on_report
         self._on_change = on_change
         self._clock_read: tuple[int, int] | None = None
         self._until_ms = 0
@@ -129,6 +132,7 @@
             _log.info("worker heard", worker=worker.id, runs=len(listing.running))
         self.failures = 0
         self._cell.report(worker, listing.running, listing.ended, asked_ms, now_ms)
+        self._on_report()
         worker.is_read = True
         self._on_change()
 
--- a/packages/server/lagoonshelf_server/jobs/holder.py
+++ b/packages/server/lagoonshelf_server/jobs/holder.py
@@ -231,7 +231,14 @@
 
     def _follow(self, worker: Worker) -> None:
         contact = Contact(
-            worker, self.cell, self._port, self.ledger, self._seat, self._clock, self.kick
+            worker,
+            self.cell,
+            self._port,
+            self.ledger,
+            self._seat,
+            self._clock,
+            self._record_changes,
+            self.kick,
         )
         self._contacts[worker.id] = contact
         self._follows[worker.id] = asyncio.ensure_future(self._guard(contact.follow()))
@@ -261,19 +268,20 @@
         commands, cell.commands = cell.commands, []
         for command in commands:
             self._spawn(self._carry_out(command))
-        self._stamp_ends()
-        self.ledger.add(cell.changed)
-        cell.changed = set()
+        self._record_changes()
         notes, cell.notes = cell.notes, []
         for message, fields in notes:
             _log.info(message, **fields)
 
-    def _stamp_ends(self) -> None:
+    def _record_changes(self) -> None:
+        """Hand the changed jobs to the ledger; their ends may be acknowledged once durable."""
         for job in self.cell.changed:
             if job.state in FINAL_STATES and not job.ended_wall_ms:
                 job.ended_wall_ms = self._clock.wall_ms()
                 waited_ms = self._clock.now_ms() - job.received_ms
                 _log.info("job ended", request=job.id, state=job.state.value, after_ms=waited_ms)
+        self.ledger.add(self.cell.changed)
+        self.cell.changed = set()
 
     def _carry_out(self, command: Command) -> Coroutine:
         if isinstance(command, StartRun):
