Count each attempt's end once, in whatever order ends arrive

A holder cut off from the store kept the seat for 2 s. Change: a set of counted attempts; a holder steps down when a member has heard the store 500 ms later than itself; members that reach the store write for those that do not.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -358,17 +358,18 @@
             self.end_run(run, row.how, row.checkpoint, now_ms)
             return
         task = self.find_task(row.name)
-        if task is not None and row.attempt > task.settled_attempt:
+        if task is not None and row.attempt not in task.settled:
             self._count_end(task, row.attempt, row.how, row.checkpoint, now_ms)
 
     def _count_end(
         self, task: Task, attempt: int, how: RunEnd, checkpoint: str, now_ms: int
     ) -> None:
         """Count an end once for its task, its gang and its job."""
-        if attempt <= task.settled_attempt:
+        if attempt in task.settled:
             return
         step, job = task.step, task.job
-        task.settled_attempt = attempt
+        if not step.spec.is_service:
+            task.settled.add(attempt)
         task.attempt = max(task.attempt, attempt)
         if checkpoint:
             task.checkpoint = checkpoint
@@ -376,9 +377,7 @@
             self._mark_done(task, attempt)
         elif how is RunEnd.FAILED:
             task.failures += 1
-            if step.spec.is_gang and step.gang_failed_attempt < attempt:
-                step.gang_failures += 1
-                step.gang_failed_attempt = attempt
+            step.failed_attempts.add(attempt)
         if step.spec.is_gang and how in (RunEnd.FAILED, RunEnd.LAPSED, RunEnd.ALONE):
             self.break_gang(step, attempt)
         self.changed.add(job)
@@ -422,7 +421,7 @@
             if step.spec.is_service:
                 continue
             if step.spec.is_gang:
-                if step.gang_failures >= max_failures and not step.is_done:
+                if len(step.failed_attempts) >= max_failures and not step.is_done:
                     return True
             elif any(t.failures >= max_failures and not t.is_done for t in step.tasks):
                 return True
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -85,7 +85,8 @@
     """One task.
 
     :param attempt: number of the last start
-    :param settled_attempt: highest attempt whose end has been counted
+    :param settled: attempts whose end has been counted; ends of one task come from several
+        workers, in any order
     :param checkpoint: newest progress that a worker has reported
     """
 
@@ -94,7 +95,7 @@
     is_done: bool = False
     run: Run | None = None
     attempt: int = 0
-    settled_attempt: int = 0
+    settled: set[int] = field(default_factory=set)
     failures: int = 0
     checkpoint: str = ""
 
@@ -116,15 +117,17 @@
 
 @dataclass(slots=True, eq=False)
 class StepRun:
-    """One step of one occurrence of a job."""
+    """One step of one occurrence of a job.
+
+    :param failed_attempts: attempts in which any of its tasks failed
+    """
 
     job: "Job"
     occurrence: Occurrence
     index: StepIndex
     spec: StepSpec
     tasks: list[Task] = field(default_factory=list)
-    gang_failures: int = 0
-    gang_failed_attempt: int = 0
+    failed_attempts: set[int] = field(default_factory=set)
 
     @property
     def name(self) -> str:
@@ -217,17 +220,17 @@
 def encode_progress(job: Job) -> bytes:
     """Return the durable record of a job's progress.
 
-    Only tasks that ended in some way are listed: [index, done, failures, attempt, checkpoint].
+    Only tasks that ended in some way are listed: [index, done, failures, attempts, checkpoint].
     """
     steps = {}
     for (occurrence, index), run in job.steps.items():
         rows = [
-            [task.index, int(task.is_done), task.failures, task.settled_attempt, task.checkpoint]
+            [task.index, int(task.is_done), task.failures, sorted(task.settled), task.checkpoint]
             for task in run.tasks
-            if task.is_done or task.settled_attempt
+            if task.is_done or task.settled
         ]
-        if rows or run.gang_failures:
-            steps[f"{occurrence}.{index}"] = [run.gang_failures, run.gang_failed_attempt, rows]
+        if rows:
+            steps[f"{occurrence}.{index}"] = [sorted(run.failed_attempts), rows]
     record = {
         "state": job.state.value,
         "ended_ms": job.ended_wall_ms,
@@ -254,15 +257,14 @@
     job.state = JobState(raw["state"])
     job.ended_wall_ms = raw["ended_ms"]
     job.has_started = raw["started"]
-    for key, (gang_failures, gang_failed_attempt, rows) in raw["steps"].items():
+    for key, (failed_attempts, rows) in raw["steps"].items():
         occurrence, index = (int(part) for part in key.split("."))
         run = job.occurrence_steps(Occurrence(occurrence))[index]
-        run.gang_failures = gang_failures
-        run.gang_failed_attempt = gang_failed_attempt
-        for number, is_done, failures, settled_attempt, checkpoint in rows:
+        run.failed_attempts = set(failed_attempts)
+        for number, is_done, failures, settled, checkpoint in rows:
             task = run.tasks[number]
             task.is_done = bool(is_done)
             task.failures = failures
-            task.settled_attempt = settled_attempt
-            task.attempt = settled_attempt + job.attempt_floor
+            task.settled = set(settled)
+            task.attempt = max(settled, default=0) + job.attempt_floor
             task.checkpoint = checkpoint
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from dataclasses import dataclass
+from random import shuffle
 
 from returns.result import Failure
 
@@ -36,6 +37,7 @@
     JobRecord,
     JobRef,
     JobStateReply,
+    PeerState,
     Permit,
     Pulse,
     PulseReply,
@@ -60,8 +62,13 @@
 RELAY_TIMEOUT_S = 1.5
 RELAY_WRITE_MS = 1_200
 ADVICE_TIMEOUT_S = 2.8
-# A process that has not reached the store for so long says so.
-STORE_REACHED_MS = 1_200
+# Another member that heard the store so much later than the holder shows that the holder is cut
+# off from it alone; in an outage nobody hears it later.
+CUT_OFF_MS = 500
+# A member that heard the store so lately is asked to write for this process.
+RELAY_AGE_MS = 900
+MAX_AGE_MS = 3_600_000
+MAX_RELAYS = 2
 # Counts of a queue may be 2 s old.
 PENDING_MAX_AGE_MS = 1_900
 RETRY_S = 0.1
@@ -101,6 +108,8 @@
         self._tasks: list[asyncio.Task] = []
         self._holder: Holder | None = None
         self._dead_pulses = 0
+        self._members: dict[MemberId, tuple[PeerState, int]] = {}
+        self._relays: tuple[PeerState, ...] = ()
         self._advice_lock = asyncio.Lock()
         self.is_draining = False
         self.lag = LoopLag()
@@ -208,7 +217,7 @@
             return PULSE_S
         if view is None or view.member == self._cfg.member:
             return PULSE_S
-        pulse = Pulse(self._cfg.member, self._cfg.address, view.revision, self._reaches_store())
+        pulse = Pulse(self._cfg.member, self._cfg.address, view.revision, self._store_age_ms())
         try:
             reply = await self._net.call(view.address, "pulse", pulse, PULSE_TIMEOUT_S)
         except PeerUnreachableError as exc:
@@ -219,7 +228,9 @@
         if not isinstance(reply, PulseReply):
             return PULSE_S
         if reply.is_holder:
-            self.seat.heard(HolderView.ANSWERS, reply.seat)
+            is_cut_off = reply.store_age_ms > self._store_age_ms() + CUT_OFF_MS
+            self.seat.heard(HolderView.SILENT if is_cut_off else HolderView.ANSWERS, reply.seat)
+            self._relays = reply.members
             self.front.pending = {QueueId(row.queue): row.count for row in reply.pending}
             self.front.pending_at_ms = self._clock.now_ms()
         else:
@@ -234,9 +245,10 @@
         self.seat.heard(view, seat)
         return DEAD_RETRY_S
 
-    def _reaches_store(self) -> bool:
-        answer_ms = self._ports.store.last_answer_ms()
-        return self._clock.now_ms() - answer_ms < STORE_REACHED_MS
+    def _store_age_ms(self) -> int:
+        """Return the time since the store last answered this process."""
+        age_ms = self._clock.now_ms() - self._ports.store.last_answer_ms()
+        return min(age_ms, MAX_AGE_MS)
 
     # Calls to the holder
 
@@ -290,19 +302,31 @@
         return JobState(reply.state)
 
     async def _relay(self, job: JobId, record: str) -> Written:
+        """Have the holder write, or another member when the holder cannot."""
+        addresses = [] if self.seat.view is None else [self.seat.view.address]
+        addresses += [state.address for state in self._relays if state.address not in addresses]
+        addresses = [address for address in addresses if address != self._cfg.address]
+        if self._net is None or not addresses:
+            raise ConnectionError("no other member is known")
+        others = addresses[1:]
+        shuffle(others)
+        for address in [addresses[0], *others[:MAX_RELAYS]]:
+            written = await self._relay_to(address, job, record)
+            if written is not Written.UNAVAILABLE:
+                return written
+        return Written.UNAVAILABLE
+
+    async def _relay_to(self, address: str, job: JobId, record: str) -> Written:
+        kind = "relayJob" if record else "relayCancel"
+        body: Body = JobRecord(job, record) if record else JobRef(job)
         try:
-            if record:
-                body: Body = JobRecord(job, record)
-                reply = await self._call_holder("relayJob", body, RELAY_TIMEOUT_S)
-            else:
-                reply = await self._call_holder("relayCancel", JobRef(job), RELAY_TIMEOUT_S)
+            reply = await self._net.call(address, kind, body, RELAY_TIMEOUT_S)
         except PeerUnreachableError as exc:
-            raise ConnectionError(str(exc)) from exc
+            _log.info("not relayed", request=job, member=address, reason=str(exc))
+            return Written.UNAVAILABLE
         except PeerLostError:
             return Written.UNCERTAIN
-        if isinstance(reply, Relayed):
-            return Written(reply.outcome)
-        return Written.UNAVAILABLE
+        return Written(reply.outcome) if isinstance(reply, Relayed) else Written.UNAVAILABLE
 
     # Advice
 
@@ -332,6 +356,8 @@
             return "pulseReply", self._on_pulse(member, body)
         if kind == "adviceAsk":
             return "advice", await self._on_advice(body)
+        if kind in ("relayJob", "relayCancel"):
+            return "relayed", await self._on_relay(body)
         holder = self._holder
         if holder is None or not holder.is_ready:
             raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "this process holds no cell"))
@@ -345,8 +371,6 @@
             holder.accept(result.unwrap())
         elif kind == "jobCancelled":
             holder.cancel(JobId(body.job))
-        elif kind in ("relayJob", "relayCancel"):
-            return "relayed", await self._on_relay(holder, body)
         else:
             raise LagoonshelfError(Fault(ResultCode.PROTOCOL, f"unexpected message {kind}"))
         return "ack", Ack(ResultCode.DONE.number, "")
@@ -354,12 +378,21 @@
     def _on_pulse(self, member: MemberId, body: Pulse) -> PulseReply:
         self.seat.contradicted(body.seat)
         holder = self._holder
-        if holder is None:
-            return PulseReply(False, self.seat.revision, self._reaches_store())
+        if holder is not None and self._store_age_ms() > body.store_age_ms + CUT_OFF_MS:
+            self.seat.step_down(f"cut off from the store, which {member} reaches")
+        if not self.seat.is_held or holder is None:
+            return PulseReply(False, self.seat.revision, self._store_age_ms())
         holder.advisors.heard(member, self._ask_at(body.address))
+        now_ms = self._clock.now_ms()
+        self._members[member] = (PeerState(body.address, body.store_age_ms), now_ms)
         counts = holder.cell.pending() if holder.is_ready else {}
         rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
-        return PulseReply(True, self.seat.revision, self._reaches_store(), rows)
+        members = tuple(
+            state
+            for state, heard_ms in self._members.values()
+            if now_ms - heard_ms < RELAY_AGE_MS and state.store_age_ms < RELAY_AGE_MS
+        )
+        return PulseReply(True, self.seat.revision, self._store_age_ms(), rows, members)
 
     async def _on_advice(self, body: AdviceAsk) -> Advice:
         try:
@@ -369,18 +402,14 @@
             return Advice(False)
         return Advice(True, tuple(Permit(name, text) for name, text in permits.items()))
 
-    async def _on_relay(self, holder: Holder, body: JobRecord | JobRef) -> Relayed:
+    async def _on_relay(self, body: JobRecord | JobRef) -> Relayed:
+        """Write for a member that does not reach the store; it tells the holder itself."""
         deadline_ms = self._clock.now_ms() + RELAY_WRITE_MS
         job = JobId(body.job)
         if isinstance(body, JobRecord):
             record = body.record.encode()
             written = await self.front.writer.write_job(job, record, deadline_ms)
-            result = decode_job(record)
-            if written is Written.STORED and not isinstance(result, Failure):
-                holder.accept(result.unwrap())
         else:
             written = await self.front.writer.write_cancel(job, deadline_ms)
-            if written is Written.STORED:
-                holder.cancel(job)
         _log.info("relayed", request=job, outcome=written.value)
         return Relayed(written.value)
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -307,12 +307,21 @@
     """Sign of life of a member to the holder of the cell.
 
     :param seat: revision of the seat that the sender knows
+    :param store_age_ms: time since the store last answered the sender
     """
 
     member: str
     address: str
     seat: int
-    store_reached: bool
+    store_age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    """What the holder knows of another member."""
+
+    address: str
+    store_age_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -321,8 +330,9 @@
 
     is_holder: bool
     seat: int
-    store_reached: bool
+    store_age_ms: int
     pending: tuple[QueueCount, ...] = ()
+    members: tuple[PeerState, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -242,14 +242,20 @@
   member @0 :Text;
   address @1 :Text;
   seat @2 :UInt64;
-  storeReached @3 :Bool;
+  storeAgeMs @3 :UInt32;
+}
+
+struct PeerState {
+  address @0 :Text;
+  storeAgeMs @1 :UInt32;
 }
 
 struct PulseReply {
   isHolder @0 :Bool;
   seat @1 :UInt64;
-  storeReached @2 :Bool;
+  storeAgeMs @2 :UInt32;
   pending @3 :List(QueueCount);
+  members @4 :List(PeerState);
 }
 
 struct AdviceAsk {
