Record what lost workers may still run, so that a successor blocks only that

Change: the list of used workers in the store names the runs of workers that were lost; a successor takes these as under way and leaves the rest free.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -178,7 +178,7 @@
             worker = self.workers[info.id] = Worker(info)
         elif worker.info.born_ms != info.born_ms:
             self.end_all(worker, now_ms, "worker started again")
-            worker.is_read = False
+            worker.is_read = worker.is_recorded = False
             worker.lapse_ms = 0
             self.health.forget_worker(info.id)
         if info.is_draining and not worker.info.is_draining:
@@ -265,6 +265,12 @@
         self.note("run adopted", run)
         return run
 
+    def suspect(self, worker: Worker, name: str, attempt: int, now_ms: int) -> None:
+        """Note that a run may be under way on a worker that cannot be read."""
+        row = RunningRow(name, attempt, "", 0, 0.0)
+        if (name, attempt) not in worker.runs:
+            self._adopt(worker, row, now_ms)
+
     def _is_current(self, run: Run) -> bool:
         """Tell whether a run found on a worker is of the gang's newest attempt."""
         task = run.task
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -60,6 +60,27 @@
         _serve(cell, state, step, queue, Band(band))
 
 
+def summary(cell: Cell, now_ms: int) -> dict[str, object]:
+    """Return figures of the whole cell for the log."""
+    bands: dict[str, int] = {}
+    for step in cell.open_steps:
+        queue = cell.queue_of(step.job)
+        name = "no queue" if queue is None else Band(rank(step, queue, now_ms)[0]).name.lower()
+        bands[name] = bands.get(name, 0) + 1
+    usable = [worker for worker in cell.workers.values() if worker.is_usable]
+    return {
+        "open_steps": bands,
+        "jobs": len(cell.live),
+        "workers": len(cell.workers),
+        "usable": len(usable),
+        "quarantined": sum(cell.health.is_quarantined(w.id, now_ms) for w in usable),
+        "blocking": sum(worker.blocks_inherited for worker in cell.workers.values()),
+        "runs": sum(len(worker.runs) for worker in cell.workers.values()),
+        "cpu_milli": sum(worker.info.capacity.cpu_milli for worker in usable),
+        "used_cpu_milli": sum(worker.used.cpu_milli for worker in usable),
+    }
+
+
 def _serve(cell: Cell, state: _Pass, step: StepRun, queue: Queue, band: Band) -> None:
     """Start what can be started of one step."""
     workers = state.usable.get(queue.pool, [])
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -34,6 +34,7 @@
 
     :param is_listed: in the registry
     :param is_read: its runs have been read by this holder
+    :param is_recorded: a successor would know that it may run something
     :param lapse_ms: clock time by which everything there has ended unless renewed
     :param blocks_inherited: may run tasks of a predecessor, and has not been read since
     :param leaves_ms: clock time until which a draining worker stays at least
@@ -42,6 +43,7 @@
     info: WorkerInfo
     is_listed: bool = True
     is_read: bool = False
+    is_recorded: bool = False
     lapse_ms: int = 0
     leaves_ms: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
--- a/packages/server/lagoonshelf_server/jobs/contact.py
+++ b/packages/server/lagoonshelf_server/jobs/contact.py
@@ -46,12 +46,12 @@
         seat: Seat,
         clock: Clock,
         on_report: Callable[[], None],
-        on_change: Callable[[], None],
+        on_contact: Callable[[], None],
     ) -> None:
         """Set up without a call.
 
-        :param on_report: called after each list; hands the changed jobs to the ledger
-        :param on_change: called when there is something to plan
+        :param on_report: called after each list
+        :param on_contact: called when the worker was lost or heard again
         """
         self._worker = worker
         self._cell = cell
@@ -60,7 +60,7 @@
         self._seat = seat
         self._clock = clock
         self._on_report = on_report
-        self._on_change = on_change
+        self._on_contact = on_contact
         self._clock_read: tuple[int, int] | None = None
         self._until_ms = 0
         self._seen_end = 0
@@ -118,8 +118,8 @@
         if self.failures == 1:
             _log.warning("worker lost", worker=self._worker.id, reason=reason)
         if self.failures > 1 and self._worker.is_read:
-            self._worker.is_read = False
-            self._on_change()
+            self._worker.is_read = self._worker.is_recorded = False
+            self._on_contact()
 
     def _heard(self, listing: Listing, asked_ms: int) -> None:
         worker, now_ms = self._worker, self._clock.now_ms()
@@ -128,23 +128,26 @@
             return
         self.heard_clock(listing.worker_clock_ms)
         self.answered_ms = now_ms
-        if self.failures or not worker.is_read:
+        is_new = not worker.is_read
+        if self.failures or is_new:
             _log.info("worker heard", worker=worker.id, runs=len(listing.running))
         self.failures = 0
         self._cell.report(worker, listing.running, listing.ended, asked_ms, now_ms)
-        self._on_report()
         worker.is_read = True
-        self._on_change()
+        worker.blocks_inherited = False
+        self._on_report()
+        if is_new:
+            self._on_contact()
 
     def _restarted(self, born_ms: int) -> None:
         """Forget the old incarnation; the registry tells of the new one."""
         _log.warning("worker started again", worker=self._worker.id, born_ms=born_ms)
         self._cell.end_all(self._worker, self._clock.now_ms(), "worker started again")
-        self._worker.is_read = False
+        self._worker.is_read = self._worker.is_recorded = False
         self._clock_read = None
         self._until_ms = 0
         self._seen_end = 0
-        self._on_change()
+        self._on_report()
 
     async def _settle_ends(self, listing: Listing) -> None:
         """Acknowledge ends once they are durable."""
--- a/packages/server/lagoonshelf_server/jobs/holder.py
+++ b/packages/server/lagoonshelf_server/jobs/holder.py
@@ -13,7 +13,7 @@
 from lagoonshelf_core.jobs.commands import AskAdvice, Command, PaceRun, StartRun, StopRun
 from lagoonshelf_core.jobs.config import PoolId
 from lagoonshelf_core.jobs.oversight import oversee
-from lagoonshelf_core.jobs.planning import plan
+from lagoonshelf_core.jobs.planning import plan, summary
 from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job
 from lagoonshelf_core.jobs.workers import Worker, WorkerInfo
@@ -54,6 +54,7 @@
 REGISTRY_RETURN_MS = 2_300
 FORGET_AFTER_MS = 150_000
 FORGET_EACH_S = 10.0
+REPORT_S = 1.0
 
 _log = logger("holder")
 
@@ -84,7 +85,9 @@
         self._tasks: set[asyncio.Task] = set()
         self._store_back_ms = 0
         self._intake_revision = 0
-        self._used: dict[WorkerId, int] = {}
+        self._used: dict[WorkerId, _UsedRow] = {}
+        self._used_lock = asyncio.Lock()
+        self._contacts_changed = asyncio.Event()
         self.cell = Cell(config.current)
         self.ledger = Ledger(self._store, seat)
         self.advisors = Advisors(self.cell, clock, self.kick)
@@ -107,11 +110,13 @@
                 took_ms=self._clock.now_ms() - started_ms,
             )
             self._spawn(self.ledger.run())
+            self._spawn(self._record_used())
             self._spawn(self._watch_intake())
             self._spawn(self._watch_registry())
             self._spawn(self._read_registry())
             self._spawn(self._tick())
             self._spawn(self._forget())
+            self._spawn(self._report())
             await self._plan_loop()
         finally:
             self.is_ready = False
@@ -164,6 +169,7 @@
         self._intake_revision = intake[1]
         self._restore_workers(registry[0], used)
         self._restore_jobs(intake[0], progress[0])
+        self._suspect_runs()
         await self._write_used()
 
     def _restore_jobs(self, intake: list[Item], progress: list[Item]) -> None:
@@ -196,37 +202,70 @@
         lapse_ms = now_ms + int(RUN_LEASE_MS * 1.02) + LAPSE_MARGIN_MS
         if not self._seat.predecessor_is_dead:
             lapse_ms += OUTAGE_MS
-        for worker_id, address, born_ms in _decode_used(used):
-            if worker_id not in self.cell.workers:
-                info = WorkerInfo(
-                    worker_id, address, PoolId(""), "", "", frozenset(), NOTHING, born_ms
-                )
-                self.cell.see_worker(info, now_ms).is_listed = False
-            worker = self.cell.workers[worker_id]
-            if worker.info.born_ms == born_ms:
-                self._used[worker_id] = born_ms
-                worker.lapse_ms = lapse_ms
-                worker.blocks_inherited = True
+        for row in _decode_used(used):
+            self._restore_used(row, lapse_ms, now_ms)
+
+    def _restore_used(self, row: "_UsedRow", lapse_ms: int, now_ms: int) -> None:
+        worker = self.cell.workers.get(row.worker)
+        if worker is None:
+            info = WorkerInfo(
+                row.worker, row.address, PoolId(""), "", "", frozenset(), NOTHING, row.born_ms
+            )
+            worker = self.cell.see_worker(info, now_ms)
+            worker.is_listed = False
+        if worker.info.born_ms != row.born_ms:
+            return
+        self._used[row.worker] = row
+        worker.lapse_ms = lapse_ms
+        worker.blocks_inherited = row.runs is None
+
+    def _suspect_runs(self) -> None:
+        """Take the runs that a predecessor had on workers it had lost as still under way."""
+        now_ms = self._clock.now_ms()
+        for row in self._used.values():
+            worker = self.cell.workers.get(row.worker)
+            for name, attempt in row.runs or ():
+                if worker is not None:
+                    self.cell.suspect(worker, name, attempt, now_ms)
+
+    async def _record_used(self) -> None:
+        """Record lost and new workers whenever contacts change."""
+        while True:
+            await self._contacts_changed.wait()
+            self._contacts_changed.clear()
+            try:
+                await self._write_used()
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                _log.info("used workers not recorded", reason=str(exc))
+                await asyncio.sleep(RETRY_S)
+                self._contacts_changed.set()
+            self.kick()
 
     async def _write_used(self) -> None:
-        """Record which workers may run something, before they are used."""
-        used = {
-            worker.id: worker.info.born_ms
-            for worker in self.cell.workers.values()
-            if worker.is_listed or worker.runs or worker.blocks_inherited
-        }
-        if any(self._used.get(name) != born for name, born in used.items()):
-            rows = [
-                [name, self.cell.workers[name].info.address, born] for name, born in used.items()
-            ]
-            result = await self._store.commit(
-                {SEAT: self._seat.revision}, [Put(USED_WORKERS, orjson.dumps(rows))]
-            )
-            if not isinstance(result, Committed):
-                raise StoreUnavailableError("list of used workers not written")
-            self._used = used
+        """Record which workers may run something, and what lost ones may run.
+
+        A worker is used only once a successor would know of it.
+        """
+        async with self._used_lock:
+            wanted = {
+                worker.id: _used_row(worker)
+                for worker in self.cell.workers.values()
+                if worker.is_listed or worker.runs or worker.blocks_inherited
+            }
+            if wanted != self._used:
+                rows = [row.fields() for row in wanted.values()]
+                result = await self._store.commit(
+                    {SEAT: self._seat.revision}, [Put(USED_WORKERS, orjson.dumps(rows))]
+                )
+                if not isinstance(result, Committed):
+                    raise StoreUnavailableError("list of used workers not written")
+                self._used = wanted
         for worker in self.cell.workers.values():
-            if worker.id in self._used and worker.id not in self._follows:
+            row = self._used.get(worker.id)
+            if row is None or row.born_ms != worker.info.born_ms:
+                continue
+            worker.is_recorded = worker.is_recorded or (worker.is_read and row.runs is None)
+            if worker.id not in self._follows:
                 self._follow(worker)
 
     def _follow(self, worker: Worker) -> None:
@@ -237,8 +276,8 @@
             self.ledger,
             self._seat,
             self._clock,
-            self._record_changes,
-            self.kick,
+            self._after_report,
+            self._contacts_changed.set,
         )
         self._contacts[worker.id] = contact
         self._follows[worker.id] = asyncio.ensure_future(self._guard(contact.follow()))
@@ -273,6 +312,10 @@
         for message, fields in notes:
             _log.info(message, **fields)
 
+    def _after_report(self) -> None:
+        self._record_changes()
+        self.kick()
+
     def _record_changes(self) -> None:
         """Hand the changed jobs to the ledger; their ends may be acknowledged once durable."""
         for job in self.cell.changed:
@@ -398,9 +441,7 @@
             await asyncio.sleep(TICK_S)
             now_ms = self._clock.now_ms()
             for worker in list(self.cell.workers.values()):
-                if worker.is_read:
-                    worker.blocks_inherited = False
-                elif worker.lapse_ms and now_ms >= worker.lapse_ms:
+                if not worker.is_read and 0 < worker.lapse_ms <= now_ms:
                     self._lapse(worker, now_ms)
                 if not worker.is_listed and not worker.runs and not worker.blocks_inherited:
                     self._drop(worker)
@@ -415,12 +456,17 @@
     def _drop(self, worker: Worker) -> None:
         self.cell.drop_worker(worker)
         self._contacts.pop(worker.id, None)
-        self._used.pop(worker.id, None)
+        self._contacts_changed.set()
         follow = self._follows.pop(worker.id, None)
         if follow is not None:
             follow.cancel()
         self._port.forget(worker.info)
 
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT_S)
+            _log.info("cell", **summary(self.cell, self._clock.now_ms()))
+
     async def _forget(self) -> None:
         """Delete the records of jobs that ended long ago."""
         while True:
@@ -455,7 +501,35 @@
             self._seat.step_down("a part of the term failed")
 
 
-def _decode_used(item: Item | None) -> list[tuple[WorkerId, str, int]]:
+@dataclass(frozen=True, slots=True)
+class _UsedRow:
+    """A worker that may run something.
+
+    :param runs: task and attempt of each run of a lost worker, none while it is in contact
+    """
+
+    worker: WorkerId
+    address: str
+    born_ms: int
+    runs: tuple[tuple[str, int], ...] | None
+
+    def fields(self) -> list[object]:
+        """Return the row as it is stored."""
+        return [self.worker, self.address, self.born_ms, self.runs]
+
+
+def _used_row(worker: Worker) -> _UsedRow:
+    info = worker.info
+    is_lost = not worker.is_read and not worker.blocks_inherited
+    runs = tuple(sorted(worker.runs)) if is_lost and worker.lapse_ms else None
+    return _UsedRow(info.id, info.address, info.born_ms, runs)
+
+
+def _decode_used(item: Item | None) -> list[_UsedRow]:
     if item is None:
         return []
-    return [(WorkerId(name), address, born) for name, address, born in orjson.loads(item.value)]
+    rows = []
+    for worker, address, born_ms, runs in orjson.loads(item.value):
+        listed = None if runs is None else tuple((name, attempt) for name, attempt in runs)
+        rows.append(_UsedRow(WorkerId(worker), address, born_ms, listed))
+    return rows
--- a/packages/server/lagoonshelf_server/jobs/seat.py
+++ b/packages/server/lagoonshelf_server/jobs/seat.py
@@ -31,6 +31,8 @@
 RETRY_S = 0.1
 # An answering holder whose key has lapsed gets this long to write it again.
 INCUMBENT_GRACE_MS = 1_000
+# A process that the store has not answered for so long does not claim.
+STORE_REACHED_MS = 900
 # A holder that does not reach the store goes on for the length of an ordinary outage.
 OUTAGE_MS = 6_500
 
@@ -108,7 +110,7 @@
             await asyncio.sleep(CLAIM_TICK_S)
             if self.is_held or not self.is_willing or not self.is_read:
                 continue
-            if self._is_free():
+            if self._reaches_store() and self._is_free():
                 await self._try_claim()
 
     async def renew(self) -> None:
@@ -181,6 +183,9 @@
             self.view = SeatView(item.revision, MemberId(raw["member"]), raw["address"])
             _log.info("seat seen", holder=raw["member"], seat=item.revision)
 
+    def _reaches_store(self) -> bool:
+        return self._clock.now_ms() - self._store.last_answer_ms() < STORE_REACHED_MS
+
     def _is_free(self) -> bool:
         if self.view is None:
             return self._absent_since_ms is not None
