--- a/packages/server/lagoonshelf_server/jobs/front.py
+++ b/packages/server/lagoonshelf_server/jobs/front.py
@@ -129,8 +129,12 @@
         """
         record = encode_job(spec)
         deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
-        written = await self.writer.write_job(spec.id, record, deadline_ms)
+        written = Written.UNAVAILABLE
+        if self._store.is_failing():
+            written = await self._relay(spec.id, record.decode(), deadline_ms)
         if written is Written.UNAVAILABLE:
+            written = await self.writer.write_job(spec.id, record, deadline_ms)
+        if written is Written.UNAVAILABLE and not self._store.is_failing():
             written = await self._relay(spec.id, record.decode(), deadline_ms)
         if written is Written.STORED:
             self._spawn(self._link.announce(spec, record.decode()))
@@ -140,8 +144,12 @@
     async def cancel(self, job: JobId, wait_ms: int) -> Written:
         """Cancel a job; the cancellation is stored before this returns ``STORED``."""
         deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
-        written = await self.writer.write_cancel(job, deadline_ms)
+        written = Written.UNAVAILABLE
+        if self._store.is_failing():
+            written = await self._relay(job, "", deadline_ms)
         if written is Written.UNAVAILABLE:
+            written = await self.writer.write_cancel(job, deadline_ms)
+        if written is Written.UNAVAILABLE and not self._store.is_failing():
             written = await self._relay(job, "", deadline_ms)
         if written is Written.STORED:
             self._spawn(self._link.announce_cancel(job))
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from dataclasses import dataclass
-from random import shuffle
+from random import choice, shuffle
 
 from returns.result import Failure
 
@@ -23,10 +23,11 @@
     Committed,
     NoAnswerError,
     Put,
+    StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
 )
-from lagoonshelf_server.jobs.seat import HolderView, Seat
+from lagoonshelf_server.jobs.seat import HolderView, Seat, SeatView
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
     Ack,
@@ -67,6 +68,8 @@
 CUT_OFF_MS = 500
 # A member that heard the store so lately is asked to write for this process.
 RELAY_AGE_MS = 900
+# Without an answer of the store for so long, other members are asked who holds the seat.
+STORE_SILENT_MS = 700
 MAX_AGE_MS = 3_600_000
 MAX_RELAYS = 2
 # Counts of a queue may be 2 s old.
@@ -110,6 +113,7 @@
         self._dead_pulses = 0
         self._members: dict[MemberId, tuple[PeerState, int]] = {}
         self._relays: tuple[PeerState, ...] = ()
+        self._asks_others = False
         self._advice_lock = asyncio.Lock()
         self.is_draining = False
         self.lag = LoopLag()
@@ -215,28 +219,54 @@
         if holder is not None:
             holder.advisors.heard(self._cfg.member, self._ask_here)
             return PULSE_S
-        if view is None or view.member == self._cfg.member:
+        address = self._pulse_address()
+        if address is None:
             return PULSE_S
-        pulse = Pulse(self._cfg.member, self._cfg.address, view.revision, self._store_age_ms())
+        is_to_holder = view is not None and address == view.address
+        pulse = Pulse(
+            self._cfg.member, self._cfg.address, self.seat.revision, self._store_age_ms()
+        )
         try:
-            reply = await self._net.call(view.address, "pulse", pulse, PULSE_TIMEOUT_S)
-        except PeerUnreachableError as exc:
-            return self._not_answered(view.revision, is_refused="Refused" in str(exc))
-        except PeerLostError:
-            return self._not_answered(view.revision, is_refused=False)
-        self._dead_pulses = 0
-        if not isinstance(reply, PulseReply):
-            return PULSE_S
-        if reply.is_holder:
+            reply = await self._net.call(address, "pulse", pulse, PULSE_TIMEOUT_S)
+        except PeerLostError as exc:
+            self._asks_others = True
+            if not is_to_holder:
+                return DEAD_RETRY_S
+            is_refused = isinstance(exc, PeerUnreachableError) and "Refused" in str(exc)
+            return self._not_answered(view.revision, is_refused=is_refused)
+        if isinstance(reply, PulseReply):
+            self._on_pulse_reply(reply, is_to_holder=is_to_holder)
+        return PULSE_S
+
+    def _pulse_address(self) -> str | None:
+        """Return whom to send a sign of life: the holder, or others while it does not answer."""
+        view = self.seat.view
+        known = [state.address for state in self._relays]
+        known += [state.address for state, _ in self._members.values()]
+        others = [address for address in known if address != self._cfg.address]
+        if view is not None and view.member != self._cfg.member and not self._asks_others:
+            return view.address
+        self._asks_others = False
+        if others and self._store_age_ms() > STORE_SILENT_MS:
+            return choice(others)
+        return None if view is None or view.member == self._cfg.member else view.address
+
+    def _on_pulse_reply(self, reply: PulseReply, *, is_to_holder: bool) -> None:
+        if is_to_holder:
+            self._dead_pulses = 0
+        if reply.is_holder and reply.seat >= self.seat.revision:
             is_cut_off = reply.store_age_ms > self._store_age_ms() + CUT_OFF_MS
             self.seat.heard(HolderView.SILENT if is_cut_off else HolderView.ANSWERS, reply.seat)
             self._relays = reply.members
             self.front.pending = {QueueId(row.queue): row.count for row in reply.pending}
             self.front.pending_at_ms = self._clock.now_ms()
-        else:
+        elif is_to_holder:
             # A process that started again at the holder's address does not hold the seat.
-            self.seat.heard(HolderView.DEAD, view.revision)
-        return PULSE_S
+            self.seat.heard(HolderView.DEAD, self.seat.revision)
+            self._asks_others = True
+        if reply.holder:
+            seat = StoreRevision(reply.seat)
+            self.seat.told(SeatView(seat, MemberId(reply.holder), reply.holder_address))
 
     def _not_answered(self, seat: int, *, is_refused: bool) -> float:
         self._dead_pulses = self._dead_pulses + 1 if is_refused else 0
@@ -380,8 +410,12 @@
         holder = self._holder
         if holder is not None and self._store_age_ms() > body.store_age_ms + CUT_OFF_MS:
             self.seat.step_down(f"cut off from the store, which {member} reaches")
+        view = self.seat.view
         if not self.seat.is_held or holder is None:
-            return PulseReply(False, self.seat.revision, self._store_age_ms())
+            is_other = view is not None and view.member != self._cfg.member
+            known = (view.member, view.address) if is_other else ("", "")
+            seat = self.seat.revision if is_other else 0
+            return PulseReply(False, seat, self._store_age_ms(), (), (), *known)
         holder.advisors.heard(member, self._ask_at(body.address))
         now_ms = self._clock.now_ms()
         self._members[member] = (PeerState(body.address, body.store_age_ms), now_ms)
--- a/packages/server/lagoonshelf_server/jobs/seat.py
+++ b/packages/server/lagoonshelf_server/jobs/seat.py
@@ -157,6 +157,15 @@
         if self.is_held and seat > self.revision:
             self.step_down(f"seat {seat} is newer")
 
+    def told(self, view: SeatView) -> None:
+        """Note a newer seat that another member knows; the store may be out of reach here."""
+        if view.revision > self.revision and view.member != self._member:
+            self.step_down(f"held by {view.member}")
+            self.view = view
+            self._absent_since_ms = None
+            self.holder_view = HolderView.UNKNOWN
+            _log.info("seat told", holder=view.member, seat=view.revision)
+
     async def _refresh(self) -> StoreRevision:
         items, revision = await self._store.read_all(SEAT)
         self._see(next((item for item in items if item.key == SEAT), None))
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -326,13 +326,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PulseReply:
-    """The holder's answer to a sign of life."""
+    """The answer to a sign of life, with the seat that the sender knows."""
 
     is_holder: bool
     seat: int
     store_age_ms: int
     pending: tuple[QueueCount, ...] = ()
     members: tuple[PeerState, ...] = ()
+    holder: str = ""
+    holder_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -256,6 +256,8 @@
   storeAgeMs @2 :UInt32;
   pending @3 :List(QueueCount);
   members @4 :List(PeerState);
+  holder @5 :Text;
+  holderAddress @6 :Text;
 }
 
 struct AdviceAsk {
