--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -177,6 +177,7 @@
 ) -> Worker | None:
     """Return the best worker with room for a task, none when no worker has room."""
     spec = task.step.spec
+    size = room_of(spec.size, spec.is_filler)
     best: Worker | None = None
     best_score: tuple | None = None
     avoided = cell.health.avoid(TaskId(task.job.id))
@@ -185,8 +186,8 @@
             continue
         if worker.id in state.reserved and band > Band.URGENT:
             continue
-        free = _free(worker, extra.get(worker.id, NOTHING), band)
-        if not room_of(spec.size, spec.is_filler).fits_in(free):
+        free = _free(worker, extra.get(worker.id, NOTHING), band, size)
+        if not size.fits_in(free):
             continue
         if not cell.health.may_start(worker.id, True, state.now_ms):
             continue
@@ -196,13 +197,19 @@
     return best
 
 
-def _free(worker: Worker, extra: Resources, band: Band) -> Resources:
-    """Return the free room of a worker for work of a band."""
+def _free(worker: Worker, extra: Resources, band: Band, size: Resources) -> Resources:
+    """Return the free room of a worker for tasks of a size in a band."""
     free = worker.info.capacity - worker.used - extra
     if band <= Band.URGENT:
         return free
-    reserve = worker.info.capacity.cpu_milli * URGENT_RESERVE_PERMILLE // 1000
-    return free - Resources(cpu_milli=reserve)
+    return free - Resources(cpu_milli=_reserve_milli(worker, size))
+
+
+def _reserve_milli(worker: Worker, size: Resources) -> int:
+    """Return the processors that batch work leaves free, unless a task needs the whole worker."""
+    capacity = worker.info.capacity.cpu_milli
+    reserve = capacity * URGENT_RESERVE_PERMILLE // 1000
+    return 0 if size.cpu_milli > capacity - reserve else reserve
 
 
 def _score(task: Task, worker: Worker, free: Resources, is_avoided: bool) -> tuple:
@@ -246,7 +253,7 @@
             continue
         if not cell.health.may_start(worker.id, True, state.now_ms):
             continue
-        free = _free(worker, NOTHING, band)
+        free = _free(worker, NOTHING, band, size)
         count = _times_in(size, free)
         if spec.max_per_worker:
             count = min(count, spec.max_per_worker)
@@ -303,7 +310,7 @@
         if worker.id in state.reserved:
             continue
         services = _service_use(worker)
-        reserve = Resources(worker.info.capacity.cpu_milli * URGENT_RESERVE_PERMILLE // 1000)
+        reserve = Resources(_reserve_milli(worker, size))
         count = _times_in(size, worker.info.capacity - services - reserve)
         if count <= 0:
             continue
--- a/packages/server/lagoonshelf_server/jobs/contact.py
+++ b/packages/server/lagoonshelf_server/jobs/contact.py
@@ -104,11 +104,14 @@
         if self._worker.is_read:
             is_shared = self._worker.services and self._worker.fillers
             wait_ms = SHARED_WAIT_MS if is_shared else WAIT_MS
+        # A renewal without answer may have been carried out; one after the other would put off
+        # the end of a lost worker's lease for ever.
+        until_ms = None if self.failures else self.until_ms()
         return await self._port.list_runs(
             self._worker.info,
             self._seat.revision,
             self._seen_end,
-            self.until_ms(),
+            until_ms,
             wait_ms,
             wait_ms + ANSWER_SLACK_MS,
         )
--- /dev/null
+++ b/tests/server/jobs/test_holder.py
@@ -0,0 +1,190 @@
+"""Tests of a holder's term against fakes of the store and the workers."""
+
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import MemberId
+from lagoonshelf_core.jobs.progress import JobState, RunEnd
+from lagoonshelf_core.jobs.spec import JobSpec, encode_job
+from lagoonshelf_server.jobs import contact
+from lagoonshelf_server.jobs.config_view import ConfigView
+from lagoonshelf_server.jobs.holder import Holder, Ports
+from lagoonshelf_server.jobs.keys import cancel_key, job_key
+from lagoonshelf_server.jobs.seat import Seat
+from tests.support.job_fakes import FakeStore, FakeViews, FakeWorkers, eventually
+from tests.support.jobs import config, job, step, worker_info
+
+WORKERS = 3
+
+
+class HolderTest(unittest.IsolatedAsyncioTestCase):
+    """Terms of one or two processes over three workers."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = Clock()
+        self.store, self.views = FakeStore(), FakeViews()
+        self.workers = FakeWorkers(self.clock)
+        self.tasks: list[asyncio.Task] = []
+        for number in range(WORKERS):
+            info = worker_info(number)
+            name = info.id.encode()
+            self.views.infos[name] = info
+            self.workers.add(info)
+            self.store.put(f"workers/{info.id}", name)
+        short = patch.object(contact, "WAIT_MS", 50)
+        short.start()
+        self.addCleanup(short.stop)
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _term(self, member: str) -> Holder:
+        """Begin a term that deposes any other."""
+        seat = Seat(self.store, self.clock, MemberId(member), member)
+        await seat._refresh()
+        seat.predecessor_is_dead = True
+        await seat._write(seat.revision)
+        cfg = ConfigView(self.store, self.views, self.clock)
+        cfg.current = config()
+        holder = Holder(Ports(self.store, self.workers, self.views), seat, cfg, self.clock)
+        holder.seat = seat
+        for coro in (seat.renew(), holder.run()):
+            self.tasks.append(asyncio.ensure_future(coro))
+        await eventually(lambda: holder.is_ready)
+        return holder
+
+    def _store(self, spec: JobSpec) -> None:
+        self.store.put(job_key(spec.id), encode_job(spec))
+
+    async def test_a_stored_job_runs_though_nobody_told_of_it(self) -> None:
+        """The entry that accepted it died right after its answer."""
+        holder = await self._term("m1")
+        spec = job(step(2))
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 2)
+        self.workers.end_all()
+        await eventually(lambda: holder.state(spec.id) is JobState.COMPLETE)
+
+    async def test_an_end_is_acknowledged_only_when_it_is_durable(self) -> None:
+        """The store is away while a task ends (TWICE, andinas trouble-1)."""
+        holder = await self._term("m1")
+        spec = job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        self.store.is_down = True
+        self.workers.end_all()
+        await asyncio.sleep(0.5)
+        self.assertEqual([w.seen for w in self.workers.workers.values()], [0] * WORKERS)
+        self.assertIs(holder.state(spec.id), JobState.RUNNING)
+        self.store.is_down = False
+        await eventually(lambda: holder.state(spec.id) is JobState.COMPLETE)
+        await eventually(lambda: sum(w.seen for w in self.workers.workers.values()) == 1)
+
+    async def test_a_successor_runs_nothing_twice(self) -> None:
+        """Running tasks, ends that were not acknowledged, and done ones."""
+        first = await self._term("m1")
+        spec = job(step(6))
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 6)
+        name, task, attempt = self.workers.started[0]
+        self.workers.end(name, task, attempt)
+        await eventually(lambda: not self.workers.workers[name].ended)
+        self.store.is_down = True
+        name, task, attempt = self.workers.started[1]
+        self.workers.end(name, task, attempt)
+        await asyncio.sleep(0.05)
+        self.store.is_down = False
+        second = await self._term("m2")
+        await eventually(lambda: not first.seat.is_held)
+        await eventually(lambda: spec.id in second.cell.jobs)
+        self.workers.end_all()
+        await eventually(lambda: second.state(spec.id) is JobState.COMPLETE)
+        self.assertEqual(len(self.workers.started), 6)
+
+    async def test_a_deposed_holder_starts_nothing(self) -> None:
+        """Workers refuse its token, and it steps down."""
+        first = await self._term("m1")
+        second = await self._term("m2")
+        await eventually(lambda: all(w.token == second.seat.revision for w in self._entries()))
+        first.accept(job())
+        first.kick()
+        await asyncio.sleep(0.1)
+        self.assertFalse(first.seat.is_held)
+        self.assertEqual(self.workers.started, [])
+
+    async def test_an_unanswered_start_is_sent_again(self) -> None:
+        """Under the same attempt; the late order does no harm."""
+        await self._term("m1")
+        for entry in self._entries():
+            entry.lose_starts = 1
+        spec = job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        for name, entry in self.workers.workers.items():
+            for order in entry.late_starts:
+                self.workers.apply_start(name, order)
+        self.assertEqual(len(self.workers.started), 1)
+
+    async def test_a_start_that_is_never_answered_is_made_void(self) -> None:
+        """Before its task is started elsewhere, the stop has been confirmed."""
+        holder = await self._term("m1")
+        spec = job()
+        for entry in self._entries():
+            entry.lose_starts = 3
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1, 6.0)
+        for name, entry in self.workers.workers.items():
+            for order in entry.late_starts:
+                self.workers.apply_start(name, order)
+        self.assertEqual(len(self.workers.started), 1)
+        self.workers.end_all()
+        await eventually(lambda: holder.state(spec.id) is JobState.COMPLETE)
+
+    async def test_tasks_of_a_lost_worker_wait_for_the_end_of_its_lease(self) -> None:
+        """They may run on behind a cut."""
+        await self._term("m1")
+        spec = job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        self.workers.workers[self.workers.started[0][0]].is_silent = True
+        await asyncio.sleep(1.0)
+        self.assertEqual(len(self.workers.started), 1)
+        await eventually(lambda: len(self.workers.started) == 2, 10.0)
+
+    async def test_a_cancelled_job_is_stopped(self) -> None:
+        """Also when only the store tells of it."""
+        holder = await self._term("m1")
+        spec = job(step(3))
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 3)
+        self.store.put(cancel_key(spec.id), b"{}")
+        await eventually(lambda: not any(w.running for w in self._entries()))
+        await eventually(lambda: holder.state(spec.id) is JobState.CANCELLED)
+
+    async def test_jobs_are_found_after_the_history_was_dropped(self) -> None:
+        """A watch that cannot go on is followed by a read."""
+        await self._term("m1")
+        self.store.compact()
+        self._store(job())
+        await eventually(lambda: len(self.workers.started) == 1)
+
+    async def test_a_task_that_fails_too_often_fails_its_job(self) -> None:
+        """No further attempt is started, also by a successor."""
+        first = await self._term("m1")
+        spec = job()
+        self._store(spec)
+        for attempts in range(1, 4):
+            await eventually(lambda n=attempts: len(self.workers.started) == n)
+            self.workers.end_all(RunEnd.FAILED)
+        await eventually(lambda: first.state(spec.id) is JobState.FAILED)
+        second = await self._term("m2")
+        await asyncio.sleep(0.1)
+        self.assertIs(second.state(spec.id), JobState.FAILED)
+        self.assertEqual(len(self.workers.started), 3)
+
+    def _entries(self) -> list:
+        return list(self.workers.workers.values())
--- /dev/null
+++ b/tests/server/jobs/test_seat.py
@@ -0,0 +1,95 @@
+"""Tests of the seat of the cell's holder."""
+
+import asyncio
+import unittest
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import MemberId
+from lagoonshelf_server.jobs.keys import SEAT
+from lagoonshelf_server.jobs.ports import StoreRevision
+from lagoonshelf_server.jobs.seat import HolderView, Seat, SeatView
+from tests.support.job_fakes import FakeStore, eventually
+
+
+class SeatTest(unittest.IsolatedAsyncioTestCase):
+    """Several processes and one store."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = FakeStore()
+        self.seats = [
+            Seat(self.store, Clock(), MemberId(f"m{number}"), f"a:{number}") for number in range(3)
+        ]
+        for seat in self.seats:
+            for coro in (seat.follow(), seat.contend(), seat.renew()):
+                task = asyncio.ensure_future(coro)
+                self.addCleanup(task.cancel)
+
+    async def _holder(self) -> Seat:
+        await eventually(lambda: sum(seat.is_held for seat in self.seats) == 1)
+        holder = next(seat for seat in self.seats if seat.is_held)
+        await eventually(lambda: all(s.revision == holder.revision for s in self.seats))
+        return holder
+
+    async def test_one_of_several_takes_a_free_seat(self) -> None:
+        """The others see who holds it."""
+        holder = await self._holder()
+        await asyncio.sleep(0.2)
+        self.assertEqual(sum(seat.is_held for seat in self.seats), 1)
+        self.assertTrue(holder.may_order())
+
+    async def test_a_dead_holder_is_replaced_before_its_lease_ends(self) -> None:
+        """The token rises."""
+        holder = await self._holder()
+        before = holder.revision
+        holder.is_willing = False
+        others = [seat for seat in self.seats if seat is not holder]
+        others[0].heard(HolderView.DEAD, before)
+        await eventually(lambda: others[0].is_held)
+        self.assertGreater(others[0].revision, before)
+        await eventually(lambda: not holder.is_held)
+
+    async def test_a_silent_holder_is_not_replaced_while_its_lease_lasts(self) -> None:
+        """One member's cut link does not depose a healthy holder."""
+        holder = await self._holder()
+        for seat in self.seats:
+            seat.heard(HolderView.SILENT, holder.revision)
+        await asyncio.sleep(0.3)
+        self.assertTrue(holder.is_held)
+
+    async def test_an_answering_holder_writes_a_lapsed_key_again(self) -> None:
+        """After an outage in which leases ran out."""
+        holder = await self._holder()
+        for seat in self.seats:
+            seat.heard(HolderView.ANSWERS, holder.revision)
+        self.store.end_lease(self.store.leases[SEAT])
+        await eventually(lambda: SEAT in self.store.items)
+        await asyncio.sleep(0.1)
+        self.assertTrue(holder.is_held)
+        self.assertEqual(holder.revision, self.store.items[SEAT].revision)
+
+    async def test_a_released_seat_is_taken_at_once(self) -> None:
+        """Draining processes do not take it back."""
+        holder = await self._holder()
+        holder.is_willing = False
+        await holder.release()
+        self.assertFalse(holder.is_held)
+        others = [seat for seat in self.seats if seat is not holder]
+        await eventually(lambda: any(seat.is_held for seat in others))
+
+    async def test_a_holder_without_the_store_stops_ordering_in_time(self) -> None:
+        """Its successor counts on that."""
+        holder = await self._holder()
+        holder.renewed_ms -= 10_000
+        self.store.is_down = True
+        self.assertFalse(holder.may_order())
+
+    async def test_a_member_learns_a_newer_seat_from_others(self) -> None:
+        """It does not reach the store itself."""
+        holder = await self._holder()
+        revision = StoreRevision(holder.revision + 5)
+        self.store.is_down = True
+        holder.told(SeatView(revision, MemberId("m9"), "a:9"))
+        self.assertFalse(holder.is_held)
+        self.assertEqual(holder.view.member, "m9")
+        holder.told(SeatView(StoreRevision(1), MemberId("m8"), "a:8"))
+        self.assertEqual(holder.view.member, "m9", "an older seat is ignored")
--- /dev/null
+++ b/tests/support/job_fakes.py
@@ -0,0 +1,305 @@
+"""In-memory store and workers behind the ports of the process."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.jobs.cell import EndedRow, RunningRow
+from lagoonshelf_core.jobs.progress import RunEnd
+from lagoonshelf_core.jobs.workers import WorkerInfo
+from lagoonshelf_server.jobs.ports import (
+    Answered,
+    Change,
+    Committed,
+    Conflict,
+    HistoryLostError,
+    Item,
+    Listing,
+    NoAnswerError,
+    Put,
+    StartOrder,
+    StartOutcome,
+    StopOutcome,
+    StoreLease,
+    StoreRevision,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+
+PAUSE_S = 0.0005
+
+
+class FakeStore:
+    """A linearizable store whose answers can be refused, lost or late."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.leases: dict[str, StoreLease] = {}
+        self.revision = 10
+        self.changes: list[Change] = []
+        self.first_kept = 0
+        self.is_down = False
+        self.lose_answers = 0
+        self.late: list = []
+        self.commits = 0
+        self._next_lease = 1
+        self.ended: set[StoreLease] = set()
+        self.clock = Clock()
+        self._answered_ms = 0
+
+    def last_answer_ms(self) -> int:
+        return self._answered_ms
+
+    def is_failing(self) -> bool:
+        return self.is_down
+
+    async def read(self, key: str) -> Item | None:
+        await self._pause()
+        return self.items.get(key)
+
+    async def read_all(self, prefix: str, *, stale: bool = False) -> tuple[list[Item], int]:
+        await self._pause()
+        found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
+        return found, self.revision
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> tuple[list[Change], StoreRevision]:
+        deadline = asyncio.get_running_loop().time() + wait_ms / 1000
+        while True:
+            await self._pause()
+            if after < self.first_kept:
+                raise HistoryLostError(prefix)
+            found = [c for c in self.changes if c.revision > after and c.key.startswith(prefix)]
+            if found or asyncio.get_running_loop().time() >= deadline:
+                return found, StoreRevision(self.revision)
+            await asyncio.sleep(0.002)
+
+    async def commit(
+        self,
+        conditions: Mapping[str, int],
+        puts: Sequence[Put] = (),
+        deletes: Sequence[str] = (),
+        *,
+        timeout_ms: int | None = None,
+    ) -> Committed | Conflict | None:
+        await self._pause()
+        self.commits += 1
+        if self.lose_answers:
+            self.lose_answers -= 1
+            self._apply(conditions, puts, deletes)
+            raise StoreUncertainError("answer lost")
+        return self._apply(conditions, puts, deletes)
+
+    async def grant_lease(self, ttl_ms: int) -> StoreLease:
+        await self._pause()
+        self._next_lease += 1
+        return StoreLease(self._next_lease)
+
+    async def keep_lease(self, lease: StoreLease) -> bool:
+        await self._pause()
+        return lease not in self.ended
+
+    def end_lease(self, lease: StoreLease) -> None:
+        """Let a lease run out with its keys."""
+        self.ended.add(lease)
+        for key, owner in list(self.leases.items()):
+            if owner == lease:
+                self._delete(key)
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write as somebody else."""
+        self._apply({}, [Put(key, value)], ())
+
+    def compact(self) -> None:
+        """Forget all history."""
+        self.first_kept = self.revision + 1
+        self.revision += 1
+
+    def _apply(
+        self, conditions: Mapping[str, int], puts: Sequence[Put], deletes: Sequence[str]
+    ) -> Committed | Conflict | None:
+        for key, revision in conditions.items():
+            item = self.items.get(key)
+            if (0 if item is None else item.revision) != revision:
+                present = [self.items[name] for name in conditions if name in self.items]
+                return Conflict(tuple(present))
+        if any(put.lease in self.ended for put in puts if put.lease):
+            return None
+        self.revision += 1
+        for put in puts:
+            old = self.items.get(put.key)
+            created = StoreRevision(self.revision if old is None else old.created)
+            item = Item(put.key, put.value, StoreRevision(self.revision), created)
+            self.items[put.key] = item
+            self.leases[put.key] = put.lease
+            self.changes.append(Change(put.key, item.revision, item))
+        for key in deletes:
+            self._delete(key)
+        return Committed(StoreRevision(self.revision))
+
+    def _delete(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.leases.pop(key, None)
+            self.changes.append(Change(key, StoreRevision(self.revision), None))
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(PAUSE_S)
+        if self.is_down:
+            raise StoreUnavailableError("down")
+        self._answered_ms = self.clock.now_ms()
+
+
+@dataclass
+class FakeWorker:
+    """What one worker runs."""
+
+    born_ms: int
+    token: int = 0
+    until_ms: int = 0
+    running: dict[tuple[str, int], str] = field(default_factory=dict)
+    ended: list[EndedRow] = field(default_factory=list)
+    highest: dict[str, int] = field(default_factory=dict)
+    count: int = 0
+    seen: int = 0
+    is_silent: bool = False
+    lose_starts: int = 0
+    late_starts: list[StartOrder] = field(default_factory=list)
+
+
+class FakeWorkers:
+    """Workers that keep fences, attempts and leases."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.workers: dict[str, FakeWorker] = {}
+        self.started: list[tuple[str, str, int]] = []
+
+    def add(self, info: WorkerInfo) -> FakeWorker:
+        worker = self.workers[info.id] = FakeWorker(info.born_ms)
+        return worker
+
+    async def start(self, worker: WorkerInfo, order: StartOrder, timeout_ms: int) -> Answered:
+        entry = await self._reach(worker)
+        if entry.lose_starts:
+            entry.lose_starts -= 1
+            entry.late_starts.append(order)
+            raise NoAnswerError("start")
+        return Answered(self.apply_start(worker.id, order), self.clock.now_ms())
+
+    def apply_start(self, name: str, order: StartOrder) -> StartOutcome:
+        """Carry out a start, perhaps late."""
+        entry = self.workers[name]
+        if order.token < entry.token:
+            return StartOutcome.FENCED
+        entry.token = order.token
+        if (order.task, order.attempt) in entry.running:
+            return StartOutcome.STARTED
+        if order.attempt <= entry.highest.get(order.task, 0):
+            return StartOutcome.ATTEMPT_TOO_LOW
+        entry.running[(order.task, order.attempt)] = order.checkpoint
+        self.started.append((name, order.task, order.attempt))
+        return StartOutcome.STARTED
+
+    async def stop(
+        self, worker: WorkerInfo, task: str, attempt: int, token: int, timeout_ms: int
+    ) -> Answered:
+        entry = await self._reach(worker)
+        if token < entry.token:
+            return Answered(StopOutcome.FENCED, self.clock.now_ms())
+        entry.highest[task] = max(entry.highest.get(task, 0), attempt)
+        if (task, attempt) in entry.running:
+            self.end(worker.id, task, attempt, RunEnd.STOPPED)
+        return Answered(StopOutcome.DONE, self.clock.now_ms())
+
+    async def pace(
+        self,
+        worker: WorkerInfo,
+        task: str,
+        attempt: int,
+        percent: int,
+        token: int,
+        timeout_ms: int,
+    ) -> Answered:
+        await self._reach(worker)
+        return Answered(StopOutcome.DONE, self.clock.now_ms())
+
+    async def list_runs(
+        self,
+        worker: WorkerInfo,
+        token: int,
+        seen_end: int,
+        until_ms: int | None,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> Listing:
+        entry = await self._reach(worker)
+        if token < entry.token:
+            return Listing(self.clock.now_ms(), entry.born_ms, (), (), is_fenced=True)
+        entry.token = token
+        entry.seen = max(entry.seen, seen_end)
+        entry.ended = [row for row in entry.ended if row.number > entry.seen]
+        deadline = asyncio.get_running_loop().time() + min(wait_ms, 50) / 1000
+        while not entry.ended and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(0.002)
+        running = tuple(RunningRow(name, run, "", 50, 0.0) for name, run in entry.running)
+        return Listing(self.clock.now_ms(), entry.born_ms, running, tuple(entry.ended))
+
+    def forget(self, worker: WorkerInfo) -> None:
+        """Nothing is kept open."""
+
+    def end(self, name: str, task: str, attempt: int, how: RunEnd = RunEnd.DONE) -> None:
+        """End a run."""
+        entry = self.workers[name]
+        entry.running.pop((task, attempt))
+        entry.count += 1
+        entry.highest[task] = max(entry.highest.get(task, 0), attempt)
+        entry.ended.append(EndedRow(entry.count, task, attempt, how, ""))
+
+    def end_all(self, how: RunEnd = RunEnd.DONE) -> int:
+        """End everything that runs; return how many runs that were."""
+        ended = 0
+        for name, entry in self.workers.items():
+            for task, attempt in list(entry.running):
+                self.end(name, task, attempt, how)
+                ended += 1
+        return ended
+
+    async def _reach(self, worker: WorkerInfo) -> FakeWorker:
+        await asyncio.sleep(PAUSE_S)
+        entry = self.workers[worker.id]
+        if entry.is_silent:
+            await asyncio.sleep(0.02)
+            raise NoAnswerError("silent")
+        return entry
+
+
+class FakeViews:
+    """Registry entries and configurations are kept as objects by name."""
+
+    config_key = "config"
+    registry_prefix = "workers/"
+
+    def __init__(self) -> None:
+        self.infos: dict[bytes, WorkerInfo] = {}
+        self.configs: dict[bytes, object] = {}
+
+    def decode_config(self, data: bytes) -> object:
+        return self.configs.get(data)
+
+    def decode_worker(self, key: str, data: bytes) -> WorkerInfo | None:
+        return self.infos.get(data)
+
+
+async def eventually(check: object, timeout_s: float = 3.0) -> None:
+    """Wait until a condition holds.
+
+    :raises AssertionError: when it does not hold in time
+    """
+    deadline = asyncio.get_running_loop().time() + timeout_s
+    while not check():
+        if asyncio.get_running_loop().time() > deadline:
+            raise AssertionError("not in time")
+        await asyncio.sleep(0.003)
