Record starts before they are sent; keep what the placement policy allows

Change: progress records name the runs, written before each start while the store works; the set of allowed workers is kept apart from the permits; bands leave room for better ones.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -12,6 +12,7 @@
     ATTEMPTS_SKIPPED,
     Job,
     JobState,
+    RecordedRun,
     Run,
     RunEnd,
     RunPhase,
@@ -83,6 +84,7 @@
         self.changed: set[Job] = set()
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
+        self.recorded: list[RecordedRun] = []
 
     # Jobs
 
@@ -110,7 +112,7 @@
         job = self.accept(spec, now_ms, is_inherited=True)
         job.is_excess = False
         if progress is not None:
-            restore_progress(job, progress)
+            self.recorded += restore_progress(job, progress)
         if job.is_final:
             self._close(job)
         else:
--- a/packages/core/lagoonshelf_core/jobs/permits.py
+++ b/packages/core/lagoonshelf_core/jobs/permits.py
@@ -13,6 +13,12 @@
 
 @dataclass(slots=True)
 class _StepPermits:
+    """What is known of one step.
+
+    :param allowed: workers that the policy allows, also those without a valid permit
+    """
+
+    allowed: set[WorkerId] = field(default_factory=set)
     permits: dict[WorkerId, str] = field(default_factory=dict)
     expires_ms: int = 0
     asked: set[WorkerId] = field(default_factory=set)
@@ -53,7 +59,7 @@
         entry = self._steps.get(step)
         if entry is None:
             return workers
-        return [name for name in workers if name in entry.permits or name not in entry.asked]
+        return [name for name in workers if name in entry.allowed or name not in entry.asked]
 
     def asking(self, step: str) -> None:
         """Note that a question is under way."""
@@ -66,6 +72,8 @@
         entry = self._steps.setdefault(step, _StepPermits())
         entry.is_asking = False
         entry.asked.update(named)
+        entry.allowed.difference_update(named)
+        entry.allowed.update(permits)
         entry.permits = permits
         entry.expires_ms = expires_ms
 
@@ -80,6 +88,7 @@
         entry = self._steps.get(step)
         if entry is not None:
             entry.permits.pop(worker, None)
+            entry.allowed.discard(worker)
             entry.asked.discard(worker)
             entry.expires_ms = 0
 
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -15,8 +15,16 @@
 MAX_NAMED = 40
 # Waiting steps whose permits are kept valid while they wait for room.
 MAX_ADVISED_STEPS = 24
-# Room that batch work leaves on each worker for urgent tasks, in thousandths of its processors.
-URGENT_RESERVE_PERMILLE = 80
+# Room that work of a band leaves on each worker for better bands, in thousandths of its
+# processors.
+RESERVE_PERMILLE = {
+    Band.SERVICE: 0,
+    Band.URGENT: 0,
+    Band.ON_TIME: 80,
+    Band.LATE: 160,
+    Band.EXCESS: 300,
+    Band.TOO_LATE: 300,
+}
 # Gangs that may hold back other batch work from workers at once.
 MAX_RESERVATIONS = 2
 # Members of a gang on one worker when they need none of its resources.
@@ -200,16 +208,16 @@
 def _free(worker: Worker, extra: Resources, band: Band, size: Resources) -> Resources:
     """Return the free room of a worker for tasks of a size in a band."""
     free = worker.info.capacity - worker.used - extra
-    if band <= Band.URGENT:
-        return free
-    return free - Resources(cpu_milli=_reserve_milli(worker, size))
+    return free - Resources(cpu_milli=_reserve_milli(worker, band, size))
 
 
-def _reserve_milli(worker: Worker, size: Resources) -> int:
-    """Return the processors that batch work leaves free, unless a task needs the whole worker."""
+def _reserve_milli(worker: Worker, band: Band, size: Resources) -> int:
+    """Return the processors that a band leaves free, less where a task needs the whole worker."""
     capacity = worker.info.capacity.cpu_milli
-    reserve = capacity * URGENT_RESERVE_PERMILLE // 1000
-    return 0 if size.cpu_milli > capacity - reserve else reserve
+    reserve = capacity * RESERVE_PERMILLE[band] // 1000
+    if size.cpu_milli <= capacity - reserve:
+        return reserve
+    return 0 if band <= Band.ON_TIME else max(0, capacity - size.cpu_milli)
 
 
 def _score(task: Task, worker: Worker, free: Resources, is_avoided: bool) -> tuple:
@@ -310,7 +318,7 @@
         if worker.id in state.reserved:
             continue
         services = _service_use(worker)
-        reserve = Resources(_reserve_milli(worker, size))
+        reserve = Resources(_reserve_milli(worker, Band.ON_TIME, size))
         count = _times_in(size, worker.info.capacity - services - reserve)
         if count <= 0:
             continue
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -220,7 +220,8 @@
 def encode_progress(job: Job) -> bytes:
     """Return the durable record of a job's progress.
 
-    Only tasks that ended in some way are listed: [index, done, failures, attempts, checkpoint].
+    Only tasks that ended in some way are listed: [index, done, failures, attempts, checkpoint],
+    and what runs: [index, attempt, worker].
     """
     steps = {}
     for (occurrence, index), run in job.steps.items():
@@ -229,8 +230,13 @@
             for task in run.tasks
             if task.is_done or task.settled
         ]
-        if rows:
-            steps[f"{occurrence}.{index}"] = [sorted(run.failed_attempts), rows]
+        runs = [
+            [task.index, task.run.attempt, task.run.worker]
+            for task in run.tasks
+            if task.run is not None and not job.is_final
+        ]
+        if rows or runs:
+            steps[f"{occurrence}.{index}"] = [sorted(run.failed_attempts), rows, runs]
     record = {
         "state": job.state.value,
         "ended_ms": job.ended_wall_ms,
@@ -248,8 +254,17 @@
     return JobState(orjson.loads(data)["state"])
 
 
-def restore_progress(job: Job, data: bytes) -> None:
-    """Apply the durable record of a job's progress.
+@dataclass(frozen=True, slots=True)
+class RecordedRun:
+    """A run that a predecessor had started or was about to start."""
+
+    name: str
+    attempt: int
+    worker: WorkerId
+
+
+def restore_progress(job: Job, data: bytes) -> list[RecordedRun]:
+    """Apply the durable record of a job's progress; return what ran.
 
     :raises ValueError: when the record cannot be read
     """
@@ -257,7 +272,8 @@
     job.state = JobState(raw["state"])
     job.ended_wall_ms = raw["ended_ms"]
     job.has_started = raw["started"]
-    for key, (failed_attempts, rows) in raw["steps"].items():
+    recorded = []
+    for key, (failed_attempts, rows, runs) in raw["steps"].items():
         occurrence, index = (int(part) for part in key.split("."))
         run = job.occurrence_steps(Occurrence(occurrence))[index]
         run.failed_attempts = set(failed_attempts)
@@ -268,3 +284,6 @@
             task.settled = set(settled)
             task.attempt = max(settled, default=0) + job.attempt_floor
             task.checkpoint = checkpoint
+        for number, attempt, worker in runs:
+            recorded.append(RecordedRun(run.tasks[number].name, attempt, WorkerId(worker)))
+    return recorded
--- a/packages/core/lagoonshelf_core/jobs/rates.py
+++ b/packages/core/lagoonshelf_core/jobs/rates.py
@@ -5,8 +5,10 @@
 from lagoonshelf_core.ids import TeamId
 from lagoonshelf_core.jobs.config import Team
 
-# Seconds of its rate that a team may hand in at once.
-BURST_S = 2.0
+# A team's rate is counted over this window, and so many jobs beyond it are let pass; the users'
+# bounds on rates.
+WINDOW_S = 5.0
+SLACK_JOBS = 20.0
 
 
 @dataclass(slots=True)
@@ -24,7 +26,7 @@
 
     def admit(self, team: Team, now_ms: int) -> bool:
         """Count a job; tell whether it is within the team's rate."""
-        burst = max(1.0, team.weight * BURST_S)
+        burst = team.weight * WINDOW_S + SLACK_JOBS
         bucket = self._buckets.setdefault(team.id, _Bucket(burst, now_ms))
         gained = (now_ms - bucket.at_ms) * team.weight / 1000.0
         bucket.tokens = min(burst, bucket.tokens + gained)
--- a/packages/server/lagoonshelf_server/jobs/contact.py
+++ b/packages/server/lagoonshelf_server/jobs/contact.py
@@ -121,7 +121,7 @@
         if self.failures == 1:
             _log.warning("worker lost", worker=self._worker.id, reason=reason)
         if self.failures > 1 and self._worker.is_read:
-            self._worker.is_read = self._worker.is_recorded = False
+            self._worker.is_read = False
             self._on_contact()
 
     def _heard(self, listing: Listing, asked_ms: int) -> None:
--- a/packages/server/lagoonshelf_server/jobs/holder.py
+++ b/packages/server/lagoonshelf_server/jobs/holder.py
@@ -1,7 +1,7 @@
 """One term of the cell's holder: takeover, the loops of the term, and what others ask of it."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
 import orjson
@@ -54,6 +54,8 @@
 REGISTRY_RETURN_MS = 2_300
 FORGET_AFTER_MS = 150_000
 FORGET_EACH_S = 10.0
+# Longest wait for the record of a start before the state of the store is looked at.
+RECORD_WAIT_S = 0.15
 REPORT_S = 1.0
 
 _log = logger("holder")
@@ -71,8 +73,21 @@
 class Holder:
     """State and loops of one term."""
 
-    def __init__(self, ports: Ports, seat: Seat, config: ConfigView, clock: Clock) -> None:
-        """Set up; ``run`` does the rest."""
+    def __init__(
+        self,
+        ports: Ports,
+        seat: Seat,
+        config: ConfigView,
+        clock: Clock,
+        *,
+        is_clear: bool = False,
+    ) -> None:
+        """Set up; ``run`` does the rest.
+
+        :param is_clear: the predecessor has recorded all that it started
+        """
+        self._is_clear = is_clear
+        self.is_store_troubled: Callable[[], bool] = lambda: False
         self._store = ports.store
         self._port = ports.workers
         self._views = ports.views
@@ -146,7 +161,8 @@
             return None
         if not job.is_final:
             return job.state
-        return self.ledger.shown.get(job_id, JobState.RUNNING)
+        shown = self.ledger.shown.get(job_id, JobState.RUNNING)
+        return shown if shown in FINAL_STATES else JobState.RUNNING
 
     # Takeover
 
@@ -167,9 +183,9 @@
             self._store.read(USED_WORKERS),
         )
         self._intake_revision = intake[1]
-        self._restore_workers(registry[0], used)
+        lapse_ms = self._restore_workers(registry[0], used)
         self._restore_jobs(intake[0], progress[0])
-        self._suspect_runs()
+        self._suspect_runs(lapse_ms)
         await self._write_used()
 
     def _restore_jobs(self, intake: list[Item], progress: list[Item]) -> None:
@@ -192,7 +208,8 @@
             if item.key.startswith(CANCEL_PREFIX):
                 self.cancel(JobId(item.key.removeprefix(CANCEL_PREFIX)))
 
-    def _restore_workers(self, registry: list[Item], used: Item | None) -> None:
+    def _restore_workers(self, registry: list[Item], used: Item | None) -> int:
+        """Take in workers; return when what a predecessor ran on lost ones has ended."""
         now_ms = self._clock.now_ms()
         for item in registry:
             info = self._views.decode_worker(item.key, item.value)
@@ -204,6 +221,7 @@
             lapse_ms += OUTAGE_MS
         for row in _decode_used(used):
             self._restore_used(row, lapse_ms, now_ms)
+        return lapse_ms
 
     def _restore_used(self, row: "_UsedRow", lapse_ms: int, now_ms: int) -> None:
         worker = self.cell.workers.get(row.worker)
@@ -217,19 +235,20 @@
             return
         self._used[row.worker] = row
         worker.lapse_ms = lapse_ms
-        worker.blocks_inherited = row.runs is None
+        worker.blocks_inherited = not self._is_clear
 
-    def _suspect_runs(self) -> None:
-        """Take the runs that a predecessor had on workers it had lost as still under way."""
+    def _suspect_runs(self, lapse_ms: int) -> None:
+        """Take the runs that a predecessor had recorded as still under way."""
         now_ms = self._clock.now_ms()
-        for row in self._used.values():
-            worker = self.cell.workers.get(row.worker)
-            for name, attempt in row.runs or ():
-                if worker is not None:
-                    self.cell.suspect(worker, name, attempt, now_ms)
+        for run in self.cell.recorded:
+            worker = self.cell.workers.get(run.worker)
+            if worker is not None and not worker.is_read:
+                worker.lapse_ms = worker.lapse_ms or lapse_ms
+                self.cell.suspect(worker, run.name, run.attempt, now_ms)
+        self.cell.recorded.clear()
 
     async def _record_used(self) -> None:
-        """Record lost and new workers whenever contacts change."""
+        """Record new workers whenever contacts change."""
         while True:
             await self._contacts_changed.wait()
             self._contacts_changed.clear()
@@ -242,10 +261,7 @@
             self.kick()
 
     async def _write_used(self) -> None:
-        """Record which workers may run something, and what lost ones may run.
-
-        A worker is used only once a successor would know of it.
-        """
+        """Record which workers may run something, before they are used."""
         async with self._used_lock:
             wanted = {
                 worker.id: _used_row(worker)
@@ -264,7 +280,7 @@
             row = self._used.get(worker.id)
             if row is None or row.born_ms != worker.info.born_ms:
                 continue
-            worker.is_recorded = worker.is_recorded or (worker.is_read and row.runs is None)
+            worker.is_recorded = True
             if worker.id not in self._follows:
                 self._follow(worker)
 
@@ -305,9 +321,11 @@
             oversee(cell, now_ms)
             plan(cell, now_ms, self._clock.wall_ms(), self.advisors.budget_ms())
         commands, cell.commands = cell.commands, []
-        for command in commands:
-            self._spawn(self._carry_out(command))
+        cell.changed.update(c.run.task.job for c in commands if isinstance(c, StartRun))
         self._record_changes()
+        mark = self.ledger.mark()
+        for command in commands:
+            self._spawn(self._carry_out(command, mark))
         notes, cell.notes = cell.notes, []
         for message, fields in notes:
             _log.info(message, **fields)
@@ -326,9 +344,9 @@
         self.ledger.add(self.cell.changed)
         self.cell.changed = set()
 
-    def _carry_out(self, command: Command) -> Coroutine:
+    def _carry_out(self, command: Command, mark: int) -> Coroutine:
         if isinstance(command, StartRun):
-            return self.orders.start(command)
+            return self._start(command, mark)
         if isinstance(command, StopRun):
             return self.orders.stop(command)
         if isinstance(command, PaceRun):
@@ -336,6 +354,18 @@
         assert isinstance(command, AskAdvice)
         return self.advisors.ask(command)
 
+    async def _start(self, command: StartRun, mark: int) -> None:
+        """Start a run once a successor would know of it.
+
+        While no member has the store working as usual, work goes on without a record; a
+        successor then waits for the leases of workers that it cannot read.
+        """
+        while not await self.ledger.wait_durable(mark, RECORD_WAIT_S):
+            if self.is_store_troubled():
+                self.cell.note("start not recorded", command.run)
+                break
+        await self.orders.start(command)
+
     async def _watch_intake(self) -> None:
         """Follow stored jobs and cancellations, also those that nobody told this holder of."""
         while True:
@@ -503,33 +533,22 @@
 
 @dataclass(frozen=True, slots=True)
 class _UsedRow:
-    """A worker that may run something.
-
-    :param runs: task and attempt of each run of a lost worker, none while it is in contact
-    """
+    """A worker that may run something."""
 
     worker: WorkerId
     address: str
     born_ms: int
-    runs: tuple[tuple[str, int], ...] | None
 
     def fields(self) -> list[object]:
         """Return the row as it is stored."""
-        return [self.worker, self.address, self.born_ms, self.runs]
+        return [self.worker, self.address, self.born_ms]
 
 
 def _used_row(worker: Worker) -> _UsedRow:
-    info = worker.info
-    is_lost = not worker.is_read and not worker.blocks_inherited
-    runs = tuple(sorted(worker.runs)) if is_lost and worker.lapse_ms else None
-    return _UsedRow(info.id, info.address, info.born_ms, runs)
+    return _UsedRow(worker.id, worker.info.address, worker.info.born_ms)
 
 
 def _decode_used(item: Item | None) -> list[_UsedRow]:
     if item is None:
         return []
-    rows = []
-    for worker, address, born_ms, runs in orjson.loads(item.value):
-        listed = None if runs is None else tuple((name, attempt) for name, attempt in runs)
-        rows.append(_UsedRow(WorkerId(worker), address, born_ms, listed))
-    return rows
+    return [_UsedRow(WorkerId(row[0]), row[1], row[2]) for row in orjson.loads(item.value)]
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -70,6 +70,11 @@
 RELAY_AGE_MS = 900
 # Without an answer of the store for so long, other members are asked who holds the seat.
 STORE_SILENT_MS = 700
+# A store that failed or was slow so lately counts as troubled.
+TROUBLE_MS = 1_000
+MEMBER_HEARD_MS = 1_000
+# Runs that were started without a record have been recorded or have lapsed after so long.
+UNRECORDED_MS = 8_000
 MAX_AGE_MS = 3_600_000
 MAX_RELAYS = 2
 # Counts of a queue may be 2 s old.
@@ -111,7 +116,9 @@
         self._tasks: list[asyncio.Task] = []
         self._holder: Holder | None = None
         self._dead_pulses = 0
+        self._started_ms = clock.now_ms()
         self._members: dict[MemberId, tuple[PeerState, int]] = {}
+        self._troubled: dict[MemberId, tuple[bool, int]] = {}
         self._relays: tuple[PeerState, ...] = ()
         self._asks_others = False
         self._advice_lock = asyncio.Lock()
@@ -204,13 +211,24 @@
         """Run a term whenever the seat is taken."""
         while True:
             await self.seat.taken.wait()
-            holder = Holder(self._ports, self.seat, self.config, self._clock)
+            is_clear = self._is_clear()
+            holder = Holder(self._ports, self.seat, self.config, self._clock, is_clear=is_clear)
+            holder.is_store_troubled = self._is_store_troubled_for_all
             holder.advisors.heard(self._cfg.member, self._ask_here)
             self._holder = holder
             await holder.run()
             self._holder = None
             _log.info("term ended", seat=self.seat.revision)
 
+    def _is_clear(self) -> bool:
+        """Tell whether a predecessor has recorded all it started.
+
+        It goes on without records only while no member has the store working as usual.
+        """
+        now_ms = self._clock.now_ms()
+        since_ms = max(self._started_ms, self._ports.store.trouble_ms())
+        return now_ms - since_ms > UNRECORDED_MS
+
     async def _pulse(self) -> float:
         """Send a sign of life to the holder; return the pause until the next one."""
         view = self.seat.view
@@ -275,6 +293,15 @@
         self.seat.heard(view, seat)
         return DEAD_RETRY_S
 
+    def _is_store_troubled(self) -> bool:
+        return self._clock.now_ms() - self._ports.store.trouble_ms() < TROUBLE_MS
+
+    def _is_store_troubled_for_all(self) -> bool:
+        """Tell whether no member that was heard lately has the store working as usual."""
+        limit_ms = self._clock.now_ms() - MEMBER_HEARD_MS
+        heard = [troubled for troubled, at_ms in self._troubled.values() if at_ms > limit_ms]
+        return self._is_store_troubled() and all(heard)
+
     def _store_age_ms(self) -> int:
         """Return the time since the store last answered this process."""
         age_ms = self._clock.now_ms() - self._ports.store.last_answer_ms()
@@ -419,6 +446,7 @@
         holder.advisors.heard(member, self._ask_at(body.address))
         now_ms = self._clock.now_ms()
         self._members[member] = (PeerState(body.address, body.store_age_ms), now_ms)
+        self._troubled[member] = (body.is_store_troubled, now_ms)
         counts = holder.cell.pending() if holder.is_ready else {}
         rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
         members = tuple(
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -109,6 +109,9 @@
     def last_answer_ms(self) -> int:
         """Return the clock time of the store's last answer, 0 for none."""
 
+    def trouble_ms(self) -> int:
+        """Return the clock time of the last call that failed or was slow, 0 for none."""
+
     def is_failing(self) -> bool:
         """Tell whether the last calls were not answered."""
 
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -308,12 +308,14 @@
 
     :param seat: revision of the seat that the sender knows
     :param store_age_ms: time since the store last answered the sender
+    :param is_store_troubled: a call to the store failed or was slow lately
     """
 
     member: str
     address: str
     seat: int
     store_age_ms: int
+    is_store_troubled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -243,6 +243,7 @@
   address @1 :Text;
   seat @2 :UInt64;
   storeAgeMs @3 :UInt32;
+  isStoreTroubled @4 :Bool;
 }
 
 struct PeerState {
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -40,6 +40,7 @@
         self.changes: list[Change] = []
         self.first_kept = 0
         self.is_down = False
+        self.troubled_ms = 0
         self.lose_answers = 0
         self.late: list = []
         self.commits = 0
@@ -54,6 +55,9 @@
     def is_failing(self) -> bool:
         return self.is_down
 
+    def trouble_ms(self) -> int:
+        return self.clock.now_ms() if self.is_down else self.troubled_ms
+
     async def read(self, key: str) -> Item | None:
         await self._pause()
         return self.items.get(key)
