Carry out waves of upkeep; let a seat test wait for claims under way

Cause: the contract of upkeep had no implementation. The seat test failed once of 9 runs: a claim that began while the seat was free took effect after the test had freed it again (traced under load). Change: a wave empties few machines at a time, orders each once and reports to the operator; services leave only as far as their bound allows. The test waits until every lease asked for was used.

--- a/packages/core/lagoonshelf_core/jobs/oversight.py
+++ b/packages/core/lagoonshelf_core/jobs/oversight.py
@@ -39,6 +39,10 @@
 
 def _check_run(cell: Cell, worker: Worker, run: Run, now_ms: int) -> None:
     step = run.task.step
+    if worker.is_upkeep_due:
+        if run.task.step.spec.saves_progress or _may_be_away(run):
+            cell.stop(run, "upkeep of its machine")
+        return
     if worker.info.is_draining:
         if _should_leave(worker, run, step, now_ms):
             cell.stop(run, "its worker leaves")
@@ -60,6 +64,21 @@
     return now_ms + left_ms > worker.leaves_ms - LEAVE_MARGIN_MS
 
 
+def _may_be_away(run: Run) -> bool:
+    """Tell whether a service's task may be stopped beside those of its step that are away."""
+    spec, step = run.task.step.spec, run.task.step
+    if not spec.is_service:
+        return False
+    away = sum(
+        task.run is None
+        or task.run.phase is not RunPhase.RUNNING
+        or task.run.percent < AT_WORK_PERCENT
+        for task in step.tasks
+        if task.run is not run
+    )
+    return spec.max_unavailable == 0 or away < spec.max_unavailable
+
+
 def _is_stalled(run: Run, step: StepRun, now_ms: int) -> bool:
     spec = step.spec
     still_ms = now_ms - run.percent_at_ms
--- /dev/null
+++ b/packages/core/lagoonshelf_core/jobs/waves.py
@@ -0,0 +1,133 @@
+"""Waves of upkeep: which machine goes down when, so that few are down and the wave is in time."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from math import ceil
+from typing import NewType
+
+from lagoonshelf_core.ids import WorkerId
+
+MachineId = NewType("MachineId", str)
+
+# Part of a round that is kept for the order, the list of machines and the worker's return.
+ROUND_MARGIN_MS = 1_000
+MIN_DRAIN_MS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class WaveSpec:
+    """A wave as the operator asked for it.
+
+    :param duration_ms: time for the whole wave
+    :param most_down: machines that may be down at once
+    """
+
+    number: int
+    machines: tuple[MachineId, ...]
+    duration_ms: int
+    most_down: int
+
+
+@dataclass(frozen=True, slots=True)
+class MachineView:
+    """A machine as the platform lists it.
+
+    :param worker: the worker on it, none while it has none
+    """
+
+    id: MachineId
+    is_up: bool
+    worker: WorkerId | None
+
+
+class MachinePhase(Enum):
+    """Where a machine of a wave is."""
+
+    PENDING = "pending"
+    EMPTYING = "emptying"
+    DOWN = "down"
+    DONE = "done"
+
+
+@dataclass(slots=True)
+class _Machine:
+    phase: MachinePhase = MachinePhase.PENDING
+    since_ms: int = 0
+    old_worker: WorkerId | None = None
+
+
+@dataclass(slots=True)
+class Wave:
+    """A wave in progress; what has begun is asked again by a successor, which does no harm."""
+
+    spec: WaveSpec
+    seen_ms: int
+    upkeep_ms: int
+    machines: dict[MachineId, _Machine] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.machines = {name: _Machine() for name in self.spec.machines}
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every machine has had its upkeep or is gone."""
+        return all(entry.phase is MachinePhase.DONE for entry in self.machines.values())
+
+    def drain_ms(self) -> int:
+        """Return how long a machine may take to become empty."""
+        rounds = ceil(len(self.spec.machines) / max(1, self.spec.most_down))
+        each_ms = self.spec.duration_ms // max(1, rounds)
+        return max(MIN_DRAIN_MS, each_ms - self.upkeep_ms - ROUND_MARGIN_MS)
+
+    def leaving(self) -> set[WorkerId]:
+        """Return the workers that get no new work for the wave's sake."""
+        return {
+            entry.old_worker
+            for entry in self.machines.values()
+            if entry.old_worker is not None and entry.phase is MachinePhase.EMPTYING
+        }
+
+    def advance(
+        self, views: dict[MachineId, MachineView], busy: set[WorkerId], now_ms: int
+    ) -> list[MachineId]:
+        """Return the machines whose upkeep should be ordered now.
+
+        :param views: machines as last listed; one that is missing is gone
+        :param busy: workers on which something runs
+        """
+        for name, entry in self.machines.items():
+            self._update(entry, views.get(name))
+        self._fill(views, now_ms)
+        return [
+            name
+            for name, entry in self.machines.items()
+            if entry.phase is MachinePhase.EMPTYING
+            and (entry.old_worker not in busy or now_ms - entry.since_ms >= self.drain_ms())
+        ]
+
+    def begun(self, name: MachineId, now_ms: int) -> None:
+        """Note that the platform has accepted the upkeep of a machine."""
+        entry = self.machines[name]
+        entry.phase = MachinePhase.DOWN
+        entry.since_ms = now_ms
+
+    def _update(self, entry: _Machine, view: MachineView | None) -> None:
+        is_gone = view is None
+        is_down = entry.phase is MachinePhase.DOWN
+        if is_gone or (is_down and view.is_up and view.worker != entry.old_worker):
+            entry.phase = MachinePhase.DONE
+
+    def _fill(self, views: dict[MachineId, MachineView], now_ms: int) -> None:
+        active = sum(
+            entry.phase in (MachinePhase.EMPTYING, MachinePhase.DOWN)
+            for entry in self.machines.values()
+        )
+        for name, entry in self.machines.items():
+            if active >= self.spec.most_down:
+                return
+            view = views.get(name)
+            if entry.phase is MachinePhase.PENDING and view is not None and view.is_up:
+                entry.phase = MachinePhase.EMPTYING
+                entry.since_ms = now_ms
+                entry.old_worker = view.worker
+                active += 1
--- a/packages/server/lagoonshelf_server/jobs/holder.py
+++ b/packages/server/lagoonshelf_server/jobs/holder.py
@@ -36,6 +36,7 @@
     Committed,
     HistoryLostError,
     Item,
+    MachinePort,
     PlatformViews,
     Put,
     Store,
@@ -44,6 +45,7 @@
     WorkerPort,
 )
 from lagoonshelf_server.jobs.seat import OUTAGE_MS, Seat
+from lagoonshelf_server.jobs.upkeep import Upkeep
 from lagoonshelf_server.logs import logger
 
 WATCH_MS = 5_000
@@ -71,6 +73,7 @@
     store: Store
     workers: WorkerPort
     views: PlatformViews
+    machines: MachinePort | None = None
 
 
 class Holder:
@@ -94,6 +97,7 @@
         self._store = ports.store
         self._port = ports.workers
         self._views = ports.views
+        self._machines = ports.machines
         self._seat = seat
         self._config = config
         self._clock = clock
@@ -136,6 +140,9 @@
             self._spawn(self._tick())
             self._spawn(self._forget())
             self._spawn(self._report())
+            if self._machines is not None:
+                args = (self.cell, self._store, self._machines, self._views)
+                self._spawn(Upkeep(*args, self._seat, self._clock).run())
             await self._plan_loop()
         finally:
             self.is_ready = False
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -8,6 +8,7 @@
 from lagoonshelf_core.ids import WorkerId
 from lagoonshelf_core.jobs.cell import EndedRow, RunningRow
 from lagoonshelf_core.jobs.config import CellConfig
+from lagoonshelf_core.jobs.waves import MachineId, MachineView, WaveSpec
 from lagoonshelf_core.jobs.workers import WorkerInfo
 
 StoreRevision = NewType("StoreRevision", int)
@@ -233,11 +234,44 @@
         """Return the permits of the workers that may run a step."""
 
 
+class UpkeepOutcome(Enum):
+    """What the platform said of an order to a machine."""
+
+    BEGUN = "begun"
+    FENCED = "fenced"
+    REFUSED = "refused"
+
+
+class MachinePort(Protocol):
+    """Machines of the platform; calls raise ``NoAnswerError``."""
+
+    async def list_machines(self) -> list[MachineView]:
+        """Return all machines."""
+
+    async def begin_upkeep(
+        self, machine: MachineId, wave: int, holder: str, token: int
+    ) -> UpkeepOutcome:
+        """Begin a machine's upkeep; also answered so when it has begun before."""
+
+
 class PlatformViews(Protocol):
     """Decoding of what others write into the store."""
 
     config_key: str
     registry_prefix: str
+    wave_prefix: str
+
+    def decode_wave(self, data: bytes) -> WaveSpec | None:
+        """Return a wave of upkeep, none when it cannot be read."""
+
+    def wave_status_key(self, number: int) -> str:
+        """Return the key under which the operator looks for a wave's status."""
+
+    def encode_wave_status(self, number: int, *, is_complete: bool) -> bytes:
+        """Return a wave's status for the operator."""
+
+    def is_wave_complete(self, data: bytes) -> bool:
+        """Tell whether a status says that its wave is complete."""
 
     def decode_config(self, data: bytes) -> CellConfig | None:
         """Return a configuration, none when it cannot be read."""
--- a/packages/server/lagoonshelf_server/jobs/seat.py
+++ b/packages/server/lagoonshelf_server/jobs/seat.py
@@ -68,7 +68,7 @@
         """
         self._store = store
         self._clock = clock
-        self._member = member
+        self.member = member
         self._address = address
         self._lease: StoreLease | None = None
         self._absent_since_ms: int | None = None
@@ -161,7 +161,7 @@
 
     def told(self, view: SeatView) -> None:
         """Note a newer seat that another member knows; the store may be out of reach here."""
-        if view.revision > self.revision and view.member != self._member:
+        if view.revision > self.revision and view.member != self.member:
             self.step_down(f"held by {view.member}")
             self.view = view
             self._absent_since_ms = None
@@ -187,8 +187,8 @@
         raw = orjson.loads(item.value)
         self._absent_since_ms = None
         self.holder_view = HolderView.UNKNOWN
-        if raw["member"] == self._member and self.is_held:
-            self.view = SeatView(item.revision, self._member, self._address)
+        if raw["member"] == self.member and self.is_held:
+            self.view = SeatView(item.revision, self.member, self._address)
         else:
             self.step_down(f"held by {raw['member']}")
             self.view = SeatView(item.revision, MemberId(raw["member"]), raw["address"])
@@ -200,7 +200,7 @@
     def _is_free(self) -> bool:
         if self.view is None:
             return self._absent_since_ms is not None
-        if self.holder_view is HolderView.DEAD or self.view.member == self._member:
+        if self.holder_view is HolderView.DEAD or self.view.member == self.member:
             return True
         if self._absent_since_ms is None:
             return False
@@ -227,7 +227,7 @@
     async def _write(self, expected: StoreRevision) -> None:
         sent_ms = self._clock.now_ms()
         lease = await self._store.grant_lease(SEAT_TTL_MS)
-        value = orjson.dumps({"member": self._member, "address": self._address})
+        value = orjson.dumps({"member": self.member, "address": self._address})
         result = await self._store.commit({SEAT: expected}, [Put(SEAT, value, lease)])
         if not isinstance(result, Committed):
             await self._refresh()
@@ -236,7 +236,7 @@
         self._lease = lease
         self.renewed_ms = sent_ms
         self._absent_since_ms = None
-        self.view = SeatView(result.revision, self._member, self._address)
+        self.view = SeatView(result.revision, self.member, self._address)
         self.is_held = True
         _log.info("seat taken", seat=result.revision, again=was_held)
         figures.is_holder.set({}, 1)
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/upkeep.py
@@ -0,0 +1,121 @@
+"""Carries waves of upkeep out: one order a machine, few at once, and a report to the operator."""
+
+import asyncio
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.waves import MachineId, MachineView, Wave
+from lagoonshelf_server.jobs.keys import SEAT
+from lagoonshelf_server.jobs.ports import (
+    MachinePort,
+    NoAnswerError,
+    PlatformViews,
+    Put,
+    Store,
+    StoreUnavailableError,
+    StoreUncertainError,
+    UpkeepOutcome,
+)
+from lagoonshelf_server.jobs.seat import Seat
+from lagoonshelf_server.logs import logger
+
+LOOK_S = 1.0
+STEP_S = 0.2
+# A successor gives no order to a machine so soon after its predecessor may have.
+FIRST_ORDER_MS = 3_500
+# Time of one upkeep, for the plan of a wave; the platform says when it is over.
+UPKEEP_MS = 2_000
+
+_log = logger("upkeep")
+
+
+class Upkeep:
+    """The waves of one term."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        store: Store,
+        machines: MachinePort,
+        views: PlatformViews,
+        seat: Seat,
+        clock: Clock,
+    ) -> None:
+        """Set up without a wave."""
+        self._cell = cell
+        self._store = store
+        self._machines = machines
+        self._views = views
+        self._seat = seat
+        self._clock = clock
+        self._started_ms = clock.now_ms()
+        self._waves: dict[int, Wave] = {}
+        self._reported: dict[int, bool] = {}
+
+    async def run(self) -> None:
+        """Look for waves and carry them out until cancelled."""
+        while True:
+            try:
+                await self._look()
+                while any(not self._reported.get(number) for number in self._waves):
+                    await self._advance()
+                    await asyncio.sleep(STEP_S)
+            except (StoreUnavailableError, StoreUncertainError, NoAnswerError) as exc:
+                _log.info("upkeep waits", reason=str(exc))
+            await asyncio.sleep(LOOK_S)
+
+    async def _look(self) -> None:
+        items, _ = await self._store.read_all(self._views.wave_prefix, stale=True)
+        for item in items:
+            spec = self._views.decode_wave(item.value)
+            if spec is None or spec.number in self._waves:
+                continue
+            status = await self._store.read(self._views.wave_status_key(spec.number))
+            if status is not None and self._views.is_wave_complete(status.value):
+                self._reported[spec.number] = True
+            self._waves[spec.number] = Wave(spec, self._clock.now_ms(), UPKEEP_MS)
+            if not self._reported.get(spec.number):
+                _log.info("wave seen", wave=spec.number, machines=len(spec.machines))
+
+    async def _advance(self) -> None:
+        views = {view.id: view for view in await self._machines.list_machines()}
+        busy = {worker.id for worker in self._cell.workers.values() if worker.runs}
+        leaving = set()
+        for wave in self._waves.values():
+            if self._reported.get(wave.spec.number):
+                continue
+            for machine in wave.advance(views, busy, self._clock.now_ms()):
+                await self._order(wave, machine, views[machine])
+            leaving |= wave.leaving()
+            await self._report(wave)
+        for worker in self._cell.workers.values():
+            worker.is_upkeep_due = worker.id in leaving
+
+    async def _order(self, wave: Wave, machine: MachineId, view: MachineView) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._started_ms < FIRST_ORDER_MS or not self._seat.may_order():
+            return
+        outcome = await self._machines.begin_upkeep(
+            machine, wave.spec.number, self._seat.member, self._seat.revision
+        )
+        _log.info(
+            "upkeep ordered",
+            machine=machine,
+            worker=view.worker,
+            wave=wave.spec.number,
+            outcome=outcome.value,
+        )
+        if outcome is UpkeepOutcome.BEGUN:
+            wave.begun(machine, now_ms)
+        elif outcome is UpkeepOutcome.FENCED:
+            self._seat.step_down(f"fenced at machine {machine}")
+
+    async def _report(self, wave: Wave) -> None:
+        number, is_complete = wave.spec.number, wave.is_complete
+        if self._reported.get(number) == is_complete:
+            return
+        value = self._views.encode_wave_status(number, is_complete=is_complete)
+        put = Put(self._views.wave_status_key(number), value)
+        if await self._store.commit({SEAT: self._seat.revision}, [put]) is not None:
+            self._reported[number] = is_complete
+            _log.info("wave reported", wave=number, complete=is_complete)
--- a/tests/server/jobs/test_seat.py
+++ b/tests/server/jobs/test_seat.py
@@ -28,6 +28,8 @@
         await eventually(lambda: sum(seat.is_held for seat in self.seats) == 1)
         holder = next(seat for seat in self.seats if seat.is_held)
         await eventually(lambda: all(s.revision == holder.revision for s in self.seats))
+        # A claim that is still under way may rightly succeed once the seat is free again.
+        await eventually(lambda: self.store.grants == self.store.commits)
         return holder
 
     async def test_one_of_several_takes_a_free_seat(self) -> None:
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -44,6 +44,7 @@
         self.lose_answers = 0
         self.late: list = []
         self.commits = 0
+        self.grants = 0
         self._next_lease = 1
         self.ended: set[StoreLease] = set()
         self.clock = Clock()
@@ -97,6 +98,7 @@
         return self._apply(conditions, puts, deletes)
 
     async def grant_lease(self, ttl_ms: int) -> StoreLease:
+        self.grants += 1
         await self._pause()
         self._next_lease += 1
         return StoreLease(self._next_lease)
