Offer the seat before leaving; commit in parallel while the store is slow

Change: a leaving holder offers the seat and goes on until another has it; further commits begin beside one that is not answered in 30 ms; starts do not wait for records in a troubled store.

--- a/packages/server/lagoonshelf_server/jobs/holder.py
+++ b/packages/server/lagoonshelf_server/jobs/holder.py
@@ -61,6 +61,7 @@
 FORGET_EACH_S = 10.0
 # Longest wait for the record of a start before the state of the store is looked at.
 RECORD_WAIT_S = 0.15
+TROUBLED_WAIT_S = 0.02
 REPORT_S = 1.0
 
 _log = logger("holder")
@@ -374,7 +375,8 @@
         While no member has the store working as usual, work goes on without a record; a
         successor then waits for the leases of workers that it cannot read.
         """
-        while not await self.ledger.wait_durable(mark, RECORD_WAIT_S):
+        wait_s = TROUBLED_WAIT_S if self.is_store_troubled() else RECORD_WAIT_S
+        while not await self.ledger.wait_durable(mark, wait_s):
             if self.is_store_troubled():
                 self.cell.note("start not recorded", command.run)
                 break
--- a/packages/server/lagoonshelf_server/jobs/ledger.py
+++ b/packages/server/lagoonshelf_server/jobs/ledger.py
@@ -1,7 +1,6 @@
 """Group commit of the progress of jobs, under the condition that the seat is still held."""
 
 import asyncio
-from collections.abc import Callable
 from contextlib import suppress
 
 from lagoonshelf_core.jobs.progress import Job, JobState, encode_progress
@@ -25,6 +24,10 @@
 # call to the store has its price.
 URGENT_PAUSE_S = 0.006
 PAUSE_S = 0.04
+# A further commit begins beside one that the store has not answered for so long; an ordinary one
+# is answered sooner, and what waits for it goes into one call.
+OVERLAP_S = 0.03
+PARALLEL_COMMITS = 4
 RETRY_S = 0.1
 
 _log = logger("ledger")
@@ -38,14 +41,16 @@
         self._store = store
         self._seat = seat
         self._waiting: dict[JobId, Job] = {}
+        self._writing: set[JobId] = set()
+        # Version at which each job was first added since its last durable write began.
+        self._since: dict[JobId, int] = {}
         self._revisions: dict[JobId, int] = {}
+        self._begun: list[float] = []
         self._wake = asyncio.Event()
         self._hurry = asyncio.Event()
         self._version = 0
-        self._durable = 0
-        self._flushed = asyncio.Event()
+        self._written = asyncio.Event()
         self.shown: dict[JobId, JobState] = {}
-        self.on_commit: Callable[[list[Job]], None] = lambda jobs: None
 
     def known(self, job: JobId, revision: int, state: JobState) -> None:
         """Note a record that was read."""
@@ -56,9 +61,10 @@
         """Write the present progress of jobs soon."""
         if not jobs:
             return
+        self._version += 1
         for job in jobs:
             self._waiting[job.id] = job
-        self._version += 1
+            self._since.setdefault(job.id, self._version)
         self._wake.set()
         if is_urgent:
             self._hurry.set()
@@ -69,30 +75,72 @@
 
     def is_durable(self, mark: int) -> bool:
         """Tell whether all that had been added at a mark is durable."""
-        return mark <= self._durable
+        return all(version > mark for version in self._since.values())
 
     async def wait_durable(self, mark: int, timeout_s: float) -> bool:
         """Wait until all that had been added at a mark is durable; tell whether it is."""
         try:
             async with asyncio.timeout(timeout_s):
                 while not self.is_durable(mark):
-                    self._flushed.clear()
-                    await self._flushed.wait()
+                    self._written.clear()
+                    await self._written.wait()
         except TimeoutError:
             return False
         return True
 
     async def run(self) -> None:
-        """Write until cancelled."""
+        """Write until cancelled; several commits of different jobs are under way at once."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(PARALLEL_COMMITS):
+                group.create_task(self._write_batches())
+
+    async def _write_batches(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             await self._wake.wait()
             with suppress(TimeoutError):
                 async with asyncio.timeout(PAUSE_S):
                     await self._hurry.wait()
                     await asyncio.sleep(URGENT_PAUSE_S)
+            if self._begun and loop.time() - self._begun[-1] < OVERLAP_S:
+                await asyncio.sleep(URGENT_PAUSE_S)
+                continue
+            batch = self._take()
+            if batch:
+                self._begun.append(loop.time())
+                await self._write_batch(batch)
+                self._begun.pop(0)
+
+    def _take(self) -> list[Job]:
+        """Take jobs that wait and are not being written."""
+        free = [job for name, job in self._waiting.items() if name not in self._writing]
+        batch = free[:MAX_JOBS_PER_COMMIT]
+        for job in batch:
+            del self._waiting[job.id]
+            self._writing.add(job.id)
+        if len(batch) == len(free):
             self._wake.clear()
             self._hurry.clear()
-            await self._flush()
+        return batch
+
+    async def _write_batch(self, batch: list[Job]) -> None:
+        began = self._version
+        for job in batch:
+            self._since[job.id] = min(self._since.get(job.id, began), began)
+        while not await self._write(batch):
+            if not self._seat.is_held:
+                return
+            await asyncio.sleep(RETRY_S)
+        for job in batch:
+            self._writing.discard(job.id)
+            if job.id in self._waiting:
+                # Added again meanwhile; the write may not hold that change.
+                self._since[job.id] = began + 1
+                self._wake.set()
+                self._hurry.set()
+            else:
+                self._since.pop(job.id, None)
+        self._written.set()
 
     async def forget(self, jobs: list[JobId]) -> None:
         """Delete the records of final jobs."""
@@ -103,21 +151,6 @@
                 self._revisions.pop(job, None)
                 self.shown.pop(job, None)
 
-    async def _flush(self) -> None:
-        """Write all that waits now; what is added meanwhile belongs to the next round."""
-        while self._waiting:
-            mark = self._version
-            batch_jobs = list(self._waiting.values())
-            self._waiting = {}
-            for start in range(0, len(batch_jobs), MAX_JOBS_PER_COMMIT):
-                batch = batch_jobs[start : start + MAX_JOBS_PER_COMMIT]
-                while not await self._write(batch):
-                    if not self._seat.is_held:
-                        return
-                    await asyncio.sleep(RETRY_S)
-            self._durable = mark
-            self._flushed.set()
-
     async def _write(self, batch: list[Job]) -> bool:
         """Write one batch; tell whether it is durable."""
         states = [job.state for job in batch]
@@ -137,7 +170,6 @@
         for job, state in zip(batch, states, strict=True):
             self._revisions[job.id] = result.revision
             self.shown[job.id] = state
-        self.on_commit(batch)
         return True
 
     def _resolve(self, batch: list[Job], puts: list[Put], conflict: Conflict) -> bool:
@@ -158,5 +190,4 @@
             return False
         for job in batch:
             self.shown[job.id] = job.state
-        self.on_commit(batch)
         return True
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -158,9 +158,13 @@
         return self.front.pending.get(queue, 0)
 
     async def drain(self) -> None:
-        """Give the seat back and stop taking it; callers are still served."""
+        """Offer the seat and stop taking it; callers are still served."""
         self.is_draining = True
         self.seat.is_willing = False
+        await self.seat.offer()
+
+    async def leave(self) -> None:
+        """Give the seat back if nobody has taken it."""
         await self.seat.release()
 
     # Loops
@@ -262,12 +266,13 @@
         known = [state.address for state in self._relays]
         known += [state.address for state, _ in self._members.values()]
         others = [address for address in known if address != self._cfg.address]
-        if view is not None and view.member != self._cfg.member and not self._asks_others:
+        is_own = view is not None and view.member == self._cfg.member
+        if view is not None and view.address and not is_own and not self._asks_others:
             return view.address
         self._asks_others = False
         if others and self._store_age_ms() > STORE_SILENT_MS:
             return choice(others)
-        return None if view is None or view.member == self._cfg.member else view.address
+        return None if view is None or not view.address or is_own else view.address
 
     def _on_pulse_reply(self, reply: PulseReply, *, is_to_holder: bool) -> None:
         if is_to_holder:
@@ -311,7 +316,7 @@
 
     async def _call_holder(self, kind: str, body: Body, timeout_s: float) -> Body:
         view = self.seat.view
-        if view is None or self._net is None:
+        if view is None or not view.address or self._net is None:
             raise ConnectionError("no holder is known")
         if view.member == self._cfg.member:
             raise ConnectionError("this process is not ready to hold the cell")
@@ -360,7 +365,8 @@
 
     async def _relay(self, job: JobId, record: str) -> Written:
         """Have the holder write, or another member when the holder cannot."""
-        addresses = [] if self.seat.view is None else [self.seat.view.address]
+        view = self.seat.view
+        addresses = [] if view is None or not view.address else [view.address]
         addresses += [state.address for state in self._relays if state.address not in addresses]
         addresses = [address for address in addresses if address != self._cfg.address]
         if self._net is None or not addresses:
--- a/packages/server/lagoonshelf_server/jobs/seat.py
+++ b/packages/server/lagoonshelf_server/jobs/seat.py
@@ -37,6 +37,9 @@
 # A holder that does not reach the store goes on for the length of an ordinary outage.
 OUTAGE_MS = 6_500
 
+# Stands in the key after a holder has given the seat back.
+NOBODY = MemberId("")
+
 _log = logger("seat")
 
 
@@ -56,6 +59,7 @@
     revision: StoreRevision
     member: MemberId
     address: str
+    is_offered: bool = False
 
 
 class Seat:
@@ -129,6 +133,22 @@
             except (StoreUnavailableError, StoreUncertainError) as exc:
                 _log.info("seat not renewed", reason=str(exc), age_ms=sent_ms - self.renewed_ms)
 
+    async def offer(self) -> None:
+        """Ask others to take the seat; this process goes on until one of them has it."""
+        if not self.is_held:
+            return
+        value = _encode(self.member, self._address, is_offered=True)
+        try:
+            result = await self._store.commit(
+                {SEAT: self.revision}, [Put(SEAT, value, self._lease)]
+            )
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            _log.warning("seat not offered", reason=str(exc))
+            return
+        if isinstance(result, Committed) and self.is_held:
+            self.view = SeatView(result.revision, self.member, self._address, is_offered=True)
+            _log.info("seat offered", seat=result.revision)
+
     async def release(self) -> None:
         """Give the seat back, so that another member can claim it at once."""
         if not self.is_held:
@@ -136,7 +156,7 @@
         revision = self.revision
         self.step_down("released")
         try:
-            await self._store.commit({SEAT: revision}, deletes=[SEAT])
+            await self._store.commit({SEAT: revision}, [Put(SEAT, _encode(NOBODY, ""))])
         except (StoreUnavailableError, StoreUncertainError) as exc:
             _log.warning("seat not released", reason=str(exc))
 
@@ -191,7 +211,9 @@
             self.view = SeatView(item.revision, self.member, self._address)
         else:
             self.step_down(f"held by {raw['member']}")
-            self.view = SeatView(item.revision, MemberId(raw["member"]), raw["address"])
+            is_offered = raw.get("offered", False)
+            member = MemberId(raw["member"])
+            self.view = SeatView(item.revision, member, raw["address"], is_offered)
             _log.info("seat seen", holder=raw["member"], seat=item.revision)
 
     def _reaches_store(self) -> bool:
@@ -200,7 +222,9 @@
     def _is_free(self) -> bool:
         if self.view is None:
             return self._absent_since_ms is not None
-        if self.holder_view is HolderView.DEAD or self.view.member == self.member:
+        if self.view.is_offered or self.view.member in (self.member, NOBODY):
+            return True
+        if self.holder_view is HolderView.DEAD:
             return True
         if self._absent_since_ms is None:
             return False
@@ -227,7 +251,7 @@
     async def _write(self, expected: StoreRevision) -> None:
         sent_ms = self._clock.now_ms()
         lease = await self._store.grant_lease(SEAT_TTL_MS)
-        value = orjson.dumps({"member": self.member, "address": self._address})
+        value = _encode(self.member, self._address)
         result = await self._store.commit({SEAT: expected}, [Put(SEAT, value, lease)])
         if not isinstance(result, Committed):
             await self._refresh()
@@ -243,3 +267,7 @@
         if not was_held:
             self.lost.clear()
             self.taken.set()
+
+
+def _encode(member: MemberId, address: str, *, is_offered: bool = False) -> bytes:
+    return orjson.dumps({"member": member, "address": address, "offered": is_offered})
--- a/tests/server/jobs/test_seat.py
+++ b/tests/server/jobs/test_seat.py
@@ -7,7 +7,7 @@
 from lagoonshelf_core.ids import MemberId
 from lagoonshelf_server.jobs.keys import SEAT
 from lagoonshelf_server.jobs.ports import StoreRevision
-from lagoonshelf_server.jobs.seat import HolderView, Seat, SeatView
+from lagoonshelf_server.jobs.seat import INCUMBENT_GRACE_MS, HolderView, Seat, SeatView
 from tests.support.job_fakes import FakeStore, eventually
 
 
@@ -73,10 +73,24 @@
         """Draining processes do not take it back."""
         holder = await self._holder()
         holder.is_willing = False
+        for seat in self.seats:
+            seat.heard(HolderView.ANSWERS, holder.revision)
         await holder.release()
         self.assertFalse(holder.is_held)
         others = [seat for seat in self.seats if seat is not holder]
-        await eventually(lambda: any(seat.is_held for seat in others))
+        await eventually(lambda: any(seat.is_held for seat in others), INCUMBENT_GRACE_MS / 2_000)
+
+    async def test_an_offered_seat_is_held_until_another_has_it(self) -> None:
+        """A slow store leaves no gap (trouble-2 of andinas)."""
+        holder = await self._holder()
+        holder.is_willing = False
+        for seat in self.seats:
+            seat.heard(HolderView.ANSWERS, holder.revision)
+        await holder.offer()
+        self.assertTrue(holder.is_held)
+        others = [seat for seat in self.seats if seat is not holder]
+        await eventually(lambda: any(seat.is_held for seat in others), INCUMBENT_GRACE_MS / 2_000)
+        await eventually(lambda: not holder.is_held)
 
     async def test_a_holder_without_the_store_stops_ordering_in_time(self) -> None:
         """Its successor counts on that."""
