Explain a request from the logs of several processes

Cause: on-call engineers have only logs; the lines of one request lie in several files. Change: lagoonshelf explain ID FILE... orders them, with the beliefs that touched the request.

--- a/packages/client/lagoonshelf_client/commands.py
+++ b/packages/client/lagoonshelf_client/commands.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from lagoonshelf_client.api import Client, Connection
+from lagoonshelf_client.explain import explain, format_line, read_lines
 from lagoonshelf_core.document import difference, parse_document
 from lagoonshelf_core.errors import Fault, ResultCode
 from lagoonshelf_core.ids import KeyId, TeamId, is_valid_id
@@ -139,6 +140,23 @@
         self.config = ConfigCommands(self._client, report)
         self.keys = KeyCommands(self._client, report)
 
+    def explain(self, request: str, *files: str) -> None:
+        """Print what the logs of several processes say of one request, in order of time.
+
+        Example: lagoonshelf explain 5c0e7a21d94b36f8 entry-1.log entry-2.log
+        """
+        try:
+            found = explain(str(request), read_lines(files))
+        except OSError as exc:
+            self._report(Failure(Fault(ResultCode.BAD_REQUEST, str(exc))))
+            return
+        if not found:
+            text = f"no line about {request} in {len(files)} files"
+            self._report(Failure(Fault(ResultCode.NOT_FOUND, text)))
+            return
+        for line in found:
+            print(format_line(line, found[0].at_ms))
+
     def submit(
         self,
         queue: str,
--- /dev/null
+++ b/packages/client/lagoonshelf_client/explain.py
@@ -0,0 +1,105 @@
+"""Gathers from the logs of several processes what explains the end of one request."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from pathlib import Path
+
+import orjson
+
+# Lines about beliefs that touch every request; those of a worker only if the request ran there.
+CELL_MESSAGES = frozenset(
+    {
+        "seat taken",
+        "seat lost",
+        "seat offered",
+        "seat is free",
+        "holder ready",
+        "term ended",
+        "store lost",
+        "store regained",
+        "process started",
+        "process stopping",
+        "configuration in force",
+        "lines left out",
+    }
+)
+# Context before the first line of a request and after its last one.
+MARGIN_MS = 2_000
+HIDDEN = ("time", "level", "logger", "message", "member", "request")
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One log line.
+
+    :param at_ms: milliseconds since the epoch, as its process saw it
+    """
+
+    at_ms: int
+    fields: dict[str, object]
+
+    @property
+    def message(self) -> str:
+        """Return what happened."""
+        return str(self.fields.get("message", ""))
+
+
+def read_lines(paths: Iterable[str]) -> Iterator[Line]:
+    """Return the log lines of files; what is not a log line is left out."""
+    for path in paths:
+        with Path(path).open("rb") as file:
+            for raw in file:
+                line = _parse(raw)
+                if line is not None:
+                    yield line
+
+
+def explain(request: str, lines: Iterable[Line]) -> list[Line]:
+    """Return the lines of a request and those that explain them, in order of time."""
+    everything = sorted(lines, key=lambda line: line.at_ms)
+    own = [line for line in everything if _is_about(line, request)]
+    if not own:
+        return []
+    workers = {line.fields["worker"] for line in own if "worker" in line.fields}
+    first_ms, last_ms = own[0].at_ms - MARGIN_MS, own[-1].at_ms + MARGIN_MS
+    return [
+        line
+        for line in everything
+        if _is_about(line, request)
+        or (first_ms <= line.at_ms <= last_ms and _is_context(line, workers))
+    ]
+
+
+def format_line(line: Line, first_ms: int) -> str:
+    """Return a line for people: time since the first one, process, message, inputs."""
+    rest = " ".join(f"{name}={value}" for name, value in line.fields.items() if name not in HIDDEN)
+    member = line.fields.get("member", "?")
+    return f"{line.at_ms - first_ms:+8d} ms  {member}  {line.message}  {rest}".rstrip()
+
+
+def _is_about(line: Line, request: str) -> bool:
+    return line.fields.get("request") == request
+
+
+def _is_context(line: Line, workers: set[object]) -> bool:
+    if line.message in CELL_MESSAGES:
+        return True
+    return "request" not in line.fields and line.fields.get("worker") in workers
+
+
+def _parse(raw: bytes) -> Line | None:
+    """Return a line, also one with something before its JSON object."""
+    start = raw.find(b"{")
+    if start < 0:
+        return None
+    try:
+        fields = orjson.loads(raw[start:])
+        return Line(_milliseconds(fields["time"]), fields)
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def _milliseconds(text: str) -> int:
+    moment = datetime.fromisoformat(text).replace(tzinfo=UTC)
+    return round(moment.timestamp() * 1000)
