Take runs of a replaced worker as ended; order past the lease only in a seen outage

Change: a 421 to a list ends the runs of the intended incarnation; after its lease a holder orders only while all members that it hears have trouble with the store.

--- a/packages/server/lagoonshelf_server/jobs/contact.py
+++ b/packages/server/lagoonshelf_server/jobs/contact.py
@@ -10,6 +10,7 @@
 from lagoonshelf_server.jobs.ports import (
     Listing,
     NoAnswerError,
+    WorkerGoneError,
     WorkerPort,
     WorkerUnreachableError,
 )
@@ -28,6 +29,7 @@
 SHARED_WAIT_MS = 400
 ANSWER_SLACK_MS = 400
 RETRY_S = 0.1
+GONE_RETRY_S = 1.0
 # Longest wait for ends to become durable before the worker is asked again.
 DURABLE_WAIT_S = 0.3
 
@@ -89,6 +91,10 @@
             asked_ms = self._clock.now_ms()
             try:
                 listing = await self._list()
+            except WorkerGoneError as exc:
+                self._gone(str(exc))
+                await asyncio.sleep(GONE_RETRY_S)
+                continue
             except (WorkerUnreachableError, NoAnswerError) as exc:
                 self._not_heard(str(exc))
                 await asyncio.sleep(RETRY_S)
@@ -124,6 +130,14 @@
             self._worker.is_read = False
             self._on_contact()
 
+    def _gone(self, reason: str) -> None:
+        worker = self._worker
+        if worker.runs or worker.is_read or worker.blocks_inherited:
+            _log.warning("worker gone", worker=worker.id, reason=reason)
+            worker.is_read = worker.blocks_inherited = False
+            self._cell.end_all(worker, self._clock.now_ms(), "its worker is gone")
+            self._on_report()
+
     def _heard(self, listing: Listing, asked_ms: int) -> None:
         worker, now_ms = self._worker, self._clock.now_ms()
         if listing.born_ms and listing.born_ms != worker.info.born_ms:
--- a/packages/server/lagoonshelf_server/jobs/holder.py
+++ b/packages/server/lagoonshelf_server/jobs/holder.py
@@ -227,9 +227,9 @@
             info = self._views.decode_worker(item.key, item.value)
             if info is not None:
                 self.cell.see_worker(info, now_ms)
-        # A predecessor that may still be alive goes on until it knows that the seat is lost.
         lapse_ms = now_ms + int(RUN_LEASE_MS * 1.02) + LAPSE_MARGIN_MS
-        if not self._seat.predecessor_is_dead:
+        # A predecessor that may still be alive goes on longer in an outage.
+        if not self._seat.predecessor_is_dead and not self._is_clear:
             lapse_ms += OUTAGE_MS
         for row in _decode_used(used):
             self._restore_used(row, lapse_ms, now_ms)
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -126,6 +126,7 @@
         self.lag = LoopLag()
         self.config = ConfigView(ports.store, ports.views, clock)
         self.seat = Seat(ports.store, clock, cfg.member, cfg.address)
+        self.seat.is_outage = self._is_store_troubled_for_all
         link = HolderLink(self._announce, self._announce_cancel, self._state, self._relay)
         self.front = Front(ports.store, clock, link)
 
@@ -302,10 +303,14 @@
         return self._clock.now_ms() - self._ports.store.trouble_ms() < TROUBLE_MS
 
     def _is_store_troubled_for_all(self) -> bool:
-        """Tell whether no member that was heard lately has the store working as usual."""
+        """Tell whether no member has the store working as usual.
+
+        A process that hears no other member, though it knows some, cannot tell.
+        """
         limit_ms = self._clock.now_ms() - MEMBER_HEARD_MS
         heard = [troubled for troubled, at_ms in self._troubled.values() if at_ms > limit_ms]
-        return self._is_store_troubled() and all(heard)
+        is_alone = bool(self._troubled) and not heard
+        return self._is_store_troubled() and all(heard) and not is_alone
 
     def _store_age_ms(self) -> int:
         """Return the time since the store last answered this process."""
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -143,6 +143,10 @@
     """The order was not sent."""
 
 
+class WorkerGoneError(Exception):
+    """Another incarnation answers at the worker's address, so nothing runs on this one."""
+
+
 class NoAnswerError(Exception):
     """No answer came; the order may be carried out now or later."""
 
@@ -219,6 +223,8 @@
     ) -> Listing:
         """Renew the lease of all runs and list them, as soon as there is a new end.
 
+        Raises ``WorkerGoneError`` besides.
+
         :param seen_end: number of the last end that is recorded
         :param until_ms: end of the lease on the worker's clock, none to leave it
         """
--- a/packages/server/lagoonshelf_server/jobs/seat.py
+++ b/packages/server/lagoonshelf_server/jobs/seat.py
@@ -1,6 +1,7 @@
 """The seat of the cell's holder: one store key that names the process which gives all orders."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -83,6 +84,7 @@
         self.holder_view = HolderView.UNKNOWN
         self.renewed_ms = 0
         self.predecessor_is_dead = False
+        self.is_outage: Callable[[], bool] = lambda: False
         self.taken = asyncio.Event()
         self.lost = asyncio.Event()
 
@@ -92,8 +94,15 @@
         return self.view.revision if self.view is not None else ABSENT
 
     def may_order(self) -> bool:
-        """Tell whether this process may give orders that begin something."""
-        return self.is_held and self._clock.now_ms() - self.renewed_ms < OUTAGE_MS
+        """Tell whether this process may give orders that begin something.
+
+        After its lease it goes on only in an outage that other members see too, in which nobody
+        can take the seat.
+        """
+        age_ms = self._clock.now_ms() - self.renewed_ms
+        if not self.is_held or age_ms >= OUTAGE_MS:
+            return False
+        return age_ms < SEAT_TTL_MS or self.is_outage()
 
     async def follow(self) -> None:
         """Keep the view of the seat up to date; runs for the life of the process."""
--- a/tests/server/jobs/test_holder.py
+++ b/tests/server/jobs/test_holder.py
@@ -190,6 +190,15 @@
         await eventually(lambda: len(self.workers.started) == 1)
         held.set()
 
+    async def test_tasks_of_a_replaced_worker_start_again_at_once(self) -> None:
+        """Another one answers at its address (andinas trouble-3)."""
+        await self._term("m1")
+        spec = job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        self.workers.workers[self.workers.started[0][0]].is_replaced = True
+        await eventually(lambda: len(self.workers.started) == 2, 1.5)
+
     async def test_a_cancelled_job_is_stopped(self) -> None:
         """Also when only the store tells of it."""
         holder = await self._term("m1")
--- a/tests/server/jobs/test_seat.py
+++ b/tests/server/jobs/test_seat.py
@@ -7,7 +7,14 @@
 from lagoonshelf_core.ids import MemberId
 from lagoonshelf_server.jobs.keys import SEAT
 from lagoonshelf_server.jobs.ports import StoreRevision
-from lagoonshelf_server.jobs.seat import INCUMBENT_GRACE_MS, HolderView, Seat, SeatView
+from lagoonshelf_server.jobs.seat import (
+    INCUMBENT_GRACE_MS,
+    OUTAGE_MS,
+    SEAT_TTL_MS,
+    HolderView,
+    Seat,
+    SeatView,
+)
 from tests.support.job_fakes import FakeStore, eventually
 
 
@@ -95,8 +102,12 @@
     async def test_a_holder_without_the_store_stops_ordering_in_time(self) -> None:
         """Its successor counts on that."""
         holder = await self._holder()
-        holder.renewed_ms -= 10_000
         self.store.is_down = True
+        holder.renewed_ms -= SEAT_TTL_MS
+        self.assertFalse(holder.may_order())
+        holder.is_outage = lambda: True
+        self.assertTrue(holder.may_order(), "no other member reaches the store either")
+        holder.renewed_ms -= OUTAGE_MS
         self.assertFalse(holder.may_order())
 
     async def test_a_member_learns_a_newer_seat_from_others(self) -> None:
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -25,6 +25,7 @@
     StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
+    WorkerGoneError,
 )
 
 PAUSE_S = 0.0005
@@ -171,6 +172,7 @@
     count: int = 0
     seen: int = 0
     is_silent: bool = False
+    is_replaced: bool = False
     lose_starts: int = 0
     late_starts: list[StartOrder] = field(default_factory=list)
 
@@ -242,6 +244,8 @@
         timeout_ms: int,
     ) -> Listing:
         entry = await self._reach(worker)
+        if entry.is_replaced:
+            raise WorkerGoneError(worker.id)
         if token < entry.token:
             return Listing(self.clock.now_ms(), entry.born_ms, (), (), is_fenced=True)
         entry.token = token
