Keep the seat on strong hosts; show no counts of a holder that is still reading

Change: hosts under one core claim 0.6 s later and offer the seat to stronger ones; counts are shown only from a holder that is ready.

--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import choice, shuffle
 
 from returns.result import Failure
@@ -80,6 +80,12 @@
 # Counts of a queue may be 2 s old.
 PENDING_MAX_AGE_MS = 1_900
 RETRY_S = 0.1
+# A host with fewer processors leaves the seat to others for a while, and offers it to a host with
+# so many times its own. The holder of 176 workers takes about one core.
+HOLDER_CORES_MILLI = 1_000
+WEAK_CLAIM_DELAY_MS = 600
+STRONGER = 1.5
+OFFER_EACH_MS = 5_000
 # A loop that runs so late is on a slow host, which should not hold the cell.
 MAX_HOLDER_LAG_MS = 120.0
 
@@ -88,12 +94,16 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
-    """Who this process is and where others reach it."""
+    """Who this process is and where others reach it.
+
+    :param cores_milli: processors of this host, in thousandths
+    """
 
     member: MemberId
     failure_domain: FailureDomain
     host: str
     peer_port: int
+    cores_milli: int = HOLDER_CORES_MILLI
 
     @property
     def address(self) -> str:
@@ -126,6 +136,9 @@
         self.lag = LoopLag()
         self.config = ConfigView(ports.store, ports.views, clock)
         self.seat = Seat(ports.store, clock, cfg.member, cfg.address)
+        if cfg.cores_milli < HOLDER_CORES_MILLI:
+            self.seat.claim_delay_ms = WEAK_CLAIM_DELAY_MS
+        self._offered_ms = 0
         self.seat.is_outage = self._is_store_troubled_for_all
         link = HolderLink(self._announce, self._announce_cancel, self._state, self._relay)
         self.front = Front(ports.store, clock, link)
@@ -282,8 +295,9 @@
             is_cut_off = reply.store_age_ms > self._store_age_ms() + CUT_OFF_MS
             self.seat.heard(HolderView.SILENT if is_cut_off else HolderView.ANSWERS, reply.seat)
             self._relays = reply.members
-            self.front.pending = {QueueId(row.queue): row.count for row in reply.pending}
-            self.front.pending_at_ms = self._clock.now_ms()
+            if reply.is_ready:
+                self.front.pending = {QueueId(row.queue): row.count for row in reply.pending}
+                self.front.pending_at_ms = self._clock.now_ms()
         elif is_to_holder:
             # A process that started again at the holder's address does not hold the seat.
             self.seat.heard(HolderView.DEAD, self.seat.revision)
@@ -465,7 +479,20 @@
             for state, heard_ms in self._members.values()
             if now_ms - heard_ms < RELAY_AGE_MS and state.store_age_ms < RELAY_AGE_MS
         )
-        return PulseReply(True, self.seat.revision, self._store_age_ms(), rows, members)
+        self._offer_to_stronger(body)
+        reply = PulseReply(True, self.seat.revision, self._store_age_ms(), rows, members)
+        return replace(reply, is_ready=holder.is_ready)
+
+    def _offer_to_stronger(self, body: Pulse) -> None:
+        """Offer the seat when this host is weak and the sender's is not."""
+        now_ms = self._clock.now_ms()
+        own = self._cfg.cores_milli
+        is_stronger = body.cores_milli >= max(HOLDER_CORES_MILLI, STRONGER * own)
+        if own >= HOLDER_CORES_MILLI or not is_stronger or body.is_store_troubled:
+            return
+        if now_ms - self._offered_ms > OFFER_EACH_MS:
+            self._offered_ms = now_ms
+            self._tasks.append(asyncio.ensure_future(self._forever(self.seat.offer())))
 
     async def _on_advice(self, body: AdviceAsk) -> Advice:
         try:
--- a/packages/server/lagoonshelf_server/jobs/seat.py
+++ b/packages/server/lagoonshelf_server/jobs/seat.py
@@ -83,6 +83,7 @@
         self.is_willing = True
         self.holder_view = HolderView.UNKNOWN
         self.renewed_ms = 0
+        self.claim_delay_ms = 0
         self.predecessor_is_dead = False
         self.is_outage: Callable[[], bool] = lambda: False
         self.taken = asyncio.Event()
@@ -120,11 +121,17 @@
 
     async def contend(self) -> None:
         """Claim the seat whenever it is free; runs for the life of the process."""
+        free_since_ms: int | None = None
         while True:
             await asyncio.sleep(CLAIM_TICK_S)
             if self.is_held or not self.is_willing or not self.is_read:
                 continue
-            if self._reaches_store() and self._is_free():
+            if not self._reaches_store() or not self._is_free():
+                free_since_ms = None
+                continue
+            now_ms = self._clock.now_ms()
+            free_since_ms = now_ms if free_since_ms is None else free_since_ms
+            if now_ms - free_since_ms >= self.claim_delay_ms:
                 await self._try_claim()
 
     async def renew(self) -> None:
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -309,6 +309,7 @@
     :param seat: revision of the seat that the sender knows
     :param store_age_ms: time since the store last answered the sender
     :param is_store_troubled: a call to the store failed or was slow lately
+    :param cores_milli: processors of the sender's host
     """
 
     member: str
@@ -316,6 +317,7 @@
     seat: int
     store_age_ms: int
     is_store_troubled: bool = False
+    cores_milli: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -328,7 +330,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PulseReply:
-    """The answer to a sign of life, with the seat that the sender knows."""
+    """The answer to a sign of life, with the seat that the sender knows.
+
+    :param is_ready: the holder has read all jobs, so that its counts are whole
+    """
 
     is_holder: bool
     seat: int
@@ -337,6 +342,7 @@
     members: tuple[PeerState, ...] = ()
     holder: str = ""
     holder_address: str = ""
+    is_ready: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -244,6 +244,7 @@
   seat @2 :UInt64;
   storeAgeMs @3 :UInt32;
   isStoreTroubled @4 :Bool;
+  coresMilli @5 :UInt32;
 }
 
 struct PeerState {
@@ -259,6 +260,7 @@
   members @4 :List(PeerState);
   holder @5 :Text;
   holderAddress @6 :Text;
+  isReady @7 :Bool;
 }
 
 struct AdviceAsk {
--- /dev/null
+++ b/tests/server/jobs/test_node.py
@@ -0,0 +1,83 @@
+"""Tests of what a process learns from signs of life."""
+
+import unittest
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import FailureDomain, MemberId
+from lagoonshelf_server.jobs.holder import Ports
+from lagoonshelf_server.jobs.node import Node, NodeSettings
+from lagoonshelf_server.jobs.ports import StoreRevision
+from lagoonshelf_server.jobs.seat import HolderView, SeatView
+from lagoonshelf_server.messages import Pulse, PulseReply, QueueCount
+from tests.support.job_fakes import FakeStore, FakeViews, FakeWorkers
+
+
+class NodeTest(unittest.IsolatedAsyncioTestCase):
+    """A follower of a holder elsewhere."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock, self.store = Clock(), FakeStore()
+        ports = Ports(self.store, FakeWorkers(self.clock), FakeViews())
+        cfg = NodeSettings(MemberId("m1"), FailureDomain("d"), "127.0.0.1", 7000, 2_000)
+        self.node = Node(cfg, ports, None, self.clock)
+        self.node.seat.view = SeatView(StoreRevision(5), MemberId("m2"), "a:2")
+
+    async def test_counts_of_a_holder_that_has_not_read_all_jobs_are_left(self) -> None:
+        """They would say that nothing waits (MIXED, andinas-grown trouble-1)."""
+        full = PulseReply(True, 5, 0, (QueueCount("q", 7),), is_ready=True)
+        self.node._on_pulse_reply(full, is_to_holder=True)
+        self.assertEqual(self.node.pending("q"), 7)
+        self.node._on_pulse_reply(PulseReply(True, 5, 0), is_to_holder=True)
+        self.assertEqual(self.node.pending("q"), 7)
+
+    async def test_old_counts_are_not_shown(self) -> None:
+        """They may be 2 s old."""
+        full = PulseReply(True, 5, 0, (QueueCount("q", 7),), is_ready=True)
+        self.node._on_pulse_reply(full, is_to_holder=True)
+        self.node.front.pending_at_ms -= 2_000
+        self.assertIsNone(self.node.pending("q"))
+
+    async def test_a_process_that_no_longer_holds_is_no_holder(self) -> None:
+        """It may have started again at the same address."""
+        self.node._on_pulse_reply(PulseReply(False, 0, 0), is_to_holder=True)
+        self.assertIs(self.node.seat.holder_view, HolderView.DEAD)
+
+    async def test_a_newer_seat_is_learnt_from_any_member(self) -> None:
+        """This process may not reach the store."""
+        reply = PulseReply(False, 9, 0, holder="m3", holder_address="a:3")
+        self.node._on_pulse_reply(reply, is_to_holder=False)
+        self.assertEqual(self.node.seat.view.member, "m3")
+
+    async def test_a_holder_cut_off_from_the_store_steps_down(self) -> None:
+        """A member heard the store much later; in an outage nobody does."""
+        self.node.seat.is_held = True
+        self.node._holder = object.__new__(_Stub)
+        self.store._answered_ms = self.clock.now_ms() - 2_000
+        self.node._on_pulse(MemberId("m2"), Pulse("m2", "a:2", 5, 1_900))
+        self.assertTrue(self.node.seat.is_held)
+        self.node._on_pulse(MemberId("m2"), Pulse("m2", "a:2", 5, 100))
+        self.assertFalse(self.node.seat.is_held)
+
+    async def test_an_outage_is_known_only_from_others(self) -> None:
+        """A process that hears no member it knows cannot tell an outage from a cut."""
+        self.store.is_down = True
+        now_ms = self.clock.now_ms()
+        self.node._troubled[MemberId("m2")] = (True, now_ms)
+        self.assertTrue(self.node._is_store_troubled_for_all())
+        self.node._troubled[MemberId("m3")] = (False, now_ms)
+        self.assertFalse(self.node._is_store_troubled_for_all())
+        self.node._troubled = {MemberId("m2"): (True, now_ms - 5_000)}
+        self.assertFalse(self.node._is_store_troubled_for_all())
+
+
+class _Stub:
+    """A holder that has not read its jobs."""
+
+    is_ready = False
+
+    class advisors:  # noqa: N801
+        """Takes signs of life."""
+
+        @staticmethod
+        def heard(*args: object) -> None:
+            """Ignore them."""
--- a/tests/server/jobs/test_seat.py
+++ b/tests/server/jobs/test_seat.py
@@ -99,6 +99,19 @@
         await eventually(lambda: any(seat.is_held for seat in others), INCUMBENT_GRACE_MS / 2_000)
         await eventually(lambda: not holder.is_held)
 
+    async def test_a_weak_host_leaves_the_seat_to_others(self) -> None:
+        """It takes it when nobody else does (grown sites: 6 strong hosts of 45)."""
+        holder = await self._holder()
+        weak, strong = [seat for seat in self.seats if seat is not holder]
+        weak.claim_delay_ms = 300
+        holder.is_willing = False
+        await holder.release()
+        await eventually(lambda: strong.is_held or weak.is_held)
+        self.assertTrue(strong.is_held)
+        strong.is_willing = False
+        await strong.release()
+        await eventually(lambda: weak.is_held)
+
     async def test_a_holder_without_the_store_stops_ordering_in_time(self) -> None:
         """Its successor counts on that."""
         holder = await self._holder()
