--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -43,7 +43,7 @@
         self.assertIs(self.node.seat.holder_view, HolderView.DEAD)
 
     async def test_a_newer_seat_is_learnt_from_any_member(self) -> None:
-        """This process may not reach the store."""
+        """The store may be out of reach."""
         reply = PulseReply(False, 9, 0, holder="m3", holder_address="a:3")
         self.node._on_pulse_reply(reply, is_to_holder=False)
         self.assertEqual(self.node.seat.view.member, "m3")
