--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -260,7 +260,12 @@
             return PULSE_S
         is_to_holder = view is not None and address == view.address
         pulse = Pulse(
-            self._cfg.member, self._cfg.address, self.seat.revision, self._store_age_ms()
+            self._cfg.member,
+            self._cfg.address,
+            self.seat.revision,
+            self._store_age_ms(),
+            self._is_store_troubled(),
+            self._cfg.cores_milli,
         )
         try:
             reply = await self._net.call(address, "pulse", pulse, PULSE_TIMEOUT_S)
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -58,6 +58,21 @@
         self.node._on_pulse(MemberId("m2"), Pulse("m2", "a:2", 5, 100))
         self.assertFalse(self.node.seat.is_held)
 
+    async def test_a_sign_of_life_says_how_the_sender_is(self) -> None:
+        """Whether the store troubles it, and how strong its host is."""
+        sent: list[Pulse] = []
+
+        class _Net:
+            async def call(self, address: str, kind: str, body: Pulse, timeout_s: float) -> None:
+                sent.append(body)
+
+        self.node._net = _Net()
+        self.store.is_down = True
+        await self.node._pulse()
+        (pulse,) = sent
+        self.assertTrue(pulse.is_store_troubled)
+        self.assertEqual((pulse.seat, pulse.cores_milli), (5, 2_000))
+
     async def test_an_outage_is_known_only_from_others(self) -> None:
         """A process that hears no member it knows cannot tell an outage from a cut."""
         self.store.is_down = True
