--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -2,32 +2,35 @@
 
 import asyncio
 import secrets
-from dataclasses import dataclass, replace
-from random import choice, shuffle
+from random import shuffle
 
 from returns.result import Failure
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
-from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
+from lagoonshelf_core.ids import MemberId, QueueId, WorkerId
 from lagoonshelf_core.jobs.progress import JobState
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.front import Front, HolderLink, Written
 from lagoonshelf_server.jobs.holder import Holder, Ports
 from lagoonshelf_server.jobs.keys import SECRET
-from lagoonshelf_server.jobs.lag import LoopLag
 from lagoonshelf_server.jobs.ports import (
     ABSENT,
     AdvicePort,
     Committed,
     NoAnswerError,
     Put,
-    StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
 )
-from lagoonshelf_server.jobs.seat import HolderView, Seat, SeatView
+from lagoonshelf_server.jobs.pulses import (
+    HOLDER_CORES_MILLI,
+    WEAK_CLAIM_DELAY_MS,
+    NodeSettings,
+    Pulses,
+)
+from lagoonshelf_server.jobs.seat import Seat
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
     Ack,
@@ -38,11 +41,7 @@
     JobRecord,
     JobRef,
     JobStateReply,
-    PeerState,
     Permit,
-    Pulse,
-    PulseReply,
-    QueueCount,
     Relayed,
 )
 from lagoonshelf_server.peers import (
@@ -52,65 +51,20 @@
     hello_proof,
 )
 
-PULSE_S = 0.25
-PULSE_TIMEOUT_S = 0.5
-# Refused connections in a row after which the holder's process is taken as dead.
-DEAD_AFTER = 2
-DEAD_RETRY_S = 0.05
 STATE_TIMEOUT_S = 0.4
 ANNOUNCE_TIMEOUT_S = 0.5
 ANNOUNCE_TRIES = 4
 RELAY_TIMEOUT_S = 1.5
 RELAY_WRITE_MS = 1_200
 ADVICE_TIMEOUT_S = 2.8
-# Another member that heard the store so much later than the holder shows that the holder is cut
-# off from it alone; in an outage nobody hears it later.
-CUT_OFF_MS = 500
-# A member that heard the store so lately is asked to write for this process.
-RELAY_AGE_MS = 900
-# Without an answer of the store for so long, other members are asked who holds the seat.
-STORE_SILENT_MS = 700
-# A store that failed or was slow so lately counts as troubled.
-TROUBLE_MS = 1_000
-MEMBER_HEARD_MS = 1_000
-# Runs that were started without a record have been recorded or have lapsed after so long.
-UNRECORDED_MS = 8_000
-MAX_AGE_MS = 3_600_000
 MAX_RELAYS = 2
 # Counts of a queue may be 2 s old.
 PENDING_MAX_AGE_MS = 1_900
 RETRY_S = 0.1
-# A host with fewer processors leaves the seat to others for a while, and offers it to a host with
-# so many times its own. The holder of 176 workers takes about one core.
-HOLDER_CORES_MILLI = 1_000
-WEAK_CLAIM_DELAY_MS = 600
-STRONGER = 1.5
-OFFER_EACH_MS = 5_000
-# A loop that runs so late is on a slow host, which should not hold the cell.
-MAX_HOLDER_LAG_MS = 120.0
 
 _log = logger("node")
 
 
-@dataclass(frozen=True, slots=True)
-class NodeSettings:
-    """Who this process is and where others reach it.
-
-    :param cores_milli: processors of this host, in thousandths
-    """
-
-    member: MemberId
-    failure_domain: FailureDomain
-    host: str
-    peer_port: int
-    cores_milli: int = HOLDER_CORES_MILLI
-
-    @property
-    def address(self) -> str:
-        """Return the address for other members."""
-        return f"{self.host}:{self.peer_port}"
-
-
 class Node:
     """All parts of one process."""
 
@@ -125,23 +79,16 @@
         self._net: PeerNet | None = None
         self._tasks: list[asyncio.Task] = []
         self._holder: Holder | None = None
-        self._dead_pulses = 0
-        self._started_ms = clock.now_ms()
-        self._members: dict[MemberId, tuple[PeerState, int]] = {}
-        self._troubled: dict[MemberId, tuple[bool, int]] = {}
-        self._relays: tuple[PeerState, ...] = ()
-        self._asks_others = False
         self._advice_lock = asyncio.Lock()
         self.is_draining = False
-        self.lag = LoopLag()
         self.config = ConfigView(ports.store, ports.views, clock)
         self.seat = Seat(ports.store, clock, cfg.member, cfg.address)
         if cfg.cores_milli < HOLDER_CORES_MILLI:
             self.seat.claim_delay_ms = WEAK_CLAIM_DELAY_MS
-        self._offered_ms = 0
-        self.seat.is_outage = self._is_store_troubled_for_all
         link = HolderLink(self._announce, self._announce_cancel, self._state, self._relay)
         self.front = Front(ports.store, clock, link)
+        self.pulses = Pulses(cfg, ports.store, clock, self.seat, self.front)
+        self.seat.is_outage = self.pulses.is_store_troubled_for_all
 
     async def start(self) -> None:
         """Start all loops; returns at once."""
@@ -151,7 +98,7 @@
             self.seat.follow(),
             self.seat.contend(),
             self.seat.renew(),
-            self.lag.run(),
+            self.pulses.lag.run(),
             self._join(),
             self._hold(),
         ):
@@ -173,7 +120,7 @@
 
     async def drain(self) -> None:
         """Offer the seat and stop taking it; callers are still served."""
-        self.is_draining = True
+        self.is_draining = self.pulses.is_draining = True
         self.seat.is_willing = False
         await self.seat.offer()
 
@@ -202,11 +149,13 @@
         await net.listen(cfg.host, cfg.peer_port)
         self._net = net
         _log.info("peer port open", address=cfg.address)
-        while True:
-            started = asyncio.get_running_loop().time()
-            pause_s = await self._pulse()
-            passed_s = asyncio.get_running_loop().time() - started
-            await asyncio.sleep(max(0.0, pause_s - passed_s))
+        await self.pulses.run(net, self._is_holding)
+
+    def _is_holding(self) -> bool:
+        holder = self._holder
+        if holder is not None:
+            holder.advisors.heard(self._cfg.member, self._ask_here)
+        return holder is not None
 
     async def _read_secret(self) -> str:
         """Return the secret that all members share, made by the first one."""
@@ -229,113 +178,15 @@
         """Run a term whenever the seat is taken."""
         while True:
             await self.seat.taken.wait()
-            is_clear = self._is_clear()
+            is_clear = self.pulses.is_clear()
             holder = Holder(self._ports, self.seat, self.config, self._clock, is_clear=is_clear)
-            holder.is_store_troubled = self._is_store_troubled_for_all
+            holder.is_store_troubled = self.pulses.is_store_troubled_for_all
             holder.advisors.heard(self._cfg.member, self._ask_here)
             self._holder = holder
             await holder.run()
             self._holder = None
             _log.info("term ended", seat=self.seat.revision)
 
-    def _is_clear(self) -> bool:
-        """Tell whether a predecessor has recorded all it started.
-
-        It goes on without records only while no member has the store working as usual.
-        """
-        now_ms = self._clock.now_ms()
-        since_ms = max(self._started_ms, self._ports.store.trouble_ms())
-        return now_ms - since_ms > UNRECORDED_MS
-
-    async def _pulse(self) -> float:
-        """Send a sign of life to the holder; return the pause until the next one."""
-        view = self.seat.view
-        self.seat.is_willing = not self.is_draining and self.lag.mean_ms < MAX_HOLDER_LAG_MS
-        holder = self._holder
-        if holder is not None:
-            holder.advisors.heard(self._cfg.member, self._ask_here)
-            return PULSE_S
-        address = self._pulse_address()
-        if address is None:
-            return PULSE_S
-        is_to_holder = view is not None and address == view.address
-        pulse = Pulse(
-            self._cfg.member,
-            self._cfg.address,
-            self.seat.revision,
-            self._store_age_ms(),
-            self._is_store_troubled(),
-            self._cfg.cores_milli,
-        )
-        try:
-            reply = await self._net.call(address, "pulse", pulse, PULSE_TIMEOUT_S)
-        except PeerLostError as exc:
-            self._asks_others = True
-            if not is_to_holder:
-                return DEAD_RETRY_S
-            is_refused = isinstance(exc, PeerUnreachableError) and "Refused" in str(exc)
-            return self._not_answered(view.revision, is_refused=is_refused)
-        if isinstance(reply, PulseReply):
-            self._on_pulse_reply(reply, is_to_holder=is_to_holder)
-        return PULSE_S
-
-    def _pulse_address(self) -> str | None:
-        """Return whom to send a sign of life: the holder, or others while it does not answer."""
-        view = self.seat.view
-        known = [state.address for state in self._relays]
-        known += [state.address for state, _ in self._members.values()]
-        others = [address for address in known if address != self._cfg.address]
-        is_own = view is not None and view.member == self._cfg.member
-        if view is not None and view.address and not is_own and not self._asks_others:
-            return view.address
-        self._asks_others = False
-        if others and self._store_age_ms() > STORE_SILENT_MS:
-            return choice(others)
-        return None if view is None or not view.address or is_own else view.address
-
-    def _on_pulse_reply(self, reply: PulseReply, *, is_to_holder: bool) -> None:
-        if is_to_holder:
-            self._dead_pulses = 0
-        if reply.is_holder and reply.seat >= self.seat.revision:
-            is_cut_off = reply.store_age_ms > self._store_age_ms() + CUT_OFF_MS
-            self.seat.heard(HolderView.SILENT if is_cut_off else HolderView.ANSWERS, reply.seat)
-            self._relays = reply.members
-            if reply.is_ready:
-                self.front.pending = {QueueId(row.queue): row.count for row in reply.pending}
-                self.front.pending_at_ms = self._clock.now_ms()
-        elif is_to_holder:
-            # A process that started again at the holder's address does not hold the seat.
-            self.seat.heard(HolderView.DEAD, self.seat.revision)
-            self._asks_others = True
-        if reply.holder:
-            seat = StoreRevision(reply.seat)
-            self.seat.told(SeatView(seat, MemberId(reply.holder), reply.holder_address))
-
-    def _not_answered(self, seat: int, *, is_refused: bool) -> float:
-        self._dead_pulses = self._dead_pulses + 1 if is_refused else 0
-        is_dead = self._dead_pulses >= DEAD_AFTER
-        view = HolderView.DEAD if is_dead else HolderView.SILENT
-        self.seat.heard(view, seat)
-        return DEAD_RETRY_S
-
-    def _is_store_troubled(self) -> bool:
-        return self._clock.now_ms() - self._ports.store.trouble_ms() < TROUBLE_MS
-
-    def _is_store_troubled_for_all(self) -> bool:
-        """Tell whether no member has the store working as usual.
-
-        A process that hears no other member, though it knows some, cannot tell.
-        """
-        limit_ms = self._clock.now_ms() - MEMBER_HEARD_MS
-        heard = [troubled for troubled, at_ms in self._troubled.values() if at_ms > limit_ms]
-        is_alone = bool(self._troubled) and not heard
-        return self._is_store_troubled() and all(heard) and not is_alone
-
-    def _store_age_ms(self) -> int:
-        """Return the time since the store last answered this process."""
-        age_ms = self._clock.now_ms() - self._ports.store.last_answer_ms()
-        return min(age_ms, MAX_AGE_MS)
-
     # Calls to the holder
 
     async def _call_holder(self, kind: str, body: Body, timeout_s: float) -> Body:
@@ -389,10 +240,7 @@
 
     async def _relay(self, job: JobId, record: str) -> Written:
         """Have the holder write, or another member when the holder cannot."""
-        view = self.seat.view
-        addresses = [] if view is None or not view.address else [view.address]
-        addresses += [state.address for state in self._relays if state.address not in addresses]
-        addresses = [address for address in addresses if address != self._cfg.address]
+        addresses = self.pulses.relay_addresses()
         if self._net is None or not addresses:
             raise ConnectionError("no other member is known")
         others = addresses[1:]
@@ -440,7 +288,8 @@
 
     async def _handle(self, member: MemberId, kind: str, body: Body) -> tuple[str, Body]:
         if kind == "pulse":
-            return "pulseReply", self._on_pulse(member, body)
+            ask = self._ask_at(body.address)
+            return "pulseReply", self.pulses.answer(member, body, self._holder, ask)
         if kind == "adviceAsk":
             return "advice", await self._on_advice(body)
         if kind in ("relayJob", "relayCancel"):
@@ -462,43 +311,6 @@
             raise LagoonshelfError(Fault(ResultCode.PROTOCOL, f"unexpected message {kind}"))
         return "ack", Ack(ResultCode.DONE.number, "")
 
-    def _on_pulse(self, member: MemberId, body: Pulse) -> PulseReply:
-        self.seat.contradicted(body.seat)
-        holder = self._holder
-        if holder is not None and self._store_age_ms() > body.store_age_ms + CUT_OFF_MS:
-            self.seat.step_down(f"cut off from the store, which {member} reaches")
-        view = self.seat.view
-        if not self.seat.is_held or holder is None:
-            is_other = view is not None and view.member != self._cfg.member
-            known = (view.member, view.address) if is_other else ("", "")
-            seat = self.seat.revision if is_other else 0
-            return PulseReply(False, seat, self._store_age_ms(), (), (), *known)
-        holder.advisors.heard(member, self._ask_at(body.address))
-        now_ms = self._clock.now_ms()
-        self._members[member] = (PeerState(body.address, body.store_age_ms), now_ms)
-        self._troubled[member] = (body.is_store_troubled, now_ms)
-        counts = holder.cell.pending() if holder.is_ready else {}
-        rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
-        members = tuple(
-            state
-            for state, heard_ms in self._members.values()
-            if now_ms - heard_ms < RELAY_AGE_MS and state.store_age_ms < RELAY_AGE_MS
-        )
-        self._offer_to_stronger(body)
-        reply = PulseReply(True, self.seat.revision, self._store_age_ms(), rows, members)
-        return replace(reply, is_ready=holder.is_ready)
-
-    def _offer_to_stronger(self, body: Pulse) -> None:
-        """Offer the seat when this host is weak and the sender's is not."""
-        now_ms = self._clock.now_ms()
-        own = self._cfg.cores_milli
-        is_stronger = body.cores_milli >= max(HOLDER_CORES_MILLI, STRONGER * own)
-        if own >= HOLDER_CORES_MILLI or not is_stronger or body.is_store_troubled:
-            return
-        if now_ms - self._offered_ms > OFFER_EACH_MS:
-            self._offered_ms = now_ms
-            self._tasks.append(asyncio.ensure_future(self._forever(self.seat.offer())))
-
     async def _on_advice(self, body: AdviceAsk) -> Advice:
         try:
             permits = await self._ask_here(body.step, tuple(map(WorkerId, body.workers)))
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/pulses.py
@@ -0,0 +1,248 @@
+"""Signs of life between members: who holds the cell, who reaches the store, who is strong."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from random import choice
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
+from lagoonshelf_server.jobs.front import Front
+from lagoonshelf_server.jobs.holder import Holder
+from lagoonshelf_server.jobs.lag import LoopLag
+from lagoonshelf_server.jobs.ports import Store, StoreRevision
+from lagoonshelf_server.jobs.seat import HolderView, Seat, SeatView
+from lagoonshelf_server.messages import PeerState, Pulse, PulseReply, QueueCount
+from lagoonshelf_server.peers import PeerLostError, PeerNet, PeerUnreachableError
+
+PULSE_S = 0.25
+PULSE_TIMEOUT_S = 0.5
+# Refused connections in a row after which the holder's process is taken as dead.
+DEAD_AFTER = 2
+DEAD_RETRY_S = 0.05
+# Another member that heard the store so much later than the holder shows that the holder is cut
+# off from it alone; in an outage nobody hears it later.
+CUT_OFF_MS = 500
+# A member that heard the store so lately is asked to write for this process.
+RELAY_AGE_MS = 900
+# Without an answer of the store for so long, other members are asked who holds the seat.
+STORE_SILENT_MS = 700
+# A store that failed or was slow so lately counts as troubled.
+TROUBLE_MS = 1_000
+MEMBER_HEARD_MS = 1_000
+# Runs that were started without a record have been recorded or have lapsed after so long.
+UNRECORDED_MS = 8_000
+MAX_AGE_MS = 3_600_000
+# A host with fewer processors leaves the seat to others for a while, and offers it to a host with
+# so many times its own. The holder of 176 workers takes about one core.
+HOLDER_CORES_MILLI = 1_000
+WEAK_CLAIM_DELAY_MS = 600
+STRONGER = 1.5
+OFFER_EACH_MS = 5_000
+# A loop that runs so late is on a slow host, which should not hold the cell.
+MAX_HOLDER_LAG_MS = 120.0
+
+Ask = Callable[[str, tuple[WorkerId, ...]], Awaitable[dict[WorkerId, str]]]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Who this process is and where others reach it.
+
+    :param cores_milli: processors of this host, in thousandths
+    """
+
+    member: MemberId
+    failure_domain: FailureDomain
+    host: str
+    peer_port: int
+    cores_milli: int = HOLDER_CORES_MILLI
+
+    @property
+    def address(self) -> str:
+        """Return the address for other members."""
+        return f"{self.host}:{self.peer_port}"
+
+
+class Pulses:
+    """Sends signs of life, answers those of others, and draws conclusions from both."""
+
+    def __init__(
+        self, cfg: NodeSettings, store: Store, clock: Clock, seat: Seat, front: Front
+    ) -> None:
+        """Set up without knowledge of other members."""
+        self._cfg = cfg
+        self._store = store
+        self._clock = clock
+        self._seat = seat
+        self._front = front
+        self._dead_pulses = 0
+        self._started_ms = clock.now_ms()
+        self._members: dict[MemberId, tuple[PeerState, int]] = {}
+        self._troubled: dict[MemberId, tuple[bool, int]] = {}
+        self._relays: tuple[PeerState, ...] = ()
+        self._asks_others = False
+        self._offered_ms = 0
+        self._tasks: set[asyncio.Task] = set()
+        self.lag = LoopLag()
+        self.is_draining = False
+
+    async def run(self, net: PeerNet, is_holding: Callable[[], bool]) -> None:
+        """Send signs of life until cancelled.
+
+        :param is_holding: tells whether this process is in a term itself
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            started = loop.time()
+            is_able = self.lag.mean_ms < MAX_HOLDER_LAG_MS
+            self._seat.is_willing = is_able and not self.is_draining
+            pause_s = PULSE_S if is_holding() else await self.send(net)
+            await asyncio.sleep(max(0.0, pause_s - (loop.time() - started)))
+
+    def relay_addresses(self) -> list[str]:
+        """Return the members that may write for this one, the holder first."""
+        view = self._seat.view
+        addresses = [] if view is None or not view.address else [view.address]
+        addresses += [state.address for state in self._relays if state.address not in addresses]
+        return [address for address in addresses if address != self._cfg.address]
+
+    def is_clear(self) -> bool:
+        """Tell whether a predecessor has recorded all it started.
+
+        It goes on without records only while no member has the store working as usual.
+        """
+        now_ms = self._clock.now_ms()
+        since_ms = max(self._started_ms, self._store.trouble_ms())
+        return now_ms - since_ms > UNRECORDED_MS
+
+    async def send(self, net: PeerNet) -> float:
+        """Send a sign of life to the holder; return the pause until the next one."""
+        view = self._seat.view
+        address = self._pulse_address()
+        if address is None:
+            return PULSE_S
+        is_to_holder = view is not None and address == view.address
+        pulse = Pulse(
+            self._cfg.member,
+            self._cfg.address,
+            self._seat.revision,
+            self._store_age_ms(),
+            self._is_store_troubled(),
+            self._cfg.cores_milli,
+        )
+        try:
+            reply = await net.call(address, "pulse", pulse, PULSE_TIMEOUT_S)
+        except PeerLostError as exc:
+            self._asks_others = True
+            if not is_to_holder:
+                return DEAD_RETRY_S
+            is_refused = isinstance(exc, PeerUnreachableError) and "Refused" in str(exc)
+            return self._not_answered(view.revision, is_refused=is_refused)
+        if isinstance(reply, PulseReply):
+            self.on_reply(reply, is_to_holder=is_to_holder)
+        return PULSE_S
+
+    def _pulse_address(self) -> str | None:
+        """Return whom to send a sign of life: the holder, or others while it does not answer."""
+        view = self._seat.view
+        known = [state.address for state in self._relays]
+        known += [state.address for state, _ in self._members.values()]
+        others = [address for address in known if address != self._cfg.address]
+        is_own = view is not None and view.member == self._cfg.member
+        if view is not None and view.address and not is_own and not self._asks_others:
+            return view.address
+        self._asks_others = False
+        if others and self._store_age_ms() > STORE_SILENT_MS:
+            return choice(others)
+        return None if view is None or not view.address or is_own else view.address
+
+    def on_reply(self, reply: PulseReply, *, is_to_holder: bool) -> None:
+        """Learn from a reply.
+
+        :param is_to_holder: the sign of life was sent to the holder as it is known here
+        """
+        if is_to_holder:
+            self._dead_pulses = 0
+        if reply.is_holder and reply.seat >= self._seat.revision:
+            is_cut_off = reply.store_age_ms > self._store_age_ms() + CUT_OFF_MS
+            self._seat.heard(HolderView.SILENT if is_cut_off else HolderView.ANSWERS, reply.seat)
+            self._relays = reply.members
+            if reply.is_ready:
+                self._front.pending = {QueueId(row.queue): row.count for row in reply.pending}
+                self._front.pending_at_ms = self._clock.now_ms()
+        elif is_to_holder:
+            # A process that started again at the holder's address does not hold the seat.
+            self._seat.heard(HolderView.DEAD, self._seat.revision)
+            self._asks_others = True
+        if reply.holder:
+            seat = StoreRevision(reply.seat)
+            self._seat.told(SeatView(seat, MemberId(reply.holder), reply.holder_address))
+
+    def _not_answered(self, seat: int, *, is_refused: bool) -> float:
+        self._dead_pulses = self._dead_pulses + 1 if is_refused else 0
+        is_dead = self._dead_pulses >= DEAD_AFTER
+        view = HolderView.DEAD if is_dead else HolderView.SILENT
+        self._seat.heard(view, seat)
+        return DEAD_RETRY_S
+
+    def _is_store_troubled(self) -> bool:
+        return self._clock.now_ms() - self._store.trouble_ms() < TROUBLE_MS
+
+    def is_store_troubled_for_all(self) -> bool:
+        """Tell whether no member has the store working as usual.
+
+        A process that hears no other member, though it knows some, cannot tell.
+        """
+        limit_ms = self._clock.now_ms() - MEMBER_HEARD_MS
+        heard = [troubled for troubled, at_ms in self._troubled.values() if at_ms > limit_ms]
+        is_alone = bool(self._troubled) and not heard
+        return self._is_store_troubled() and all(heard) and not is_alone
+
+    def _store_age_ms(self) -> int:
+        """Return the time since the store last answered this process."""
+        age_ms = self._clock.now_ms() - self._store.last_answer_ms()
+        return min(age_ms, MAX_AGE_MS)
+
+    def answer(self, member: MemberId, body: Pulse, holder: Holder | None, ask: Ask) -> PulseReply:
+        """Answer a sign of life.
+
+        :param holder: the term of this process, none when it does not hold the cell
+        :param ask: asks the placement policy through the sender
+        """
+        self._seat.contradicted(body.seat)
+        if holder is not None and self._store_age_ms() > body.store_age_ms + CUT_OFF_MS:
+            self._seat.step_down(f"cut off from the store, which {member} reaches")
+        view = self._seat.view
+        if not self._seat.is_held or holder is None:
+            is_other = view is not None and view.member != self._cfg.member
+            known = (view.member, view.address) if is_other else ("", "")
+            seat = self._seat.revision if is_other else 0
+            return PulseReply(False, seat, self._store_age_ms(), (), (), *known)
+        holder.advisors.heard(member, ask)
+        now_ms = self._clock.now_ms()
+        self._members[member] = (PeerState(body.address, body.store_age_ms), now_ms)
+        self._troubled[member] = (body.is_store_troubled, now_ms)
+        counts = holder.cell.pending() if holder.is_ready else {}
+        rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
+        members = tuple(
+            state
+            for state, heard_ms in self._members.values()
+            if now_ms - heard_ms < RELAY_AGE_MS and state.store_age_ms < RELAY_AGE_MS
+        )
+        self._offer_to_stronger(body)
+        reply = PulseReply(True, self._seat.revision, self._store_age_ms(), rows, members)
+        return replace(reply, is_ready=holder.is_ready)
+
+    def _offer_to_stronger(self, body: Pulse) -> None:
+        """Offer the seat when this host is weak and the sender's is not."""
+        now_ms = self._clock.now_ms()
+        own = self._cfg.cores_milli
+        is_stronger = body.cores_milli >= max(HOLDER_CORES_MILLI, STRONGER * own)
+        if own >= HOLDER_CORES_MILLI or not is_stronger or body.is_store_troubled:
+            return
+        if now_ms - self._offered_ms > OFFER_EACH_MS:
+            self._offered_ms = now_ms
+            task = asyncio.ensure_future(self._seat.offer())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -1,12 +1,15 @@
 """Tests of what a process learns from signs of life."""
 
+import asyncio
 import unittest
+from dataclasses import replace
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId
 from lagoonshelf_server.jobs.holder import Ports
-from lagoonshelf_server.jobs.node import Node, NodeSettings
+from lagoonshelf_server.jobs.node import Node
 from lagoonshelf_server.jobs.ports import StoreRevision
+from lagoonshelf_server.jobs.pulses import NodeSettings
 from lagoonshelf_server.jobs.seat import HolderView, SeatView
 from lagoonshelf_server.messages import Pulse, PulseReply, QueueCount
 from tests.support.job_fakes import FakeStore, FakeViews, FakeWorkers
@@ -25,39 +28,60 @@
     async def test_counts_of_a_holder_that_has_not_read_all_jobs_are_left(self) -> None:
         """They would say that nothing waits (MIXED, andinas-grown trouble-1)."""
         full = PulseReply(True, 5, 0, (QueueCount("q", 7),), is_ready=True)
-        self.node._on_pulse_reply(full, is_to_holder=True)
+        self.node.pulses.on_reply(full, is_to_holder=True)
         self.assertEqual(self.node.pending("q"), 7)
-        self.node._on_pulse_reply(PulseReply(True, 5, 0), is_to_holder=True)
+        self.node.pulses.on_reply(PulseReply(True, 5, 0), is_to_holder=True)
         self.assertEqual(self.node.pending("q"), 7)
 
     async def test_old_counts_are_not_shown(self) -> None:
         """They may be 2 s old."""
         full = PulseReply(True, 5, 0, (QueueCount("q", 7),), is_ready=True)
-        self.node._on_pulse_reply(full, is_to_holder=True)
+        self.node.pulses.on_reply(full, is_to_holder=True)
         self.node.front.pending_at_ms -= 2_000
         self.assertIsNone(self.node.pending("q"))
 
     async def test_a_process_that_no_longer_holds_is_no_holder(self) -> None:
         """It may have started again at the same address."""
-        self.node._on_pulse_reply(PulseReply(False, 0, 0), is_to_holder=True)
+        self.node.pulses.on_reply(PulseReply(False, 0, 0), is_to_holder=True)
         self.assertIs(self.node.seat.holder_view, HolderView.DEAD)
 
     async def test_a_newer_seat_is_learnt_from_any_member(self) -> None:
         """The store may be out of reach."""
         reply = PulseReply(False, 9, 0, holder="m3", holder_address="a:3")
-        self.node._on_pulse_reply(reply, is_to_holder=False)
+        self.node.pulses.on_reply(reply, is_to_holder=False)
         self.assertEqual(self.node.seat.view.member, "m3")
 
     async def test_a_holder_cut_off_from_the_store_steps_down(self) -> None:
         """A member heard the store much later; in an outage nobody does."""
         self.node.seat.is_held = True
-        self.node._holder = object.__new__(_Stub)
         self.store._answered_ms = self.clock.now_ms() - 2_000
-        self.node._on_pulse(MemberId("m2"), Pulse("m2", "a:2", 5, 1_900))
+        self._answer(Pulse("m2", "a:2", 5, 1_900))
         self.assertTrue(self.node.seat.is_held)
-        self.node._on_pulse(MemberId("m2"), Pulse("m2", "a:2", 5, 100))
+        self._answer(Pulse("m2", "a:2", 5, 100))
         self.assertFalse(self.node.seat.is_held)
 
+    def _answer(self, pulse: Pulse) -> PulseReply:
+        return self.node.pulses.answer(MemberId("m2"), pulse, _Stub(), None)
+
+    async def test_a_weak_holder_offers_the_seat_to_a_strong_host(self) -> None:
+        """Grown sites have 6 strong hosts of 45."""
+        offers: list[bool] = []
+
+        async def offer() -> None:
+            offers.append(True)
+
+        self.node.seat.is_held = True
+        self.node.seat.offer = offer
+        self.store._answered_ms = self.clock.now_ms()
+        self.node.pulses._cfg = replace(self.node.pulses._cfg, cores_milli=500)
+        self._answer(Pulse("m2", "a:2", 5, 10, False, 600))
+        await asyncio.sleep(0)
+        self.assertEqual(offers, [])
+        self._answer(Pulse("m2", "a:2", 5, 10, False, 2_000))
+        self._answer(Pulse("m3", "a:3", 5, 10, False, 2_000))
+        await asyncio.sleep(0)
+        self.assertEqual(offers, [True])
+
     async def test_a_sign_of_life_says_how_the_sender_is(self) -> None:
         """Whether the store troubles it, and how strong its host is."""
         sent: list[Pulse] = []
@@ -66,9 +90,8 @@
             async def call(self, address: str, kind: str, body: Pulse, timeout_s: float) -> None:
                 sent.append(body)
 
-        self.node._net = _Net()
         self.store.is_down = True
-        await self.node._pulse()
+        await self.node.pulses.send(_Net())
         (pulse,) = sent
         self.assertTrue(pulse.is_store_troubled)
         self.assertEqual((pulse.seat, pulse.cores_milli), (5, 2_000))
@@ -77,12 +100,12 @@
         """A process that hears no member it knows cannot tell an outage from a cut."""
         self.store.is_down = True
         now_ms = self.clock.now_ms()
-        self.node._troubled[MemberId("m2")] = (True, now_ms)
-        self.assertTrue(self.node._is_store_troubled_for_all())
-        self.node._troubled[MemberId("m3")] = (False, now_ms)
-        self.assertFalse(self.node._is_store_troubled_for_all())
-        self.node._troubled = {MemberId("m2"): (True, now_ms - 5_000)}
-        self.assertFalse(self.node._is_store_troubled_for_all())
+        self.node.pulses._troubled[MemberId("m2")] = (True, now_ms)
+        self.assertTrue(self.node.pulses.is_store_troubled_for_all())
+        self.node.pulses._troubled[MemberId("m3")] = (False, now_ms)
+        self.assertFalse(self.node.pulses.is_store_troubled_for_all())
+        self.node.pulses._troubled = {MemberId("m2"): (True, now_ms - 5_000)}
+        self.assertFalse(self.node.pulses.is_store_troubled_for_all())
 
 
 class _Stub:
