--- a/packages/server/lagoonshelf_server/jobs/pulses.py
+++ b/packages/server/lagoonshelf_server/jobs/pulses.py
@@ -30,8 +30,6 @@
 # A store that failed or was slow so lately counts as troubled.
 TROUBLE_MS = 1_000
 MEMBER_HEARD_MS = 1_000
-# Runs that were started without a record have been recorded or have lapsed after so long.
-UNRECORDED_MS = 8_000
 MAX_AGE_MS = 3_600_000
 # A host with fewer processors leaves the seat to others for a while, and offers it to a host with
 # so many times its own. The holder of 176 workers takes about one core.
@@ -77,7 +75,6 @@
         self._seat = seat
         self._front = front
         self._dead_pulses = 0
-        self._started_ms = clock.now_ms()
         self._members: dict[MemberId, tuple[PeerState, int]] = {}
         self._troubled: dict[MemberId, tuple[bool, int]] = {}
         self._relays: tuple[PeerState, ...] = ()
@@ -107,15 +104,6 @@
         addresses += [state.address for state in self._relays if state.address not in addresses]
         return [address for address in addresses if address != self._cfg.address]
 
-    def is_clear(self) -> bool:
-        """Tell whether a predecessor has recorded all it started.
-
-        It goes on without records only while no member has the store working as usual.
-        """
-        now_ms = self._clock.now_ms()
-        since_ms = max(self._started_ms, self._store.trouble_ms())
-        return now_ms - since_ms > UNRECORDED_MS
-
     async def send(self, net: PeerNet) -> float:
         """Send a sign of life to the holder; return the pause until the next one."""
         view = self._seat.view
