Write or relay in one place; remove what nothing reads

Change: Front._write_or_relay serves both; the dead fields are gone. Conclusion: behaviour is the same.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -271,7 +271,7 @@
         task.attempt = max(task.attempt, row.attempt)
         task.job.has_started = True
         self.health.started(worker.id, TaskId(task.job.id))
-        self._settle(task.job, now_ms)
+        self._settle(task.job)
         self.note("run adopted", run)
         return run
 
@@ -366,7 +366,7 @@
             self.health.dropped(run.worker, job_id)
         if task.run is run:
             task.run = None
-        self._count_end(task, run.attempt, how, checkpoint, now_ms)
+        self._count_end(task, run.attempt, how, checkpoint)
 
     def _apply_end(self, worker: Worker, row: EndedRow, now_ms: int) -> None:
         run = worker.runs.get((row.name, row.attempt))
@@ -376,11 +376,9 @@
             return
         task = self.find_task(row.name)
         if task is not None and row.attempt not in task.settled:
-            self._count_end(task, row.attempt, row.how, row.checkpoint, now_ms)
+            self._count_end(task, row.attempt, row.how, row.checkpoint)
 
-    def _count_end(
-        self, task: Task, attempt: int, how: RunEnd, checkpoint: str, now_ms: int
-    ) -> None:
+    def _count_end(self, task: Task, attempt: int, how: RunEnd, checkpoint: str) -> None:
         """Count an end once for its task, its gang and its job."""
         if attempt in task.settled:
             return
@@ -398,7 +396,7 @@
         if step.spec.is_gang and how in (RunEnd.FAILED, RunEnd.LAPSED, RunEnd.ALONE):
             self.break_gang(step, attempt)
         self.changed.add(job)
-        self._settle(job, now_ms)
+        self._settle(job)
 
     def _mark_done(self, task: Task, attempt: int) -> None:
         """Mark a task as done; the end of one member stands for all of its gang's attempt."""
@@ -417,9 +415,8 @@
             if run is not None and run.attempt == attempt:
                 self.stop(run, "another member ended")
 
-    def _settle(self, job: Job, now_ms: int) -> None:
+    def _settle(self, job: Job) -> None:
         """Bring the state of a job up to date after an end."""
-        del now_ms
         if job.is_final:
             return
         queue = self.queue_of(job)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
+from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import AskAdvice, StartRun
 from lagoonshelf_core.jobs.config import Queue
@@ -41,7 +41,6 @@
     reservations: int = 0
     reserved: set[WorkerId] = field(default_factory=set)
     advice_budget_ms: float = 0.0
-    blocked_teams: set[tuple[TeamId, Resources]] = field(default_factory=set)
 
 
 def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> None:
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -71,7 +71,6 @@
     is_filler: bool = False
     is_service: bool = False
     confirmed_ms: int = 0
-    stop_sent_ms: int = 0
     checkpoint: str = ""
     percent: int = 0
     percent_at_ms: int = 0
--- a/packages/server/lagoonshelf_server/jobs/front.py
+++ b/packages/server/lagoonshelf_server/jobs/front.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 
 from returns.result import Failure
 
@@ -129,13 +130,9 @@
         """
         record = encode_job(spec)
         deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
-        written = Written.UNAVAILABLE
-        if self._store.is_failing():
-            written = await self._relay(spec.id, record.decode(), deadline_ms)
-        if written is Written.UNAVAILABLE:
-            written = await self.writer.write_job(spec.id, record, deadline_ms)
-        if written is Written.UNAVAILABLE and not self._store.is_failing():
-            written = await self._relay(spec.id, record.decode(), deadline_ms)
+        write = partial(self.writer.write_job, spec.id, record, deadline_ms)
+        relay = partial(self._relay, spec.id, record.decode(), deadline_ms)
+        written = await self._write_or_relay(write, relay)
         if written is Written.STORED:
             self._spawn(self._link.announce(spec, record.decode()))
         _log.info("job handed in", request=spec.id, queue=spec.queue, outcome=written.value)
@@ -144,13 +141,9 @@
     async def cancel(self, job: JobId, wait_ms: int) -> Written:
         """Cancel a job; the cancellation is stored before this returns ``STORED``."""
         deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
-        written = Written.UNAVAILABLE
-        if self._store.is_failing():
-            written = await self._relay(job, "", deadline_ms)
-        if written is Written.UNAVAILABLE:
-            written = await self.writer.write_cancel(job, deadline_ms)
-        if written is Written.UNAVAILABLE and not self._store.is_failing():
-            written = await self._relay(job, "", deadline_ms)
+        write = partial(self.writer.write_cancel, job, deadline_ms)
+        relay = partial(self._relay, job, "", deadline_ms)
+        written = await self._write_or_relay(write, relay)
         if written is Written.STORED:
             self._spawn(self._link.announce_cancel(job))
         _log.info("job cancel asked", request=job, outcome=written.value)
@@ -192,6 +185,19 @@
             self._spawn(self._link.announce(result.unwrap(), record.value.decode()))
         return JobState.QUEUED
 
+    async def _write_or_relay(
+        self, write: Callable[[], Awaitable[Written]], relay: Callable[[], Awaitable[Written]]
+    ) -> Written:
+        """Write here or through another member, first where it is likelier to work."""
+        written = Written.UNAVAILABLE
+        if self._store.is_failing():
+            written = await relay()
+        if written is Written.UNAVAILABLE:
+            written = await write()
+        if written is Written.UNAVAILABLE and not self._store.is_failing():
+            written = await relay()
+        return written
+
     async def _relay(self, job: JobId, record: str, deadline_ms: int) -> Written:
         """Have the holder write, when this process does not reach the store."""
         left_ms = deadline_ms - self._clock.now_ms()
--- a/packages/server/lagoonshelf_server/jobs/orders.py
+++ b/packages/server/lagoonshelf_server/jobs/orders.py
@@ -108,7 +108,6 @@
                 return
             # A run that was never begun has no end; the next list without it frees its room.
             run.confirmed_ms = run.confirmed_ms or self._clock.now_ms()
-            run.stop_sent_ms = self._clock.now_ms()
             return
 
     async def pace(self, command: PaceRun) -> None:
