Show the state that was written, not the newer one

Cause: found in reading. When a write's answer was lost and the next try met its result, the ledger took the job's state of that moment as shown, though the record holds the older one; a final state could be shown before it was durable. Change: the states are kept with the records; the test failed first.

--- a/packages/server/lagoonshelf_server/jobs/ledger.py
+++ b/packages/server/lagoonshelf_server/jobs/ledger.py
@@ -164,7 +164,7 @@
             _log.info("progress not written", jobs=len(batch), reason=str(exc))
             return False
         if isinstance(result, Conflict):
-            return self._resolve(batch, puts, result)
+            return self._resolve(batch, states, puts, result)
         if result is None:
             return False
         for job, state in zip(batch, states, strict=True):
@@ -172,8 +172,13 @@
             self.shown[job.id] = state
         return True
 
-    def _resolve(self, batch: list[Job], puts: list[Put], conflict: Conflict) -> bool:
-        """Learn from a conflict whether an earlier try took effect, or the seat is lost."""
+    def _resolve(
+        self, batch: list[Job], states: list[JobState], puts: list[Put], conflict: Conflict
+    ) -> bool:
+        """Learn from a conflict whether an earlier try took effect, or the seat is lost.
+
+        :param states: states of the jobs when the records were made
+        """
         found = {item.key: item for item in conflict.items}
         seat = found.get(SEAT)
         if seat is None or seat.revision != self._seat.revision:
@@ -188,6 +193,6 @@
         if not took_effect:
             _log.info("progress record changed", jobs=[job.id for job in batch])
             return False
-        for job in batch:
-            self.shown[job.id] = job.state
+        for job, state in zip(batch, states, strict=True):
+            self.shown[job.id] = state
         return True
--- a/tests/server/jobs/test_ledger.py
+++ b/tests/server/jobs/test_ledger.py
@@ -52,6 +52,26 @@
         record = self.store.items[progress_key(changed.id)]
         self.assertIs(decode_state(record.value), JobState.FAILED)
 
+    async def test_a_state_is_shown_only_as_it_was_written(self) -> None:
+        """The job ends between a write whose answer is lost and the look at what it did."""
+        changed = Job(job(), 0, state=JobState.RUNNING)
+        self.store.lose_answers = 1
+        original, calls = self.store.commit, 0
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            nonlocal calls
+            calls += 1
+            try:
+                return await original(*args, **kwargs)
+            finally:
+                if calls == 2:
+                    changed.state = JobState.COMPLETE
+
+        self.store.commit = commit
+        self.ledger.add({changed})
+        self.assertTrue(await self.ledger.wait_durable(self.ledger.mark(), 2.0))
+        self.assertIs(self.ledger.shown[changed.id], JobState.RUNNING)
+
     async def test_nothing_is_written_once_another_process_has_the_seat(self) -> None:
         """The condition on the seat refuses it, and the holder learns that it is deposed."""
         self.store.put(SEAT, b'{"member":"m2","address":"a:2"}')
