Close three ways to a second run of a task, found in reading

Cause: (1) a start without an answer may be carried out seconds later, after a newer order; when the second try was refused (no room), the task was started elsewhere at once and the late order ran it again. (2) a holder whose key lapsed wrote it again without knowing whether another term had come and gone. Change: after an unanswered order only a confirmed stop makes a refused run void; cell/term names the newest term and conditions the second write; the first second of a term without signs of life tells nothing. The is_clear shortcut, false in every process since, is removed with its parameter: starts go without a record in an outage by design. Its test is replaced by one as strict on what remains: a lost worker blocks all inherited work, running or not, and nothing else.

--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -106,11 +106,8 @@
         ):
             self._hooks.spawn(coro)
 
-    def restore(self, registry: list[Item], used: Item | None, *, is_clear: bool) -> int:
-        """Take in workers; return when what a predecessor ran on lost ones has ended.
-
-        :param is_clear: the predecessor has recorded all that it started
-        """
+    def restore(self, registry: list[Item], used: Item | None) -> int:
+        """Take in workers; return when what a predecessor ran on lost ones has ended."""
         now_ms = self._clock.now_ms()
         for item in registry:
             info = self._views.decode_worker(item.key, item.value)
@@ -118,15 +115,13 @@
                 self._cell.see_worker(info, now_ms)
         lapse_ms = now_ms + int(RUN_LEASE_MS / (1 - CLOCK_SLOWNESS)) + LAPSE_MARGIN_MS
         # A predecessor that may still be alive goes on longer in an outage.
-        if not self._seat.predecessor_is_dead and not is_clear:
+        if not self._seat.predecessor_is_dead:
             lapse_ms += OUTAGE_MS
         for row in _decode_used(used):
-            self._restore_used(row, lapse_ms, now_ms, is_clear=is_clear)
+            self._restore_used(row, lapse_ms, now_ms)
         return lapse_ms
 
-    def _restore_used(
-        self, row: "_UsedRow", lapse_ms: int, now_ms: int, *, is_clear: bool
-    ) -> None:
+    def _restore_used(self, row: "_UsedRow", lapse_ms: int, now_ms: int) -> None:
         worker = self._cell.workers.get(row.worker)
         if worker is None:
             info = WorkerInfo(
@@ -145,7 +140,8 @@
             return
         self._used[row.worker] = row
         worker.lapse_ms = lapse_ms
-        worker.blocks_inherited = not is_clear
+        # A predecessor starts work without a record while no member reaches the store.
+        worker.blocks_inherited = True
 
     def suspect_runs(self, lapse_ms: int) -> None:
         """Take the runs that a predecessor had recorded as still under way."""
--- a/packages/server/lagoonshelf_server/jobs/holder.py
+++ b/packages/server/lagoonshelf_server/jobs/holder.py
@@ -59,20 +59,8 @@
 class Holder:
     """State and loops of one term."""
 
-    def __init__(
-        self,
-        ports: Ports,
-        seat: Seat,
-        config: ConfigView,
-        clock: Clock,
-        *,
-        is_clear: bool = False,
-    ) -> None:
-        """Set up; ``run`` does the rest.
-
-        :param is_clear: the predecessor has recorded all that it started
-        """
-        self._is_clear = is_clear
+    def __init__(self, ports: Ports, seat: Seat, config: ConfigView, clock: Clock) -> None:
+        """Set up; ``run`` does the rest."""
         self.is_store_troubled: Callable[[], bool] = lambda: False
         self._store = ports.store
         self._views = ports.views
@@ -166,7 +154,7 @@
             self._store.read(USED_WORKERS),
         )
         self._intake.revision = intake[1]
-        lapse_ms = self._fleet.restore(registry[0], used, is_clear=self._is_clear)
+        lapse_ms = self._fleet.restore(registry[0], used)
         self._restore_jobs(intake[0], progress[0])
         self._fleet.suspect_runs(lapse_ms)
         await self._fleet.write_used()
--- a/packages/server/lagoonshelf_server/jobs/keys.py
+++ b/packages/server/lagoonshelf_server/jobs/keys.py
@@ -3,6 +3,8 @@
 from lagoonshelf_core.jobs.spec import JobId
 
 SEAT = "cell/holder"
+# Newest term; unlike the seat it has no lease.
+TERM = "cell/term"
 SECRET = "cell/secret"
 USED_WORKERS = "cell/workers"
 INTAKE_PREFIX = "in/"
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -178,8 +178,6 @@
         """Run a term whenever the seat is taken."""
         while True:
             await self.seat.taken.wait()
-            # Records of starts are not relied on while hunted days still show starts without one
-            # (docs/findings.md): inherited work waits for every worker that may run something.
             holder = Holder(self._ports, self.seat, self.config, self._clock)
             holder.is_store_troubled = self.pulses.is_store_troubled_for_all
             holder.advisors.heard(self._cfg.member, self._ask_here)
--- a/packages/server/lagoonshelf_server/jobs/orders.py
+++ b/packages/server/lagoonshelf_server/jobs/orders.py
@@ -58,6 +58,7 @@
     async def start(self, command: StartRun) -> None:
         """Start a run; an unanswered order is repeated, then made void by a stop."""
         run = command.run
+        is_uncertain = False
         for timeout_ms in START_TIMEOUTS_MS:
             worker = self._cell.workers.get(run.worker)
             contact = self._contacts.get(run.worker)
@@ -82,9 +83,10 @@
                 continue
             except NoAnswerError as exc:
                 self._cell.note("start not answered", run, reason=str(exc))
+                is_uncertain = True
                 continue
             contact.heard_clock(answer.worker_clock_ms)
-            self._apply_start(run, answer)
+            self._apply_start(run, answer, is_uncertain=is_uncertain)
             return
         if run.phase is RunPhase.STARTING:
             self._cell.stop(run, "start not answered")
@@ -137,7 +139,12 @@
             and worker.runs.get((run.name, run.attempt)) is run
         )
 
-    def _apply_start(self, run: Run, answer: Answered) -> None:
+    def _apply_start(self, run: Run, answer: Answered, *, is_uncertain: bool) -> None:
+        """Apply the answer to a start.
+
+        :param is_uncertain: an earlier order of this run may still be carried out, so that only
+            a stop makes a refused run void
+        """
         outcome = answer.outcome
         figures.start_ms.observe({}, self._clock.now_ms() - run.started_ms)
         if outcome is StartOutcome.STARTED:
@@ -150,7 +157,10 @@
         self._cell.note("start refused", run, reason=outcome.value)
         worker = self._cell.workers.get(run.worker)
         if run.phase is RunPhase.STARTING:
-            self._cell.start_refused(run)
+            if is_uncertain:
+                self._cell.stop(run, "refused after an unanswered order")
+            else:
+                self._cell.start_refused(run)
             self._learn(run, outcome, worker)
         self._on_change()
 
--- a/packages/server/lagoonshelf_server/jobs/pulses.py
+++ b/packages/server/lagoonshelf_server/jobs/pulses.py
@@ -180,11 +180,13 @@
     def is_store_troubled_for_all(self) -> bool:
         """Tell whether no member has the store working as usual.
 
-        A process that hears no other member, though it knows some, cannot tell.
+        A process that hears no other member, though it knows some or others have had no time to
+        send it a sign of life, cannot tell.
         """
         limit_ms = self._clock.now_ms() - MEMBER_HEARD_MS
         heard = [troubled for troubled, at_ms in self._troubled.values() if at_ms > limit_ms]
-        is_alone = bool(self._troubled) and not heard
+        is_new = self._seat.taken_ms > limit_ms
+        is_alone = not heard and (is_new or bool(self._troubled))
         return self._is_store_troubled() and all(heard) and not is_alone
 
     def _store_age_ms(self) -> int:
--- a/packages/server/lagoonshelf_server/jobs/seat.py
+++ b/packages/server/lagoonshelf_server/jobs/seat.py
@@ -10,10 +10,11 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
 from lagoonshelf_server.jobs import figures
-from lagoonshelf_server.jobs.keys import SEAT
+from lagoonshelf_server.jobs.keys import SEAT, TERM
 from lagoonshelf_server.jobs.ports import (
     ABSENT,
     Committed,
+    Conflict,
     HistoryLostError,
     Item,
     Put,
@@ -76,6 +77,7 @@
         self.member = member
         self._address = address
         self._lease: StoreLease | None = None
+        self._term = ABSENT
         self._absent_since_ms: int | None = None
         self.view: SeatView | None = None
         self.is_read = False
@@ -83,6 +85,7 @@
         self.is_willing = True
         self.holder_view = HolderView.UNKNOWN
         self.renewed_ms = 0
+        self.taken_ms = 0
         self.claim_delay_ms = 0
         self.predecessor_is_dead = False
         self.is_outage: Callable[[], bool] = lambda: False
@@ -251,7 +254,7 @@
         expected = ABSENT if self._absent_since_ms is not None else self.revision
         self.predecessor_is_dead = self.holder_view is HolderView.DEAD
         try:
-            await self._write(expected)
+            await self._write({SEAT: expected})
         except (StoreUnavailableError, StoreUncertainError) as exc:
             _log.info("seat not claimed", reason=str(exc))
             await asyncio.sleep(RETRY_S)
@@ -262,18 +265,23 @@
         if item is not None and item.revision != self.revision:
             self._see(item)
             return
-        await self._write(ABSENT if item is None else item.revision)
+        expected = ABSENT if item is None else item.revision
+        await self._write({SEAT: expected, TERM: self._term})
 
-    async def _write(self, expected: StoreRevision) -> None:
+    async def _write(self, conditions: dict[str, StoreRevision]) -> None:
         sent_ms = self._clock.now_ms()
         lease = await self._store.grant_lease(SEAT_TTL_MS)
         value = _encode(self.member, self._address)
-        result = await self._store.commit({SEAT: expected}, [Put(SEAT, value, lease)])
+        puts = [Put(SEAT, value, lease), Put(TERM, self.member.encode())]
+        result = await self._store.commit(conditions, puts)
         if not isinstance(result, Committed):
+            if isinstance(result, Conflict):
+                self._check_term(result)
             await self._refresh()
             return
         was_held = self.is_held
         self._lease = lease
+        self._term = result.revision
         self.renewed_ms = sent_ms
         self._absent_since_ms = None
         self.view = SeatView(result.revision, self.member, self._address)
@@ -281,9 +289,16 @@
         _log.info("seat taken", seat=result.revision, again=was_held)
         figures.is_holder.set({}, 1)
         if not was_held:
+            self.taken_ms = self._clock.now_ms()
             self.lost.clear()
             self.taken.set()
 
+    def _check_term(self, conflict: Conflict) -> None:
+        """Step down when another term has come and gone: its work is not known here."""
+        term = next((item.revision for item in conflict.items if item.key == TERM), ABSENT)
+        if self.is_held and term != self._term:
+            self.step_down(f"term {term} came between")
+
 
 def _encode(member: MemberId, address: str, *, is_offered: bool = False) -> bytes:
     return orjson.dumps({"member": member, "address": address, "offered": is_offered})
--- a/tests/server/jobs/test_holder.py
+++ b/tests/server/jobs/test_holder.py
@@ -11,7 +11,7 @@
 from lagoonshelf_server.jobs import contact
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.holder import Holder, Ports
-from lagoonshelf_server.jobs.keys import cancel_key, job_key, progress_key
+from lagoonshelf_server.jobs.keys import SEAT, cancel_key, job_key, progress_key
 from lagoonshelf_server.jobs.seat import Seat
 from tests.support.job_fakes import FakeStore, FakeViews, FakeWorkers, eventually
 from tests.support.jobs import config, job, step, worker_info
@@ -45,16 +45,16 @@
     def _starts_of(self, spec: JobSpec) -> int:
         return sum(task.startswith(spec.id) for _, task, _ in self.workers.started)
 
-    async def _term(self, member: str, *, is_clear: bool = False) -> Holder:
+    async def _term(self, member: str) -> Holder:
         """Begin a term that deposes any other."""
         seat = Seat(self.store, self.clock, MemberId(member), member)
         await seat._refresh()
         seat.predecessor_is_dead = True
-        await seat._write(seat.revision)
+        await seat._write({SEAT: seat.revision})
         cfg = ConfigView(self.store, self.views, self.clock)
         cfg.current = config()
         ports = Ports(self.store, self.workers, self.views)
-        holder = Holder(ports, seat, cfg, self.clock, is_clear=is_clear)
+        holder = Holder(ports, seat, cfg, self.clock)
         holder.seat = seat
         for coro in (seat.renew(), holder.run()):
             self.tasks.append(asyncio.ensure_future(coro))
@@ -133,6 +133,22 @@
                 self.workers.apply_start(name, order)
         self.assertEqual(len(self.workers.started), 1)
 
+    async def test_a_refusal_after_an_unanswered_start_is_not_believed(self) -> None:
+        """The unanswered order may be carried out seconds after the refused one."""
+        holder = await self._term("m1")
+        spec = job()
+        for entry in self._entries():
+            entry.lose_starts = 1
+            entry.refuse_starts = 1
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1, 6.0)
+        for name, entry in self.workers.workers.items():
+            for order in entry.late_starts:
+                self.workers.apply_start(name, order)
+        self.assertEqual(len(self.workers.started), 1)
+        self.workers.end_all()
+        await eventually(lambda: holder.state(spec.id) is JobState.COMPLETE)
+
     async def test_a_start_that_is_never_answered_is_made_void(self) -> None:
         """Before its task is started elsewhere, the stop has been confirmed."""
         holder = await self._term("m1")
@@ -159,19 +175,22 @@
         self.assertEqual(len(self.workers.started), 1)
         await eventually(lambda: len(self.workers.started) == 2, 10.0)
 
-    async def test_a_successor_blocks_only_what_ran_on_a_lost_worker(self) -> None:
-        """The holder is lost right after a worker (trouble-3, both sites)."""
+    async def test_a_lost_worker_blocks_inherited_work_only(self) -> None:
+        """The predecessor may have started any of it there without a record (trouble-3)."""
         await self._term("m1")
         running, waiting = job(), job()
         self._store(running)
         await eventually(lambda: len(self.workers.started) == 1)
         self.workers.workers[self.workers.started[0][0]].is_silent = True
         self._store(waiting)
-        second = await self._term("m2", is_clear=True)
+        second = await self._term("m2")
         await eventually(lambda: waiting.id in second.cell.jobs)
-        await eventually(lambda: self._starts_of(waiting) == 1)
+        fresh = job()
+        self._store(fresh)
+        await eventually(lambda: self._starts_of(fresh) == 1)
         await asyncio.sleep(0.5)
         self.assertEqual(self._starts_of(running), 1, "its lease has not lapsed")
+        await eventually(lambda: self._starts_of(waiting) == 1, 10.0)
 
     async def test_a_start_is_recorded_before_it_is_sent(self) -> None:
         """A store that does not answer keeps it back, unless that holds for all members."""
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -100,6 +100,9 @@
         """A process that hears no member it knows cannot tell an outage from a cut."""
         self.store.is_down = True
         now_ms = self.clock.now_ms()
+        self.assertTrue(self.node.pulses.is_store_troubled_for_all(), "there are no others")
+        self.node.seat.taken_ms = now_ms
+        self.assertFalse(self.node.pulses.is_store_troubled_for_all(), "none had time to tell")
         self.node.pulses._troubled[MemberId("m2")] = (True, now_ms)
         self.assertTrue(self.node.pulses.is_store_troubled_for_all())
         self.node.pulses._troubled[MemberId("m3")] = (False, now_ms)
--- a/tests/server/jobs/test_seat.py
+++ b/tests/server/jobs/test_seat.py
@@ -5,7 +5,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
-from lagoonshelf_server.jobs.keys import SEAT
+from lagoonshelf_server.jobs.keys import SEAT, TERM
 from lagoonshelf_server.jobs.ports import StoreRevision
 from lagoonshelf_server.jobs.seat import (
     INCUMBENT_GRACE_MS,
@@ -76,6 +76,19 @@
         self.assertTrue(holder.is_held)
         self.assertEqual(holder.revision, self.store.items[SEAT].revision)
 
+    async def test_a_lapsed_key_is_not_written_again_after_another_term(self) -> None:
+        """The other term came and went while this holder did not reach the store."""
+        holder = await self._holder()
+        for seat in self.seats:
+            seat.is_willing = False
+            seat.heard(HolderView.ANSWERS, holder.revision)
+        self.store.is_down = True
+        self.store.end_lease(self.store.leases[SEAT])
+        self.store.put(TERM, b"m9")
+        self.store.is_down = False
+        await eventually(lambda: not holder.is_held)
+        self.assertNotIn(SEAT, self.store.items)
+
     async def test_a_released_seat_is_taken_at_once(self) -> None:
         """Draining processes do not take it back."""
         holder = await self._holder()
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -174,6 +174,7 @@
     is_silent: bool = False
     is_replaced: bool = False
     lose_starts: int = 0
+    refuse_starts: int = 0
     late_starts: list[StartOrder] = field(default_factory=list)
 
 
@@ -195,6 +196,9 @@
             entry.lose_starts -= 1
             entry.late_starts.append(order)
             raise NoAnswerError("start")
+        if entry.refuse_starts:
+            entry.refuse_starts -= 1
+            return Answered(StartOutcome.NO_ROOM, self.clock.now_ms())
         return Answered(self.apply_start(worker.id, order), self.clock.now_ms())
 
     def apply_start(self, name: str, order: StartOrder) -> StartOutcome:
