Spend less of the holder's processor on each pass of planning

Cause: each pass walked all runs for stalls, sorted all workers for each waiting step before looking whether the policy is to be asked at all, and made four objects for each look at a worker's room. Change: oversight every 100 ms; a question's time is looked at first and workers are sorted once a pass; steps with permits look at these workers only.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import sys
 from importlib import import_module
 
-BENCHMARKS = ("decisions", "edges", "capacity", "state_size")
+BENCHMARKS = ("decisions", "edges", "capacity", "state_size", "cell_cost")
 
 
 def main(names: list[str]) -> int:
--- a/packages/core/lagoonshelf_core/jobs/oversight.py
+++ b/packages/core/lagoonshelf_core/jobs/oversight.py
@@ -6,6 +6,8 @@
 from lagoonshelf_core.jobs.progress import Run, RunPhase, StepRun
 from lagoonshelf_core.jobs.workers import Worker
 
+# Stalls and tails show over half a second and more.
+OVERSIGHT_MS = 100
 # A run whose progress stands still for so long is stopped and started elsewhere.
 STALL_MS = 2_000
 STALL_SHARE = 0.4
@@ -84,9 +86,9 @@
     still_ms = now_ms - run.percent_at_ms
     if spec.is_service:
         return run.percent < AT_WORK_PERCENT and still_ms > SERVICE_STARTUP_MS
-    if run.pace < AT_WORK_PERCENT or (spec.is_gang and not _is_gang_whole(step)):
+    if still_ms <= max(STALL_MS, STALL_SHARE * spec.estimate_ms) or run.pace < AT_WORK_PERCENT:
         return False
-    return still_ms > max(STALL_MS, STALL_SHARE * spec.estimate_ms)
+    return not spec.is_gang or _is_gang_whole(step)
 
 
 def _is_gang_whole(step: StepRun) -> bool:
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -36,7 +36,8 @@
     """State of one pass."""
 
     now_ms: int
-    usable: dict[str, list[Worker]]
+    usable: dict[str, dict[WorkerId, Worker]]
+    by_room: dict[str, list[Worker]] = field(default_factory=dict)
     advised: int = 0
     reservations: int = 0
     reserved: set[WorkerId] = field(default_factory=set)
@@ -49,10 +50,10 @@
     :param advice_budget_ms: time of the placement policy that may be asked for
     """
     cell.open_due(now_wall_ms)
-    usable: dict[str, list[Worker]] = {}
+    usable: dict[str, dict[WorkerId, Worker]] = {}
     for worker in cell.workers.values():
         if worker.is_usable and not cell.health.is_quarantined(worker.id, now_ms):
-            usable.setdefault(worker.info.pool, []).append(worker)
+            usable.setdefault(worker.info.pool, {})[worker.id] = worker
     state = _Pass(now_ms, usable, advice_budget_ms=advice_budget_ms)
     ranked = []
     for step in cell.open_steps:
@@ -90,15 +91,20 @@
 
 def _serve(cell: Cell, state: _Pass, step: StepRun, queue: Queue, band: Band) -> None:
     """Start what can be started of one step."""
-    workers = state.usable.get(queue.pool, [])
-    workers = [worker for worker in workers if _suits(step, worker)]
+    usable = state.usable.get(queue.pool)
+    if not usable:
+        return
     permits: dict[WorkerId, str] | None = None
     if queue.advice is not None:
         permits = cell.permits.valid(step.name, state.now_ms)
-        _ask_advice(cell, state, step, queue, workers)
+        _ask_advice(cell, state, step, queue)
         if not permits:
             return
-        workers = [worker for worker in workers if worker.id in permits]
+        workers = [usable[name] for name in permits if name in usable]
+    else:
+        workers = list(usable.values())
+    if step.spec.label:
+        workers = [worker for worker in workers if step.spec.label in worker.info.labels]
     if step.spec.is_gang:
         placed = _place_gang(cell, state, step, workers, band)
     else:
@@ -115,18 +121,15 @@
         cell.refresh_steps(step.job)
 
 
-def _suits(step: StepRun, worker: Worker) -> bool:
-    return not step.spec.label or step.spec.label in worker.info.labels
-
-
-def _ask_advice(
-    cell: Cell, state: _Pass, step: StepRun, queue: Queue, workers: list[Worker]
-) -> None:
+def _ask_advice(cell: Cell, state: _Pass, step: StepRun, queue: Queue) -> None:
     terms = queue.advice
-    if terms is None or state.advised >= MAX_ADVISED_STEPS or not workers:
+    if terms is None or state.advised >= MAX_ADVISED_STEPS:
         return
     state.advised += 1
-    named = _to_name(cell, step, workers)
+    most_ms = terms.base_ms + terms.per_worker_ms * MAX_NAMED
+    if not cell.permits.is_due(step.name, most_ms, state.now_ms):
+        return
+    named = _to_name(cell, state, step, queue)
     cost_ms = terms.base_ms + terms.per_worker_ms * len(named)
     if not named or not cell.permits.is_due(step.name, cost_ms, state.now_ms):
         return
@@ -137,10 +140,19 @@
     cell.commands.append(AskAdvice(step, named, cost_ms))
 
 
-def _to_name(cell: Cell, step: StepRun, workers: list[Worker]) -> tuple[WorkerId, ...]:
+def _to_name(cell: Cell, state: _Pass, step: StepRun, queue: Queue) -> tuple[WorkerId, ...]:
     """Return the workers to ask about, those with most free processors first."""
-    by_room = sorted(workers, key=lambda w: (w.used.cpu_milli - w.info.capacity.cpu_milli, w.id))
-    return tuple(cell.permits.to_ask(step.name, [w.id for w in by_room])[:MAX_NAMED])
+    by_room = state.by_room.get(queue.pool)
+    if by_room is None:
+        by_room = sorted(state.usable[queue.pool].values(), key=_room_key)
+        state.by_room[queue.pool] = by_room
+    label = step.spec.label
+    names = [w.info.id for w in by_room if not label or label in w.info.labels]
+    return tuple(cell.permits.to_ask(step.name, names)[:MAX_NAMED])
+
+
+def _room_key(worker: Worker) -> tuple[int, WorkerId]:
+    return (worker.used.cpu_milli - worker.info.capacity.cpu_milli, worker.info.id)
 
 
 def _place_tasks(
@@ -206,8 +218,13 @@
 
 def _free(worker: Worker, extra: Resources, band: Band, size: Resources) -> Resources:
     """Return the free room of a worker for tasks of a size in a band."""
-    free = worker.info.capacity - worker.used - extra
-    return free - Resources(cpu_milli=_reserve_milli(worker, band, size))
+    capacity, used = worker.info.capacity, worker.used
+    reserve = _reserve_milli(worker, band, size)
+    return Resources(
+        capacity.cpu_milli - used.cpu_milli - extra.cpu_milli - reserve,
+        capacity.memory_mib - used.memory_mib - extra.memory_mib,
+        capacity.accelerators - used.accelerators - extra.accelerators,
+    )
 
 
 def _reserve_milli(worker: Worker, band: Band, size: Resources) -> int:
