Ask the placement policy about as many workers as a gang needs

Gangs waited while 40% of all processors were idle: a question named 40 workers, of which the policy allows 12, and in a cell at 60% few of these have room for more than one of 20 members. Change: a question names workers until those that will probably be allowed have room for one and a half times the waiting tasks (40 to 100 workers; the allowed share is learnt by queue). Late steps are among the advised ones only when there is room for them. Counting room needs no objects now.

--- a/bench/cell_load.py
+++ b/bench/cell_load.py
@@ -1,11 +1,13 @@
 """Plays a load on a cell's decisions alone: no network, no store, a clock of its own."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 from time import process_time
+from zlib import crc32
 
 from lagoonshelf_core.ids import FailureDomain, QueueId, RackId, TeamId, WorkerId
 from lagoonshelf_core.jobs.cell import Cell, EndedRow, RunningRow
@@ -13,7 +15,7 @@
 from lagoonshelf_core.jobs.config import CellConfig, Pool, PoolId
 from lagoonshelf_core.jobs.oversight import OVERSIGHT_MS, oversee
 from lagoonshelf_core.jobs.planning import plan
-from lagoonshelf_core.jobs.progress import JobState, Run, RunEnd
+from lagoonshelf_core.jobs.progress import Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, StepSpec
 from lagoonshelf_core.jobs.workers import WorkerInfo
 from lagoonshelf_core.resources import Resources
@@ -43,10 +45,14 @@
 
     :param first_start_ms: time from arrival to the first start by job
     :param end_ms: time from arrival to the end by job, only of jobs that are complete
+    :param in_time: jobs by queue that ended within their objective
+    :param arrived: jobs by queue
     """
 
     first_start_ms: dict[JobId, int] = field(default_factory=dict)
     end_ms: dict[JobId, int] = field(default_factory=dict)
+    in_time: Counter[QueueId] = field(default_factory=Counter)
+    arrived: Counter[QueueId] = field(default_factory=Counter)
     starts: int = 0
     stops: int = 0
     passes: int = 0
@@ -149,7 +155,6 @@
         self._plan = plan_pass
         self._lanes = [0.0] * lanes
         self._allowed_share = allowed_share
-        self._rng = Random(1)
         self._events: list[tuple[int, int, Callable[[int], None]]] = []
         self._order = count()
         self._task_ms: dict[JobId, int] = {}
@@ -162,7 +167,7 @@
         for row in load:
             self._at(row.at_ms, lambda now_ms, row=row: self._arrive(row, now_ms))
         for at_ms in range(0, until_ms, TICK_MS):
-            self._at(at_ms, self._kick)
+            self._at(at_ms, self._tick)
         while self._events and self._events[0][0] <= until_ms:
             at_ms, _, event = heappop(self._events)
             event(at_ms)
@@ -171,6 +176,12 @@
     def _at(self, at_ms: int, event: Callable[[int], None]) -> None:
         heappush(self._events, (at_ms, next(self._order), event))
 
+    def _tick(self, now_ms: int) -> None:
+        for worker in self.cell.workers.values():
+            for run in worker.runs.values():
+                run.percent_at_ms = now_ms
+        self._kick(now_ms)
+
     def _kick(self, now_ms: int) -> None:
         if self._pass_at < now_ms:
             self._pass_at = now_ms + PASS_MS
@@ -179,6 +190,7 @@
     def _arrive(self, row: Arrival, now_ms: int) -> None:
         self._task_ms[row.spec.id] = row.task_ms
         self.cell.accept(row.spec, now_ms)
+        self.outcome.arrived[row.spec.queue] += 1
         self._kick(now_ms)
 
     def _pass(self, now_ms: int) -> None:
@@ -209,15 +221,17 @@
         self._at(int(self._lanes[lane]), lambda at, command=command: self._advise(command, at))
 
     def _advise(self, command: AskAdvice, now_ms: int) -> None:
+        limit = self._allowed_share * 2**32
+        step = command.step.name
         allowed = {
-            name: "permit" for name in command.workers if self._rng.random() < self._allowed_share
+            name: "permit" for name in command.workers if crc32(f"{step}{name}".encode()) < limit
         }
         queue = self.cell.queue_of(command.step.job)
         if command.step.job.is_final:
             self.cell.permits.forget(command.step.name)
             return
         valid_until_ms = now_ms + queue.advice.valid_ms
-        self.cell.permits.answered(command.step.name, command.workers, allowed, valid_until_ms)
+        self.cell.permits.answered(step, queue.id, command.workers, allowed, valid_until_ms)
         self._kick(now_ms)
 
     def _start(self, run: Run, now_ms: int) -> None:
@@ -248,9 +262,17 @@
         self.cell.report(worker, rows, [ended], now_ms, now_ms)
         self.outcome.decisions_s += process_time() - began
         if job.state is JobState.COMPLETE:
-            self.outcome.end_ms.setdefault(job.id, now_ms - job.received_ms)
+            self._note_end(job, now_ms - job.received_ms)
         self._kick(now_ms)
 
+    def _note_end(self, job: Job, end_ms: int) -> None:
+        if job.id in self.outcome.end_ms:
+            return
+        self.outcome.end_ms[job.id] = end_ms
+        queue = self.cell.queue_of(job)
+        if end_ms <= queue.stretch * job.longest_chain_ms + queue.latency_ms:
+            self.outcome.in_time[queue.id] += 1
+
 
 def config(queues: list, teams: list) -> CellConfig:
     """Return a configuration of one pool."""
--- a/packages/core/lagoonshelf_core/jobs/permits.py
+++ b/packages/core/lagoonshelf_core/jobs/permits.py
@@ -2,13 +2,18 @@
 
 from dataclasses import dataclass, field
 
-from lagoonshelf_core.ids import WorkerId
+from lagoonshelf_core.ids import QueueId, WorkerId
 
 # A permission is not used this close to its end, as the order takes time to arrive.
 EXPIRY_MARGIN_MS = 150
 # A permission is renewed this long before its end, beside the time that asking takes.
 RENEW_AHEAD_MS = 300
 RETRY_MS = 200
+# Share of workers that the policy is taken to allow before it has answered, the least share that
+# is reckoned with, and the weight of one answer in its moving average.
+FIRST_SHARE = 0.4
+LEAST_SHARE = 0.05
+SHARE_WEIGHT = 0.1
 
 
 @dataclass(slots=True)
@@ -32,6 +37,7 @@
     def __init__(self) -> None:
         """Start without permissions."""
         self._steps: dict[str, _StepPermits] = {}
+        self._shares: dict[QueueId, float] = {}
 
     def valid(self, step: str, now_ms: int) -> dict[WorkerId, str]:
         """Return the permits of a step by worker, empty when they have ended."""
@@ -49,28 +55,50 @@
             return False
         return now_ms >= entry.expires_ms - RENEW_AHEAD_MS - cost_ms
 
+    def is_in_use(self, step: str, now_ms: int) -> bool:
+        """Tell whether a question about a step is under way, or its permits are valid."""
+        entry = self._steps.get(step)
+        return entry is not None and (entry.is_asking or bool(self.valid(step, now_ms)))
+
     def is_known(self, step: str) -> bool:
         """Tell whether the policy has answered for a step before."""
         entry = self._steps.get(step)
         return entry is not None and bool(entry.asked)
 
-    def to_ask(self, step: str, workers: list[WorkerId]) -> list[WorkerId]:
-        """Return the workers to name: those allowed before, and those not asked about."""
+    def chance(self, step: str, worker: WorkerId, share: float) -> float:
+        """Return how likely the policy allows a worker for a step.
+
+        :param share: of the workers that it has not been asked about
+        """
         entry = self._steps.get(step)
-        if entry is None:
-            return workers
-        return [name for name in workers if name in entry.allowed or name not in entry.asked]
+        if entry is None or worker not in entry.asked:
+            return share
+        return 1.0 if worker in entry.allowed else 0.0
+
+    def allowed_share(self, queue: QueueId) -> float:
+        """Return the share of workers that the policy has allowed for a queue's steps lately."""
+        return self._shares.get(queue, FIRST_SHARE)
 
     def asking(self, step: str) -> None:
         """Note that a question is under way."""
         self._steps.setdefault(step, _StepPermits()).is_asking = True
 
     def answered(
-        self, step: str, named: tuple[WorkerId, ...], permits: dict[WorkerId, str], expires_ms: int
+        self,
+        step: str,
+        queue: QueueId,
+        named: tuple[WorkerId, ...],
+        permits: dict[WorkerId, str],
+        expires_ms: int,
     ) -> None:
         """Note an answer; permits of workers that it does not name have ended."""
         entry = self._steps.setdefault(step, _StepPermits())
         entry.is_asking = False
+        fresh = [name for name in named if name not in entry.asked]
+        if fresh:
+            share = sum(name in permits for name in fresh) / len(fresh)
+            old = self.allowed_share(queue)
+            self._shares[queue] = max(LEAST_SHARE, old + SHARE_WEIGHT * (share - old))
         entry.asked.update(named)
         entry.allowed.difference_update(named)
         entry.allowed.update(permits)
@@ -92,6 +120,10 @@
             entry.asked.discard(worker)
             entry.expires_ms = 0
 
+    def look_again(self, step: str, at_ms: int) -> None:
+        """Put off the next question about a step."""
+        self._steps.setdefault(step, _StepPermits()).next_ask_ms = at_ms
+
     def forget(self, step: str) -> None:
         """Drop a step that needs no permits any more."""
         self._steps.pop(step, None)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -11,10 +11,17 @@
 from lagoonshelf_core.jobs.workers import Worker, room_of
 from lagoonshelf_core.resources import NOTHING, Resources
 
-# Workers named in one question to the placement policy.
-MAX_NAMED = 40
-# Waiting steps whose permits are kept valid while they wait for room.
+# The policy takes at most so many workers in one question.
+MAX_NAMED = 100
+# Fewest workers named, so that tasks can be packed well
+MIN_NAMED = 40
+# A question names workers for so many times the tasks that wait, by what the policy has allowed.
+NAMED_FACTOR = 1.5
+# Waiting steps whose permits are kept valid while they wait for room. Late steps are among them
+# only when there is room for them; so many are looked at in a pass, and again after a while.
 MAX_ADVISED_STEPS = 24
+MAX_LOOKS = 8
+LOOK_AGAIN_MS = 500
 # Room that work of a band leaves on each worker for better bands, in thousandths of its
 # processors.
 RESERVE_PERMILLE = {
@@ -39,6 +46,7 @@
     usable: dict[str, dict[WorkerId, Worker]]
     by_room: dict[str, list[Worker]] = field(default_factory=dict)
     advised: int = 0
+    looks: int = 0
     reservations: int = 0
     reserved: set[WorkerId] = field(default_factory=set)
     advice_budget_ms: float = 0.0
@@ -97,7 +105,7 @@
     permits: dict[WorkerId, str] | None = None
     if queue.advice is not None:
         permits = cell.permits.valid(step.name, state.now_ms)
-        _ask_advice(cell, state, step, queue)
+        _ask_advice(cell, state, step, queue, band)
         if not permits:
             return
         workers = [usable[name] for name in permits if name in usable]
@@ -121,17 +129,26 @@
         cell.refresh_steps(step.job)
 
 
-def _ask_advice(cell: Cell, state: _Pass, step: StepRun, queue: Queue) -> None:
-    terms = queue.advice
+def _ask_advice(cell: Cell, state: _Pass, step: StepRun, queue: Queue, band: Band) -> None:
+    """Ask the placement policy about a step if its answer could be of use."""
+    terms, now_ms = queue.advice, state.now_ms
     if terms is None or state.advised >= MAX_ADVISED_STEPS:
         return
-    state.advised += 1
     most_ms = terms.base_ms + terms.per_worker_ms * MAX_NAMED
-    if not cell.permits.is_due(step.name, most_ms, state.now_ms):
+    if not cell.permits.is_due(step.name, most_ms, now_ms):
+        state.advised += band < Band.LATE or cell.permits.is_in_use(step.name, now_ms)
+        return
+    if band >= Band.LATE:
+        state.looks += 1
+        if state.looks > MAX_LOOKS:
+            return
+    named, has_room = _to_name(cell, state, step, queue)
+    if band >= Band.LATE and not has_room:
+        cell.permits.look_again(step.name, now_ms + LOOK_AGAIN_MS)
         return
-    named = _to_name(cell, state, step, queue)
+    state.advised += 1
     cost_ms = terms.base_ms + terms.per_worker_ms * len(named)
-    if not named or not cell.permits.is_due(step.name, cost_ms, state.now_ms):
+    if not named or not cell.permits.is_due(step.name, cost_ms, now_ms):
         return
     if state.advice_budget_ms < cost_ms and state.advised > 1:
         return
@@ -140,15 +157,36 @@
     cell.commands.append(AskAdvice(step, named, cost_ms))
 
 
-def _to_name(cell: Cell, state: _Pass, step: StepRun, queue: Queue) -> tuple[WorkerId, ...]:
-    """Return the workers to ask about, those with most free processors first."""
+def _to_name(
+    cell: Cell, state: _Pass, step: StepRun, queue: Queue
+) -> tuple[tuple[WorkerId, ...], bool]:
+    """Return the workers to ask about, those with most free processors first.
+
+    Also tells whether the step could probably start on those that the policy will allow.
+    """
     by_room = state.by_room.get(queue.pool)
     if by_room is None:
         by_room = sorted(state.usable[queue.pool].values(), key=_room_key)
         state.by_room[queue.pool] = by_room
-    label = step.spec.label
-    names = [w.info.id for w in by_room if not label or label in w.info.labels]
-    return tuple(cell.permits.to_ask(step.name, names)[:MAX_NAMED])
+    label, size = step.spec.label, room_of(step.spec.size, step.spec.is_filler)
+    share = cell.permits.allowed_share(queue.id)
+    waiting = len(step.waiting_tasks)
+    most = step.spec.max_per_worker or waiting
+    found = 0.0
+    named: list[WorkerId] = []
+    for worker in by_room:
+        if label and label not in worker.info.labels:
+            continue
+        chance = cell.permits.chance(step.name, worker.info.id, share)
+        if not chance:
+            continue
+        named.append(worker.info.id)
+        found += chance * min(most, _times_in(size, worker.info.capacity, worker.used, 0))
+        if len(named) >= MAX_NAMED:
+            break
+        if len(named) >= MIN_NAMED and found >= NAMED_FACTOR * waiting:
+            break
+    return tuple(named), found >= (waiting if step.spec.is_gang else 1)
 
 
 def _room_key(worker: Worker) -> tuple[int, WorkerId]:
@@ -275,16 +313,16 @@
     for worker in workers:
         if worker.id in state.reserved and band > Band.URGENT:
             continue
-        if not cell.health.may_start(worker.id, True, state.now_ms):
+        capacity, used = worker.info.capacity, worker.used
+        count = _times_in(size, capacity, used, _reserve_milli(worker, band, size))
+        if not count or not cell.health.may_start(worker.id, True, state.now_ms):
             continue
-        free = _free(worker, NOTHING, band, size)
-        count = _times_in(size, free)
         if spec.max_per_worker:
             count = min(count, spec.max_per_worker)
-        if count:
-            is_far = bool(spec.rack) and worker.info.rack != spec.rack
-            key = (worker.id in avoided, is_far, -count, free.cpu_milli, worker.id)
-            slots.append((key, worker, count))
+        is_far = bool(spec.rack) and worker.info.rack != spec.rack
+        free_milli = capacity.cpu_milli - used.cpu_milli
+        key = (worker.id in avoided, is_far, -count, free_milli, worker.id)
+        slots.append((key, worker, count))
     slots.sort(key=lambda row: row[0])
     if spec.same_rack:
         slots = _one_rack(slots, spec.count)
@@ -311,18 +349,20 @@
     return [row for row in slots if row[1].info.rack == fitting[0]]
 
 
-def _times_in(size: Resources, free: Resources) -> int:
-    """Return how many tasks of a size fit into free room."""
-    counts = [
-        whole // part
-        for part, whole in (
-            (size.cpu_milli, free.cpu_milli),
-            (size.memory_mib, free.memory_mib),
-            (size.accelerators, free.accelerators),
-        )
-        if part > 0
-    ]
-    return max(0, min(counts, default=MAX_GANG_ON_WORKER))
+def _times_in(size: Resources, capacity: Resources, used: Resources, reserve_milli: int) -> int:
+    """Return how many tasks of a size fit into what is free.
+
+    :param reserve_milli: processors to leave free, in thousandths
+    """
+    times = MAX_GANG_ON_WORKER
+    if size.cpu_milli:
+        free_milli = capacity.cpu_milli - used.cpu_milli - reserve_milli
+        times = min(times, free_milli // size.cpu_milli)
+    if size.memory_mib:
+        times = min(times, (capacity.memory_mib - used.memory_mib) // size.memory_mib)
+    if size.accelerators:
+        times = min(times, (capacity.accelerators - used.accelerators) // size.accelerators)
+    return max(0, times)
 
 
 def _reserve(cell: Cell, state: _Pass, step: StepRun, workers: list[Worker]) -> None:
@@ -333,9 +373,8 @@
     for worker in sorted(workers, key=lambda w: (w.used.cpu_milli, w.id)):
         if worker.id in state.reserved:
             continue
-        services = _service_use(worker)
-        reserve = Resources(_reserve_milli(worker, Band.ON_TIME, size))
-        count = _times_in(size, worker.info.capacity - services - reserve)
+        reserve_milli = _reserve_milli(worker, Band.ON_TIME, size)
+        count = _times_in(size, worker.info.capacity, _service_use(worker), reserve_milli)
         if count <= 0:
             continue
         chosen.append(worker.id)
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -127,11 +127,11 @@
     spec: StepSpec
     tasks: list[Task] = field(default_factory=list)
     failed_attempts: set[int] = field(default_factory=set)
+    name: str = field(init=False)
 
-    @property
-    def name(self) -> str:
-        """Return the name of the step, unique in the cell."""
-        return f"{self.job.id}.{self.occurrence}.{self.index}"
+    def __post_init__(self) -> None:
+        """Make the name of the step, unique in the cell."""
+        self.name = f"{self.job.id}.{self.occurrence}.{self.index}"
 
     @property
     def is_done(self) -> bool:
@@ -152,6 +152,7 @@
     :param is_inherited: accepted before this process became the holder
     :param is_excess: its team had handed in more than its rate allows
     :param attempt_floor: attempts of tasks that have no record begin above it
+    :param longest_chain_ms: estimated run time of the longest chain of steps
     """
 
     spec: JobSpec
@@ -163,6 +164,11 @@
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     has_started: bool = False
     attempt_floor: int = 0
+    longest_chain_ms: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Reckon what planning asks for again and again."""
+        self.longest_chain_ms = longest_chain_ms(self.spec)
 
     @property
     def id(self) -> JobId:
--- a/packages/core/lagoonshelf_core/jobs/ranking.py
+++ b/packages/core/lagoonshelf_core/jobs/ranking.py
@@ -3,7 +3,7 @@
 from enum import IntEnum
 
 from lagoonshelf_core.jobs.config import Queue
-from lagoonshelf_core.jobs.progress import StepRun, longest_chain_ms
+from lagoonshelf_core.jobs.progress import StepRun
 
 # A job that ends later than this multiple of its objective is of no more use to its caller.
 LATE_FACTOR = 3.0
@@ -36,7 +36,7 @@
 
 def objective_ms(step: StepRun, queue: Queue) -> float:
     """Return the time from receipt within which the step's job should end."""
-    return queue.stretch * longest_chain_ms(step.job.spec) + queue.latency_ms
+    return queue.stretch * step.job.longest_chain_ms + queue.latency_ms
 
 
 def slack_ms(step: StepRun, queue: Queue, now_ms: int) -> float:
--- a/packages/server/lagoonshelf_server/jobs/advisors.py
+++ b/packages/server/lagoonshelf_server/jobs/advisors.py
@@ -79,7 +79,7 @@
             self._cell.permits.forget(step)
             return
         expires_ms = now_ms + queue.advice.valid_ms
-        self._cell.permits.answered(step, command.workers, permits, expires_ms)
+        self._cell.permits.answered(step, queue.id, command.workers, permits, expires_ms)
         _log.info(
             "advised",
             request=command.step.job.id,
--- /dev/null
+++ b/tests/core/jobs/test_load_advised_gangs.py
@@ -0,0 +1,77 @@
+"""Load pattern: gangs that ask the placement policy, in a cell that is mostly full.
+
+Few of the workers that the policy allows have room for more than one member, so that a gang needs
+the answer for many workers at once. Seen on the grown andinas site: its gangs waited for a second
+and third question while a third of all processors was idle.
+"""
+
+import unittest
+from unittest.mock import patch
+
+from bench.cell_cost import HOLD, HOST, MATCH, RENDER, mix, queues
+from bench.cell_load import CellLoad, Outcome, arrivals, config, worker_infos
+from lagoonshelf_core.ids import TeamId
+from lagoonshelf_core.jobs import planning
+from lagoonshelf_core.jobs.config import Team
+from lagoonshelf_core.resources import Resources
+from tests.support.jobs import ADVISED, accept, cell, job, questions, step
+
+WORKERS = 176
+TEAMS = [Team(TeamId(f"t{number}"), 1_000.0) for number in range(20)]
+LOAD_MS = 12_000
+END_MS = 45_000
+# Workers that a question named at most before it was sized by what a step needs.
+EARLIER_MAX_NAMED = 40
+
+
+def _play(factor: float) -> Outcome:
+    load = arrivals(mix(factor), [team.id for team in TEAMS], LOAD_MS, 5)
+    play = CellLoad(
+        config(queues(), TEAMS), worker_infos(WORKERS, HOST), lanes=45, allowed_share=0.45
+    )
+    return play.play(load, END_MS)
+
+
+class AdvisedGangsTest(unittest.TestCase):
+    """The grown mix at one and a half of its rate, about the processors that there are."""
+
+    def test_gangs_end_in_time_and_nobody_else_pays(self) -> None:
+        """Compared with questions of the earlier size on the same load."""
+        with patch.object(planning, "MAX_NAMED", EARLIER_MAX_NAMED):
+            earlier = _play(1.5)
+        now = _play(1.5)
+        self.assertGreaterEqual(now.in_time[RENDER], 0.9 * now.arrived[RENDER])
+        self.assertGreater(now.in_time[RENDER], earlier.in_time[RENDER])
+        for queue in (MATCH, HOLD):
+            self.assertGreaterEqual(now.in_time[queue], 0.98 * earlier.in_time[queue])
+        self.assertEqual(len(now.end_ms), sum(now.arrived.values()))
+
+
+class LateGangsTest(unittest.TestCase):
+    """Many late gangs that have no room anywhere."""
+
+    def test_they_do_not_keep_others_from_being_asked_about(self) -> None:
+        """A job long past its objective would run on idle workers (LOST, grown andinas)."""
+        made = cell(4)
+        for _ in range(2 * planning.MAX_ADVISED_STEPS):
+            accept(made, job(step(9, Resources(60_000, 1, 0), is_gang=True), queue=ADVISED))
+        late_ms = 6_000
+        for question in questions(made):
+            permits = dict.fromkeys(question.workers, "permit")
+            made.permits.answered(question.step.name, ADVISED, question.workers, permits, 2_000)
+        small = accept(made, job(queue=ADVISED))
+        small.received_ms = -100_000
+        asked = set()
+        for now_ms in range(late_ms, late_ms + 1_000, 10):
+            asked.update(question.step.job.id for question in questions(made, now_ms))
+        self.assertIn(small.id, asked)
+
+    def test_work_on_time_is_asked_about_first(self) -> None:
+        """Looks at late steps are few in a pass."""
+        made = cell(4)
+        for _ in range(2 * planning.MAX_ADVISED_STEPS):
+            accept(made, job(queue=ADVISED)).received_ms = -4_000
+        fresh = accept(made, job(queue=ADVISED))
+        asked = [question.step.job.id for question in questions(made)]
+        self.assertEqual(asked[0], fresh.id)
+        self.assertLessEqual(len(asked), 1 + planning.MAX_LOOKS)
--- a/tests/core/jobs/test_planning.py
+++ b/tests/core/jobs/test_planning.py
@@ -245,10 +245,10 @@
         accept(made, job(queue=ADVISED))
         (question,) = questions(made)
         self.assertEqual(questions(made), [])
-        made.permits.answered(question.step.name, question.workers, {"w002": "t"}, 2_000)
+        made.permits.answered(question.step.name, ADVISED, question.workers, {"w002": "t"}, 2_000)
         (run,) = starts(made, 1_900) or [None]
         self.assertIsNone(run, "permits end before the order would arrive")
-        made.permits.answered(question.step.name, question.workers, {"w002": "t"}, 4_000)
+        made.permits.answered(question.step.name, ADVISED, question.workers, {"w002": "t"}, 4_000)
         (run,) = starts(made, 2_000)
         self.assertEqual(run.worker, "w002")
 
@@ -257,7 +257,7 @@
         made = cell(4)
         accept(made, job(queue=ADVISED))
         (question,) = questions(made)
-        made.permits.answered(question.step.name, question.workers, {"w002": "t"}, 10)
+        made.permits.answered(question.step.name, ADVISED, question.workers, {"w002": "t"}, 10)
         (again,) = questions(made, 100)
         self.assertEqual(again.workers, ("w002",))
 
