Let a task wait for the end of each run that may be under way

While the store is slow for all, a holder starts work without a record. Its successor read the record of attempt 1, took that as under way, then found attempt 2 on another worker, stopped it as not wanted - a stop takes up to 0.4 s - and started attempt 17 as soon as the worker of attempt 1 was read. Change: a task waits for the end of each of its runs, also of those that nobody wants; a later run that is found takes the place of one that is known from a record only. Figures: both tests failed on the old code; 62 tests of the touched modules pass.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -236,6 +236,7 @@
             run = self._adopt(worker, row, now_ms)
         elif run.phase is RunPhase.STARTING:
             self.start_confirmed(run, now_ms)
+        run.is_suspected = False
         if row.percent != run.percent:
             run.percent = row.percent
             run.percent_at_ms = now_ms
@@ -264,7 +265,13 @@
             percent_at_ms=now_ms,
         )
         self._hold(worker, run)
-        if task is None or task.job.is_final or not task.is_waiting or not self._is_current(run):
+        if task is None:
+            self.stop(run, "not wanted")
+            return run
+        self._supersede(task, run)
+        is_wanted = not task.is_done and task.run is None and self._is_current(run)
+        if task.job.is_final or not is_wanted:
+            self._set_astray(run)
             self.stop(run, "not wanted")
             return run
         task.run = run
@@ -275,11 +282,32 @@
         self.note("run adopted", run)
         return run
 
+    def _supersede(self, task: Task, found: Run) -> None:
+        """Give up a run that a record names when a later run of its task is found.
+
+        The predecessor had seen the earlier one end, but could not record it.
+        """
+        run = task.run
+        if run is None or not run.is_suspected or run.attempt >= found.attempt:
+            return
+        if task.step.spec.is_gang:
+            return
+        self.note("run superseded", run, by_attempt=found.attempt, found_at=found.worker)
+        task.run = None
+        self._set_astray(run)
+        self.stop(run, "a later run was found")
+
+    def _set_astray(self, run: Run) -> None:
+        """Note that a run is not the one its task counts on; the task waits for its end."""
+        if run.task is not None and not run.is_stray:
+            run.is_stray = True
+            run.task.strays += 1
+
     def suspect(self, worker: Worker, name: str, attempt: int, now_ms: int) -> None:
         """Note that a run may be under way on a worker that cannot be read."""
         row = RunningRow(name, attempt, "", 0, 0.0)
         if (name, attempt) not in worker.runs:
-            self._adopt(worker, row, now_ms)
+            self._adopt(worker, row, now_ms).is_suspected = True
 
     def _is_current(self, run: Run) -> bool:
         """Tell whether a run found on a worker is of the gang's newest attempt."""
@@ -468,6 +496,10 @@
         if worker is None or worker.runs.get((run.name, run.attempt)) is not run:
             return
         worker.remove(run)
+        if run.is_stray and run.task is not None:
+            run.is_stray = False
+            run.task.strays -= 1
+            self.refresh_steps(run.task.job)
         if run.team is not None:
             self.team_use[run.team] = self.team_use[run.team] - run.size
 
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -58,6 +58,8 @@
     :param percent_at_ms: when ``percent`` changed last
     :param load: tail in ms of a service's task, processor use of another one
     :param pace: share of full speed that the run was told to work at, in percent
+    :param is_stray: the task has another run, or had one when this one was found
+    :param is_suspected: known from a record only, not from its worker
     """
 
     name: str
@@ -77,6 +79,8 @@
     load: float = 0.0
     pace: int = 100
     paced_at_ms: int = 0
+    is_stray: bool = False
+    is_suspected: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -87,6 +91,7 @@
     :param settled: attempts whose end has been counted; ends of one task come from several
         workers, in any order
     :param checkpoint: newest progress that a worker has reported
+    :param strays: runs beside ``run`` that have not ended yet
     """
 
     step: "StepRun"
@@ -97,6 +102,7 @@
     settled: set[int] = field(default_factory=set)
     failures: int = 0
     checkpoint: str = ""
+    strays: int = 0
 
     @property
     def name(self) -> str:
@@ -110,8 +116,8 @@
 
     @property
     def is_waiting(self) -> bool:
-        """Tell whether the task has neither ended well nor a run."""
-        return not self.is_done and self.run is None
+        """Tell whether the task has neither ended well nor a run anywhere."""
+        return not self.is_done and self.run is None and not self.strays
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from lagoonshelf_core.jobs.cell import RunningRow
 from lagoonshelf_core.jobs.progress import JobState, RunEnd, encode_progress
+from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
     TEAM,
@@ -95,6 +97,47 @@
         self.assertEqual(made.workers["w000"].info.born_ms, 2_000)
 
 
+class StaleRecordTest(unittest.TestCase):
+    """A predecessor could not record its last starts (TWICE, inkbridge hunt-1558-7)."""
+
+    def setUp(self) -> None:
+        """Take over a task whose record names attempt 1 on one worker."""
+        self.made = cell(3)
+        for worker in self.made.workers.values():
+            worker.is_read = False
+        self.job = accept(self.made, job(), is_inherited=True)
+        self.task = self.job.find_task(0, 0, 0)
+        self.first, self.second = self.made.workers["w000"], self.made.workers["w001"]
+        self.made.suspect(self.first, self.task.name, 1, 5)
+
+    def _list(self, worker: Worker, *rows: RunningRow, now_ms: int = 100) -> None:
+        self.made.report(worker, rows, [], now_ms - 10, now_ms)
+        worker.is_read = True
+
+    def test_a_later_run_that_is_found_is_kept(self) -> None:
+        """The predecessor had seen the recorded one end."""
+        self._list(self.second, RunningRow(self.task.name, 2, "", 10, 0.0))
+        self.assertEqual((self.task.run.worker, self.task.run.attempt), ("w001", 2))
+        self._list(self.first)
+        self.assertEqual((self.task.run.attempt, self.task.strays), (2, 0))
+        self.assertEqual(starts(self.made), [])
+        end(self.made, self.task.run)
+        self.assertIs(self.job.state, JobState.COMPLETE)
+
+    def test_a_task_waits_for_the_end_of_each_of_its_runs(self) -> None:
+        """An earlier run than the one that is known is stopped; its stop takes a while."""
+        third = self.made.workers["w002"]
+        self._list(self.second, RunningRow(self.task.name, 3, "", 10, 0.0))
+        older = RunningRow(self.task.name, 2, "", 10, 0.0)
+        self._list(third, older)
+        self._list(self.first)
+        self.assertEqual(len(stops(self.made)), 2)
+        end(self.made, self.task.run, RunEnd.FAILED)
+        self.assertEqual(starts(self.made), [], "attempt 2 has not ended")
+        report_end(self.made, "w002", self.task.name, 2, RunEnd.STOPPED)
+        self.assertEqual(len(starts(self.made)), 1)
+
+
 class GangTest(unittest.TestCase):
     """Jobs whose tasks only work together."""
 
