Serve a hot team's work while it is in time, and keep room for late gangs

Cause: (1) work beyond a team's rate was served in order of receipt, so that under a flood each job waited until it was late. A gang whose tasks fit into a worker only beside no reserve could never run once it was late (found in writing the test). Change: late work beyond a rate has a band of its own after what is still in time; gangs of any band may have room kept, from work of their band and worse ones; a gang leaves the reserve of a better band when it could not run beside its own; the lowest bands leave 24% instead of 30%. Load tests with the earlier order on the same load.

--- a/bench/cell_load.py
+++ b/bench/cell_load.py
@@ -45,13 +45,15 @@
 
     :param first_start_ms: time from arrival to the first start by job
     :param end_ms: time from arrival to the end by job, only of jobs that are complete
-    :param in_time: jobs by queue that ended within their objective
+    :param in_time: number of jobs by queue that ended within their objective
+    :param in_time_jobs: the same jobs
     :param arrived: jobs by queue
     """
 
     first_start_ms: dict[JobId, int] = field(default_factory=dict)
     end_ms: dict[JobId, int] = field(default_factory=dict)
     in_time: Counter[QueueId] = field(default_factory=Counter)
+    in_time_jobs: set[JobId] = field(default_factory=set)
     arrived: Counter[QueueId] = field(default_factory=Counter)
     starts: int = 0
     stops: int = 0
@@ -272,6 +274,7 @@
         queue = self.cell.queue_of(job)
         if end_ms <= queue.stretch * job.longest_chain_ms + queue.latency_ms:
             self.outcome.in_time[queue.id] += 1
+            self.outcome.in_time_jobs.add(job.id)
 
 
 def config(queues: list, teams: list) -> CellConfig:
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -29,10 +29,11 @@
     Band.URGENT: 0,
     Band.ON_TIME: 80,
     Band.LATE: 160,
-    Band.EXCESS: 300,
-    Band.TOO_LATE: 300,
+    Band.EXCESS: 240,
+    Band.EXCESS_LATE: 240,
+    Band.TOO_LATE: 240,
 }
-# Gangs that may hold back other batch work from workers at once.
+# Gangs that may hold back other work of their band, and of worse ones, from workers at once.
 MAX_RESERVATIONS = 2
 # Members of a gang on one worker when they need none of its resources.
 MAX_GANG_ON_WORKER = 1_000
@@ -48,7 +49,8 @@
     advised: int = 0
     looks: int = 0
     reservations: int = 0
-    reserved: set[WorkerId] = field(default_factory=set)
+    late_gangs: int = 0
+    reserved: dict[WorkerId, Band] = field(default_factory=dict)
     advice_budget_ms: float = 0.0
 
 
@@ -143,7 +145,7 @@
         if state.looks > MAX_LOOKS:
             return
     named, has_room = _to_name(cell, state, step, queue)
-    if band >= Band.LATE and not has_room:
+    if band >= Band.LATE and not has_room and not _may_wait_for_room(state, step):
         cell.permits.look_again(step.name, now_ms + LOOK_AGAIN_MS)
         return
     state.advised += 1
@@ -157,6 +159,12 @@
     cell.commands.append(AskAdvice(step, named, cost_ms))
 
 
+def _may_wait_for_room(state: _Pass, step: StepRun) -> bool:
+    """Tell whether a late step is among the first gangs, for which room is kept free."""
+    state.late_gangs += step.spec.is_gang
+    return step.spec.is_gang and state.late_gangs <= MAX_RESERVATIONS
+
+
 def _to_name(
     cell: Cell, state: _Pass, step: StepRun, queue: Queue
 ) -> tuple[tuple[WorkerId, ...], bool]:
@@ -241,7 +249,7 @@
     for worker in workers:
         if spec.max_per_worker and on_worker.get(worker.id, 0) >= spec.max_per_worker:
             continue
-        if worker.id in state.reserved and band > Band.URGENT:
+        if _is_held_back(state, worker, band):
             continue
         free = _free(worker, extra.get(worker.id, NOTHING), band, size)
         if not size.fits_in(free):
@@ -294,16 +302,51 @@
         return []
     if not cell.is_within_limit(step.job.spec.team, spec.size.scaled(spec.count)):
         return []
-    placed = _fit_gang(cell, state, step, workers, band)
+    room_band = _room_band(step, workers, band)
+    placed = _fit_gang(cell, state, step, workers, band, room_band)
     if placed:
         return placed
-    if band <= Band.ON_TIME and state.reservations < MAX_RESERVATIONS:
-        _reserve(cell, state, step, workers)
+    if state.reservations < MAX_RESERVATIONS:
+        _reserve(state, step, workers, band, room_band)
     return []
 
 
+def _room_band(step: StepRun, workers: list[Worker], band: Band) -> Band:
+    """Return the band whose reserve a gang leaves free.
+
+    A gang that would not fit into empty workers beside the reserve of its own band could never
+    run; it leaves less.
+    """
+    size = room_of(step.spec.size, step.spec.is_filler)
+    most = step.spec.max_per_worker or step.spec.count
+    for candidate in (band, Band.ON_TIME):
+        fitting = sum(
+            min(
+                most,
+                _times_in(
+                    size, worker.info.capacity, NOTHING, _reserve_milli(worker, candidate, size)
+                ),
+            )
+            for worker in workers
+        )
+        if fitting >= step.spec.count:
+            return candidate
+    return Band.URGENT
+
+
+def _is_held_back(state: _Pass, worker: Worker, band: Band) -> bool:
+    """Tell whether a worker is kept free for a gang of the same band or a better one."""
+    holder = state.reserved.get(worker.id)
+    return holder is not None and band > Band.URGENT and band >= holder
+
+
 def _fit_gang(
-    cell: Cell, state: _Pass, step: StepRun, workers: list[Worker], band: Band
+    cell: Cell,
+    state: _Pass,
+    step: StepRun,
+    workers: list[Worker],
+    band: Band,
+    room_band: Band,
 ) -> list[tuple[Task, Worker]]:
     """Return a worker for each member, fullest workers first; empty when they do not all fit."""
     spec = step.spec
@@ -311,10 +354,10 @@
     avoided = cell.health.avoid(TaskId(step.job.id))
     slots: list[tuple[tuple, Worker, int]] = []
     for worker in workers:
-        if worker.id in state.reserved and band > Band.URGENT:
+        if _is_held_back(state, worker, band):
             continue
         capacity, used = worker.info.capacity, worker.used
-        count = _times_in(size, capacity, used, _reserve_milli(worker, band, size))
+        count = _times_in(size, capacity, used, _reserve_milli(worker, room_band, size))
         if not count or not cell.health.may_start(worker.id, True, state.now_ms):
             continue
         if spec.max_per_worker:
@@ -365,7 +408,9 @@
     return max(0, times)
 
 
-def _reserve(cell: Cell, state: _Pass, step: StepRun, workers: list[Worker]) -> None:
+def _reserve(
+    state: _Pass, step: StepRun, workers: list[Worker], band: Band, room_band: Band
+) -> None:
     """Hold back other batch work from the workers where a gang will fit first."""
     size = room_of(step.spec.size, step.spec.is_filler)
     needed = step.spec.count
@@ -373,7 +418,7 @@
     for worker in sorted(workers, key=lambda w: (w.used.cpu_milli, w.id)):
         if worker.id in state.reserved:
             continue
-        reserve_milli = _reserve_milli(worker, Band.ON_TIME, size)
+        reserve_milli = _reserve_milli(worker, room_band, size)
         count = _times_in(size, worker.info.capacity, _service_use(worker), reserve_milli)
         if count <= 0:
             continue
@@ -381,7 +426,7 @@
         needed -= count
         if needed <= 0:
             state.reservations += 1
-            state.reserved.update(chosen)
+            state.reserved.update(dict.fromkeys(chosen, band))
             return
 
 
--- a/packages/core/lagoonshelf_core/jobs/ranking.py
+++ b/packages/core/lagoonshelf_core/jobs/ranking.py
@@ -17,7 +17,8 @@
     ON_TIME = 2
     LATE = 3
     EXCESS = 4
-    TOO_LATE = 5
+    EXCESS_LATE = 5
+    TOO_LATE = 6
 
 
 Rank = tuple[int, float]
@@ -56,7 +57,8 @@
     if slack < -(LATE_FACTOR - 1.0) * objective_ms(step, queue):
         return (Band.TOO_LATE, job.received_ms)
     if job.is_excess:
-        return (Band.EXCESS, job.received_ms)
+        # In order of receipt, jobs that are late already would make all others late.
+        return (Band.EXCESS, slack) if slack >= 0 else (Band.EXCESS_LATE, job.received_ms)
     if slack < 0:
         return (Band.LATE, job.received_ms)
     return (Band.URGENT if queue.priority == 0 else Band.ON_TIME, slack)
--- a/tests/core/jobs/test_load_advised_gangs.py
+++ b/tests/core/jobs/test_load_advised_gangs.py
@@ -14,7 +14,17 @@
 from lagoonshelf_core.jobs import planning
 from lagoonshelf_core.jobs.config import Team
 from lagoonshelf_core.resources import Resources
-from tests.support.jobs import ADVISED, accept, cell, job, questions, step
+from tests.support.jobs import (
+    ADVISED,
+    accept,
+    cell,
+    confirm,
+    end,
+    job,
+    questions,
+    starts,
+    step,
+)
 
 WORKERS = 176
 TEAMS = [Team(TeamId(f"t{number}"), 1_000.0) for number in range(20)]
@@ -75,3 +85,22 @@
         asked = [question.step.job.id for question in questions(made)]
         self.assertEqual(asked[0], fresh.id)
         self.assertLessEqual(len(asked), 1 + planning.MAX_LOOKS)
+
+    def test_room_is_kept_free_for_the_first_of_them(self) -> None:
+        """Single tasks of its band would take each free place (LOST, grown andinas)."""
+        made = cell(4)
+        size = Resources(30_000, 1, 0)
+        earlier = accept(made, job(step(4, size)))
+        running = starts(made)
+        confirm(made, running)
+        gang = accept(made, job(step(8, size, is_gang=True)))
+        others = [accept(made, job(step(4, size))) for _ in range(9)]
+        for number, late in enumerate((gang, *others)):
+            late.received_ms = number - 100_000
+        for run in running:
+            self.assertEqual(starts(made, 100), [], "room for one at a time")
+            end(made, run)
+        self.assertTrue(earlier.is_final)
+        begun = starts(made, 200)
+        self.assertEqual({run.task.job for run in begun}, {gang})
+        self.assertEqual(len(begun), 8, "it leaves no reserve, as it could not run beside one")
--- /dev/null
+++ b/tests/core/jobs/test_load_hot_team.py
@@ -0,0 +1,71 @@
+"""Load pattern: one team hands in as much as all others together, beyond its rate.
+
+Seen on the trouble days of both sites: short jobs of the hot team were served in order of receipt,
+so that each of them waited until it was late, while a third of all processors was kept free.
+"""
+
+import unittest
+from unittest.mock import patch
+
+from bench.cell_cost import HOLD, HOST, MATCH, RENDER, mix, queues
+from bench.cell_load import Arrival, CellLoad, arrivals, config, worker_infos
+from lagoonshelf_core.ids import QueueId, TeamId
+from lagoonshelf_core.jobs import planning
+from lagoonshelf_core.jobs.config import Queue, Team
+from lagoonshelf_core.jobs.progress import StepRun
+from lagoonshelf_core.jobs.ranking import Band, Rank, rank
+
+WORKERS = 176
+RATE_PER_S = 4.0
+TEAMS = [Team(TeamId(f"t{number}"), RATE_PER_S) for number in range(20)]
+HOT = TEAMS[0].id
+LOAD_MS = 12_000
+END_MS = 40_000
+# Room that work beyond a team's rate left free on each worker, in thousandths.
+EARLIER_RESERVE = 300
+
+
+def _load() -> list[Arrival]:
+    teams = [team.id for team in TEAMS]
+    return arrivals(mix(1.6), teams + [HOT] * len(teams), LOAD_MS, 5)
+
+
+def _served(load: list[Arrival]) -> dict[tuple[bool, QueueId], float]:
+    """Return the share of jobs in time, of the hot team and of the others, by queue."""
+    play = CellLoad(
+        config(queues(), TEAMS), worker_infos(WORKERS, HOST), lanes=45, allowed_share=0.45
+    )
+    outcome = play.play(load, END_MS)
+    counts: dict[tuple[bool, QueueId], list[int]] = {}
+    for row in load:
+        count = counts.setdefault((row.spec.team == HOT, row.spec.queue), [0, 0])
+        count[0] += 1
+        count[1] += row.spec.id in outcome.in_time_jobs
+    return {key: in_time / all_ for key, (all_, in_time) in counts.items()}
+
+
+def _earlier_rank(step: StepRun, queue: Queue, now_ms: int) -> Rank:
+    band, value = rank(step, queue, now_ms)
+    if band in (Band.EXCESS, Band.EXCESS_LATE):
+        return (Band.EXCESS, step.job.received_ms)
+    return (band, value)
+
+
+class HotTeamTest(unittest.TestCase):
+    """Work at 1.6 times the grown mix's rate, half of it of one team."""
+
+    def test_the_hot_team_is_served_where_that_costs_others_nothing(self) -> None:
+        """Compared with the earlier order and reserve on the same load."""
+        load = _load()
+        reserve = dict.fromkeys((Band.EXCESS, Band.TOO_LATE), EARLIER_RESERVE)
+        with (
+            patch.object(planning, "rank", _earlier_rank),
+            patch.dict(planning.RESERVE_PERMILLE, reserve),
+        ):
+            earlier = _served(load)
+        now = _served(load)
+        self.assertGreater(now[(True, HOLD)], earlier[(True, HOLD)] + 0.2)
+        self.assertGreater(now[(True, RENDER)], earlier[(True, RENDER)])
+        for queue in (RENDER, MATCH, HOLD):
+            self.assertGreaterEqual(now[(False, queue)], 0.98 * earlier[(False, queue)])
+            self.assertGreaterEqual(now[(False, queue)], 0.95)
