--- /dev/null
+++ b/tests/platform/standin/__init__.py
@@ -0,0 +1,1 @@
+"""A small stand-in of the platform: store, executors, advice and settings files."""
--- /dev/null
+++ b/tests/platform/standin/cluster.py
@@ -0,0 +1,199 @@
+"""The whole platform on loopback, with real processes of the system on it."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+
+import orjson
+
+from tests.platform.standin.executors import RunRecord, StubExecutor
+from tests.platform.standin.http import Call, Proxy, Reply, StubServer
+from tests.platform.standin.ports import free_ports
+from tests.platform.standin.store import StubStore
+
+ROOT = Path(__file__).parent.parent.parent.parent
+HOST = "desk.example"
+KEY = "key-1"
+GRACE_S = 3.0
+LEAD_S = 20.0
+# Queues by name: priority, failures allowed, whether the advice service is asked.
+QUEUES = {"urgent": (0, 3, False), "batch": (2, 3, False), "advised": (1, 3, True)}
+
+
+def config(version: int, cap_cpu: int) -> dict:
+    """Return a configuration in the platform's format.
+
+    :param cap_cpu: cap of the only tenant, 0 for none
+    """
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "service": "desk",
+            "priority": priority,
+            "attempts": attempts,
+            "slack_factor": 3.0,
+            "target_latency_ms": 1_000,
+        }
+        for name, (priority, attempts, _) in QUEUES.items()
+    ]
+    routes[2]["hint"] = {"decision_ms": 10, "period_ms": 0.2, "validity_ms": 2_000}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "desk"}],
+        "tenants": [{"name": "t1", "keys": [KEY], "weight": 100, "cap": {"cpu": cap_cpu}}],
+        "limits": {},
+    }
+
+
+class Process:
+    """One process of the system and its own way to the store."""
+
+    def __init__(self, name: str, number: int, cluster: "Cluster") -> None:
+        """Set up; ``start`` starts the program."""
+        self.name = name
+        self._cluster = cluster
+        self._number = number
+        self._popen: asyncio.subprocess.Process | None = None
+        self.store_link = Proxy(cluster.store.server.address)
+        front, ready, first, _ = free_ports(4)
+        self.address = f"127.0.0.1:{front}"
+        self._ready = f"127.0.0.1:{ready}"
+        self._ports = first
+        self.is_paused = False
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the program runs."""
+        return self._popen is not None and self._popen.returncode is None
+
+    async def start(self) -> None:
+        """Start the program with a settings file of its own."""
+        if not self.store_link.address:
+            await self.store_link.listen()
+        settings = {
+            "node_id": self.name,
+            "ip": "127.0.0.1",
+            "zone": f"z{self._number % 3}",
+            "listen": {"frontend_addr": self.address, "readiness": self._ready},
+            "port_range": [self._ports, self._ports + 1],
+            "platform": {"addr": self.store_link.address},
+            "hint": self._cluster.advice.address,
+            "bounds": {"grace_s": GRACE_S},
+            "limits": {"cpu_share": 1.0, "cores": 2.0},
+        }
+        path = Path(self._cluster.folder.name) / f"{self.name}.json"
+        path.write_bytes(orjson.dumps(settings))
+        log = open(path.with_suffix(".log"), "ab")  # noqa: SIM115
+        self._popen = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "start.py"),
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "LAGOONSHELF_SETTINGS": str(path)},
+        )
+        log.close()
+        self.is_paused = False
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the program that this started."""
+        if self.is_running:
+            self._popen.send_signal(number)
+            self.is_paused = number == signal.SIGSTOP
+
+    async def end(self) -> None:
+        """Kill the program, and wait for its end."""
+        if self.is_running:
+            self._popen.kill()
+        if self._popen is not None:
+            await self._popen.wait()
+
+    async def stopped(self, timeout_s: float) -> bool:
+        """Wait for the end of the program; tell whether it came in time."""
+        try:
+            await asyncio.wait_for(self._popen.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    async def is_ready(self) -> bool:
+        """Ask the program's status check."""
+        try:
+            async with asyncio.timeout(0.5):
+                host, _, port = self._ready.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET /lagoonshelf/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+
+class Cluster:
+    """Store, executors, advice and processes."""
+
+    def __init__(self, processes: int, executors: int, seed: int) -> None:
+        """Set up; ``begin`` starts all."""
+        self.rng = Random(seed)
+        self.folder = TemporaryDirectory(prefix="lagoonshelf-")
+        self.store = StubStore()
+        self.advice = StubServer(self._advise)
+        self.history: list[RunRecord] = []
+        self.executors = [
+            StubExecutor(f"i-{number}", self.store, Random(seed + number), self.history)
+            for number in range(executors)
+        ]
+        self._count = processes
+        self.processes: list[Process] = []
+        self._loops: list[asyncio.Task] = []
+        self.version = 1
+
+    async def begin(self) -> None:
+        """Start all, and wait until each process is ready."""
+        await self.store.server.listen()
+        await self.advice.listen()
+        self.configure(0)
+        for executor in self.executors:
+            await executor.begin()
+            self._loops.append(asyncio.ensure_future(executor.run_leases()))
+        self._loops.append(asyncio.ensure_future(self.store.run()))
+        self.processes = [Process(f"m{number}", number, self) for number in range(self._count)]
+        for process in self.processes:
+            await process.start()
+        async with asyncio.timeout(LEAD_S):
+            while not all([await process.is_ready() for process in self.processes]):
+                await asyncio.sleep(0.05)
+
+    def configure(self, cap_cpu: int) -> None:
+        """Put the next configuration into force."""
+        self.version += 1
+        self.store.put("op/config", config(self.version, cap_cpu))
+
+    async def close(self) -> None:
+        """End everything that this started."""
+        for process in self.processes:
+            await process.end()
+            await process.store_link.close()
+        for task in self._loops:
+            task.cancel()
+        for executor in self.executors:
+            await executor.close()
+        await self.advice.close()
+        await self.store.server.close()
+        self.folder.cleanup()
+
+    def logs(self) -> str:
+        """Return what all processes have written."""
+        paths = sorted(Path(self.folder.name).glob("*.log"))
+        return "\n".join(f"== {path.name}\n{path.read_text()}" for path in paths)
+
+    async def _advise(self, call: Call) -> Reply:
+        await asyncio.sleep(0.01)
+        return Reply(200, {"allowed": [[name, f"t-{name}"] for name in call.body["workers"]]})
--- /dev/null
+++ b/tests/platform/standin/store.py
@@ -0,0 +1,154 @@
+"""The platform's store: items with revisions, leases, watches and transactions."""
+
+import asyncio
+from base64 import b64encode
+from dataclasses import dataclass
+
+import orjson
+
+from tests.platform.standin.http import Call, Reply, StubServer
+
+PAGE_ITEMS = 500
+WATCH_STEP_S = 0.05
+
+
+@dataclass(slots=True)
+class _Entry:
+    value: str
+    revision: int
+    created: int
+    lease: int = 0
+
+
+class StubStore:
+    """One store for all processes."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.server = StubServer(self._answer)
+        self.entries: dict[str, _Entry] = {}
+        self.revision = 100
+        self.slow_s = 0.004
+        self._events: list[tuple[int, str, dict]] = []
+        self._first_kept = 0
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._next_lease = 1
+        self._changed = asyncio.Condition()
+
+    def put(self, key: str, value: object) -> None:
+        """Write as the operator or an executor."""
+        self.revision += 1
+        self._put(key, b64encode(orjson.dumps(value)).decode(), 0)
+
+    def delete(self, key: str) -> None:
+        """Delete a key at the present revision."""
+        if self.entries.pop(key, None) is not None:
+            event = {"key": key, "revision": self.revision, "deleted": True}
+            self._events.append((self.revision, key, event))
+
+    def forget_history(self) -> None:
+        """Discard all events; watches from before end with an error."""
+        self._first_kept = self.revision
+
+    async def run(self) -> None:
+        """End leases until cancelled."""
+        while True:
+            await asyncio.sleep(0.02)
+            now = asyncio.get_running_loop().time()
+            for lease, (ends, _) in list(self._leases.items()):
+                if ends <= now:
+                    self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key, entry in list(self.entries.items()):
+            if entry.lease == lease:
+                self.revision += 1
+                self.delete(key)
+
+    def _put(self, key: str, value: str, lease: int) -> None:
+        old = self.entries.get(key)
+        created = self.revision if old is None else old.created
+        self.entries[key] = _Entry(value, self.revision, created, lease)
+        self._events.append((self.revision, key, self._item(key)))
+
+    def _item(self, key: str) -> dict:
+        entry = self.entries[key]
+        return {
+            "key": key,
+            "value": entry.value,
+            "revision": entry.revision,
+            "created": entry.created,
+            "lease": entry.lease,
+        }
+
+    async def _answer(self, call: Call) -> Reply:
+        await asyncio.sleep(self.slow_s)
+        name = call.path.removeprefix("/lagoonshelf/")
+        if name == "kv-key":
+            key = call.query["key"]
+            return Reply(200, self._item(key)) if key in self.entries else Reply(404)
+        if name == "kv-range":
+            return self._range(call)
+        if name == "kv-watch":
+            return await self._watch(call)
+        if name == "kv-txn":
+            return self._transact(call.body)
+        if name == "kv-lease":
+            return self._grant(call.body["ttl_ms"] / 1000)
+        if name.startswith("kv-keep/"):
+            return self._keep(int(name.partition("/")[2]))
+        if name.startswith("kv-lease-end/"):
+            self._end_lease(int(name.partition("/")[2]))
+            return Reply(200)
+        return Reply(404)
+
+    def _range(self, call: Call) -> Reply:
+        prefix, after = call.query["prefix"], call.query.get("after", "")
+        keys = sorted(key for key in self.entries if key.startswith(prefix) and key > after)
+        items = [self._item(key) for key in keys[:PAGE_ITEMS]]
+        has_more = len(keys) > PAGE_ITEMS
+        return Reply(200, {"items": items, "has_more": has_more, "at": self.revision})
+
+    async def _watch(self, call: Call) -> Reply:
+        prefix, after = call.query["prefix"], call.number("after")
+        ends = asyncio.get_running_loop().time() + call.number("wait_ms") / 1000
+        while True:
+            if after < self._first_kept:
+                return Reply(410)
+            found = [
+                event
+                for revision, key, event in self._events
+                if revision > after and key.startswith(prefix)
+            ]
+            if found or asyncio.get_running_loop().time() >= ends:
+                return Reply(200, {"events": found, "at": self.revision})
+            await asyncio.sleep(WATCH_STEP_S / 10)
+
+    def _transact(self, body: dict) -> Reply:
+        for row in body["expected_revision"]:
+            entry = self.entries.get(row["key"])
+            if (0 if entry is None else entry.revision) != row["revision"]:
+                keys = [r["key"] for r in body["expected_revision"] if r["key"] in self.entries]
+                return Reply(412, {"items": [self._item(key) for key in keys]})
+        if any(put.get("lease", 0) not in {0, *self._leases} for put in body["puts"]):
+            return Reply(404)
+        # All writes of a transaction have the same revision.
+        self.revision += 1
+        for put in body["puts"]:
+            self._put(put["key"], put["value"], put.get("lease", 0))
+        for key in body["deletes"]:
+            self.delete(key)
+        return Reply(200, {"revision": self.revision})
+
+    def _grant(self, ttl_s: float) -> Reply:
+        self._next_lease += 1
+        self._leases[self._next_lease] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
+        return Reply(200, {"lease": self._next_lease, "ttl_ms": int(ttl_s * 1000)})
+
+    def _keep(self, lease: int) -> Reply:
+        if lease not in self._leases:
+            return Reply(404)
+        ttl_s = self._leases[lease][1]
+        self._leases[lease] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
+        return Reply(200, {"ttl_ms": int(ttl_s * 1000)})
