--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,11 @@
 PACKAGES := core client server standins
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test bench format lint docs
+.PHONY: demo test bench soak format lint docs
+
+SEEDS ?= 10
+FIRST ?= 0
+MINUTES ?= 0
 
 $(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +25,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.platform.soak --seeds $(SEEDS) --first $(FIRST) --minutes $(MINUTES)
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 
--- /dev/null
+++ b/tests/platform/soak.py
@@ -0,0 +1,284 @@
+"""Fault soak: real processes on the stand-in of the platform, with faults from outside.
+
+Usage: python -m tests.platform.soak [--seeds N] [--first SEED] [--minutes M] [--processes N]
+"""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from time import monotonic
+
+import fire
+
+from tests.platform.soak_checks import (
+    FINAL,
+    STORED,
+    UNCERTAIN,
+    broken_promises,
+    overcommitted,
+    overlapping_runs,
+    repeated_ends,
+)
+from tests.platform.standin.callers import JobView, ask, look, submit
+from tests.platform.standin.cluster import GRACE_S, Cluster, Process
+from tests.platform.standin.executors import CAPACITY
+from tests.platform.standin.http import Link
+
+LOAD_S = 8.0
+JOBS_PER_S = 6.0
+MOST_FAULTS = 8
+# After the last fault: the longest lease of a run, the holder's in an outage, and the work left.
+SETTLE_S = 40.0
+# Promise of the platform's page on a stop, and what a busy machine adds.
+STOP_S = GRACE_S + 1.0
+KEPT_LOGS = Path("target/soak")
+
+
+class Play:
+    """One seed: a load, a series of faults, and what came of it."""
+
+    def __init__(self, seed: int, processes: int = 3, executors: int = 5) -> None:
+        """Draw the load and the faults."""
+        self.rng = Random(seed)
+        self.cluster = Cluster(processes, executors, seed)
+        self.cap_cpu = self.rng.choice((0, 0, 24_000))
+        self.jobs: list[JobView] = []
+        self.faults: list[str] = []
+        self.story: list[str] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._began_s = 0.0
+
+    async def run(self) -> list[str]:
+        """Play it; return what was broken."""
+        try:
+            await self.cluster.begin()
+            self.cluster.configure(self.cap_cpu)
+            await asyncio.sleep(1.2)
+            self._began_s = monotonic()
+            await asyncio.gather(self._load(), self._trouble())
+            await asyncio.gather(*self._tasks)
+            await self._heal()
+            await self._settle()
+            now_s = asyncio.get_running_loop().time()
+            history = self.cluster.history
+            self.faults += overlapping_runs(history, now_s)
+            self.faults += repeated_ends(history)
+            self.faults += overcommitted(history, CAPACITY["cpu"], self.cap_cpu, now_s)
+            self.faults += broken_promises(self.jobs, history)
+            return self.faults
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            if self.faults:
+                KEPT_LOGS.mkdir(parents=True, exist_ok=True)
+                text = "\n".join([*self.story, *self.faults, self.cluster.logs()])
+                name = f"soak-{self._began_s:.0f}.log"
+                (KEPT_LOGS / name).write_text(text)
+            await self.cluster.close()
+
+    def _spawn(self, coro: Awaitable[None]) -> None:
+        self._tasks.add(asyncio.ensure_future(coro))
+
+    def _now_s(self) -> float:
+        return monotonic() - self._began_s
+
+    def _any(self) -> Process:
+        return self.rng.choice(self.cluster.processes)
+
+    # Load
+
+    async def _load(self) -> None:
+        while self._now_s() < LOAD_S:
+            await asyncio.sleep(self.rng.expovariate(JOBS_PER_S))
+            job = self._new_job()
+            self.jobs.append(job)
+            self._spawn(self._caller(job, Random(self.rng.random())))
+
+    def _new_job(self) -> JobView:
+        tasks, run_ms = self.rng.randrange(1, 6), self.rng.randrange(50, 1_500)
+        cpu = self.rng.randrange(1_000, 9_000)
+        step = {"count": tasks, "cpu": cpu, "mem_mb": 100, "estimate_ms": run_ms}
+        queue = self.rng.choice(("urgent", "batch", "batch", "advised"))
+        name = f"{self.rng.getrandbits(64):016x}"
+        return JobView(name, queue, tasks, {"spec": f"{run_ms} {cpu}", "phases": [step]})
+
+    async def _caller(self, job: JobView, rng: Random) -> None:
+        """Hand a job in, sometimes twice; look at it, sometimes cancel it."""
+        processes = self.cluster.processes
+        await submit(rng.choice(processes).address, job, self._now_s())
+        if rng.random() < 0.2 or job.statuses[-1] in UNCERTAIN:
+            await asyncio.sleep(rng.uniform(0, 0.5))
+            await submit(rng.choice(processes).address, job, self._now_s())
+        if job.accepted_s and rng.random() < 0.1:
+            await asyncio.sleep(rng.uniform(0, 1))
+            job.cancelled_s = self._now_s()
+            await ask(rng.choice(processes).address, "DELETE", f"/{job.queue}/{job.job}")
+        for _ in range(3):
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+            if job.accepted_s:
+                await look(rng.choice(processes).address, job)
+
+    # Faults
+
+    async def _trouble(self) -> None:
+        """Begin faults one after the other; most are still under way when the next begins."""
+        kinds = (
+            self._kill,
+            self._kill_all,
+            self._pause,
+            self._drain,
+            self._cut_from_store,
+            self._store_away,
+            self._slow_store,
+            self._lose_history,
+            self._spoil_executor,
+            self._restart_executor,
+            self._reconfigure,
+        )
+        for _ in range(self.rng.randrange(2, MOST_FAULTS + 1)):
+            kind = self.rng.choice(kinds)
+            await asyncio.sleep(self.rng.uniform(0, 1.2))
+            self._spawn(self._fault(kind, self.rng.uniform(0.3, 4.0)))
+
+    async def _fault(self, kind: Callable[[float], Awaitable[None]], for_s: float) -> None:
+        self.story.append(f"{self._now_s():.2f} s: {kind.__name__[1:]} for {for_s:.2f} s")
+        await kind(for_s)
+
+    async def _kill(self, for_s: float) -> None:
+        await self._kill_process(self._any(), for_s / 2)
+
+    async def _kill_process(self, process: Process, for_s: float) -> None:
+        await process.end()
+        await asyncio.sleep(for_s)
+        if not process.is_running:
+            await process.start()
+
+    async def _kill_all(self, for_s: float) -> None:
+        processes = self.cluster.processes
+        await asyncio.gather(*(self._kill_process(process, for_s / 4) for process in processes))
+
+    async def _pause(self, for_s: float) -> None:
+        process = self._any()
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        process.signal(signal.SIGCONT)
+
+    async def _drain(self, for_s: float) -> None:
+        process = self._any()
+        if not process.is_running or process.is_paused:
+            return
+        process.signal(signal.SIGTERM)
+        process.signal(signal.SIGTERM)
+        if not await process.stopped(STOP_S + for_s) and not process.is_paused:
+            self.faults.append(f"{process.name} did not stop in {STOP_S + for_s:.1f} s")
+        await self._kill_process(process, 0.1)
+
+    async def _cut_from_store(self, for_s: float) -> None:
+        link = self._any().store_link
+        link.link = self.rng.choice((Link.SILENT, Link.RESET, Link.NO_ANSWERS))
+        if link.link is Link.RESET:
+            link.drop()
+        await asyncio.sleep(for_s)
+        link.link = Link.OPEN
+        link.drop()
+
+    async def _store_away(self, for_s: float) -> None:
+        for process in self.cluster.processes:
+            process.store_link.link = Link.RESET
+            process.store_link.drop()
+        await asyncio.sleep(for_s)
+        for process in self.cluster.processes:
+            process.store_link.link = Link.OPEN
+
+    async def _slow_store(self, for_s: float) -> None:
+        self.cluster.store.slow_s = self.rng.uniform(0.05, 0.4)
+        await asyncio.sleep(for_s)
+        self.cluster.store.slow_s = 0.004
+
+    async def _lose_history(self, for_s: float) -> None:
+        self.cluster.store.forget_history()
+        await asyncio.sleep(for_s / 4)
+        self.cluster.store.forget_history()
+
+    async def _spoil_executor(self, for_s: float) -> None:
+        proxy = self.rng.choice(self.cluster.executors).proxy
+        proxy.link = self.rng.choice((Link.SILENT, Link.RESET, Link.NO_ANSWERS, Link.OPEN))
+        proxy.delay_s = self.rng.choice((0.0, 0.15))
+        await asyncio.sleep(2 * for_s)
+        proxy.link, proxy.delay_s = Link.OPEN, 0.0
+        proxy.drop()
+
+    async def _restart_executor(self, for_s: float) -> None:
+        executor = self.rng.choice(self.cluster.executors)
+        executor.restart()
+        await asyncio.sleep(for_s / 4)
+        executor.restart()
+
+    async def _reconfigure(self, for_s: float) -> None:
+        for _ in range(5):
+            self.cluster.configure(self.cap_cpu)
+            await asyncio.sleep(for_s / 20)
+
+    # After the faults
+
+    async def _heal(self) -> None:
+        for process in self.cluster.processes:
+            process.store_link.link = Link.OPEN
+            process.signal(signal.SIGCONT)
+            if not process.is_running:
+                await process.start()
+        self.cluster.store.slow_s = 0.004
+        for executor in self.cluster.executors:
+            executor.proxy.link, executor.proxy.delay_s = Link.OPEN, 0.0
+
+    async def _settle(self) -> None:
+        """Let callers ask until each accepted job has ended."""
+        ends_s = monotonic() + SETTLE_S
+        while monotonic() < ends_s:
+            open_jobs = [
+                job
+                for job in self.jobs
+                if job.accepted_s and (not job.states or job.states[-1] not in FINAL)
+            ]
+            unclear = [job for job in self.jobs if job.statuses[-1] in UNCERTAIN]
+            if not open_jobs and not unclear:
+                return
+            for job in unclear:
+                await submit(self._any().address, job, self._now_s())
+            for job in open_jobs:
+                await look(self._any().address, job)
+            await asyncio.sleep(0.1)
+
+
+def soak(seeds: int = 10, first: int = 0, minutes: float = 0.0, processes: int = 3) -> None:
+    """Play seeds one after the other.
+
+    :param seeds: how many; with ``minutes`` until the time is over
+    :param first: first seed, 0 for one by the clock
+    :param processes: processes of the system
+    """
+    seed = first or int(monotonic() * 1000) % 1_000_000
+    ends_s = monotonic() + 60 * minutes
+    played = broken = 0
+    while played < seeds if not minutes else monotonic() < ends_s:
+        play = Play(seed, processes)
+        faults = asyncio.run(play.run())
+        accepted = sum(STORED in job.statuses for job in play.jobs)
+        print(
+            f"seed {seed}: {len(play.jobs)} jobs, {accepted} accepted, "
+            f"{len(play.cluster.history)} runs, {len(play.story)} faults, "
+            f"{'BROKEN' if faults else 'kept'}",
+            flush=True,
+        )
+        for line in faults:
+            print(f"  {line}", flush=True)
+        played, broken, seed = played + 1, broken + bool(faults), seed + 1
+    print(f"{played} seeds, {broken} broken")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(soak)
--- a/tests/platform/standin/executors.py
+++ b/tests/platform/standin/executors.py
@@ -14,7 +14,10 @@
 
 @dataclass(slots=True)
 class RunRecord:
-    """One run as the executor saw it; ``ended_s`` is 0 while it runs."""
+    """One run as the executor saw it; ``ended_s`` is 0 while it runs.
+
+    :param is_forgotten: the executor started again before its end was acknowledged
+    """
 
     task: str
     attempt: int
@@ -23,6 +26,7 @@
     began_s: float
     ended_s: float = 0.0
     how: str = ""
+    is_forgotten: bool = False
 
 
 class StubExecutor:
@@ -47,6 +51,7 @@
         self._until_ms = 0.0
         self._running: dict[tuple[str, int], tuple[RunRecord, asyncio.Task]] = {}
         self._finished: list[list] = []
+        self._unacknowledged: dict[int, RunRecord] = {}
         self._count = 0
         self._highest: dict[str, int] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -84,6 +89,9 @@
     def restart(self) -> None:
         """Crash and start again under the same id: it holds and knows nothing."""
         self._kill_all("crashed")
+        for record in self._unacknowledged.values():
+            record.is_forgotten = True
+        self._unacknowledged.clear()
         self._finished.clear()
         self._highest.clear()
         self._token = self._count = 0
@@ -155,6 +163,7 @@
         self._highest[record.task] = max(self._highest.get(record.task, 0), record.attempt)
         self._count += 1
         self._finished.append([self._count, record.task, record.attempt, how, ""])
+        self._unacknowledged[self._count] = record
 
     def _kill_all(self, how: str) -> None:
         for record, task in list(self._running.values()):
@@ -180,6 +189,8 @@
         born = self._born_ms
         cursor = call.number("ack_cursor")
         self._finished = [row for row in self._finished if row[0] > cursor]
+        for number in [number for number in self._unacknowledged if number <= cursor]:
+            del self._unacknowledged[number]
         ends = self._now() + call.number("wait_ms") / 1000
         while not self._finished and self._now() < ends and born == self._born_ms:
             await asyncio.sleep(0.01)
