--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -35,6 +35,9 @@
 }
 # Gangs that may hold back other work of their band, and of worse ones, from workers at once.
 MAX_RESERVATIONS = 2
+# Gangs on time are worth idle processors, and the last ones would never run without; between them
+# each idle processor makes other work late.
+RESERVING_BANDS = frozenset({Band.SERVICE, Band.URGENT, Band.ON_TIME, Band.TOO_LATE})
 # Members of a gang on one worker when they need none of its resources.
 MAX_GANG_ON_WORKER = 1_000
 
@@ -145,7 +148,7 @@
         if state.looks > MAX_LOOKS:
             return
     named, has_room = _to_name(cell, state, step, queue)
-    if band >= Band.LATE and not has_room and not _may_wait_for_room(state, step):
+    if band >= Band.LATE and not has_room and not _may_wait_for_room(state, step, band):
         cell.permits.look_again(step.name, now_ms + LOOK_AGAIN_MS)
         return
     state.advised += 1
@@ -159,10 +162,12 @@
     cell.commands.append(AskAdvice(step, named, cost_ms))
 
 
-def _may_wait_for_room(state: _Pass, step: StepRun) -> bool:
-    """Tell whether a late step is among the first gangs, for which room is kept free."""
-    state.late_gangs += step.spec.is_gang
-    return step.spec.is_gang and state.late_gangs <= MAX_RESERVATIONS
+def _may_wait_for_room(state: _Pass, step: StepRun, band: Band) -> bool:
+    """Tell whether a step is among the first late gangs for which room is kept free."""
+    if not step.spec.is_gang or band not in RESERVING_BANDS:
+        return False
+    state.late_gangs += 1
+    return state.late_gangs <= MAX_RESERVATIONS
 
 
 def _to_name(
@@ -306,7 +311,7 @@
     placed = _fit_gang(cell, state, step, workers, band, room_band)
     if placed:
         return placed
-    if state.reservations < MAX_RESERVATIONS:
+    if band in RESERVING_BANDS and state.reservations < MAX_RESERVATIONS:
         _reserve(state, step, workers, band, room_band)
     return []
 
