Split planning by concern: room, questions, state of a pass

Cause: planning.py held the questions to the policy, the reckoning of room and the pass in 470 lines; a run was to be read by newcomers. Change: room.py, questions.py, passes.py; names without the underscore where modules share them. No behaviour. Conclusion: a move only.

--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -1,61 +1,17 @@
 """The pass that decides which tasks start, and where."""
 
-from dataclasses import dataclass, field
-
 from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.commands import AskAdvice, StartRun
+from lagoonshelf_core.jobs.commands import StartRun
 from lagoonshelf_core.jobs.config import Queue
+from lagoonshelf_core.jobs.passes import MAX_RESERVATIONS, RESERVING_BANDS, Pass
 from lagoonshelf_core.jobs.progress import StepRun, Task
+from lagoonshelf_core.jobs.questions import ask_advice
 from lagoonshelf_core.jobs.ranking import Band, rank
+from lagoonshelf_core.jobs.room import free_room, reserve_milli, times_in
 from lagoonshelf_core.jobs.workers import Worker, room_of
 from lagoonshelf_core.resources import NOTHING, Resources
 
-# The policy takes at most so many workers in one question.
-MAX_NAMED = 100
-# Fewest workers named, so that tasks can be packed well
-MIN_NAMED = 40
-# A question names workers for so many times the tasks that wait, by what the policy has allowed.
-NAMED_FACTOR = 1.5
-# Waiting steps whose permits are kept valid while they wait for room. Late steps are among them
-# only when there is room for them; so many are looked at in a pass, and again after a while.
-MAX_ADVISED_STEPS = 24
-MAX_LOOKS = 8
-LOOK_AGAIN_MS = 500
-# Room that work of a band leaves on each worker for better bands, in thousandths of its
-# processors.
-RESERVE_PERMILLE = {
-    Band.SERVICE: 0,
-    Band.URGENT: 0,
-    Band.ON_TIME: 80,
-    Band.LATE: 160,
-    Band.EXCESS: 240,
-    Band.EXCESS_LATE: 240,
-    Band.TOO_LATE: 240,
-}
-# Gangs that may hold back other work of their band, and of worse ones, from workers at once.
-MAX_RESERVATIONS = 2
-# Gangs on time are worth idle processors, and the last ones would never run without; between them
-# each idle processor makes other work late.
-RESERVING_BANDS = frozenset({Band.SERVICE, Band.URGENT, Band.ON_TIME, Band.TOO_LATE})
-# Members of a gang on one worker when they need none of its resources.
-MAX_GANG_ON_WORKER = 1_000
-
-
-@dataclass(slots=True)
-class _Pass:
-    """State of one pass."""
-
-    now_ms: int
-    usable: dict[str, dict[WorkerId, Worker]]
-    by_room: dict[str, list[Worker]] = field(default_factory=dict)
-    advised: int = 0
-    looks: int = 0
-    reservations: int = 0
-    late_gangs: int = 0
-    reserved: dict[WorkerId, Band] = field(default_factory=dict)
-    advice_budget_ms: float = 0.0
-
 
 def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> None:
     """Add commands to the cell for what should start now.
@@ -67,7 +23,7 @@
     for worker in cell.workers.values():
         if worker.is_usable and not cell.health.is_quarantined(worker.id, now_ms):
             usable.setdefault(worker.info.pool, {})[worker.id] = worker
-    state = _Pass(now_ms, usable, advice_budget_ms=advice_budget_ms)
+    state = Pass(now_ms, usable, advice_budget_ms=advice_budget_ms)
     ranked = []
     for step in cell.open_steps:
         queue = cell.queue_of(step.job)
@@ -102,7 +58,7 @@
     }
 
 
-def _serve(cell: Cell, state: _Pass, step: StepRun, queue: Queue, band: Band) -> None:
+def _serve(cell: Cell, state: Pass, step: StepRun, queue: Queue, band: Band) -> None:
     """Start what can be started of one step."""
     usable = state.usable.get(queue.pool)
     if not usable:
@@ -110,7 +66,7 @@
     permits: dict[WorkerId, str] | None = None
     if queue.advice is not None:
         permits = cell.permits.valid(step.name, state.now_ms)
-        _ask_advice(cell, state, step, queue, band)
+        ask_advice(cell, state, step, queue, band)
         if not permits:
             return
         workers = [usable[name] for name in permits if name in usable]
@@ -134,80 +90,8 @@
         cell.refresh_steps(step.job)
 
 
-def _ask_advice(cell: Cell, state: _Pass, step: StepRun, queue: Queue, band: Band) -> None:
-    """Ask the placement policy about a step if its answer could be of use."""
-    terms, now_ms = queue.advice, state.now_ms
-    if terms is None or state.advised >= MAX_ADVISED_STEPS:
-        return
-    most_ms = terms.base_ms + terms.per_worker_ms * MAX_NAMED
-    if not cell.permits.is_due(step.name, most_ms, now_ms):
-        state.advised += band < Band.LATE or cell.permits.is_in_use(step.name, now_ms)
-        return
-    if band >= Band.LATE:
-        state.looks += 1
-        if state.looks > MAX_LOOKS:
-            return
-    named, has_room = _to_name(cell, state, step, queue)
-    if band >= Band.LATE and not has_room and not _may_wait_for_room(state, step, band):
-        cell.permits.look_again(step.name, now_ms + LOOK_AGAIN_MS)
-        return
-    state.advised += 1
-    cost_ms = terms.base_ms + terms.per_worker_ms * len(named)
-    if not named or not cell.permits.is_due(step.name, cost_ms, now_ms):
-        return
-    if state.advice_budget_ms < cost_ms and state.advised > 1:
-        return
-    state.advice_budget_ms -= cost_ms
-    cell.permits.asking(step.name)
-    cell.commands.append(AskAdvice(step, named, cost_ms))
-
-
-def _may_wait_for_room(state: _Pass, step: StepRun, band: Band) -> bool:
-    """Tell whether a step is among the first late gangs for which room is kept free."""
-    if not step.spec.is_gang or band not in RESERVING_BANDS:
-        return False
-    state.late_gangs += 1
-    return state.late_gangs <= MAX_RESERVATIONS
-
-
-def _to_name(
-    cell: Cell, state: _Pass, step: StepRun, queue: Queue
-) -> tuple[tuple[WorkerId, ...], bool]:
-    """Return the workers to ask about, those with most free processors first.
-
-    Also tells whether the step could probably start on those that the policy will allow.
-    """
-    by_room = state.by_room.get(queue.pool)
-    if by_room is None:
-        by_room = sorted(state.usable[queue.pool].values(), key=_room_key)
-        state.by_room[queue.pool] = by_room
-    label, size = step.spec.label, room_of(step.spec.size, step.spec.is_filler)
-    share = cell.permits.allowed_share(queue.id)
-    waiting = len(step.waiting_tasks)
-    most = step.spec.max_per_worker or waiting
-    found = 0.0
-    named: list[WorkerId] = []
-    for worker in by_room:
-        if label and label not in worker.info.labels:
-            continue
-        chance = cell.permits.chance(step.name, worker.info.id, share)
-        if not chance:
-            continue
-        named.append(worker.info.id)
-        found += chance * min(most, _times_in(size, worker.info.capacity, worker.used, 0))
-        if len(named) >= MAX_NAMED:
-            break
-        if len(named) >= MIN_NAMED and found >= NAMED_FACTOR * waiting:
-            break
-    return tuple(named), found >= (waiting if step.spec.is_gang else 1)
-
-
-def _room_key(worker: Worker) -> tuple[int, WorkerId]:
-    return (worker.used.cpu_milli - worker.info.capacity.cpu_milli, worker.info.id)
-
-
 def _place_tasks(
-    cell: Cell, state: _Pass, step: StepRun, workers: list[Worker], band: Band
+    cell: Cell, state: Pass, step: StepRun, workers: list[Worker], band: Band
 ) -> list[tuple[Task, Worker]]:
     """Choose a worker for each waiting task of a step whose tasks are independent."""
     spec = step.spec
@@ -238,7 +122,7 @@
 
 def _choose(
     cell: Cell,
-    state: _Pass,
+    state: Pass,
     task: Task,
     workers: list[Worker],
     extra: dict[WorkerId, Resources],
@@ -256,7 +140,7 @@
             continue
         if _is_held_back(state, worker, band):
             continue
-        free = _free(worker, extra.get(worker.id, NOTHING), band, size)
+        free = free_room(worker, extra.get(worker.id, NOTHING), band, size)
         if not size.fits_in(free):
             continue
         if not cell.health.may_start(worker.id, True, state.now_ms):
@@ -267,26 +151,6 @@
     return best
 
 
-def _free(worker: Worker, extra: Resources, band: Band, size: Resources) -> Resources:
-    """Return the free room of a worker for tasks of a size in a band."""
-    capacity, used = worker.info.capacity, worker.used
-    reserve = _reserve_milli(worker, band, size)
-    return Resources(
-        capacity.cpu_milli - used.cpu_milli - extra.cpu_milli - reserve,
-        capacity.memory_mib - used.memory_mib - extra.memory_mib,
-        capacity.accelerators - used.accelerators - extra.accelerators,
-    )
-
-
-def _reserve_milli(worker: Worker, band: Band, size: Resources) -> int:
-    """Return the processors that a band leaves free, less where a task needs the whole worker."""
-    capacity = worker.info.capacity.cpu_milli
-    reserve = capacity * RESERVE_PERMILLE[band] // 1000
-    if size.cpu_milli <= capacity - reserve:
-        return reserve
-    return 0 if band <= Band.ON_TIME else max(0, capacity - size.cpu_milli)
-
-
 def _score(task: Task, worker: Worker, free: Resources, is_avoided: bool) -> tuple:
     """Return how badly a worker suits a task, lowest best."""
     spec = task.step.spec
@@ -299,7 +163,7 @@
 
 
 def _place_gang(
-    cell: Cell, state: _Pass, step: StepRun, workers: list[Worker], band: Band
+    cell: Cell, state: Pass, step: StepRun, workers: list[Worker], band: Band
 ) -> list[tuple[Task, Worker]]:
     """Choose workers for all tasks of a gang, or for none."""
     spec = step.spec
@@ -328,8 +192,8 @@
         fitting = sum(
             min(
                 most,
-                _times_in(
-                    size, worker.info.capacity, NOTHING, _reserve_milli(worker, candidate, size)
+                times_in(
+                    size, worker.info.capacity, NOTHING, reserve_milli(worker, candidate, size)
                 ),
             )
             for worker in workers
@@ -339,7 +203,7 @@
     return Band.URGENT
 
 
-def _is_held_back(state: _Pass, worker: Worker, band: Band) -> bool:
+def _is_held_back(state: Pass, worker: Worker, band: Band) -> bool:
     """Tell whether a worker is kept free for a gang of the same band or a better one."""
     holder = state.reserved.get(worker.id)
     return holder is not None and band > Band.URGENT and band >= holder
@@ -347,7 +211,7 @@
 
 def _fit_gang(
     cell: Cell,
-    state: _Pass,
+    state: Pass,
     step: StepRun,
     workers: list[Worker],
     band: Band,
@@ -362,7 +226,7 @@
         if _is_held_back(state, worker, band):
             continue
         capacity, used = worker.info.capacity, worker.used
-        count = _times_in(size, capacity, used, _reserve_milli(worker, room_band, size))
+        count = times_in(size, capacity, used, reserve_milli(worker, room_band, size))
         if not count or not cell.health.may_start(worker.id, True, state.now_ms):
             continue
         if spec.max_per_worker:
@@ -397,24 +261,8 @@
     return [row for row in slots if row[1].info.rack == fitting[0]]
 
 
-def _times_in(size: Resources, capacity: Resources, used: Resources, reserve_milli: int) -> int:
-    """Return how many tasks of a size fit into what is free.
-
-    :param reserve_milli: processors to leave free, in thousandths
-    """
-    times = MAX_GANG_ON_WORKER
-    if size.cpu_milli:
-        free_milli = capacity.cpu_milli - used.cpu_milli - reserve_milli
-        times = min(times, free_milli // size.cpu_milli)
-    if size.memory_mib:
-        times = min(times, (capacity.memory_mib - used.memory_mib) // size.memory_mib)
-    if size.accelerators:
-        times = min(times, (capacity.accelerators - used.accelerators) // size.accelerators)
-    return max(0, times)
-
-
 def _reserve(
-    state: _Pass, step: StepRun, workers: list[Worker], band: Band, room_band: Band
+    state: Pass, step: StepRun, workers: list[Worker], band: Band, room_band: Band
 ) -> None:
     """Hold back other batch work from the workers where a gang will fit first."""
     size = room_of(step.spec.size, step.spec.is_filler)
@@ -423,8 +271,8 @@
     for worker in sorted(workers, key=lambda w: (w.used.cpu_milli, w.id)):
         if worker.id in state.reserved:
             continue
-        reserve_milli = _reserve_milli(worker, room_band, size)
-        count = _times_in(size, worker.info.capacity, _service_use(worker), reserve_milli)
+        reserved_milli = reserve_milli(worker, room_band, size)
+        count = times_in(size, worker.info.capacity, _service_use(worker), reserved_milli)
         if count <= 0:
             continue
         chosen.append(worker.id)
@@ -445,7 +293,7 @@
 
 def _start(
     cell: Cell,
-    state: _Pass,
+    state: Pass,
     task: Task,
     worker: Worker,
     attempt: int,
--- a/tests/core/jobs/test_load_advised_gangs.py
+++ b/tests/core/jobs/test_load_advised_gangs.py
@@ -11,7 +11,7 @@
 from bench.cell_cost import HOLD, HOST, MATCH, RENDER, mix, queues
 from bench.cell_load import CellLoad, Outcome, arrivals, config, worker_infos
 from lagoonshelf_core.ids import TeamId
-from lagoonshelf_core.jobs import planning
+from lagoonshelf_core.jobs import questions as policy_questions
 from lagoonshelf_core.jobs.config import Team
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
@@ -47,7 +47,7 @@
 
     def test_gangs_end_in_time_and_nobody_else_pays(self) -> None:
         """Compared with questions of the earlier size on the same load."""
-        with patch.object(planning, "MAX_NAMED", EARLIER_MAX_NAMED):
+        with patch.object(policy_questions, "MAX_NAMED", EARLIER_MAX_NAMED):
             earlier = _play(1.5)
         now = _play(1.5)
         self.assertGreaterEqual(now.in_time[RENDER], 0.9 * now.arrived[RENDER])
@@ -63,7 +63,7 @@
     def test_they_do_not_keep_others_from_being_asked_about(self) -> None:
         """A job long past its objective would run on idle workers (LOST, grown andinas)."""
         made = cell(4)
-        for _ in range(2 * planning.MAX_ADVISED_STEPS):
+        for _ in range(2 * policy_questions.MAX_ADVISED_STEPS):
             accept(made, job(step(9, Resources(60_000, 1, 0), is_gang=True), queue=ADVISED))
         late_ms = 6_000
         for question in questions(made):
@@ -79,12 +79,12 @@
     def test_work_on_time_is_asked_about_first(self) -> None:
         """Looks at late steps are few in a pass."""
         made = cell(4)
-        for _ in range(2 * planning.MAX_ADVISED_STEPS):
+        for _ in range(2 * policy_questions.MAX_ADVISED_STEPS):
             accept(made, job(queue=ADVISED)).received_ms = -4_000
         fresh = accept(made, job(queue=ADVISED))
         asked = [question.step.job.id for question in questions(made)]
         self.assertEqual(asked[0], fresh.id)
-        self.assertLessEqual(len(asked), 1 + planning.MAX_LOOKS)
+        self.assertLessEqual(len(asked), 1 + policy_questions.MAX_LOOKS)
 
     def test_room_is_kept_free_for_the_first_of_them(self) -> None:
         """Single tasks of its band would take each free place (LOST, grown andinas)."""
--- a/tests/core/jobs/test_load_hot_team.py
+++ b/tests/core/jobs/test_load_hot_team.py
@@ -14,6 +14,7 @@
 from lagoonshelf_core.jobs.config import Queue, Team
 from lagoonshelf_core.jobs.progress import StepRun
 from lagoonshelf_core.jobs.ranking import Band, Rank, rank
+from lagoonshelf_core.jobs.room import RESERVE_PERMILLE
 
 WORKERS = 176
 RATE_PER_S = 4.0
@@ -60,7 +61,7 @@
         reserve = dict.fromkeys((Band.EXCESS, Band.TOO_LATE), EARLIER_RESERVE)
         with (
             patch.object(planning, "rank", _earlier_rank),
-            patch.dict(planning.RESERVE_PERMILLE, reserve),
+            patch.dict(RESERVE_PERMILLE, reserve),
         ):
             earlier = _served(load)
         now = _served(load)
