--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -167,9 +167,11 @@
         self.processes = [Process(f"m{number}", number, self) for number in range(self._count)]
         for process in self.processes:
             await process.start()
-        async with asyncio.timeout(LEAD_S):
-            while not all([await process.is_ready() for process in self.processes]):
-                await asyncio.sleep(0.05)
+        ends_s = asyncio.get_running_loop().time() + LEAD_S
+        while not all([await process.is_ready() for process in self.processes]):
+            if asyncio.get_running_loop().time() > ends_s:
+                raise AssertionError(f"not ready in {LEAD_S} s:\n{self.logs()}")
+            await asyncio.sleep(0.05)
 
     def configure(self, cap_cpu: int) -> None:
         """Put the next configuration into force."""
--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -1,22 +1,31 @@
 """Free ports on loopback."""
 
+import os
 import socket
+from random import Random
+
+# Below the range from which systems take ports of outgoing connections, so that no such connection
+# has the port of a process that is down for a moment.
+FIRST, LAST = 12_000, 32_000
+TRIES = 200
+
+_rng = Random(os.getpid())
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports; the last two follow each other."""
-    for _ in range(100):
-        sockets = [socket.socket() for _ in range(count - 1)]
+    """Return free ports that follow each other."""
+    for _ in range(TRIES):
+        first = _rng.randrange(FIRST, LAST - count)
+        ports = list(range(first, first + count))
+        if all(_is_free(port) for port in ports):
+            return ports
+    raise OSError("no free ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
         try:
-            for sock in sockets:
-                sock.bind(("127.0.0.1", 0))
-            ports = [sock.getsockname()[1] for sock in sockets]
-            with socket.socket() as last:
-                last.bind(("127.0.0.1", ports[-1] + 1))
-            return [*ports, ports[-1] + 1]
+            sock.bind(("127.0.0.1", port))
         except OSError:
-            continue
-        finally:
-            for sock in sockets:
-                sock.close()
-    raise OSError("no free ports")
+            return False
+    return True
