--- a/packages/core/lagoonshelf_core/jobs/permits.py
+++ b/packages/core/lagoonshelf_core/jobs/permits.py
@@ -60,11 +60,6 @@
         entry = self._steps.get(step)
         return entry is not None and (entry.is_asking or bool(self.valid(step, now_ms)))
 
-    def is_known(self, step: str) -> bool:
-        """Tell whether the policy has answered for a step before."""
-        entry = self._steps.get(step)
-        return entry is not None and bool(entry.asked)
-
     def chance(self, step: str, worker: WorkerId, share: float) -> float:
         """Return how likely the policy allows a worker for a step.
 
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -90,10 +90,6 @@
         self.services -= run.is_service
         self.fillers -= run.is_filler
 
-    def has_room(self, size: Resources) -> bool:
-        """Tell whether a further run of the given size fits."""
-        return (self.used + size).fits_in(self.info.capacity)
-
 
 def room_of(size: Resources, is_filler: bool) -> Resources:
     """Return the room that a run holds; a filler's processor time is not counted."""
