--- a/packages/server/lagoonshelf_server/jobs/pulses.py
+++ b/packages/server/lagoonshelf_server/jobs/pulses.py
@@ -98,10 +98,16 @@
             await asyncio.sleep(max(0.0, pause_s - (loop.time() - started)))
 
     def relay_addresses(self) -> list[str]:
-        """Return the members that may write for this one, the holder first."""
+        """Return the members that may write for this one, the holder first.
+
+        A process that held the cell until now knows them from their own signs of life.
+        """
         view = self._seat.view
         addresses = [] if view is None or not view.address else [view.address]
-        addresses += [state.address for state in self._relays if state.address not in addresses]
+        known = (*self._relays, *self._fresh_members())
+        addresses += dict.fromkeys(
+            state.address for state in known if state.address not in addresses
+        )
         return [address for address in addresses if address != self._cfg.address]
 
     async def send(self, net: PeerNet) -> float:
@@ -174,6 +180,15 @@
         self._seat.heard(view, seat)
         return DEAD_RETRY_S
 
+    def _fresh_members(self) -> tuple[PeerState, ...]:
+        """Return the members that told this process lately that they reach the store."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            state
+            for state, heard_ms in self._members.values()
+            if now_ms - heard_ms < RELAY_AGE_MS and state.store_age_ms < RELAY_AGE_MS
+        )
+
     def _is_store_troubled(self) -> bool:
         return self._clock.now_ms() - self._store.trouble_ms() < TROUBLE_MS
 
@@ -215,11 +230,7 @@
         self._troubled[member] = (body.is_store_troubled, now_ms)
         counts = holder.cell.pending() if holder.may_answer() else {}
         rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
-        members = tuple(
-            state
-            for state, heard_ms in self._members.values()
-            if now_ms - heard_ms < RELAY_AGE_MS and state.store_age_ms < RELAY_AGE_MS
-        )
+        members = self._fresh_members()
         self._offer_to_stronger(body)
         reply = PulseReply(True, self._seat.revision, self._store_age_ms(), rows, members)
         return replace(reply, is_ready=holder.may_answer())
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -11,7 +11,7 @@
 from lagoonshelf_server.jobs.ports import StoreRevision
 from lagoonshelf_server.jobs.pulses import NodeSettings
 from lagoonshelf_server.jobs.seat import HolderView, SeatView
-from lagoonshelf_server.messages import Pulse, PulseReply, QueueCount
+from lagoonshelf_server.messages import PeerState, Pulse, PulseReply, QueueCount
 from tests.support.job_fakes import FakeStore, FakeViews, FakeWorkers
 
 
@@ -96,6 +96,18 @@
         self.assertTrue(pulse.is_store_troubled)
         self.assertEqual((pulse.seat, pulse.cores_milli), (5, 2_000))
 
+    async def test_a_holder_that_is_cut_off_knows_who_may_write_for_it(self) -> None:
+        """No reply to a sign of life has named other members to it (504, whole path)."""
+        pulses, now_ms = self.node.pulses, self.clock.now_ms()
+        pulses._members = {
+            MemberId("m3"): (PeerState("a:3", 10), now_ms),
+            MemberId("m4"): (PeerState("a:4", 5_000), now_ms),
+            MemberId("m5"): (PeerState("a:5", 10), now_ms - 5_000),
+        }
+        self.assertEqual(pulses.relay_addresses(), ["a:2", "a:3"])
+        pulses._relays = (PeerState("a:2", 10), PeerState("a:6", 10), PeerState("a:3", 10))
+        self.assertEqual(pulses.relay_addresses(), ["a:2", "a:6", "a:3"])
+
     async def test_an_outage_is_known_only_from_others(self) -> None:
         """A process that hears no member it knows cannot tell an outage from a cut."""
         self.store.is_down = True
