Give each port of the stand-in to one process only

A process of the soak was not ready: its log says that its address was in use, 15814, which is the fourth port of the process drawn before it and was not bound yet. Change: ports are given out one after the other, from a part of the range for each test process.

--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -2,21 +2,26 @@
 
 import os
 import socket
-from random import Random
 
 # Below the range from which systems take ports of outgoing connections, so that no such connection
 # has the port of a process that is down for a moment.
-FIRST, LAST = 12_000, 32_000
-TRIES = 200
+FIRST = 12_000
+# Each test process takes ports from a part of its own, one after the other, as a port that was
+# given out is not bound at once.
+PARTS, PORTS_PER_PART = 100, 200
 
-_rng = Random(os.getpid())
+_given = 0
 
 
 def free_ports(count: int) -> list[int]:
     """Return free ports that follow each other."""
-    for _ in range(TRIES):
-        first = _rng.randrange(FIRST, LAST - count)
-        ports = list(range(first, first + count))
+    global _given
+    part = FIRST + os.getpid() % PARTS * PORTS_PER_PART
+    for _ in range(PORTS_PER_PART):
+        if _given % PORTS_PER_PART + count > PORTS_PER_PART:
+            _given = 0
+        ports = [part + _given % PORTS_PER_PART + number for number in range(count)]
+        _given += count
         if all(_is_free(port) for port in ports):
             return ports
     raise OSError("no free ports")
