Reckon the end of a lease and the pause of oversight in one place each

Change: lapse_after_ms in workers.py serves all three; oversee keeps its own pause in the cell. No behaviour.

--- a/bench/cell_load.py
+++ b/bench/cell_load.py
@@ -13,7 +13,7 @@
 from lagoonshelf_core.jobs.cell import Cell, EndedRow, RunningRow
 from lagoonshelf_core.jobs.commands import AskAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Pool, PoolId
-from lagoonshelf_core.jobs.oversight import OVERSIGHT_MS, oversee
+from lagoonshelf_core.jobs.oversight import oversee
 from lagoonshelf_core.jobs.planning import plan
 from lagoonshelf_core.jobs.progress import Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, StepSpec
@@ -162,7 +162,6 @@
         self._task_ms: dict[JobId, int] = {}
         self._ends = count(1)
         self._pass_at = -1
-        self._overseen_ms = 0
 
     def play(self, load: list[Arrival], until_ms: int) -> Outcome:
         """Play a load to its end or until a time."""
@@ -197,9 +196,7 @@
 
     def _pass(self, now_ms: int) -> None:
         began = process_time()
-        if now_ms - self._overseen_ms >= OVERSIGHT_MS:
-            self._overseen_ms = now_ms
-            oversee(self.cell, now_ms)
+        oversee(self.cell, now_ms)
         budget_ms = sum(max(0.0, 700.0 + now_ms - free) for free in self._lanes)
         self._plan(self.cell, now_ms, now_ms, budget_ms)
         self.outcome.decisions_s += process_time() - began
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -23,11 +23,10 @@
 from lagoonshelf_core.jobs.rates import TeamRates
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence
 from lagoonshelf_core.jobs.workers import (
-    CLOCK_SLOWNESS,
-    LAPSE_MARGIN_MS,
     LONGEST_LEASE_MS,
     Worker,
     WorkerInfo,
+    lapse_after_ms,
 )
 from lagoonshelf_core.resources import NOTHING, Resources
 
@@ -91,6 +90,7 @@
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
         self.recorded: list[RecordedRun] = []
+        self.overseen_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, how, now_ms: None
 
     # Jobs
@@ -215,8 +215,7 @@
         worker.is_read = False
         if worker.runs:
             # A lease that was ordered on the clock of the old incarnation is cut to the longest.
-            longest_ms = int(LONGEST_LEASE_MS / (1 - CLOCK_SLOWNESS)) + LAPSE_MARGIN_MS
-            worker.lapse_ms = max(worker.lapse_ms, now_ms + longest_ms)
+            worker.lapse_ms = max(worker.lapse_ms, now_ms + lapse_after_ms(LONGEST_LEASE_MS))
         for run in worker.runs.values():
             run.is_suspected = True
 
--- a/packages/core/lagoonshelf_core/jobs/oversight.py
+++ b/packages/core/lagoonshelf_core/jobs/oversight.py
@@ -28,7 +28,10 @@
 
 
 def oversee(cell: Cell, now_ms: int) -> None:
-    """Add commands for runs that should be stopped or paced."""
+    """Add commands for runs that should be stopped or paced, now and then."""
+    if now_ms - cell.overseen_ms < OVERSIGHT_MS:
+        return
+    cell.overseen_ms = now_ms
     for worker in list(cell.workers.values()):
         if not worker.is_read:
             continue
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -91,6 +91,14 @@
         self.fillers -= run.is_filler
 
 
+def lapse_after_ms(lease_ms: int) -> int:
+    """Return the time after which what a lease holds has surely ended.
+
+    :param lease_ms: on the clock of the worker
+    """
+    return int(lease_ms / (1 - CLOCK_SLOWNESS)) + LAPSE_MARGIN_MS
+
+
 def room_of(size: Resources, is_filler: bool) -> Resources:
     """Return the room that a run holds; a filler's processor time is not counted."""
     if is_filler:
--- a/packages/server/lagoonshelf_server/jobs/contact.py
+++ b/packages/server/lagoonshelf_server/jobs/contact.py
@@ -5,7 +5,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.workers import CLOCK_SLOWNESS, LAPSE_MARGIN_MS, Worker
+from lagoonshelf_core.jobs.workers import Worker, lapse_after_ms
 from lagoonshelf_server.jobs.ledger import Ledger
 from lagoonshelf_server.jobs.ports import (
     Listing,
@@ -176,5 +176,4 @@
         if self._clock_read is None:
             return self._worker.lapse_ms
         worker_ms, own_ms = self._clock_read
-        left_ms = max(0, self._until_ms - worker_ms)
-        return own_ms + int(left_ms / (1 - CLOCK_SLOWNESS)) + LAPSE_MARGIN_MS
+        return own_ms + lapse_after_ms(max(0, self._until_ms - worker_ms))
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -10,12 +10,7 @@
 from lagoonshelf_core.ids import FailureDomain, RackId, WorkerId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import PoolId
-from lagoonshelf_core.jobs.workers import (
-    CLOCK_SLOWNESS,
-    LAPSE_MARGIN_MS,
-    Worker,
-    WorkerInfo,
-)
+from lagoonshelf_core.jobs.workers import Worker, WorkerInfo, lapse_after_ms
 from lagoonshelf_core.resources import NOTHING
 from lagoonshelf_server.jobs.contact import RUN_LEASE_MS, Contact
 from lagoonshelf_server.jobs.keys import SEAT, USED_WORKERS
@@ -113,7 +108,7 @@
             info = self._views.decode_worker(item.key, item.value)
             if info is not None:
                 self._cell.see_worker(info, now_ms)
-        lapse_ms = now_ms + int(RUN_LEASE_MS / (1 - CLOCK_SLOWNESS)) + LAPSE_MARGIN_MS
+        lapse_ms = now_ms + lapse_after_ms(RUN_LEASE_MS)
         # A predecessor that may still be alive goes on longer in an outage.
         if not self._seat.predecessor_is_dead:
             lapse_ms += OUTAGE_MS
--- a/packages/server/lagoonshelf_server/jobs/holder.py
+++ b/packages/server/lagoonshelf_server/jobs/holder.py
@@ -7,7 +7,7 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import AskAdvice, Command, PaceRun, StartRun, StopRun
-from lagoonshelf_core.jobs.oversight import OVERSIGHT_MS, oversee
+from lagoonshelf_core.jobs.oversight import oversee
 from lagoonshelf_core.jobs.planning import plan, summary
 from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
@@ -81,7 +81,6 @@
         contacts = self._fleet.contacts
         self.orders = Orders(self.cell, ports.workers, seat, clock, contacts, self.kick)
         self.is_ready = False
-        self._overseen_ms = 0
 
     async def run(self) -> None:
         """Take over and hold the cell until the seat is lost."""
@@ -206,9 +205,7 @@
         cell, now_ms = self.cell, self._clock.now_ms()
         cell.cfg = self._config.current
         if self._seat.may_order():
-            if now_ms - self._overseen_ms >= OVERSIGHT_MS:
-                self._overseen_ms = now_ms
-                oversee(cell, now_ms)
+            oversee(cell, now_ms)
             plan(cell, now_ms, self._clock.wall_ms(), self.advisors.budget_ms())
         commands, cell.commands = cell.commands, []
         starting = {c.run.task.job for c in commands if isinstance(c, StartRun)}
