Set up the grown cell of benchmark and load tests in one place; drop what nobody reads

Three places set up the same cell; the load player had a parameter and three figures that nobody read; three tests delivered late starts by the same loop; the stand-in repeated a call's time. Change: cell_cost.grown_cell and teams, FakeWorkers.deliver_late_starts, a named time of an ordinary store call. All assertions, bounds and seeds stay as they were.

--- a/bench/cell_cost.py
+++ b/bench/cell_cost.py
@@ -3,7 +3,7 @@
 Usage: python -m bench cell_cost
 """
 
-from bench.cell_load import POOL, CellLoad, JobMix, arrivals, config, worker_infos
+from bench.cell_load import POOL, CellLoad, JobMix, Outcome, arrivals, config, worker_infos
 from lagoonshelf_core.ids import QueueId, TeamId
 from lagoonshelf_core.jobs.config import AdviceTerms, Queue, Team
 from lagoonshelf_core.resources import Resources
@@ -14,6 +14,9 @@
 MIX_WORKERS = 176
 HOST = Resources(64_000, 131_072, 0)
 TEAMS = 20
+PLENTY_PER_S = 1_000.0
+# Members through which the placement policy can be asked at once.
+LANES = 45
 LOAD_MS = 10_000
 WORKER_COUNTS = (25, 176, 1_200)
 SEED = 5
@@ -37,25 +40,32 @@
     ]
 
 
-def play(workers: int, load_ms: int = LOAD_MS) -> CellLoad:
+def teams(rate_per_s: float = PLENTY_PER_S) -> list[Team]:
+    """Return the teams, all entitled to the same number of jobs a second."""
+    return [Team(TeamId(f"t{number}"), rate_per_s) for number in range(TEAMS)]
+
+
+def grown_cell(members: list[Team], workers: int, allowed_share: float) -> CellLoad:
+    """Return a cell like the grown site's, before any load.
+
+    :param allowed_share: share of the workers that the placement policy allows
+    """
+    infos = worker_infos(workers, HOST)
+    return CellLoad(config(queues(), members), infos, lanes=LANES, allowed_share=allowed_share)
+
+
+def play(workers: int) -> Outcome:
     """Play the mix on a number of workers."""
-    teams = [Team(TeamId(f"t{number}"), 1_000.0) for number in range(TEAMS)]
-    cell_load = CellLoad(
-        config(queues(), teams),
-        worker_infos(workers, HOST),
-        lanes=45,
-        allowed_share=0.5,
-    )
-    load = arrivals(mix(workers / MIX_WORKERS), [team.id for team in teams], load_ms, SEED)
-    cell_load.play(load, load_ms)
-    return cell_load
+    members = teams()
+    load = arrivals(mix(workers / MIX_WORKERS), [team.id for team in members], LOAD_MS, SEED)
+    return grown_cell(members, workers, 0.5).play(load, LOAD_MS)
 
 
 def run() -> list[str]:
     """Return a row for each number of workers."""
     rows = []
     for workers in WORKER_COUNTS:
-        outcome = play(workers).outcome
+        outcome = play(workers)
         core = outcome.decisions_s / (LOAD_MS / 1000)
         rows.append(
             f"decisions, {workers:>5} workers: {outcome.starts / (LOAD_MS / 1000):>7.1f} starts/s "
--- a/bench/cell_load.py
+++ b/bench/cell_load.py
@@ -27,8 +27,6 @@
 PASS_MS = 3
 TICK_MS = 100
 
-Plan = Callable[[Cell, int, int, float], None]
-
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -43,21 +41,17 @@
 class Outcome:
     """What callers saw, and what the decisions cost.
 
-    :param first_start_ms: time from arrival to the first start by job
     :param end_ms: time from arrival to the end by job, only of jobs that are complete
     :param in_time: number of jobs by queue that ended within their objective
     :param in_time_jobs: the same jobs
     :param arrived: jobs by queue
     """
 
-    first_start_ms: dict[JobId, int] = field(default_factory=dict)
     end_ms: dict[JobId, int] = field(default_factory=dict)
     in_time: Counter[QueueId] = field(default_factory=Counter)
     in_time_jobs: set[JobId] = field(default_factory=set)
     arrived: Counter[QueueId] = field(default_factory=Counter)
     starts: int = 0
-    stops: int = 0
-    passes: int = 0
     decisions_s: float = 0.0
 
     def cost_ms(self) -> float:
@@ -141,20 +135,17 @@
         *,
         lanes: int = 4,
         allowed_share: float = 1.0,
-        plan_pass: Plan = plan,
     ) -> None:
         """Set up a cell whose workers have been read.
 
         :param lanes: members through which the placement policy can be asked at once
         :param allowed_share: share of the workers that the policy allows
-        :param plan_pass: the policy under test
         """
         self.cell = Cell(cfg)
         for info in workers:
             worker = self.cell.see_worker(info, 0)
             worker.is_read = worker.is_recorded = True
         self.outcome = Outcome()
-        self._plan = plan_pass
         self._lanes = [0.0] * lanes
         self._allowed_share = allowed_share
         self._events: list[tuple[int, int, Callable[[int], None]]] = []
@@ -198,9 +189,8 @@
         began = process_time()
         oversee(self.cell, now_ms)
         budget_ms = sum(max(0.0, 700.0 + now_ms - free) for free in self._lanes)
-        self._plan(self.cell, now_ms, now_ms, budget_ms)
+        plan(self.cell, now_ms, now_ms, budget_ms)
         self.outcome.decisions_s += process_time() - began
-        self.outcome.passes += 1
         commands, self.cell.commands = self.cell.commands, []
         self.cell.notes.clear()
         self.cell.changed.clear()
@@ -208,7 +198,6 @@
             if isinstance(command, StartRun):
                 self._start(command.run, now_ms)
             elif isinstance(command, StopRun):
-                self.outcome.stops += 1
                 run = command.run
                 self._at(now_ms + ORDER_MS, lambda at, run=run: self._end(run, RunEnd.STOPPED, at))
             elif isinstance(command, AskAdvice):
@@ -234,9 +223,7 @@
         self._kick(now_ms)
 
     def _start(self, run: Run, now_ms: int) -> None:
-        job = run.task.job
         self.outcome.starts += 1
-        self.outcome.first_start_ms.setdefault(job.id, now_ms + ORDER_MS - job.received_ms)
         self._at(now_ms + ORDER_MS, lambda at, run=run: self._confirm(run, at))
 
     def _confirm(self, run: Run, now_ms: int) -> None:
--- a/tests/core/jobs/test_load_advised_gangs.py
+++ b/tests/core/jobs/test_load_advised_gangs.py
@@ -8,11 +8,9 @@
 import unittest
 from unittest.mock import patch
 
-from bench.cell_cost import HOLD, HOST, MATCH, RENDER, mix, queues
-from bench.cell_load import CellLoad, Outcome, arrivals, config, worker_infos
-from lagoonshelf_core.ids import TeamId
+from bench.cell_cost import HOLD, MATCH, RENDER, grown_cell, mix, teams
+from bench.cell_load import Outcome, arrivals
 from lagoonshelf_core.jobs import questions as policy_questions
-from lagoonshelf_core.jobs.config import Team
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
     ADVISED,
@@ -27,7 +25,7 @@
 )
 
 WORKERS = 176
-TEAMS = [Team(TeamId(f"t{number}"), 1_000.0) for number in range(20)]
+TEAMS = teams()
 LOAD_MS = 12_000
 END_MS = 45_000
 # Workers that a question named at most before it was sized by what a step needs.
@@ -36,10 +34,7 @@
 
 def _play(factor: float) -> Outcome:
     load = arrivals(mix(factor), [team.id for team in TEAMS], LOAD_MS, 5)
-    play = CellLoad(
-        config(queues(), TEAMS), worker_infos(WORKERS, HOST), lanes=45, allowed_share=0.45
-    )
-    return play.play(load, END_MS)
+    return grown_cell(TEAMS, WORKERS, 0.45).play(load, END_MS)
 
 
 class AdvisedGangsTest(unittest.TestCase):
--- a/tests/core/jobs/test_load_hot_team.py
+++ b/tests/core/jobs/test_load_hot_team.py
@@ -7,18 +7,18 @@
 import unittest
 from unittest.mock import patch
 
-from bench.cell_cost import HOLD, HOST, MATCH, RENDER, mix, queues
-from bench.cell_load import Arrival, CellLoad, arrivals, config, worker_infos
-from lagoonshelf_core.ids import QueueId, TeamId
+from bench.cell_cost import HOLD, MATCH, RENDER, grown_cell, mix, teams
+from bench.cell_load import Arrival, arrivals
+from lagoonshelf_core.ids import QueueId
 from lagoonshelf_core.jobs import planning
-from lagoonshelf_core.jobs.config import Queue, Team
+from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.progress import StepRun
 from lagoonshelf_core.jobs.ranking import Band, Rank, rank
 from lagoonshelf_core.jobs.room import RESERVE_PERMILLE
 
 WORKERS = 176
 RATE_PER_S = 4.0
-TEAMS = [Team(TeamId(f"t{number}"), RATE_PER_S) for number in range(20)]
+TEAMS = teams(RATE_PER_S)
 HOT = TEAMS[0].id
 LOAD_MS = 12_000
 END_MS = 40_000
@@ -27,16 +27,13 @@
 
 
 def _load() -> list[Arrival]:
-    teams = [team.id for team in TEAMS]
-    return arrivals(mix(1.6), teams + [HOT] * len(teams), LOAD_MS, 5)
+    members = [team.id for team in TEAMS]
+    return arrivals(mix(1.6), members + [HOT] * len(members), LOAD_MS, 5)
 
 
 def _served(load: list[Arrival]) -> dict[tuple[bool, QueueId], float]:
     """Return the share of jobs in time, of the hot team and of the others, by queue."""
-    play = CellLoad(
-        config(queues(), TEAMS), worker_infos(WORKERS, HOST), lanes=45, allowed_share=0.45
-    )
-    outcome = play.play(load, END_MS)
+    outcome = grown_cell(TEAMS, WORKERS, 0.45).play(load, END_MS)
     counts: dict[tuple[bool, QueueId], list[int]] = {}
     for row in load:
         count = counts.setdefault((row.spec.team == HOT, row.spec.queue), [0, 0])
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -26,6 +26,7 @@
 from tests.platform.standin.cluster import GRACE_S, Cluster, Process
 from tests.platform.standin.executors import CAPACITY
 from tests.platform.standin.http import Link
+from tests.platform.standin.store import CALL_S
 
 LOAD_S = 8.0
 JOBS_PER_S = 6.0
@@ -196,7 +197,7 @@
     async def _slow_store(self, for_s: float) -> None:
         self.cluster.store.slow_s = self.rng.uniform(0.05, 0.4)
         await asyncio.sleep(for_s)
-        self.cluster.store.slow_s = 0.004
+        self.cluster.store.slow_s = CALL_S
 
     async def _lose_history(self, for_s: float) -> None:
         self.cluster.store.forget_history()
@@ -232,9 +233,10 @@
             process.signal(signal.SIGCONT)
             if not process.is_running:
                 await process.start()
-        self.cluster.store.slow_s = 0.004
+        self.cluster.store.slow_s = CALL_S
         for executor in self.cluster.executors:
-            executor.proxy.link, executor.proxy.delay_s = Link.OPEN, 0.0
+            executor.set_link(Link.OPEN)
+            executor.proxy.delay_s = 0.0
 
     async def _settle(self) -> None:
         """Let callers ask until each accepted job has ended."""
--- a/tests/platform/standin/store.py
+++ b/tests/platform/standin/store.py
@@ -9,7 +9,9 @@
 from tests.platform.standin.http import Call, Reply, StubServer
 
 PAGE_ITEMS = 500
-WATCH_STEP_S = 0.05
+WATCH_STEP_S = 0.005
+# Time of an ordinary call.
+CALL_S = 0.004
 
 
 @dataclass(slots=True)
@@ -28,12 +30,11 @@
         self.server = StubServer(self._answer)
         self.entries: dict[str, _Entry] = {}
         self.revision = 100
-        self.slow_s = 0.004
+        self.slow_s = CALL_S
         self._events: list[tuple[int, str, dict]] = []
         self._first_kept = 0
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1
-        self._changed = asyncio.Condition()
 
     def put(self, key: str, value: object) -> None:
         """Write as the operator or an executor."""
@@ -123,7 +124,7 @@
             ]
             if found or asyncio.get_running_loop().time() >= ends:
                 return Reply(200, {"events": found, "at": self.revision})
-            await asyncio.sleep(WATCH_STEP_S / 10)
+            await asyncio.sleep(WATCH_STEP_S)
 
     def _transact(self, body: dict) -> Reply:
         for row in body["expected_revision"]:
--- a/tests/server/jobs/test_holder.py
+++ b/tests/server/jobs/test_holder.py
@@ -128,9 +128,7 @@
         spec = job()
         self._store(spec)
         await eventually(lambda: len(self.workers.started) == 1)
-        for name, entry in self.workers.workers.items():
-            for order in entry.late_starts:
-                self.workers.apply_start(name, order)
+        self.workers.deliver_late_starts()
         self.assertEqual(len(self.workers.started), 1)
 
     async def test_a_refusal_after_an_unanswered_start_is_not_believed(self) -> None:
@@ -142,9 +140,7 @@
             entry.refuse_starts = 1
         self._store(spec)
         await eventually(lambda: len(self.workers.started) == 1, 6.0)
-        for name, entry in self.workers.workers.items():
-            for order in entry.late_starts:
-                self.workers.apply_start(name, order)
+        self.workers.deliver_late_starts()
         self.assertEqual(len(self.workers.started), 1)
         self.workers.end_all()
         await eventually(lambda: holder.state(spec.id) is JobState.COMPLETE)
@@ -157,9 +153,7 @@
             entry.lose_starts = 3
         self._store(spec)
         await eventually(lambda: len(self.workers.started) == 1, 6.0)
-        for name, entry in self.workers.workers.items():
-            for order in entry.late_starts:
-                self.workers.apply_start(name, order)
+        self.workers.deliver_late_starts()
         self.assertEqual(len(self.workers.started), 1)
         self.workers.end_all()
         await eventually(lambda: holder.state(spec.id) is JobState.COMPLETE)
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -215,6 +215,12 @@
         self.started.append((name, order.task, order.attempt))
         return StartOutcome.STARTED
 
+    def deliver_late_starts(self) -> None:
+        """Carry out the starts whose answers were lost."""
+        for name, entry in self.workers.items():
+            for order in entry.late_starts:
+                self.apply_start(name, order)
+
     async def stop(
         self, worker: WorkerInfo, task: str, attempt: int, token: int, timeout_ms: int
     ) -> Answered:
