Take over the cell page by page; keep one record of an ended job

Cause: a successor read all submissions and all progress that were ever stored, at once, and began again when one page took longer than 1.2 s. The reading also went on after the lease was lost, and a process that could not finish claimed again at once. Change: the write of a final state deletes the job's other records; the ids stay in use as ended/ID. A takeover reads one prefix after the other, repeats a failed page alone, ends with its lease, and after a failure leaves the next claims to others. A job that is reported again after it has ended in an earlier term is not run again: reports carry the revision at which the job was stored.

--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -268,8 +268,21 @@
     return orjson.dumps(record)
 
 
+def encode_end(job: Job) -> bytes:
+    """Return the durable record of an ended job, which replaces all its other records."""
+    return orjson.dumps({"state": job.state.value, "ended_ms": job.ended_wall_ms})
+
+
+def decode_end_ms(data: bytes) -> int:
+    """Return the end of a job in its durable record, Unix milliseconds.
+
+    :raises ValueError: when the record cannot be read
+    """
+    return int(orjson.loads(data)["ended_ms"])
+
+
 def decode_state(data: bytes) -> JobState:
-    """Return the job state in a durable record of progress.
+    """Return the job state in a durable record of progress or of an ended job.
 
     :raises ValueError: when the record cannot be read
     """
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -1,7 +1,7 @@
 """Workers of one leader term: registry, sessions, and the record for a successor."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 
 import orjson
@@ -101,7 +101,7 @@
         ):
             self._hooks.spawn(coro)
 
-    def restore(self, registry: list[Item], used: Item | None) -> int:
+    def restore(self, registry: Sequence[Item], used: Item | None) -> int:
         """Add known workers; return when leases that a predecessor granted have lapsed."""
         now_ms = self._clock.now_ms()
         for item in registry:
--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -6,19 +6,18 @@
 from enum import Enum
 from functools import partial
 
-from returns.result import Failure
-
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import QueueId
 from lagoonshelf_core.jobs.progress import FINAL_STATES, JobState, decode_state
-from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job, encode_job
-from lagoonshelf_server.jobs.keys import cancel_key, job_key, progress_key
+from lagoonshelf_core.jobs.spec import JobId, JobSpec, encode_job
+from lagoonshelf_server.jobs.keys import cancel_key, ended_key, job_key, progress_key
 from lagoonshelf_server.jobs.ports import (
     ABSENT,
     Committed,
     Conflict,
     Put,
     Store,
+    StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
 )
@@ -50,15 +49,28 @@
 
     Each raises ``ConnectionError`` if the leader does not answer.
 
+    :param announce: reports a stored job with its record and the revision of its creation
     :param relay: lets another member write a job or, with an empty record, a cancellation
     """
 
-    announce: Callable[[JobSpec, str], Awaitable[None]]
+    announce: Callable[[JobId, str, StoreRevision], Awaitable[None]]
     announce_cancel: Callable[[JobId], Awaitable[None]]
     state: Callable[[JobId], Awaitable[JobState | None]]
     relay: Callable[[JobId, str], Awaitable[WriteOutcome]]
 
 
+@dataclass(frozen=True, slots=True)
+class JobWrite:
+    """Result of writing a job.
+
+    :param created: revision at which the job was stored, ``ABSENT`` if it has already ended or
+        is not known to be stored
+    """
+
+    outcome: WriteOutcome
+    created: StoreRevision = ABSENT
+
+
 class JobWriter:
     """Writes jobs and cancellations to the store, each exactly once."""
 
@@ -70,40 +82,58 @@
         self._store = store
         self._clock = clock
 
-    async def write_job(self, job: JobId, record: bytes, deadline_ms: int) -> WriteOutcome:
-        """Store a job unless its id is already stored.
+    async def write_job(self, job: JobId, record: bytes, deadline_ms: int) -> JobWrite:
+        """Store a job unless a job with its id is stored or has ended.
 
         :param deadline_ms: clock time at which to give up
         """
-        return await self._create(job_key(job), record, deadline_ms)
+        key = job_key(job)
+        # The record of a job is deleted when it ends, but its id stays in use.
+        conditions = {key: ABSENT, ended_key(job): ABSENT}
+        outcome, result = await self._create(conditions, key, record, deadline_ms)
+        if isinstance(result, Committed):
+            return JobWrite(outcome, result.revision)
+        if isinstance(result, Conflict):
+            stored = next((item for item in result.items if item.key == key), None)
+            return JobWrite(outcome, ABSENT if stored is None else stored.created)
+        return JobWrite(outcome)
 
     async def write_cancel(self, job: JobId, deadline_ms: int) -> WriteOutcome:
-        """Store the cancellation of a stored job."""
+        """Store the cancellation of a stored job; a job that has ended needs none."""
         try:
-            if await self._store.read(job_key(job)) is None:
-                return WriteOutcome.UNKNOWN_JOB
+            stored = await self._store.read(job_key(job))
+            if stored is None:
+                ended = await self._store.read(ended_key(job))
+                return WriteOutcome.UNKNOWN_JOB if ended is None else WriteOutcome.STORED
         except (StoreUnavailableError, StoreUncertainError):
             return WriteOutcome.UNAVAILABLE
-        return await self._create(cancel_key(job), b"{}", deadline_ms)
-
-    async def _create(self, key: str, value: bytes, deadline_ms: int) -> WriteOutcome:
+        key = cancel_key(job)
+        conditions = {job_key(job): stored.revision, key: ABSENT}
+        outcome, _ = await self._create(conditions, key, b"{}", deadline_ms)
+        return outcome
+
+    async def _create(
+        self, conditions: dict[str, StoreRevision], key: str, value: bytes, deadline_ms: int
+    ) -> tuple[WriteOutcome, Committed | Conflict | None]:
+        """Write a key under conditions that fail once it is written; a conflict is a success."""
         outcome = WriteOutcome.UNAVAILABLE
         while True:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
-                return outcome
+                return outcome, None
+            timeout_ms = min(WRITE_TIMEOUT_MS, left_ms)
             try:
                 result = await self._store.commit(
-                    {key: ABSENT}, [Put(key, value)], timeout_ms=min(WRITE_TIMEOUT_MS, left_ms)
+                    conditions, [Put(key, value)], timeout_ms=timeout_ms
                 )
                 if isinstance(result, Committed | Conflict):
-                    return WriteOutcome.STORED
+                    return WriteOutcome.STORED, result
             except StoreUncertainError:
                 # This attempt may still take effect, whatever later attempts return.
                 outcome = WriteOutcome.UNCERTAIN
             except StoreUnavailableError:
                 if outcome is WriteOutcome.UNAVAILABLE:
-                    return outcome
+                    return outcome, None
             await asyncio.sleep(RETRY_S)
 
 
@@ -120,7 +150,7 @@
         self._leader = leader
         self._final_states: dict[JobId, JobState] = {}
         self._tasks: set[asyncio.Task] = set()
-        self.writer = JobWriter(store, clock)
+        self._writer = JobWriter(store, clock)
         self.pending: dict[QueueId, int] = {}
         self.pending_at_ms = 0
 
@@ -131,25 +161,35 @@
         """
         record = encode_job(spec)
         deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
-        write = partial(self.writer.write_job, spec.id, record, deadline_ms)
+        write = partial(self.store_job, spec.id, record, deadline_ms)
         relay = partial(self._relay, spec.id, record.decode(), deadline_ms)
         written = await self._write_or_relay(write, relay)
-        if written is WriteOutcome.STORED:
-            self._spawn(self._leader.announce(spec, record.decode()))
         _log.info("job handed in", request=spec.id, queue=spec.queue, outcome=written.value)
         return written
 
     async def cancel(self, job: JobId, wait_ms: int) -> WriteOutcome:
         """Cancel a job; the cancellation is durable when this returns ``STORED``."""
         deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
-        write = partial(self.writer.write_cancel, job, deadline_ms)
+        write = partial(self.store_cancel, job, deadline_ms)
         relay = partial(self._relay, job, "", deadline_ms)
         written = await self._write_or_relay(write, relay)
-        if written is WriteOutcome.STORED:
-            self._spawn(self._leader.announce_cancel(job))
         _log.info("job cancellation requested", request=job, outcome=written.value)
         return written
 
+    async def store_job(self, job: JobId, record: bytes, deadline_ms: int) -> WriteOutcome:
+        """Store a job, here or for another member, and report it to the leader."""
+        written = await self._writer.write_job(job, record, deadline_ms)
+        if written.created != ABSENT:
+            self._spawn(self._leader.announce(job, record.decode(), written.created))
+        return written.outcome
+
+    async def store_cancel(self, job: JobId, deadline_ms: int) -> WriteOutcome:
+        """Store a cancellation, here or for another member, and report it to the leader."""
+        outcome = await self._writer.write_cancel(job, deadline_ms)
+        if outcome is WriteOutcome.STORED:
+            self._spawn(self._leader.announce_cancel(job))
+        return outcome
+
     async def state(self, job: JobId) -> JobState | None:
         """Return the state of a job, ``None`` if no such job is stored.
 
@@ -172,18 +212,23 @@
         return state
 
     async def _stored_state(self, job: JobId) -> JobState | None:
+        """Return the state in the store.
+
+        The final state is read first, as a late write may leave an older record behind, and again
+        at the end, as the job may have ended between the reads.
+        """
         try:
-            progress = await self._store.read(progress_key(job))
-            if progress is not None:
-                return decode_state(progress.value)
+            for key in (ended_key(job), progress_key(job)):
+                item = await self._store.read(key)
+                if item is not None:
+                    return decode_state(item.value)
             record = await self._store.read(job_key(job))
+            if record is None:
+                ended = await self._store.read(ended_key(job))
+                return None if ended is None else decode_state(ended.value)
         except StoreUncertainError as exc:
             raise StoreUnavailableError(str(exc)) from exc
-        if record is None:
-            return None
-        result = decode_job(record.value)
-        if not isinstance(result, Failure):
-            self._spawn(self._leader.announce(result.unwrap(), record.value.decode()))
+        self._spawn(self._leader.announce(job, record.value.decode(), record.created))
         return JobState.QUEUED
 
     async def _write_or_relay(
--- a/packages/server/lagoonshelf_server/jobs/job_watcher.py
+++ b/packages/server/lagoonshelf_server/jobs/job_watcher.py
@@ -11,6 +11,7 @@
     HistoryLostError,
     Item,
     Store,
+    StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
 )
@@ -30,18 +31,19 @@
     def __init__(
         self,
         store: Store,
-        accept: Callable[[JobSpec], object],
+        accept: Callable[[JobSpec, StoreRevision], object],
         cancel: Callable[[JobId], None],
     ) -> None:
         """Set up.
 
-        :param accept: called with each stored job, including known ones
+        :param accept: called with each stored job, including known ones, and the revision of its
+            creation
         :param cancel: called with the id of each cancelled job
         """
         self._store = store
         self._accept = accept
         self._cancel = cancel
-        self.revision = 0
+        self.revision = StoreRevision(0)
 
     async def watch(self) -> None:
         """Watch from ``revision`` on until cancelled."""
@@ -77,7 +79,7 @@
             self._cancel(cancelled)
         spec = read_job(item)
         if spec is not None:
-            self._accept(spec)
+            self._accept(spec, item.created)
 
 
 def read_job(item: Item) -> JobSpec | None:
--- a/packages/server/lagoonshelf_server/jobs/keys.py
+++ b/packages/server/lagoonshelf_server/jobs/keys.py
@@ -11,6 +11,8 @@
 JOB_PREFIX = "in/job/"
 CANCEL_PREFIX = "in/cancel/"
 PROGRESS_PREFIX = "progress/"
+# Final states; the other records of a job are deleted when it ends.
+ENDED_PREFIX = "ended/"
 
 
 def job_key(job: JobId) -> str:
@@ -26,3 +28,8 @@
 def progress_key(job: JobId) -> str:
     """Return the key of the record of a job's progress."""
     return PROGRESS_PREFIX + job
+
+
+def ended_key(job: JobId) -> str:
+    """Return the key of the record of an ended job."""
+    return ENDED_PREFIX + job
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -16,28 +16,25 @@
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.dispatcher import Dispatcher
 from lagoonshelf_server.jobs.fleet import Fleet, FleetHooks, FleetPorts
-from lagoonshelf_server.jobs.job_watcher import JobWatcher, read_cancel, read_job
-from lagoonshelf_server.jobs.keys import PROGRESS_PREFIX, SUBMISSION_PREFIX, USED_WORKERS
+from lagoonshelf_server.jobs.job_watcher import JobWatcher
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.maintenance import Maintenance
 from lagoonshelf_server.jobs.ports import (
+    ABSENT,
     Item,
     MachinePort,
     PlatformCodec,
     Store,
-    StoreUnavailableError,
-    StoreUncertainError,
+    StoreRevision,
     WorkerPort,
 )
 from lagoonshelf_server.jobs.progress_writer import ProgressWriter
+from lagoonshelf_server.jobs.retention import JobRetention
+from lagoonshelf_server.jobs.takeover import ITEMS_PER_TURN, CellState, read_cell_state
 from lagoonshelf_server.logs import logger
 
-RETRY_S = 0.1
 # Events that arrive within this time are handled by a single scheduling pass.
 PASS_DELAY_S = 0.003
-# Clients are promised the state of a job for 120 s after its end.
-JOB_RETENTION_MS = 150_000
-DELETE_INTERVAL_S = 10.0
 # Longest wait for a start to be recorded before checking for a store outage.
 RECORD_TIMEOUT_S = 0.15
 OUTAGE_RECORD_TIMEOUT_S = 0.02
@@ -86,43 +83,63 @@
         self.dispatcher = Dispatcher(
             self.cell, ports.workers, leader_lease, clock, sessions, self.request_pass
         )
+        self._loaded_revision = ABSENT
         self.is_ready = False
 
     async def run(self) -> None:
         """Take over and lead the cell until the lease is lost."""
+        lost = asyncio.ensure_future(self._leader_lease.lost.wait())
+        term = self._spawn(self._lead())
         try:
-            self._spawn(self._stop_when_lost())
-            started_ms = self._clock.now_ms()
-            await self._take_over()
-            self.is_ready = True
-            _log.info(
-                "holder ready",
-                seat=self._leader_lease.revision,
-                jobs=len(self.cell.jobs),
-                live=len(self.cell.live_jobs),
-                workers=len(self.cell.workers),
-                took_ms=self._clock.now_ms() - started_ms,
-            )
-            self._spawn(self.progress_writer.run())
-            self._spawn(self._job_watcher.watch())
-            self._fleet.start()
-            self._spawn(self._delete_old_jobs())
-            self._spawn(self._report())
-            if self._machines is not None:
-                args = (self.cell, self._store, self._machines, self._codec)
-                self._spawn(Maintenance(*args, self._leader_lease, self._clock).run())
-            await self._plan_loop()
+            await asyncio.wait((lost, term), return_when=asyncio.FIRST_COMPLETED)
         finally:
+            if not self.is_ready:
+                self._leader_lease.record_failed_takeover()
             self.is_ready = False
+            lost.cancel()
             for task in list(self._tasks):
                 task.cancel()
 
+    async def _lead(self) -> None:
+        started_ms = self._clock.now_ms()
+        state = await read_cell_state(self._store, self._codec.registry_prefix)
+        await self._restore(state)
+        self.is_ready = True
+        self._leader_lease.record_takeover()
+        _log.info(
+            "holder ready",
+            seat=self._leader_lease.revision,
+            jobs=len(self.cell.jobs),
+            live=len(self.cell.live_jobs),
+            workers=len(self.cell.workers),
+            took_ms=self._clock.now_ms() - started_ms,
+        )
+        self._spawn(self.progress_writer.run())
+        self._spawn(self._job_watcher.watch())
+        self._fleet.start()
+        retention = JobRetention(
+            self._store, self.progress_writer, self._clock, self._forget_ended_job
+        )
+        self._spawn(retention.run(state.orphans))
+        self._spawn(self._report())
+        if self._machines is not None:
+            args = (self.cell, self._store, self._machines, self._codec)
+            self._spawn(Maintenance(*args, self._leader_lease, self._clock).run())
+        await self._plan_loop()
+
     def request_pass(self) -> None:
         """Request a scheduling pass soon."""
         self._pass_requested.set()
 
-    def accept(self, spec: JobSpec) -> Job:
-        """Add a stored job."""
+    def accept(self, spec: JobSpec, created: StoreRevision) -> Job | None:
+        """Add a stored job; return ``None`` if it has ended in an earlier term.
+
+        :param created: revision at which its record was stored
+        """
+        if spec.id not in self.cell.jobs and created <= self._loaded_revision:
+            # The takeover found no record of it any more, and only ended jobs lose theirs.
+            _log.info("ended job reported again", request=spec.id, created=created)
+            return None
         job = self.cell.accept(spec, self._clock.now_ms())
         self.request_pass()
         return job
@@ -146,40 +163,19 @@
         """
         return self.is_ready and self._leader_lease.may_dispatch()
 
-    async def _take_over(self) -> None:
-        while True:
-            try:
-                await self._load_state()
-                return
-            except (StoreUnavailableError, StoreUncertainError) as exc:
-                _log.info("takeover is waiting for the store", reason=str(exc))
-                await asyncio.sleep(RETRY_S)
-
-    async def _load_state(self) -> None:
-        submissions, progress, registry, used = await asyncio.gather(
-            self._store.read_all(SUBMISSION_PREFIX),
-            self._store.read_all(PROGRESS_PREFIX),
-            self._store.read_all(self._codec.registry_prefix),
-            self._store.read(USED_WORKERS),
-        )
-        self._job_watcher.revision = submissions[1]
-        lapse_ms = self._fleet.restore(registry[0], used)
-        self._restore_jobs(submissions[0], progress[0])
+    async def _restore(self, state: CellState) -> None:
+        self._loaded_revision = self._job_watcher.revision = state.revision
+        lapse_ms = self._fleet.restore(state.registry, state.used_workers)
+        now_ms = self._clock.now_ms()
+        for number, spec in enumerate(state.jobs):
+            if number % ITEMS_PER_TURN == 0:
+                await asyncio.sleep(0)
+            self._restore_job(spec, state.progress.get(spec.id), now_ms)
+        for job in state.cancelled:
+            self.cancel(job)
         self._fleet.add_unverified_runs(lapse_ms)
         await self._fleet.write_used()
 
-    def _restore_jobs(self, submissions: list[Item], progress: list[Item]) -> None:
-        now_ms = self._clock.now_ms()
-        records = {item.key.removeprefix(PROGRESS_PREFIX): item for item in progress}
-        for item in submissions:
-            spec = read_job(item)
-            if spec is not None:
-                self._restore_job(spec, records.get(spec.id), now_ms)
-        for item in submissions:
-            cancelled = read_cancel(item)
-            if cancelled is not None:
-                self.cancel(cancelled)
-
     def _restore_job(self, spec: JobSpec, record: Item | None, now_ms: int) -> None:
         waited_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
         progress = None if record is None else record.value
@@ -192,13 +188,9 @@
             return
         if record is not None:
             self.progress_writer.load_record(spec.id, record.revision, job.state)
-
-    async def _stop_when_lost(self) -> None:
-        await self._leader_lease.lost.wait()
-        for task in list(self._tasks):
-            if task is not asyncio.current_task():
-                task.cancel()
-        self.request_pass()
+        if job.is_final:
+            # Its final state was written by an earlier version, which kept all records.
+            self.progress_writer.add({job})
 
     async def _plan_loop(self) -> None:
         while self._leader_lease.is_held:
@@ -272,23 +264,9 @@
             job_metrics.live_jobs.set({}, len(self.cell.live_jobs))
             _log.info("cell", **fields)
 
-    async def _delete_old_jobs(self) -> None:
-        """Delete the records of jobs whose retention time is over."""
-        while True:
-            await asyncio.sleep(DELETE_INTERVAL_S)
-            limit_ms = self._clock.wall_ms() - JOB_RETENTION_MS
-            old = [
-                job.id
-                for job in self.cell.jobs.values()
-                if job.is_final and 0 < job.ended_wall_ms < limit_ms
-            ]
-            try:
-                await self.progress_writer.delete_records(old)
-            except (StoreUnavailableError, StoreUncertainError) as exc:
-                _log.info("old jobs not deleted", reason=str(exc))
-                continue
-            for job_id in old:
-                self.cell.remove_job(job_id)
+    def _forget_ended_job(self, job: JobId) -> None:
+        self.progress_writer.forget(job)
+        self.cell.remove_job(job)
 
     def _spawn(self, coro: Coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(self._guard(coro))
--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -39,6 +39,11 @@
 # A leader that cannot reach the store keeps working this long, which covers an ordinary outage.
 MAX_OUTAGE_MS = 6_500
 
+# After a term that ended before its takeover was complete, a process leaves the next claims to
+# others for this long, and for twice as long after each further one.
+FAILED_TAKEOVER_DELAY_MS = 600
+MAX_TAKEOVER_DELAY_MS = 5_000
+
 # Value of the key after a leader has released the lease.
 NO_MEMBER = MemberId("")
 
@@ -87,6 +92,7 @@
         self.renewed_ms = 0
         self.acquired_ms = 0
         self.claim_delay_ms = 0
+        self._failed_takeovers = 0
         self.predecessor_is_dead = False
         self.is_outage: Callable[[], bool] = lambda: False
         self.acquired = asyncio.Event()
@@ -134,9 +140,30 @@
                 continue
             now_ms = self._clock.now_ms()
             claimable_since_ms = now_ms if claimable_since_ms is None else claimable_since_ms
-            if now_ms - claimable_since_ms >= self.claim_delay_ms:
+            if now_ms - claimable_since_ms >= self._total_claim_delay_ms():
                 await self._try_claim()
 
+    def record_takeover(self) -> None:
+        """Record that this process has taken over the cell."""
+        self._failed_takeovers = 0
+
+    def record_failed_takeover(self) -> None:
+        """Record a term that ended before the cell was taken over."""
+        self._failed_takeovers += 1
+        _log.warning(
+            "takeover not completed",
+            seat=self.revision,
+            times=self._failed_takeovers,
+            next_claim_after_ms=self._total_claim_delay_ms(),
+        )
+
+    def _total_claim_delay_ms(self) -> int:
+        """Return how long the lease must be claimable before this process claims it."""
+        if not self._failed_takeovers:
+            return self.claim_delay_ms
+        delay_ms = FAILED_TAKEOVER_DELAY_MS * 2 ** (self._failed_takeovers - 1)
+        return self.claim_delay_ms + min(delay_ms, MAX_TAKEOVER_DELAY_MS)
+
     async def renew(self) -> None:
         """Renew the lease while it is held; run for the life of the process."""
         while True:
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -10,7 +10,7 @@
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId, QueueId, WorkerId
 from lagoonshelf_core.jobs.progress import JobState
-from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job
+from lagoonshelf_core.jobs.spec import JobId, decode_job
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.heartbeats import (
     LEADER_CORES_MILLI,
@@ -28,6 +28,7 @@
     Committed,
     NoAnswerError,
     Put,
+    StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
 )
@@ -198,20 +199,20 @@
             raise ConnectionError("this process is not ready to lead the cell")
         return await self._net.call(record.address, kind, body, timeout_s)
 
-    async def _announce(self, spec: JobSpec, record: str) -> None:
+    async def _announce(self, job: JobId, record: str, created: StoreRevision) -> None:
+        body = JobRecord(job, record, created)
         for _ in range(ANNOUNCE_ATTEMPTS):
             leader = self._leader
             if leader is not None and leader.is_ready:
-                leader.accept(spec)
+                _accept_record(leader, body)
                 return
             try:
-                body = JobRecord(spec.id, record)
                 reply = await self._call_leader("jobAccepted", body, ANNOUNCE_TIMEOUT_S)
                 if isinstance(reply, Ack) and reply.code == ResultCode.DONE.number:
                     return
             except (ConnectionError, PeerLostError) as exc:
                 _log.debug(
-                    "accepted job not announced to the leader", request=spec.id, reason=str(exc)
+                    "accepted job not announced to the leader", request=job, reason=str(exc)
                 )
             await asyncio.sleep(RETRY_S)
 
@@ -312,10 +313,7 @@
             state = leader.state(JobId(body.job))
             return "jobState", JobStateReply(True, "" if state is None else state.value)
         if kind == "jobAccepted":
-            result = decode_job(body.record.encode())
-            if isinstance(result, Failure):
-                raise LagoonshelfError(result.failure())
-            leader.accept(result.unwrap())
+            _accept_record(leader, body)
         elif kind == "jobCancelled":
             leader.cancel(JobId(body.job))
         else:
@@ -331,13 +329,24 @@
         return Advice(True, tuple(Permit(name, text) for name, text in permits.items()))
 
     async def _on_relay(self, body: JobRecord | JobRef) -> Relayed:
-        """Write for a member that cannot reach the store; it informs the leader itself."""
+        """Write for a member that cannot reach the store."""
         deadline_ms = self._clock.now_ms() + RELAY_WRITE_MS
         job = JobId(body.job)
         if isinstance(body, JobRecord):
             record = body.record.encode()
-            written = await self.job_api.writer.write_job(job, record, deadline_ms)
+            written = await self.job_api.store_job(job, record, deadline_ms)
         else:
-            written = await self.job_api.writer.write_cancel(job, deadline_ms)
+            written = await self.job_api.store_cancel(job, deadline_ms)
         _log.info("relayed", request=job, outcome=written.value)
         return Relayed(written.value)
+
+
+def _accept_record(leader: Leader, body: JobRecord) -> None:
+    """Pass a stored job on to the leader.
+
+    :raises LagoonshelfError: if the record cannot be decoded
+    """
+    result = decode_job(body.record.encode())
+    if isinstance(result, Failure):
+        raise LagoonshelfError(result.failure())
+    leader.accept(result.unwrap(), StoreRevision(body.created))
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -71,6 +71,18 @@
     items: tuple[Item, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Some of the items under a prefix, in the order of their keys.
+
+    :param revision: revision of the store when the page was read
+    """
+
+    items: tuple[Item, ...]
+    revision: StoreRevision
+    has_more: bool
+
+
 class Store(Protocol):
     """The platform's key-value store.
 
@@ -83,6 +95,12 @@
     async def read_all(self, prefix: str, *, stale: bool = False) -> tuple[list[Item], int]:
         """Return the items under a prefix and the revision to watch from."""
 
+    async def read_page(self, prefix: str, after: str, *, stale: bool = False) -> Page:
+        """Return the items under a prefix that follow a key, as many as fit into one response.
+
+        :param after: last key of the previous page, empty for the first one
+        """
+
     async def watch(
         self, prefix: str, after: int, wait_ms: int
     ) -> tuple[list[Change], StoreRevision]:
--- a/packages/server/lagoonshelf_server/jobs/progress_writer.py
+++ b/packages/server/lagoonshelf_server/jobs/progress_writer.py
@@ -1,11 +1,22 @@
-"""Group commit of job progress, on condition that this process still holds the leader lease."""
+"""Group commit of job progress, on condition that this process still holds the leader lease.
+
+The write of a final state replaces all other records of the job, so that what a successor has to
+read does not grow with the number of jobs that have ended.
+"""
 
 import asyncio
 from contextlib import suppress
+from dataclasses import dataclass
 
-from lagoonshelf_core.jobs.progress import Job, JobState, encode_progress
+from lagoonshelf_core.jobs.progress import Job, JobState, encode_end, encode_progress
 from lagoonshelf_core.jobs.spec import JobId
-from lagoonshelf_server.jobs.keys import LEADER_KEY, cancel_key, job_key, progress_key
+from lagoonshelf_server.jobs.keys import (
+    LEADER_KEY,
+    cancel_key,
+    ended_key,
+    job_key,
+    progress_key,
+)
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.ports import (
     ABSENT,
@@ -18,8 +29,10 @@
 )
 from lagoonshelf_server.logs import logger
 
-# A store transaction has at most 32 entries: one for the leader lease and two per job.
-MAX_JOBS_PER_COMMIT = 15
+# Entries that the store accepts in one transaction.
+MAX_ENTRIES = 32
+# Jobs in one transaction, apart from ended ones: each has a condition and a record.
+MAX_JOBS_PER_BATCH = (MAX_ENTRIES - 1) // 2
 # Starts and final states wait for their record, so they are written soon; other progress is
 # batched for longer to save store calls.
 URGENT_BATCH_DELAY_S = 0.006
@@ -33,6 +46,27 @@
 _log = logger("ledger")
 
 
+@dataclass(frozen=True, slots=True)
+class _Write:
+    """Entries of a transaction that make the current state of one job durable."""
+
+    job: JobId
+    state: JobState
+    conditions: dict[str, int]
+    put: Put
+    deletes: tuple[str, ...] = ()
+
+    @property
+    def entries(self) -> int:
+        """Return the number of entries in the transaction."""
+        return len(self.conditions) + 1 + len(self.deletes)
+
+    @property
+    def is_end(self) -> bool:
+        """Return whether it replaces the records of the job by its final state."""
+        return self.put.key == ended_key(self.job)
+
+
 class ProgressWriter:
     """Writes the progress of changed jobs and tracks what is durable."""
 
@@ -45,6 +79,7 @@
         # Version at which each job was first added after its last durable write started.
         self._dirty_since: dict[JobId, int] = {}
         self._revisions: dict[JobId, int] = {}
+        self._ended: set[JobId] = set()
         self._commit_starts: list[float] = []
         self._wake = asyncio.Event()
         self._urgent = asyncio.Event()
@@ -59,6 +94,8 @@
 
     def add(self, jobs: set[Job], *, is_urgent: bool = True) -> None:
         """Queue the current progress of jobs for writing."""
+        # Nothing that happens to a job after its final state is durable has to be kept.
+        jobs = {job for job in jobs if job.id not in self._ended}
         if not jobs:
             return
         self._version += 1
@@ -114,7 +151,7 @@
     def _next_batch(self) -> list[Job]:
         """Remove and return queued jobs that are not being written."""
         free = [job for name, job in self._waiting.items() if name not in self._writing]
-        batch = free[:MAX_JOBS_PER_COMMIT]
+        batch = free[:MAX_JOBS_PER_BATCH]
         for job in batch:
             del self._waiting[job.id]
             self._writing.add(job.id)
@@ -129,7 +166,12 @@
             self._dirty_since[job.id] = min(
                 self._dirty_since.get(job.id, started_version), started_version
             )
-        while not await self._write(batch):
+        pending = batch
+        while pending := [job for job in pending if job.id not in self._ended]:
+            writes = self._plan_writes(pending)
+            if await self._write(writes):
+                pending = pending[len(writes) :]
+                continue
             if not self._leader_lease.is_held:
                 return
             await asyncio.sleep(RETRY_S)
@@ -144,46 +186,87 @@
                 self._dirty_since.pop(job.id, None)
         self._written.set()
 
-    async def delete_records(self, jobs: list[JobId]) -> None:
-        """Delete the records of ended jobs."""
-        for job in jobs:
-            deletes = [job_key(job), cancel_key(job), progress_key(job)]
+    async def delete(self, keys: list[str]) -> bool:
+        """Delete records that are no longer needed; return whether this process still leads."""
+        for start in range(0, len(keys), MAX_ENTRIES - 1):
+            some = keys[start : start + MAX_ENTRIES - 1]
             result = await self._store.commit(
-                {LEADER_KEY: self._leader_lease.revision}, deletes=deletes
+                {LEADER_KEY: self._leader_lease.revision}, deletes=some
             )
-            if isinstance(result, Committed):
-                self._revisions.pop(job, None)
-                self.durable_states.pop(job, None)
-
-    async def _write(self, batch: list[Job]) -> bool:
-        """Write one batch; return whether it is durable."""
-        states = [job.state for job in batch]
-        puts = [Put(progress_key(job.id), encode_progress(job)) for job in batch]
+            if not isinstance(result, Committed):
+                return False
+        return True
+
+    def forget(self, job: JobId) -> None:
+        """Forget an ended job whose record has been deleted."""
+        self._ended.discard(job)
+        self.durable_states.pop(job, None)
+
+    def _plan_writes(self, jobs: list[Job]) -> list[_Write]:
+        """Return the writes of the first of some jobs, as many as fit into one transaction."""
+        writes: list[_Write] = []
+        entries = 1  # the condition on the leader lease
+        for job in jobs:
+            write = self._plan_write(job)
+            entries += write.entries
+            if entries > MAX_ENTRIES:
+                break
+            writes.append(write)
+        return writes
+
+    def _plan_write(self, job: Job) -> _Write:
+        """Return the write that makes the current state of a job durable."""
+        revision = self._revisions.get(job.id, ABSENT)
+        conditions = {progress_key(job.id): revision}
+        if not job.is_final:
+            put = Put(progress_key(job.id), encode_progress(job))
+            return _Write(job.id, job.state, conditions, put)
+        # The condition on the final state shows whether an unanswered attempt took effect.
+        conditions[ended_key(job.id)] = ABSENT
+        deletes = [job_key(job.id)]
+        if revision != ABSENT:
+            deletes.append(progress_key(job.id))
+        if job.state is JobState.CANCELLED:
+            deletes.append(cancel_key(job.id))
+        put = Put(ended_key(job.id), encode_end(job))
+        return _Write(job.id, job.state, conditions, put, tuple(deletes))
+
+    async def _write(self, writes: list[_Write]) -> bool:
+        """Write in one transaction; return whether it is durable."""
         conditions: dict[str, int] = {LEADER_KEY: self._leader_lease.revision}
-        for job in batch:
-            conditions[progress_key(job.id)] = self._revisions.get(job.id, ABSENT)
+        for write in writes:
+            conditions.update(write.conditions)
+        puts = [write.put for write in writes]
+        deletes = [key for write in writes for key in write.deletes]
         try:
-            result = await self._store.commit(conditions, puts)
+            result = await self._store.commit(conditions, puts, deletes)
         except (StoreUnavailableError, StoreUncertainError) as exc:
-            _log.info("progress not written", jobs=len(batch), reason=str(exc))
+            _log.info("progress not written", jobs=len(writes), reason=str(exc))
             return False
         if isinstance(result, Conflict):
-            return self._resolve_conflict(batch, states, puts, result)
+            return self._resolve_conflict(writes, result)
         if result is None:
             return False
-        for job, state in zip(batch, states, strict=True):
-            self._revisions[job.id] = result.revision
-            self.durable_states[job.id] = state
+        for write in writes:
+            self._record_write(write, result.revision)
         return True
 
-    def _resolve_conflict(
-        self, batch: list[Job], states: list[JobState], puts: list[Put], conflict: Conflict
-    ) -> bool:
+    def _record_write(self, write: _Write, revision: int) -> None:
+        """Record that a write is durable.
+
+        :param revision: revision of the job's progress record
+        """
+        self.durable_states[write.job] = write.state
+        if write.is_end:
+            self._revisions.pop(write.job, None)
+            self._ended.add(write.job)
+        else:
+            self._revisions[write.job] = revision
+
+    def _resolve_conflict(self, writes: list[_Write], conflict: Conflict) -> bool:
         """Return whether the conflict shows that an earlier attempt took effect.
 
         Stop leading if it shows that another process holds the leader lease.
-
-        :param states: states of the jobs when the records were encoded
         """
         found = {item.key: item for item in conflict.items}
         leader_item = found.get(LEADER_KEY)
@@ -192,13 +275,23 @@
                 self._leader_lease.observe_revision(leader_item.revision)
             return False
         took_effect = True
-        for job, put in zip(batch, puts, strict=True):
-            item = found.get(put.key)
-            self._revisions[job.id] = ABSENT if item is None else item.revision
-            took_effect = took_effect and item is not None and item.value == put.value
+        for write in writes:
+            progress = found.get(progress_key(write.job))
+            self._revisions[write.job] = ABSENT if progress is None else progress.revision
+            item = found.get(write.put.key)
+            if item is None:
+                took_effect = False
+            elif write.is_end:
+                # Only the leader writes final states, so an existing one is that of this job.
+                self._record_write(write, ABSENT)
+            else:
+                took_effect = took_effect and item.value == write.put.value
         if not took_effect:
-            _log.info("progress record differs from the write", jobs=[job.id for job in batch])
+            _log.info(
+                "progress record differs from the write", jobs=[write.job for write in writes]
+            )
             return False
-        for job, state in zip(batch, states, strict=True):
-            self.durable_states[job.id] = state
+        for write in writes:
+            if not write.is_end:
+                self.durable_states[write.job] = write.state
         return True
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/retention.py
@@ -0,0 +1,73 @@
+"""Deletion of records that are no longer needed: ended jobs, and remains of interrupted writes."""
+
+import asyncio
+from collections.abc import Callable
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.jobs.progress import decode_end_ms
+from lagoonshelf_core.jobs.spec import JobId
+from lagoonshelf_server.jobs.keys import ENDED_PREFIX
+from lagoonshelf_server.jobs.ports import Item, Store, StoreUnavailableError, StoreUncertainError
+from lagoonshelf_server.jobs.progress_writer import ProgressWriter
+from lagoonshelf_server.logs import logger
+
+# Clients are promised the state of a job for 120 s after its end.
+RETENTION_MS = 150_000
+SWEEP_INTERVAL_S = 60.0
+# Pause between two pages, as a sweep is never urgent.
+PAGE_PAUSE_S = 0.2
+
+_log = logger("retention")
+
+
+class JobRetention:
+    """Sweeps the records of ended jobs, also those that former leaders wrote."""
+
+    def __init__(
+        self,
+        store: Store,
+        progress_writer: ProgressWriter,
+        clock: Clock,
+        on_removed: Callable[[JobId], None],
+    ) -> None:
+        """Set up.
+
+        :param on_removed: called with each job whose record was deleted
+        """
+        self._store = store
+        self._progress_writer = progress_writer
+        self._clock = clock
+        self._on_removed = on_removed
+
+    async def run(self, orphans: tuple[str, ...]) -> None:
+        """Delete some orphaned records, then sweep until cancelled."""
+        try:
+            await self._progress_writer.delete(list(orphans))
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            _log.info("orphaned records not deleted", records=len(orphans), reason=str(exc))
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            try:
+                await self._sweep()
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                _log.info("ended jobs not swept", reason=str(exc))
+
+    async def _sweep(self) -> None:
+        after, has_more = "", True
+        while has_more:
+            page = await self._store.read_page(ENDED_PREFIX, after, stale=True)
+            has_more = page.has_more
+            after = page.items[-1].key if page.items else after
+            old = [item.key for item in page.items if self._is_old(item)]
+            if await self._progress_writer.delete(old):
+                for key in old:
+                    self._on_removed(JobId(key.removeprefix(ENDED_PREFIX)))
+            await asyncio.sleep(PAGE_PAUSE_S)
+
+    def _is_old(self, item: Item) -> bool:
+        try:
+            ended_ms = decode_end_ms(item.value)
+        except (KeyError, TypeError, ValueError) as exc:
+            _log.error("record of an ended job unreadable", key=item.key, reason=repr(exc))
+            return True
+        return ended_ms < self._clock.wall_ms() - RETENTION_MS
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/takeover.py
@@ -0,0 +1,124 @@
+"""Reading of the cell's state at the start of a leader term."""
+
+import asyncio
+from dataclasses import dataclass
+
+from lagoonshelf_core.jobs.spec import JobId, JobSpec
+from lagoonshelf_server.jobs.job_watcher import read_cancel, read_job
+from lagoonshelf_server.jobs.keys import PROGRESS_PREFIX, SUBMISSION_PREFIX, USED_WORKERS
+from lagoonshelf_server.jobs.ports import (
+    ABSENT,
+    Item,
+    Store,
+    StoreRevision,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from lagoonshelf_server.logs import logger
+
+RETRY_S = 0.1
+# Items that are decoded before other tasks of the process, such as the renewal of the leader
+# lease, get a turn.
+ITEMS_PER_TURN = 50
+
+_log = logger("takeover")
+
+
+@dataclass(frozen=True, slots=True)
+class CellState:
+    """State of the cell in the store.
+
+    :param revision: revision of the store when the reading of the jobs began
+    :param orphans: keys of progress records and cancellations whose jobs have ended
+    """
+
+    revision: StoreRevision
+    jobs: tuple[JobSpec, ...]
+    progress: dict[JobId, Item]
+    cancelled: tuple[JobId, ...]
+    orphans: tuple[str, ...]
+    registry: tuple[Item, ...]
+    used_workers: Item | None
+
+
+class PrefixReader:
+    """Reads the items under a prefix page by page.
+
+    A failed call is repeated for its page only, so that reading ends however large the state is
+    and however slow the link.
+    """
+
+    def __init__(self, store: Store, prefix: str) -> None:
+        """Set up without reading."""
+        self._store = store
+        self._prefix = prefix
+        self.items: list[Item] = []
+        self.revision = ABSENT
+
+    async def read(self) -> list[Item]:
+        """Return all items; ``revision`` is that of the first page."""
+        after, pages = "", 0
+        while True:
+            try:
+                page = await self._store.read_page(self._prefix, after)
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                _log.info(
+                    "takeover is waiting for the store",
+                    prefix=self._prefix,
+                    items=len(self.items),
+                    reason=str(exc),
+                )
+                await asyncio.sleep(RETRY_S)
+                continue
+            if not pages:
+                self.revision = page.revision
+            pages += 1
+            self.items += page.items
+            if not page.has_more:
+                return self.items
+            after = page.items[-1].key
+
+
+async def read_cell_state(store: Store, registry_prefix: str) -> CellState:
+    """Read the state of the cell, however long it takes.
+
+    The prefixes are read one after the other, which leaves room on a small link for the renewal of
+    the leader lease.
+    """
+    registry = await PrefixReader(store, registry_prefix).read()
+    used_workers = await _read(store, USED_WORKERS)
+    submissions = PrefixReader(store, SUBMISSION_PREFIX)
+    stored = await submissions.read()
+    progress = await PrefixReader(store, PROGRESS_PREFIX).read()
+    jobs: dict[JobId, JobSpec] = {}
+    cancelled: dict[JobId, str] = {}
+    for number, item in enumerate(stored):
+        if number % ITEMS_PER_TURN == 0:
+            await asyncio.sleep(0)
+        spec = read_job(item)
+        if spec is not None:
+            jobs[spec.id] = spec
+        cancelled_job = read_cancel(item)
+        if cancelled_job is not None:
+            cancelled[cancelled_job] = item.key
+    records = {JobId(item.key.removeprefix(PROGRESS_PREFIX)): item for item in progress}
+    orphans = [item.key for job, item in records.items() if job not in jobs]
+    orphans += [key for job, key in cancelled.items() if job not in jobs]
+    return CellState(
+        submissions.revision,
+        tuple(jobs.values()),
+        records,
+        tuple(job for job in cancelled if job in jobs),
+        tuple(orphans),
+        tuple(registry),
+        used_workers,
+    )
+
+
+async def _read(store: Store, key: str) -> Item | None:
+    while True:
+        try:
+            return await store.read(key)
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            _log.info("takeover is waiting for the store", key=key, reason=str(exc))
+            await asyncio.sleep(RETRY_S)
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -281,10 +281,14 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRecord:
-    """Durable record of a job that has been stored or is to be stored."""
+    """Durable record of a job that has been stored or is to be stored.
+
+    :param created: store revision at which the record was created, 0 if it is not stored yet
+    """
 
     job: str
     record: str
+    created: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -222,6 +222,7 @@
 struct JobRecord {
   job @0 :Text;
   record @1 :Text;
+  created @2 :Int64;
 }
 
 struct JobRef {
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -16,6 +16,7 @@
     Item,
     Listing,
     NoAnswerError,
+    Page,
     Put,
     StartOutcome,
     StartRequest,
@@ -45,6 +46,8 @@
         self.lose_answers = 0
         self.late: list = []
         self.commits = 0
+        self.pages_read = 0
+        self.page_items = 500
         self.grants = 0
         self._next_lease = 1
         self.ended_leases: set[StoreLease] = set()
@@ -69,6 +72,17 @@
         found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
         return found, self.revision
 
+    async def read_page(self, prefix: str, after: str, *, stale: bool = False) -> Page:
+        await self._pause()
+        self.pages_read += 1
+        found = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix) and key > after
+        ]
+        page = tuple(found[: self.page_items])
+        return Page(page, StoreRevision(self.revision), len(found) > len(page))
+
     async def watch(
         self, prefix: str, after: int, wait_ms: int
     ) -> tuple[list[Change], StoreRevision]:
