Make the leader cheaper: heartbeats, placement, commits, log lines

Each task of a step was scored on each worker again; each start waited for its record alone; four loops woke up for each commit; each run had two log lines. Change: a reply names four relays and the interval of the heartbeats, up to 600 ms with many members; workers are scored once a step; the starts of a pass wait together; one loop starts commits; one log line for the placements of a step (tasks placed) and one for the done tasks of a report (tasks done); registry entries are applied when their revision changes; the remaining time of a step is computed once. Conclusion: the leader is still late on the smallest hosts.

--- a/packages/client/lagoonshelf_client/explain.py
+++ b/packages/client/lagoonshelf_client/explain.py
@@ -64,6 +64,7 @@
     if not own:
         return []
     workers = {line.fields["worker"] for line in own if "worker" in line.fields}
+    workers.update(worker for line in own for worker in line.fields.get("workers", ()))
     first_ms, last_ms = own[0].at_ms - CONTEXT_MS, own[-1].at_ms + CONTEXT_MS
     return [
         line
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -244,8 +244,13 @@
 
         :param requested_ms: clock time at which the report was requested
         """
+        done: dict[str, list[str]] = {}
         for row in ended:
+            if row.end is RunEnd.DONE and (row.name, row.attempt) in worker.runs:
+                done.setdefault(row.name.rpartition(".")[0], []).append(row.name)
             self._apply_end(worker, row, now_ms)
+        for step, names in done.items():
+            self._note_done(worker, step, names)
         listed = set()
         for row in running:
             listed.add((row.name, row.attempt))
@@ -424,7 +429,8 @@
     def _apply_end(self, worker: Worker, row: EndedRow, now_ms: int) -> None:
         run = worker.runs.get((row.name, row.attempt))
         if run is not None:
-            self.note("run ended", run, how=row.end.value, percent=run.progress_percent)
+            if row.end is not RunEnd.DONE:
+                self.note("run ended", run, how=row.end.value, percent=run.progress_percent)
             self.end_run(run, row.end, row.checkpoint, now_ms)
             return
         task = self.find_task(row.name)
@@ -541,6 +547,16 @@
             and (limit.accelerators == 0 or allocated.accelerators <= limit.accelerators)
         )
 
+    def _note_done(self, worker: Worker, step: str, names: list[str]) -> None:
+        """Add one log entry for the tasks of a step that a report shows as done."""
+        fields = {
+            "request": step.partition(".")[0],
+            "step": step,
+            "worker": worker.id,
+            "tasks": [int(name.rpartition(".")[2]) for name in names],
+        }
+        self.notes.append(("tasks done", fields))
+
     def note(self, message: str, run: Run, **fields: object) -> None:
         """Add a log entry about a decision."""
         fields.update(request=run.name.partition(".")[0], task=run.name, attempt=run.attempt)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -1,5 +1,7 @@
 """Scheduling pass: decides which tasks start, and on which workers."""
 
+from heapq import heapify, heappop, heapreplace
+
 from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.jobs.advice_requests import request_advice
 from lagoonshelf_core.jobs.capacity import count_fitting, free_capacity, reserved_cpu_milli
@@ -19,6 +21,8 @@
     :param advice_budget_ms: time of the placement policy that advice requests may use
     """
     cell.open_due_occurrences(now_wall_ms)
+    if not cell.open_steps:
+        return
     usable: dict[str, dict[WorkerId, Worker]] = {}
     for worker in cell.workers.values():
         if worker.is_usable and not cell.health.is_quarantined(worker.id, now_ms):
@@ -87,30 +91,73 @@
         else:
             _start(cell, state, task, worker, task.attempt + 1, task.checkpoint, permit)
     if placed:
+        _note_placement(cell, state, step, placed)
         cell.update_open_steps(step.job)
 
 
+def _note_placement(
+    cell: Cell, state: SchedulingPass, step: StepRun, placed: list[tuple[Task, Worker]]
+) -> None:
+    """Add one log entry for all tasks of a step that start in a pass."""
+    tasks: dict[str, list[tuple[int, int]]] = {}
+    for task, worker in placed:
+        tasks.setdefault(worker.id, []).append((task.index, task.attempt))
+    fields = {
+        "request": step.job.id,
+        "step": step.name,
+        "queue": step.job.spec.queue,
+        "waited_ms": state.now_ms - step.job.received_ms,
+        "workers": tasks,
+    }
+    cell.notes.append(("tasks placed", fields))
+
+
 def _place_tasks(
     cell: Cell, state: SchedulingPass, step: StepRun, workers: list[Worker], band: Band
 ) -> list[tuple[Task, Worker]]:
     """Choose workers for the waiting tasks of a step whose tasks are independent."""
     spec = step.spec
-    placed: list[tuple[Task, Worker]] = []
+    size = allocation_of(spec.size, spec.is_filler)
+    failed_workers = cell.health.failed_workers(TaskId(step.job.id))
     on_worker = _count_by_worker(step)
     planned: dict[WorkerId, Resources] = {}
+
+    def evaluate(worker: Worker) -> tuple | None:
+        """Return the score of a worker for the next task, ``None`` if none fits on it."""
+        if spec.max_per_worker and on_worker.get(worker.id, 0) >= spec.max_per_worker:
+            return None
+        free = free_capacity(worker, planned.get(worker.id, ZERO_RESOURCES), band, size)
+        if not size.fits_in(free):
+            return None
+        return _score(step, worker, free, worker.id in failed_workers)
+
+    # A placement changes the score of its worker only, so the others are evaluated once.
+    evaluated = ((evaluate(worker), worker) for worker in workers)
+    candidates = [
+        (score, worker)
+        for score, worker in evaluated
+        if score is not None
+        and not _is_reserved(state, worker, band)
+        and cell.health.may_start(worker.id, True, state.now_ms)
+    ]
+    heapify(candidates)
+    placed: list[tuple[Task, Worker]] = []
     planned_total = ZERO_RESOURCES
     for task in step.waiting_tasks:
-        if not cell.is_within_limit(step.job.spec.team, planned_total + spec.size):
-            break
-        best = _choose_worker(cell, state, task, workers, planned, on_worker, band)
-        if best is None:
+        if not candidates or not cell.is_within_limit(
+            step.job.spec.team, planned_total + spec.size
+        ):
             break
+        _, best = candidates[0]
         placed.append((task, best))
         planned_total += spec.size
-        planned[best.id] = planned.get(best.id, ZERO_RESOURCES) + allocation_of(
-            spec.size, spec.is_filler
-        )
+        planned[best.id] = planned.get(best.id, ZERO_RESOURCES) + size
         on_worker[best.id] = on_worker.get(best.id, 0) + 1
+        score = evaluate(best)
+        if score is None:
+            heappop(candidates)
+        else:
+            heapreplace(candidates, (score, best))
     return placed
 
 
@@ -122,40 +169,9 @@
     return counts
 
 
-def _choose_worker(
-    cell: Cell,
-    state: SchedulingPass,
-    task: Task,
-    workers: list[Worker],
-    planned: dict[WorkerId, Resources],
-    on_worker: dict[WorkerId, int],
-    band: Band,
-) -> Worker | None:
-    """Return the best worker that a task fits on, or None when it fits on none."""
-    spec = task.step.spec
-    size = allocation_of(spec.size, spec.is_filler)
-    best: Worker | None = None
-    best_score: tuple | None = None
-    failed_workers = cell.health.failed_workers(TaskId(task.job.id))
-    for worker in workers:
-        if spec.max_per_worker and on_worker.get(worker.id, 0) >= spec.max_per_worker:
-            continue
-        if _is_reserved(state, worker, band):
-            continue
-        free = free_capacity(worker, planned.get(worker.id, ZERO_RESOURCES), band, size)
-        if not size.fits_in(free):
-            continue
-        if not cell.health.may_start(worker.id, True, state.now_ms):
-            continue
-        score = _score(task, worker, free, worker.id in failed_workers)
-        if best_score is None or score < best_score:
-            best, best_score = worker, score
-    return best
-
-
-def _score(task: Task, worker: Worker, free: Resources, has_failed: bool) -> tuple:
-    """Return the score of a worker for a task; the lowest is best."""
-    spec = task.step.spec
+def _score(step: StepRun, worker: Worker, free: Resources, has_failed: bool) -> tuple:
+    """Return the score of a worker for a task of a step; the lowest is best."""
+    spec = step.spec
     is_other_rack = bool(spec.rack) and worker.info.rack != spec.rack
     if spec.is_service:
         return (
@@ -319,5 +335,3 @@
 ) -> None:
     run = cell.begin_run(task, worker, attempt, state.now_ms)
     cell.commands.append(StartRun(run, task.job.spec.payload, checkpoint, permit))
-    waited_ms = state.now_ms - task.job.received_ms
-    cell.note("run placed", run, queue=task.job.spec.queue, waited_ms=waited_ms)
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -130,6 +130,7 @@
     """One step of one occurrence of a job.
 
     :param failed_attempts: attempts in which at least one task failed
+    :param remaining_ms: estimated time from its start to the end of its dependent steps
     """
 
     job: "Job"
@@ -139,10 +140,12 @@
     tasks: list[Task] = field(default_factory=list)
     failed_attempts: set[int] = field(default_factory=set)
     name: str = field(init=False)
+    remaining_ms: float = field(init=False)
 
     def __post_init__(self) -> None:
-        """Build the name of the step, unique in the cell."""
+        """Build the name of the step, unique in the cell, and compute what does not change."""
         self.name = f"{self.job.id}.{self.occurrence}.{self.index}"
+        self.remaining_ms = remaining_ms(self.job.spec, self.index)
 
     @property
     def is_done(self) -> bool:
@@ -233,6 +236,17 @@
     return max(ends_ms, default=0.0)
 
 
+def remaining_ms(spec: JobSpec, first: StepIndex) -> float:
+    """Return the estimated time from the start of a step to the end of its dependent steps."""
+    end_ms_by_step = {first: float(spec.steps[first].estimate_ms)}
+    for index in range(first + 1, len(spec.steps)):
+        step = spec.steps[index]
+        before = [end_ms_by_step[number] for number in step.after if number in end_ms_by_step]
+        if before:
+            end_ms_by_step[index] = max(before) + step.estimate_ms
+    return max(end_ms_by_step.values())
+
+
 def encode_progress(job: Job) -> bytes:
     """Return the durable record of a job's progress.
 
--- a/packages/core/lagoonshelf_core/jobs/ranking.py
+++ b/packages/core/lagoonshelf_core/jobs/ranking.py
@@ -28,19 +28,6 @@
 Rank = tuple[int, float]
 
 
-def remaining_ms(step: StepRun) -> float:
-    """Return the estimated time from the start of a step to the end of its dependent steps."""
-    steps = step.job.spec.steps
-    end_ms_by_step = {step.index: float(step.spec.estimate_ms)}
-    for index in range(step.index + 1, len(steps)):
-        before = [
-            end_ms_by_step[number] for number in steps[index].after if number in end_ms_by_step
-        ]
-        if before:
-            end_ms_by_step[index] = max(before) + steps[index].estimate_ms
-    return max(end_ms_by_step.values())
-
-
 def objective_ms(step: StepRun, queue: Queue) -> float:
     """Return the time from receipt within which the job of a step should end."""
     return queue.stretch * step.job.critical_path_ms + queue.latency_ms
@@ -49,7 +36,7 @@
 def slack_ms(step: StepRun, queue: Queue, now_ms: int) -> float:
     """Return how long a step may still wait without its job missing its objective."""
     waited_ms = now_ms - step.job.received_ms
-    return objective_ms(step, queue) - waited_ms - remaining_ms(step)
+    return objective_ms(step, queue) - waited_ms - step.remaining_ms
 
 
 def rank(step: StepRun, queue: Queue, now_ms: int) -> Rank:
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -15,12 +15,14 @@
 from lagoonshelf_server.jobs.keys import LEADER_KEY, USED_WORKERS
 from lagoonshelf_server.jobs.leader_lease import MAX_OUTAGE_MS, LeaderLease
 from lagoonshelf_server.jobs.ports import (
+    ABSENT,
     Committed,
     HistoryLostError,
     Item,
     PlatformCodec,
     Put,
     Store,
+    StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
     WorkerPort,
@@ -87,6 +89,8 @@
         self._session_tasks: dict[WorkerId, asyncio.Task] = {}
         self._store_failed_ms = 0
         self._used: dict[WorkerId, _UsedWorker] = {}
+        # Worker and revision of each registry entry that was applied last.
+        self._applied: dict[str, tuple[WorkerId | None, StoreRevision]] = {}
         self._used_lock = asyncio.Lock()
         self._sessions_changed = asyncio.Event()
         self.sessions: dict[str, WorkerSession] = {}
@@ -229,7 +233,8 @@
 
     def _apply_registry(self, items: list[Item]) -> None:
         now_ms = self._clock.now_ms()
-        listed = {self._apply_entry(item) for item in items}
+        listed = {self._apply_if_changed(item) for item in items}
+        self._applied = {item.key: self._applied[item.key] for item in items}
         for worker in self._cell.workers.values():
             if worker.id in listed:
                 continue
@@ -238,6 +243,17 @@
                 worker.is_listed = False
                 _log.info("worker removed from the registry", worker=worker.id)
 
+    def _apply_if_changed(self, item: Item) -> WorkerId | None:
+        """Apply an entry unless it was applied before; most entries rarely change."""
+        worker_id, revision = self._applied.get(item.key, (None, ABSENT))
+        if worker_id is not None and revision == item.revision:
+            worker = self._cell.workers.get(worker_id)
+            if worker is not None and worker.is_listed:
+                return worker_id
+        worker_id = self._apply_entry(item)
+        self._applied[item.key] = (worker_id, item.revision)
+        return worker_id
+
     def _apply_entry(self, item: Item) -> WorkerId | None:
         info = self._codec.decode_worker(item.key, item.value)
         if info is None:
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from random import choice
+from random import choice, sample
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
@@ -16,6 +16,13 @@
 from lagoonshelf_server.peers import PeerLostError, PeerNet, PeerUnreachableError
 
 HEARTBEAT_INTERVAL_S = 0.25
+# A leader of more members than this asks for heartbeats in proportionally longer intervals, as
+# each costs it processor time. Reports of members stay valid for 1 s.
+MEMBERS_AT_FULL_RATE = 32
+MAX_HEARTBEAT_INTERVAL_MS = 600
+# Members that a reply names as relays. With all members in each reply, the cost of the heartbeats
+# would grow with the square of their number.
+MAX_RELAYS_IN_REPLY = 4
 HEARTBEAT_TIMEOUT_S = 0.5
 # Consecutive refused connections after which the leader's process is considered dead.
 DEAD_AFTER_REFUSALS = 2
@@ -85,6 +92,7 @@
         self._troubled: dict[MemberId, tuple[bool, int]] = {}
         self._relays: tuple[PeerState, ...] = ()
         self._queries_others = False
+        self._interval_s = HEARTBEAT_INTERVAL_S
         self._offered_ms = 0
         self._tasks: set[asyncio.Task] = set()
         self.lag = LoopLag()
@@ -141,7 +149,7 @@
             return self._record_no_reply(record.revision, is_refused=is_refused)
         if isinstance(reply, PulseReply):
             self.on_reply(reply, is_to_leader=is_to_leader)
-        return HEARTBEAT_INTERVAL_S
+        return self._interval_s
 
     def _heartbeat_address(self) -> str | None:
         """Return the address for the next heartbeat: the leader, or others if it is silent."""
@@ -170,6 +178,7 @@
                 LeaderStatus.SILENT if is_cut_off else LeaderStatus.ANSWERS, reply.seat
             )
             self._relays = reply.members
+            self._interval_s = reply.interval_ms / 1000 or HEARTBEAT_INTERVAL_S
             if reply.is_ready:
                 self._job_api.pending = {QueueId(row.queue): row.count for row in reply.pending}
                 self._job_api.pending_at_ms = self._clock.now_ms()
@@ -245,12 +254,18 @@
         self._troubled[member] = (body.is_store_troubled, now_ms)
         counts = leader.cell.pending_by_queue() if leader.may_answer() else {}
         rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
-        members = self._fresh_members()
+        fresh = self._fresh_members()
+        members = tuple(sample(fresh, min(MAX_RELAYS_IN_REPLY, len(fresh))))
         self._offer_to_larger_host(body)
         reply = PulseReply(
             True, self._leader_lease.revision, self._store_silence_ms(), rows, members
         )
-        return replace(reply, is_ready=leader.may_answer())
+        return replace(reply, is_ready=leader.may_answer(), interval_ms=self._reply_interval_ms())
+
+    def _reply_interval_ms(self) -> int:
+        """Return the heartbeat interval that the members should use."""
+        factor = max(1.0, len(self._members) / MEMBERS_AT_FULL_RATE)
+        return min(int(HEARTBEAT_INTERVAL_S * 1000 * factor), MAX_HEARTBEAT_INTERVAL_MS)
 
     def _offer_to_larger_host(self, body: Pulse) -> None:
         """Offer the leader lease if this host is too small and the sender's is not."""
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -209,9 +209,12 @@
         starting = {c.run.task.job for c in commands if isinstance(c, StartRun)}
         cell.changed_jobs.update(starting)
         self._record_changes(is_urgent=bool(starting))
-        mark = self.progress_writer.mark()
+        starts = [command for command in commands if isinstance(command, StartRun)]
+        if starts:
+            self._spawn(self._start(starts, self.progress_writer.mark()))
         for command in commands:
-            self._spawn(self._execute(command, mark))
+            if not isinstance(command, StartRun):
+                self._spawn(self._execute(command))
         notes, cell.notes = cell.notes, []
         for message, fields in notes:
             _log.info(message, seat=self._leader_lease.revision, **fields)
@@ -232,9 +235,7 @@
         self.progress_writer.add(self.cell.changed_jobs, is_urgent=is_urgent)
         self.cell.changed_jobs = set()
 
-    def _execute(self, command: Command, mark: int) -> Coroutine:
-        if isinstance(command, StartRun):
-            return self._start(command, mark)
+    def _execute(self, command: Command) -> Coroutine:
         if isinstance(command, StopRun):
             return self.dispatcher.stop(command)
         if isinstance(command, PaceRun):
@@ -242,8 +243,8 @@
         assert isinstance(command, RequestAdvice)
         return self.advice_router.request(command)
 
-    async def _start(self, command: StartRun, mark: int) -> None:
-        """Start a run once its record is durable, so that a successor knows of it.
+    async def _start(self, commands: list[StartRun], mark: int) -> None:
+        """Start runs once their records are durable, so that a successor knows of them.
 
         If the store is troubled for all members, work starts without a record; a successor
         then waits for the leases of the workers that it cannot reach to expire.
@@ -251,9 +252,11 @@
         wait_s = OUTAGE_RECORD_TIMEOUT_S if self.is_store_troubled() else RECORD_TIMEOUT_S
         while not await self.progress_writer.wait_durable(mark, wait_s):
             if self.is_store_troubled():
-                self.cell.note("start not recorded", command.run)
+                for command in commands:
+                    self.cell.note("start not recorded", command.run)
                 break
-        await self.dispatcher.start(command)
+        for command in commands:
+            self._spawn(self.dispatcher.start(command))
 
     async def _report(self) -> None:
         while True:
--- a/packages/server/lagoonshelf_server/jobs/progress_writer.py
+++ b/packages/server/lagoonshelf_server/jobs/progress_writer.py
@@ -85,6 +85,7 @@
         self._urgent = asyncio.Event()
         self._version = 0
         self._written = asyncio.Event()
+        self._finished = asyncio.Event()
         self.durable_states: dict[JobId, JobState] = {}
 
     def load_record(self, job: JobId, revision: int, state: JobState) -> None:
@@ -128,25 +129,36 @@
     async def run(self) -> None:
         """Write until cancelled, with several concurrent commits of different jobs."""
         async with asyncio.TaskGroup() as group:
-            for _ in range(PARALLEL_COMMITS):
-                group.create_task(self._write_batches())
+            while True:
+                await self._wake.wait()
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(BATCH_DELAY_S):
+                        await self._urgent.wait()
+                        await asyncio.sleep(URGENT_BATCH_DELAY_S)
+                await self._wait_for_turn()
+                batch = self._next_batch()
+                if batch:
+                    group.create_task(self._commit(batch))
 
-    async def _write_batches(self) -> None:
+    async def _wait_for_turn(self) -> None:
+        """Wait until another commit may start."""
         loop = asyncio.get_running_loop()
-        while True:
-            await self._wake.wait()
+        while self._commit_starts:
+            overlap_s = self._commit_starts[-1] + OVERLAP_DELAY_S - loop.time()
+            is_full = len(self._commit_starts) >= PARALLEL_COMMITS
+            if overlap_s <= 0 and not is_full:
+                return
+            self._finished.clear()
             with suppress(TimeoutError):
-                async with asyncio.timeout(BATCH_DELAY_S):
-                    await self._urgent.wait()
-                    await asyncio.sleep(URGENT_BATCH_DELAY_S)
-            if self._commit_starts and loop.time() - self._commit_starts[-1] < OVERLAP_DELAY_S:
-                await asyncio.sleep(URGENT_BATCH_DELAY_S)
-                continue
-            batch = self._next_batch()
-            if batch:
-                self._commit_starts.append(loop.time())
-                await self._write_batch(batch)
-                self._commit_starts.pop(0)
+                async with asyncio.timeout(None if is_full else overlap_s):
+                    await self._finished.wait()
+
+    async def _commit(self, batch: list[Job]) -> None:
+        started = asyncio.get_running_loop().time()
+        self._commit_starts.append(started)
+        await self._write_batch(batch)
+        self._commit_starts.remove(started)
+        self._finished.set()
 
     def _next_batch(self) -> list[Job]:
         """Remove and return queued jobs that are not being written."""
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -350,7 +350,9 @@
     :param is_holder: whether the sender is the leader
     :param seat: latest revision of the leader lease that the sender knows
     :param holder: member that the sender knows as the leader
+    :param members: some members that reach the store
     :param is_ready: whether the leader has read all jobs, so that its counts are complete
+    :param interval_ms: time until the next heartbeat, 0 for the default
     """
 
     is_holder: bool
@@ -361,6 +363,7 @@
     holder: str = ""
     holder_address: str = ""
     is_ready: bool = False
+    interval_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -262,6 +262,7 @@
   holder @5 :Text;
   holderAddress @6 :Text;
   isReady @7 :Bool;
+  intervalMs @8 :UInt32;
 }
 
 struct AdviceAsk {
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -117,6 +117,27 @@
         heartbeats._relays = (PeerState("a:2", 10), PeerState("a:6", 10), PeerState("a:3", 10))
         self.assertEqual(heartbeats.relay_addresses(), ["a:2", "a:6", "a:3"])
 
+    async def test_the_cost_of_heartbeats_does_not_grow_with_the_square_of_the_members(
+        self,
+    ) -> None:
+        """Guards against replies that list every member, and a full rate from all of them.
+
+        With 97 members the replies took most of the leader's processor (large andinas).
+        """
+        self.node.leader_lease.is_held = True
+        self.store._answered_ms = self.clock.now_ms()
+        first = self._answer(Pulse("m2", "a:2", 5, 10))
+        self.assertLessEqual(first.interval_ms, 250)
+        now_ms = self.clock.now_ms()
+        for number in range(97):
+            state = PeerState(f"a:{number}", 10)
+            self.node.heartbeats._members[MemberId(f"n{number}")] = (state, now_ms)
+        reply = self._answer(Pulse("m2", "a:2", 5, 10))
+        self.assertLessEqual(len(reply.members), 4)
+        self.assertGreater(reply.interval_ms, 250)
+        # Reports of members are used for 1 s.
+        self.assertLessEqual(reply.interval_ms, 800)
+
     async def test_a_store_outage_needs_the_reports_of_others(self) -> None:
         """Guards against taking a network partition for a store outage."""
         self.store.is_down = True
