Hold workers for waiting gangs; keep the reserve for urgent work by pool

Cause: gangs of the large site waited for tens of seconds while smaller work took each part of a worker that fell free. At most two gangs of a pass had workers reserved, whatever the size of the fleet, only while their permits were valid, and only while they were on time or far too late. A gang holds the workers on which it is expected to fit first, until it starts, also without valid permits; holds of a band and higher ones take at most a quarter of a pool, and keep out only work of their own band and lower ones. Its advice requests list the held workers first. The reserve is a share of the pool. The number of advised steps grows with the pool. A pass leaves other tasks of the process at least as much time as it took.

--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -7,7 +7,7 @@
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.progress import StepRun
 from lagoonshelf_core.jobs.ranking import Band
-from lagoonshelf_core.jobs.scheduling_pass import MAX_RESERVATIONS, RESERVING_BANDS, SchedulingPass
+from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 
 # The policy accepts at most this many workers in one request.
@@ -17,12 +17,16 @@
 # A request lists enough workers for this many slots per waiting task, weighted by the share of
 # workers that the policy has allowed recently.
 SLOTS_PER_WAITING_TASK = 1.5
-# Waiting steps whose permits are kept valid while they wait for capacity. A late step is one of
-# them only if it could start; a pass checks at most MAX_LATE_CHECKS late steps, and checks one
-# again after LATE_RECHECK_MS.
+# Waiting steps whose permits are kept valid while they wait for capacity, at least this many and
+# this share of the pool's workers. A late step is one of them only if it could start or waits for
+# held workers; a pass checks at most MAX_LATE_CHECKS late steps, and checks one again after
+# LATE_RECHECK_MS.
 MAX_ADVISED_STEPS = 24
+ADVISED_STEPS_PER_WORKER = 0.25
 MAX_LATE_CHECKS = 8
 LATE_RECHECK_MS = 500
+# Late gangs without held workers that are advised at a time, so that workers can be held for them.
+MAX_LATE_GANGS = 4
 
 
 def request_advice(
@@ -30,18 +34,21 @@
 ) -> None:
     """Request advice for a step if its permits need renewal and the step could use them."""
     timing, now_ms = queue.advice, state.now_ms
-    if timing is None or state.advised_steps >= MAX_ADVISED_STEPS:
+    if timing is None or state.advised_steps >= _max_advised_steps(state, queue):
         return
     max_cost_ms = timing.base_ms + timing.per_worker_ms * MAX_WORKERS_PER_REQUEST
     if not cell.permits.is_request_due(step.name, max_cost_ms, now_ms):
-        state.advised_steps += band < Band.LATE or cell.permits.is_in_use(step.name, now_ms)
+        is_in_use = cell.permits.is_in_use(step.name, now_ms)
+        state.advised_steps += band < Band.LATE or is_in_use
+        if band >= Band.LATE and is_in_use and step.spec.is_gang and step.hold is None:
+            state.late_gangs += 1
         return
     if band >= Band.LATE:
         state.late_checks += 1
         if state.late_checks > MAX_LATE_CHECKS:
             return
-    selected, can_start = _select_workers(cell, state, step, queue)
-    if band >= Band.LATE and not can_start and not _may_reserve_capacity(state, step, band):
+    selected, can_start = _select_workers(cell, state, step, queue, band)
+    if band >= Band.LATE and not can_start and not _may_hold_workers(state, step):
         cell.permits.defer_request(step.name, now_ms + LATE_RECHECK_MS)
         return
     state.advised_steps += 1
@@ -55,18 +62,25 @@
     cell.commands.append(RequestAdvice(step, selected, cost_ms))
 
 
-def _may_reserve_capacity(state: SchedulingPass, step: StepRun, band: Band) -> bool:
-    """Return whether a step is among the first late gangs, which may reserve workers."""
-    if not step.spec.is_gang or band not in RESERVING_BANDS:
+def _max_advised_steps(state: SchedulingPass, queue: Queue) -> int:
+    workers = len(state.usable[queue.pool])
+    return max(MAX_ADVISED_STEPS, int(ADVISED_STEPS_PER_WORKER * workers))
+
+
+def _may_hold_workers(state: SchedulingPass, step: StepRun) -> bool:
+    """Return whether a gang holds workers, or is among the first late ones, which may."""
+    if step.hold is not None:
+        return True
+    if not step.spec.is_gang:
         return False
     state.late_gangs += 1
-    return state.late_gangs <= MAX_RESERVATIONS
+    return state.late_gangs <= MAX_LATE_GANGS
 
 
 def _select_workers(
-    cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue
+    cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band
 ) -> tuple[tuple[WorkerId, ...], bool]:
-    """Return the workers to list in a request, those with the most free CPU first.
+    """Return the workers to list in a request: held ones, then those with the most free CPU.
 
     The second value is whether the step could probably start on those the policy will allow.
     """
@@ -80,15 +94,17 @@
     max_per_worker = step.spec.max_per_worker or waiting
     expected_slots = 0.0
     selected: list[WorkerId] = []
-    for worker in by_free_cpu:
+    for worker in _held_first(state, step, queue, by_free_cpu):
         if label and label not in worker.info.labels:
             continue
         probability = cell.permits.allow_probability(step.name, worker.info.id, share)
         if not probability:
             continue
         selected.append(worker.info.id)
+        if state.is_held_from(worker, step, band):
+            continue
         expected_slots += probability * min(
-            max_per_worker, count_fitting(size, worker.info.capacity, worker.used, 0)
+            max_per_worker, count_fitting(size, worker.info.capacity, worker.used)
         )
         if len(selected) >= MAX_WORKERS_PER_REQUEST:
             break
@@ -100,5 +116,15 @@
     return tuple(selected), expected_slots >= (waiting if step.spec.is_gang else 1)
 
 
+def _held_first(
+    state: SchedulingPass, step: StepRun, queue: Queue, by_free_cpu: list[Worker]
+) -> list[Worker]:
+    if step.hold is None:
+        return by_free_cpu
+    usable, held = state.usable[queue.pool], step.hold.workers
+    first = [usable[name] for name in sorted(held) if name in usable]
+    return first + [worker for worker in by_free_cpu if worker.id not in held]
+
+
 def _free_cpu_key(worker: Worker) -> tuple[int, WorkerId]:
     return (worker.used.cpu_milli - worker.info.capacity.cpu_milli, worker.info.id)
--- a/packages/core/lagoonshelf_core/jobs/capacity.py
+++ b/packages/core/lagoonshelf_core/jobs/capacity.py
@@ -1,11 +1,12 @@
-"""Free capacity of workers for tasks of a priority band, and the number of tasks that fit."""
+"""Free capacity of workers and pools, and the number of tasks that fit."""
 
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import Resources
 
-# Share of each worker's processors that tasks of a band leave free for higher bands, in
-# thousandths.
+# Share of a pool's processors that tasks of a band leave free for higher bands, in thousandths. It
+# is not a share of each worker: many small remainders would fit no urgent task, and would waste
+# the processors of workers whose tasks are large.
 RESERVE_PERMILLE = {
     Band.SERVICE: 0,
     Band.URGENT: 0,
@@ -19,45 +20,36 @@
 MAX_MEMBERS_PER_WORKER = 1_000
 
 
-def free_capacity(worker: Worker, planned: Resources, band: Band, size: Resources) -> Resources:
-    """Return the free capacity of a worker for tasks of a size in a band.
+def free_capacity(worker: Worker, planned: Resources) -> Resources:
+    """Return the free capacity of a worker.
 
     :param planned: resources of tasks that the current pass has placed on the worker
     """
     capacity, used = worker.info.capacity, worker.used
-    reserve = reserved_cpu_milli(worker, band, size)
     return Resources(
-        capacity.cpu_milli - used.cpu_milli - planned.cpu_milli - reserve,
+        capacity.cpu_milli - used.cpu_milli - planned.cpu_milli,
         capacity.memory_mib - used.memory_mib - planned.memory_mib,
         capacity.accelerators - used.accelerators - planned.accelerators,
     )
 
 
-def reserved_cpu_milli(worker: Worker, band: Band, size: Resources) -> int:
-    """Return the CPU that a band leaves free on a worker.
+def startable_milli(capacity_milli: int, used_milli: int, band: Band, smallest_milli: int) -> int:
+    """Return how much of a pool's CPU the tasks of a step may take beside the band's reserve.
 
-    A task that would not fit beside the reserve even on an empty worker could never start.
-    Its reserve is 0 in bands up to ``ON_TIME``; in lower bands it is such that the task fits only
-    on an empty worker.
+    :param smallest_milli: CPU of the smallest part of the step that can start; a step that would
+        not fit beside the reserve in an empty pool could never start, so it needs to leave none
     """
-    capacity = worker.info.capacity.cpu_milli
-    reserve = capacity * RESERVE_PERMILLE[band] // 1000
-    if size.cpu_milli <= capacity - reserve:
-        return reserve
-    return 0 if band <= Band.ON_TIME else max(0, capacity - size.cpu_milli)
+    reserve_milli = capacity_milli * RESERVE_PERMILLE[band] // 1000
+    if smallest_milli > capacity_milli - reserve_milli:
+        reserve_milli = 0
+    return capacity_milli - used_milli - reserve_milli
 
 
-def count_fitting(
-    size: Resources, capacity: Resources, used: Resources, reserved_milli: int
-) -> int:
-    """Return how many tasks of a size fit into the free capacity.
-
-    :param reserved_milli: CPU to leave free, in thousandths of a processor
-    """
+def count_fitting(size: Resources, capacity: Resources, used: Resources) -> int:
+    """Return how many tasks of a size fit into the free capacity."""
     count = MAX_MEMBERS_PER_WORKER
     if size.cpu_milli:
-        free_milli = capacity.cpu_milli - used.cpu_milli - reserved_milli
-        count = min(count, free_milli // size.cpu_milli)
+        count = min(count, (capacity.cpu_milli - used.cpu_milli) // size.cpu_milli)
     if size.memory_mib:
         count = min(count, (capacity.memory_mib - used.memory_mib) // size.memory_mib)
     if size.accelerators:
--- a/packages/core/lagoonshelf_core/jobs/permits.py
+++ b/packages/core/lagoonshelf_core/jobs/permits.py
@@ -48,6 +48,11 @@
             return {}
         return entry.permits
 
+    def allowed(self, step: str) -> set[WorkerId]:
+        """Return the workers that the policy allows for a step, with or without valid permits."""
+        entry = self._steps.get(step)
+        return set() if entry is None else entry.allowed
+
     def is_request_due(self, step: str, cost_ms: float, now_ms: int) -> bool:
         """Return whether advice must be requested now to have valid permits without a gap.
 
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -125,11 +125,26 @@
         return not self.is_done and self.run is None and not self.duplicate_runs
 
 
+@dataclass(frozen=True, slots=True)
+class GangHold:
+    """Workers that are held for a waiting gang.
+
+    :param band: priority band of the gang when the workers were chosen
+    :param expected_ms: when the gang is expected to fit on them
+    """
+
+    workers: frozenset[WorkerId]
+    band: int
+    expected_ms: int
+
+
 @dataclass(slots=True, eq=False)
 class StepRun:
     """One step of one occurrence of a job.
 
     :param failed_attempts: attempts in which at least one task failed
+    :param hold: workers that are held for the step, a gang that waits for capacity
+    :param next_hold_ms: when workers may be chosen again after there were none
     :param remaining_ms: estimated time from its start to the end of its dependent steps
     """
 
@@ -139,6 +154,8 @@
     spec: StepSpec
     tasks: list[Task] = field(default_factory=list)
     failed_attempts: set[int] = field(default_factory=set)
+    hold: GangHold | None = None
+    next_hold_ms: int = 0
     name: str = field(init=False)
     remaining_ms: float = field(init=False)
 
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -1,16 +1,21 @@
 """State of one scheduling pass."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.ids import WorkerId
+from lagoonshelf_core.jobs.capacity import startable_milli
+from lagoonshelf_core.jobs.progress import GangHold, StepRun
 from lagoonshelf_core.jobs.ranking import Band
-from lagoonshelf_core.jobs.workers import Worker
+from lagoonshelf_core.jobs.workers import Worker, allocation_of
 
-# Gangs in one pass that may reserve workers against other steps of their band and lower ones.
-MAX_RESERVATIONS = 2
-# Gangs that are on time are worth idle processors, and gangs of the last band would never run
-# without a reservation. In the bands between, each idle processor makes other work late.
-RESERVING_BANDS = frozenset({Band.SERVICE, Band.URGENT, Band.ON_TIME, Band.TOO_LATE})
+
+@dataclass(slots=True)
+class PoolLoad:
+    """CPU of the usable workers of a pool, in thousandths."""
+
+    capacity_milli: int = 0
+    used_milli: int = 0
 
 
 @dataclass(slots=True)
@@ -18,22 +23,78 @@
     """State and decisions of a pass so far.
 
     :param usable: workers that may get tasks, by pool
+    :param pools: capacity and load of the usable workers, by pool
     :param by_free_cpu: usable workers by pool, those with the most free CPU first; sorted on
         first use
     :param advised_steps: number of steps whose permits are kept valid
     :param late_checks: number of late steps checked for an advice request
-    :param reservations: number of gangs with reserved workers
     :param late_gangs: number of late gangs that may wait for capacity
-    :param reserved_bands: band of the gang that a worker is reserved for
+    :param holders: gang that each held worker is held for
     :param advice_budget_ms: time of the placement policy that requests may still use
     """
 
     now_ms: int
     usable: dict[str, dict[WorkerId, Worker]]
+    pools: dict[str, PoolLoad] = field(default_factory=dict)
     by_free_cpu: dict[str, list[Worker]] = field(default_factory=dict)
     advised_steps: int = 0
     late_checks: int = 0
-    reservations: int = 0
     late_gangs: int = 0
-    reserved_bands: dict[WorkerId, Band] = field(default_factory=dict)
+    holders: dict[WorkerId, StepRun] = field(default_factory=dict)
     advice_budget_ms: float = 0.0
+
+    def add_usable(self, worker: Worker) -> None:
+        """Add a worker that may get tasks."""
+        pool = worker.info.pool
+        self.usable.setdefault(pool, {})[worker.id] = worker
+        load = self.pools.setdefault(pool, PoolLoad())
+        load.capacity_milli += worker.info.capacity.cpu_milli
+        load.used_milli += worker.used.cpu_milli
+
+    def startable_milli(self, step: StepRun, pool: str, band: Band) -> int:
+        """Return how much CPU the tasks of a step may take beside the reserve of its band."""
+        load, spec = self.pools[pool], step.spec
+        smallest = allocation_of(spec.size, spec.is_filler).cpu_milli
+        smallest *= spec.count if spec.is_gang else 1
+        return startable_milli(load.capacity_milli, load.used_milli, band, smallest)
+
+    def register_holds(self, steps: Iterable[StepRun]) -> None:
+        """Register the workers that waiting gangs hold since earlier passes."""
+        for step in steps:
+            if step.hold is not None:
+                self.holders.update(dict.fromkeys(step.hold.workers, step))
+
+    def hold(self, step: StepRun, hold: GangHold) -> None:
+        """Hold workers for a gang."""
+        step.hold = hold
+        self.holders.update(dict.fromkeys(hold.workers, step))
+
+    def release(self, step: StepRun) -> None:
+        """End the hold of a gang, if it has one."""
+        if step.hold is None:
+            return
+        for name in step.hold.workers:
+            if self.holders.get(name) is step:
+                del self.holders[name]
+        step.hold = None
+
+    def has_all_held(self, step: StepRun, pool: str) -> bool:
+        """Return whether the workers that a gang holds are still usable and held for it."""
+        usable = self.usable[pool]
+        return step.hold is not None and all(
+            name in usable and self.holders.get(name) is step for name in step.hold.workers
+        )
+
+    def count_held(self, band: Band) -> int:
+        """Return the number of workers held for gangs of a band and higher ones."""
+        return sum(step.hold.band <= band for step in self.holders.values())
+
+    def is_held_from(self, worker: Worker, step: StepRun, band: Band) -> bool:
+        """Return whether a worker is held for a gang that goes before a step.
+
+        Urgent steps may use held workers, as they wait for nothing else.
+        """
+        holder = self.holders.get(worker.id)
+        if holder is None or holder is step or holder.hold is None or band <= Band.URGENT:
+            return False
+        return band >= holder.hold.band
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -35,6 +35,7 @@
 
 # Events that arrive within this time are handled by a single scheduling pass.
 PASS_DELAY_S = 0.003
+MAX_PASS_DELAY_S = 0.05
 # Longest wait for a start to be recorded before checking for a store outage.
 RECORD_TIMEOUT_S = 0.15
 OUTAGE_RECORD_TIMEOUT_S = 0.02
@@ -193,11 +194,15 @@
             self.progress_writer.add({job})
 
     async def _plan_loop(self) -> None:
+        loop, delay_s = asyncio.get_running_loop(), PASS_DELAY_S
         while self._leader_lease.is_held:
             await self._pass_requested.wait()
-            await asyncio.sleep(PASS_DELAY_S)
+            await asyncio.sleep(delay_s)
             self._pass_requested.clear()
+            started = loop.time()
             self._run_pass()
+            # Other tasks of the process get at least as much time as the passes.
+            delay_s = max(PASS_DELAY_S, min(loop.time() - started, MAX_PASS_DELAY_S))
 
     def _run_pass(self) -> None:
         cell, now_ms = self.cell, self._clock.now_ms()
