Do not blame workers for a late leader; no malformed message ends a process or a term

(1) A run counted as stalled when its worker was not heard, and a response that lay in the socket while the loop was late counted as a timeout, so that a leader short of processor gave up sound runs and workers. (2) A list of runs with a number for a task name ended the leader's term, at each successor again; an unreadable lease record or any unexpected error in a main loop ended the process. (3) A process that was paused or cut off accepted work by a configuration of any age, so that a withdrawn key worked there. Tests: each of them fails on the code before, but for the loop of the process, which did not exist; a successor does not use a worker that has left (passed before).

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -244,6 +244,7 @@
 
         :param requested_ms: clock time at which the report was requested
         """
+        worker.reported_ms = now_ms
         done: dict[str, list[str]] = {}
         for row in ended:
             if row.end is RunEnd.DONE and (row.name, row.attempt) in worker.runs:
--- a/packages/core/lagoonshelf_core/jobs/supervision.py
+++ b/packages/core/lagoonshelf_core/jobs/supervision.py
@@ -53,7 +53,7 @@
         if _should_move(worker, run, step, now_ms):
             cell.stop_run(run, "its worker is draining")
         return
-    if _is_stalled(run, step, now_ms):
+    if _is_stalled(run, step, worker.reported_ms):
         cell.note(
             "run stalled", run, percent=run.progress_percent, for_ms=now_ms - run.progressed_ms
         )
@@ -87,9 +87,13 @@
     return spec.max_unavailable == 0 or unavailable < spec.max_unavailable
 
 
-def _is_stalled(run: Run, step: StepRun, now_ms: int) -> bool:
+def _is_stalled(run: Run, step: StepRun, reported_ms: int) -> bool:
+    """Return whether the reports of a worker show no progress of a run for too long.
+
+    Time without a report does not count: the worker may be silent, or this process late.
+    """
     spec = step.spec
-    unchanged_ms = now_ms - run.progressed_ms
+    unchanged_ms = reported_ms - run.progressed_ms
     if spec.is_service:
         return run.progress_percent < FULL_PERCENT and unchanged_ms > SERVICE_STARTUP_MS
     if (
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -42,6 +42,7 @@
     :param is_listed: in the registry
     :param is_read: this leader has read its runs
     :param is_recorded: a later leader would know from the store that it may have runs
+    :param reported_ms: time of its last report of runs
     :param lapse_ms: clock time by which all its runs have ended unless their lease is renewed
     :param drain_end_ms: clock time until which a draining worker remains available
     :param used: sum of the allocations of its runs
@@ -52,6 +53,7 @@
     is_listed: bool = True
     is_read: bool = False
     is_recorded: bool = False
+    reported_ms: int = 0
     lapse_ms: int = 0
     drain_end_ms: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -19,6 +19,8 @@
 # A watch may be broken without an error, so the key is also read periodically.
 READ_INTERVAL_S = 0.9
 RETRY_S = 0.1
+# Withdrawn keys stop working within seconds, so no work is accepted by an older configuration.
+MAX_AGE_MS = 5_000
 
 _log = logger("config")
 
@@ -40,6 +42,21 @@
         """Return whether any configuration has been read."""
         return self.current.version > 0
 
+    def is_fresh(self) -> bool:
+        """Return whether the configuration was read recently enough to check keys by it.
+
+        A process that was paused or is cut off may not know that a key has been withdrawn.
+        """
+        return self.is_known and self._clock.now_ms() - self.read_ms < MAX_AGE_MS
+
+    def confirm(self, version: int, age_ms: int) -> None:
+        """Record that a member read the configuration from the store some time ago.
+
+        A process that alone cannot reach the store learns this way that its own is still current.
+        """
+        if version == self.current.version:
+            self.read_ms = max(self.read_ms, self._clock.now_ms() - age_ms)
+
     async def poll(self) -> None:
         """Read the configuration periodically; run for the life of the process."""
         while True:
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -7,6 +7,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
+from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.job_api import JobApi
 from lagoonshelf_server.jobs.lag import LoopLag
 from lagoonshelf_server.jobs.leader import Leader
@@ -80,6 +81,7 @@
         clock: Clock,
         leader_lease: LeaderLease,
         job_api: JobApi,
+        config: ConfigView,
     ) -> None:
         """Set up without known members."""
         self._cfg = cfg
@@ -87,6 +89,7 @@
         self._clock = clock
         self._leader_lease = leader_lease
         self._job_api = job_api
+        self._config = config
         self._refusals = 0
         self._members: dict[MemberId, tuple[PeerState, int]] = {}
         self._troubled: dict[MemberId, tuple[bool, int]] = {}
@@ -178,6 +181,8 @@
                 LeaderStatus.SILENT if is_cut_off else LeaderStatus.ANSWERS, reply.seat
             )
             self._relays = reply.members
+            if reply.config_version:
+                self._config.confirm(reply.config_version, reply.config_age_ms)
             self._interval_s = reply.interval_ms / 1000 or HEARTBEAT_INTERVAL_S
             if reply.is_ready:
                 self._job_api.pending = {QueueId(row.queue): row.count for row in reply.pending}
@@ -260,7 +265,13 @@
         reply = PulseReply(
             True, self._leader_lease.revision, self._store_silence_ms(), rows, members
         )
-        return replace(reply, is_ready=leader.may_answer(), interval_ms=self._reply_interval_ms())
+        return replace(
+            reply,
+            is_ready=leader.may_answer(),
+            interval_ms=self._reply_interval_ms(),
+            config_version=self._config.current.version,
+            config_age_ms=min(now_ms - self._config.read_ms, MAX_REPORTED_AGE_MS),
+        )
 
     def _reply_interval_ms(self) -> int:
         """Return the heartbeat interval that the members should use."""
--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -258,7 +258,7 @@
             if item.revision == self.record.revision:
                 self._absent_since_ms = None
             return
-        fields = orjson.loads(item.value)
+        fields = _decode(item)
         self._absent_since_ms = None
         self.leader_status = LeaderStatus.UNKNOWN
         if fields["member"] == self.member and self.is_held:
@@ -337,3 +337,16 @@
 
 def _encode(member: MemberId, address: str, *, is_offered: bool = False) -> bytes:
     return orjson.dumps({"member": member, "address": address, "offered": is_offered})
+
+
+def _decode(item: Item) -> dict:
+    """Return the fields of the lease's value; one that cannot be decoded names no leader."""
+    try:
+        fields = orjson.loads(item.value)
+        if isinstance(fields["member"], str) and isinstance(fields["address"], str):
+            return fields
+        reason = "member or address is not a string"
+    except (orjson.JSONDecodeError, KeyError, TypeError) as exc:
+        reason = repr(exc)
+    _log.error("leader lease unreadable", seat=item.revision, reason=reason)
+    return {"member": NO_MEMBER, "address": ""}
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Awaitable, Callable
 from random import shuffle
 
 from returns.result import Failure
@@ -62,6 +63,8 @@
 # Reported queue counts may be at most 2 s old.
 PENDING_MAX_AGE_MS = 1_900
 RETRY_S = 0.1
+# Pause before a main loop that failed unexpectedly runs again.
+LOOP_RESTART_S = 0.5
 
 _log = logger("node")
 
@@ -90,26 +93,28 @@
             self._announce, self._announce_cancel, self._state, self._relay
         )
         self.job_api = JobApi(ports.store, clock, leader_client)
-        self.heartbeats = Heartbeats(cfg, ports.store, clock, self.leader_lease, self.job_api)
+        self.heartbeats = Heartbeats(
+            cfg, ports.store, clock, self.leader_lease, self.job_api, self.config
+        )
         self.leader_lease.is_outage = self.heartbeats.is_store_troubled_for_all
 
     async def start(self) -> None:
         """Start all loops and return immediately."""
-        for coro in (
-            self.config.poll(),
-            self.config.watch(),
-            self.leader_lease.watch(),
-            self.leader_lease.campaign(),
-            self.leader_lease.renew(),
-            self.heartbeats.lag.run(),
-            self._join(),
-            self._lead(),
+        for loop in (
+            self.config.poll,
+            self.config.watch,
+            self.leader_lease.watch,
+            self.leader_lease.campaign,
+            self.leader_lease.renew,
+            self.heartbeats.lag.run,
+            self._join,
+            self._lead,
         ):
-            self._tasks.append(asyncio.ensure_future(self._run_forever(coro)))
+            self._tasks.append(asyncio.ensure_future(self._run_forever(loop)))
 
     def is_ready(self) -> bool:
         """Return whether new clients should be routed to this process."""
-        return not self.is_draining and self.config.is_known and self._net is not None
+        return not self.is_draining and self.config.is_fresh() and self._net is not None
 
     def pending(self, queue: QueueId) -> int | None:
         """Return the number of jobs in a queue that have not started, ``None`` if outdated."""
@@ -133,26 +138,29 @@
 
     # Loops
 
-    async def _run_forever(self, coro: object) -> None:
-        try:
-            await coro
-        except asyncio.CancelledError:
-            raise
-        except Exception:
-            _log.critical("main loop of the process failed", exc_info=True)
-            raise SystemExit(1) from None
+    async def _run_forever(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a main loop, and again after an unexpected error, which must not end the process."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                _log.critical(
+                    "main loop of the process failed", loop=loop.__qualname__, exc_info=True
+                )
+            await asyncio.sleep(LOOP_RESTART_S)
 
     async def _join(self) -> None:
         """Get the secret of the cell, open the peer port, and send heartbeats."""
-        secret = await self._read_secret()
-        cfg = self._cfg
-        proof = hello_proof(secret, cfg.member)
-        hello = Hello(cfg.member, proof, cfg.address, cfg.failure_domain)
-        net = PeerNet(hello, secret, self._handle)
-        await net.listen(cfg.host, cfg.peer_port)
-        self._net = net
-        _log.info("peer port open", address=cfg.address)
-        await self.heartbeats.run(net, self._is_leading)
+        if self._net is None:
+            secret = await self._read_secret()
+            cfg = self._cfg
+            proof = hello_proof(secret, cfg.member)
+            hello = Hello(cfg.member, proof, cfg.address, cfg.failure_domain)
+            net = PeerNet(hello, secret, self._handle)
+            await net.listen(cfg.host, cfg.peer_port)
+            self._net = net
+            _log.info("peer port open", address=cfg.address)
+        await self.heartbeats.run(self._net, self._is_leading)
 
     def _is_leading(self) -> bool:
         leader = self._leader
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -353,6 +353,8 @@
     :param members: some members that reach the store
     :param is_ready: whether the leader has read all jobs, so that its counts are complete
     :param interval_ms: time until the next heartbeat, 0 for the default
+    :param config_version: configuration in force at the sender, 0 if it is not the leader
+    :param config_age_ms: time since the sender read the configuration from the store
     """
 
     is_holder: bool
@@ -364,6 +366,8 @@
     holder_address: str = ""
     is_ready: bool = False
     interval_ms: int = 0
+    config_version: int = 0
+    config_age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -263,6 +263,8 @@
   holderAddress @6 :Text;
   isReady @7 :Bool;
   intervalMs @8 :UInt32;
+  configVersion @9 :UInt64;
+  configAgeMs @10 :UInt32;
 }
 
 struct AdviceAsk {
--- /dev/null
+++ b/tests/platform/test_workers.py
@@ -0,0 +1,83 @@
+"""Tests of the client of the executors against malformed responses."""
+
+import asyncio
+import socket
+import threading
+import time
+import unittest
+
+from lagoonshelf_platform.http_client import HttpClient, NoResponseError
+from lagoonshelf_platform.workers import PlatformWorkers
+from lagoonshelf_server.jobs.ports import NoAnswerError
+from tests.platform.standin.http import Request, Response, StubServer
+from tests.support.jobs import worker_info
+
+
+class MalformedListsTest(unittest.IsolatedAsyncioTestCase):
+    """An executor whose lists of runs cannot be decoded."""
+
+    async def test_each_malformed_list_is_no_answer(self) -> None:
+        """Guards against a leader that fails because of one executor's response."""
+        fields: dict = {}
+
+        async def handle(request: Request) -> Response:
+            return Response(
+                200, {"clock_ms": 5, "born": 1, "running": [], "finished": [], **fields}
+            )
+
+        server = StubServer(handle)
+        await server.listen()
+        self.addAsyncCleanup(server.close)
+        workers = PlatformWorkers(HttpClient())
+        info = worker_info(0, address=server.address)
+        listing = await workers.list_runs(info, 1, 0, None, 0, 500)
+        self.assertEqual((listing.born_ms, listing.running), (1, ()))
+        for malformed in (
+            {"running": [[5, 1, "", 10]]},
+            {"running": [["a.0.0.0", "x", "", 10]]},
+            {"running": [["a.0.0.0", 1, ["c"], 10]]},
+            {"running": [["a.0.0.0"]]},
+            {"running": None},
+            {"finished": [["x", "a.0.0.0", 1, "done", ""]]},
+            {"finished": [[1, None, 1, "done", ""]]},
+            {"finished": [[1, "a.0.0.0", 1, "vanished", ""]]},
+            {"born": "yesterday"},
+        ):
+            fields.clear()
+            fields.update(malformed)
+            with self.assertRaises(NoAnswerError, msg=str(malformed)):
+                await workers.list_runs(info, 1, 0, None, 0, 500)
+
+
+class LateLoopTest(unittest.IsolatedAsyncioTestCase):
+    """A process whose event loop is late, and a server in a thread of its own."""
+
+    async def test_a_response_that_has_arrived_is_not_a_timeout(self) -> None:
+        """Guards against taking the lateness of this process for silence of the other one.
+
+        A leader without processor time lost workers that had answered (large andinas, small
+        quiet-1).
+        """
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        thread = threading.Thread(target=_answer_one_request, args=(listener,))
+        thread.start()
+        self.addCleanup(thread.join)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        call = asyncio.ensure_future(HttpClient().call(address, "GET", "/", timeout_ms=100))
+        await asyncio.sleep(0.02)
+        time.sleep(0.3)
+        try:
+            response = await call
+        except NoResponseError:
+            self.fail("the response had arrived")
+        self.assertEqual(response.status, 200)
+
+
+def _answer_one_request(listener: socket.socket) -> None:
+    conn, _ = listener.accept()
+    conn.recv(1_000)
+    # The loop of the client is blocked by now.
+    time.sleep(0.1)
+    conn.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+    conn.close()
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -253,6 +253,20 @@
         self.workers.workers[self.workers.started[0][0]].is_replaced = True
         await eventually(lambda: len(self.workers.started) == 2, 1.5)
 
+    async def test_a_worker_that_has_left_is_not_used_by_a_successor(self) -> None:
+        """Guards against a worker that left while the leader was replaced.
+
+        The record of workers that may have runs still names it.
+        """
+        await self._term("m1")
+        left = "w000"
+        self.store._delete(f"workers/{left}")
+        await self._term("m2")
+        for _ in range(6):
+            self._store(make_job(make_step(3)))
+        await eventually(lambda: len(self.workers.started) == 18)
+        self.assertNotIn(left, {name for name, _, _ in self.workers.started})
+
     async def test_an_unreadable_progress_record_stops_only_its_job(self) -> None:
         """Guards against a failed takeover, and against rerunning tasks with unknown progress."""
         garbled, sound = make_job(), make_job()
--- a/tests/server/jobs/test_leader_lease.py
+++ b/tests/server/jobs/test_leader_lease.py
@@ -154,3 +154,13 @@
         self.assertEqual(leader.record.member, "m9")
         leader.observe_record(LeaderRecord(StoreRevision(1), MemberId("m8"), "a:8"))
         self.assertEqual(leader.record.member, "m9", "an older lease is ignored")
+
+    async def test_a_malformed_lease_is_replaced(self) -> None:
+        """Guards against a cell without a leader after a garbled write."""
+        leader = await self._leader()
+        for lease in self.leases:
+            lease.record_status(LeaderStatus.DEAD, lease.revision)
+        self.store.put(LEADER_KEY, b"[1,")
+        await eventually(lambda: not leader.is_held or leader.revision > 0)
+        await eventually(lambda: self.store.items[LEADER_KEY].value != b"[1,")
+        await eventually(lambda: sum(lease.is_held for lease in self.leases) == 1)
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -3,9 +3,11 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId
+from lagoonshelf_server.jobs import node as node_module
 from lagoonshelf_server.jobs.heartbeats import NodeSettings
 from lagoonshelf_server.jobs.leader import Ports
 from lagoonshelf_server.jobs.leader_lease import LeaderRecord, LeaderStatus
@@ -13,6 +15,7 @@
 from lagoonshelf_server.jobs.ports import StoreRevision
 from lagoonshelf_server.messages import PeerState, Pulse, PulseReply, QueueCount
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers
+from tests.support.jobs import config
 
 
 class NodeTest(unittest.IsolatedAsyncioTestCase):
@@ -117,6 +120,42 @@
         heartbeats._relays = (PeerState("a:2", 10), PeerState("a:6", 10), PeerState("a:3", 10))
         self.assertEqual(heartbeats.relay_addresses(), ["a:2", "a:6", "a:3"])
 
+    async def test_an_old_configuration_accepts_no_work(self) -> None:
+        """Guards against a withdrawn key that works at a process that was paused or cut off.
+
+        The leader's heartbeats confirm the configuration of a process without the store.
+        """
+        config_view = self.node.config
+        config_view.current = config()
+        config_view.read_ms = self.clock.now_ms()
+        self.assertTrue(config_view.is_fresh())
+        config_view.read_ms -= 5_000
+        self.assertFalse(config_view.is_fresh())
+        newer = PulseReply(True, 5, 0, is_ready=True, config_version=2, config_age_ms=10)
+        self.node.heartbeats.on_reply(newer, is_to_leader=True)
+        self.assertFalse(config_view.is_fresh(), "the leader has a newer configuration")
+        outdated = PulseReply(True, 5, 0, is_ready=True, config_version=1, config_age_ms=6_000)
+        self.node.heartbeats.on_reply(outdated, is_to_leader=True)
+        self.assertFalse(config_view.is_fresh(), "the leader does not reach the store either")
+        current = PulseReply(True, 5, 0, is_ready=True, config_version=1, config_age_ms=10)
+        self.node.heartbeats.on_reply(current, is_to_leader=True)
+        self.assertTrue(config_view.is_fresh())
+
+    async def test_an_unexpected_error_does_not_end_the_process(self) -> None:
+        """Guards against a process that exits because of one malformed message."""
+        calls: list[int] = []
+
+        async def loop() -> None:
+            calls.append(1)
+            raise AttributeError("'int' object has no attribute 'split'")
+
+        with patch.object(node_module, "LOOP_RESTART_S", 0.01):
+            task = asyncio.ensure_future(self.node._run_forever(loop))
+            await asyncio.sleep(0.1)
+        self.assertGreater(len(calls), 1)
+        self.assertFalse(task.done())
+        task.cancel()
+
     async def test_the_cost_of_heartbeats_does_not_grow_with_the_square_of_the_members(
         self,
     ) -> None:
