Keep the records of an ended job until its runs have ended

Change: the records of an ended job are replaced by its final state once none of its runs is left; a worker with a run of an unknown task gets no tasks until that run has ended. Tests: three, all fail on the code before. Conclusion: the deletion of records has to respect everything a successor needs, not only what it may start.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -528,6 +528,8 @@
         if worker is None or worker.runs.get((run.name, run.attempt)) is not run:
             return
         worker.remove_run(run)
+        if run.task is not None and run.task.job.is_final:
+            self.changed_jobs.add(run.task.job)
         if run.is_duplicate and run.task is not None:
             run.is_duplicate = False
             run.task.duplicate_runs -= 1
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -211,6 +211,15 @@
         """Return whether the state is final."""
         return self.state in FINAL_STATES
 
+    @property
+    def has_runs(self) -> bool:
+        """Return whether any of its tasks has a run that has not ended."""
+        return any(
+            task.run is not None or task.duplicate_runs
+            for step in self.steps.values()
+            for task in step.tasks
+        )
+
     def occurrence_steps(self, occurrence: Occurrence) -> list[StepRun]:
         """Return the steps of an occurrence, and create them on first use."""
         if (occurrence, 0) not in self.steps:
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -46,6 +46,7 @@
     :param lapse_ms: clock time by which all its runs have ended unless their lease is renewed
     :param drain_end_ms: clock time until which a draining worker remains available
     :param used: sum of the allocations of its runs
+    :param unknown_runs: number of its runs whose tasks, and so whose sizes, are not known
     :param blocks_inherited: may run tasks of a previous leader, and has not been read since
     """
 
@@ -58,6 +59,7 @@
     drain_end_ms: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     used: Resources = ZERO_RESOURCES
+    unknown_runs: int = 0
     services: int = 0
     fillers: int = 0
     is_maintenance_due: bool = False
@@ -76,12 +78,14 @@
             and self.is_read
             and not self.info.is_draining
             and not self.is_maintenance_due
+            and not self.unknown_runs
         )
 
     def add_run(self, run: Run) -> None:
         """Add a run and allocate its resources."""
         self.runs[(run.name, run.attempt)] = run
         self.used += allocation_of(run.size, run.is_filler)
+        self.unknown_runs += run.task is None
         self.services += run.is_service
         self.fillers += run.is_filler
 
@@ -90,6 +94,7 @@
         if self.runs.pop((run.name, run.attempt), None) is None:
             return
         self.used -= allocation_of(run.size, run.is_filler)
+        self.unknown_runs -= run.task is None
         self.services -= run.is_service
         self.fillers -= run.is_filler
 
--- a/packages/server/lagoonshelf_server/jobs/progress_writer.py
+++ b/packages/server/lagoonshelf_server/jobs/progress_writer.py
@@ -230,7 +230,8 @@
         """Return the write that makes the current state of a job durable."""
         revision = self._revisions.get(job.id, ABSENT)
         conditions = {progress_key(job.id): revision}
-        if not job.is_final:
+        # The size of runs that are being stopped is known by the records of their job.
+        if not job.is_final or job.has_runs:
             put = Put(progress_key(job.id), encode_progress(job))
             return _Write(job.id, job.state, conditions, put)
         # The condition on the final state shows whether an unanswered attempt took effect.
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -309,3 +309,35 @@
         cell.cancel(accepted.id, 5)
         cell.apply_report(cell.workers["w000"], [running_row(run)], [], 10, 20)
         self.assertEqual([stopped.name for stopped in take_stops(cell)], [run.name])
+
+
+class UnknownRunsTest(unittest.TestCase):
+    """Runs that a worker reports and whose tasks are not known."""
+
+    def test_a_worker_gets_no_tasks_beside_a_run_of_unknown_size(self) -> None:
+        """Guards against more work than a worker can hold (LIMIT, large andinas, scale-1).
+
+        The run is being stopped, which takes a second, and keeps its resources until then.
+        """
+        cell = make_cell(1)
+        worker = cell.workers["w000"]
+        row = RunningRow("00000000000000ff.0.0.0", 1, "", 10, 0.0)
+        cell.apply_report(worker, [row], [], 0, 10)
+        self.assertEqual(len(take_stops(cell)), 1)
+        accept_job(cell, make_job())
+        self.assertEqual(plan_starts(cell, 20), [])
+        report_end(cell, "w000", row.name, 1, RunEnd.STOPPED)
+        self.assertEqual(len(plan_starts(cell, 30)), 1)
+
+    def test_a_final_job_changes_when_its_last_run_ends(self) -> None:
+        """Guards against records of an ended job that are never deleted."""
+        cell = make_cell(1)
+        job = accept_job(cell, make_job())
+        (run,) = plan_starts(cell)
+        confirm_starts(cell, [run])
+        cell.cancel(job.id, 1)
+        cell.changed_jobs.clear()
+        run.task.counted_attempts.add(run.attempt)
+        end_run(cell, run, RunEnd.STOPPED)
+        self.assertIn(job, cell.changed_jobs)
+        self.assertFalse(job.has_runs)
--- a/tests/server/jobs/test_progress_writer.py
+++ b/tests/server/jobs/test_progress_writer.py
@@ -4,8 +4,9 @@
 import unittest
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.ids import MemberId
-from lagoonshelf_core.jobs.progress import Job, JobState, decode_state
+from lagoonshelf_core.ids import MemberId, WorkerId
+from lagoonshelf_core.jobs.progress import Job, JobState, Run, RunPhase, decode_state
+from lagoonshelf_core.jobs.spec import Occurrence, encode_job
 from lagoonshelf_server.jobs.keys import (
     LEADER_KEY,
     cancel_key,
@@ -16,7 +17,7 @@
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.progress_writer import ProgressWriter
 from tests.support.job_fakes import FakeStore, eventually
-from tests.support.jobs import make_job
+from tests.support.jobs import SMALL, TEAM, make_job
 
 
 class ProgressWriterTest(unittest.IsolatedAsyncioTestCase):
@@ -187,3 +188,22 @@
         self.assertTrue(await self.writer.wait_durable(self.writer.mark(), 2.0))
         await eventually(lambda: other.id in self.writer.durable_states)
         self.assertTrue(await self.writer.wait_durable(self.writer.mark(), 2.0))
+
+    async def test_a_job_is_known_until_its_runs_have_ended(self) -> None:
+        """Guards against a successor that does not know the size of runs that are being stopped.
+
+        It started more on their workers than these can hold (LIMIT, large andinas, scale-1).
+        """
+        spec = make_job()
+        self.store.put(job_key(spec.id), encode_job(spec))
+        changed = Job(spec, 0, state=JobState.CANCELLED)
+        (task,) = changed.occurrence_steps(Occurrence(0))[0].tasks
+        task.run = Run(task.name, 1, WorkerId("w1"), SMALL, TEAM, task, RunPhase.STOPPING, 0)
+        self.writer.add({changed})
+        self.assertTrue(await self.writer.wait_durable(self.writer.mark(), 2.0))
+        self.assertIs(self.writer.durable_states[changed.id], JobState.CANCELLED)
+        self.assertIn(job_key(spec.id), self.store.items)
+        task.run = None
+        self.writer.add({changed})
+        self.assertTrue(await self.writer.wait_durable(self.writer.mark(), 2.0))
+        self.assertNotIn(job_key(spec.id), self.store.items)
