--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -36,6 +36,9 @@
 SETTLE_TIMEOUT_S = 40.0
 # The grace period that the platform specifies for a stop, plus a margin for a busy machine.
 STOP_TIMEOUT_S = GRACE_S + 1.0
+# Share of the seeds with one of the later faults.
+LATER_FAULTS_SHARE = 0.4
+NARROW_LINK_BYTES_PER_S = 50_000
 LOG_DIR = Path("target/soak")
 
 
@@ -145,6 +148,13 @@
             await asyncio.sleep(self.rng.uniform(0, 1.2))
             self._spawn(self._inject_fault(fault, self.rng.uniform(0.3, 4.0)))
 
+        # These faults came later; a generator of their own leaves the older ones of a seed as they
+        # were.
+        rng = Random(f"later faults of seed {self.seed}")
+        if rng.random() < LATER_FAULTS_SHARE:
+            fault = rng.choice((self._kill_all_again, self._narrow_store_links))
+            self._spawn(self._inject_fault(fault, rng.uniform(0.3, 4.0)))
+
     async def _inject_fault(
         self, fault: Callable[[float], Awaitable[None]], duration_s: float
     ) -> None:
@@ -168,6 +178,22 @@
             *(self._kill_process(process, duration_s / 4) for process in processes)
         )
 
+    async def _kill_all_again(self, duration_s: float) -> None:
+        """Kill all processes three times, the last times during a takeover on a slow store."""
+        for pause_s in (0.0, 0.4, 0.8):
+            await self._kill_all(4 * pause_s)
+            self.cluster.store.delay_s = 0.1
+            await asyncio.sleep(duration_s / 4)
+        self.cluster.store.delay_s = CALL_DELAY_S
+
+    async def _narrow_store_links(self, duration_s: float) -> None:
+        for process in self.cluster.processes:
+            process.store_proxy.bytes_per_s = NARROW_LINK_BYTES_PER_S
+        await self._kill_all(1.0)
+        await asyncio.sleep(duration_s)
+        for process in self.cluster.processes:
+            process.store_proxy.bytes_per_s = 0
+
     async def _pause(self, duration_s: float) -> None:
         process = self._random_process()
         process.signal(signal.SIGSTOP)
@@ -245,6 +271,7 @@
     async def _clear_faults(self) -> None:
         for process in self.cluster.processes:
             process.store_proxy.mode = ProxyMode.OPEN
+            process.store_proxy.bytes_per_s = 0
             process.signal(signal.SIGCONT)
             if not process.is_running:
                 await process.start()
--- a/tests/platform/standin/http.py
+++ b/tests/platform/standin/http.py
@@ -113,6 +113,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self.mode = ProxyMode.OPEN
         self.delay_s = 0.0
+        # Rate of all responses together, 0 for no limit.
+        self.bytes_per_s = 0
+        self._link = asyncio.Lock()
         self.address = ""
 
     async def listen(self) -> None:
@@ -157,6 +160,9 @@
             while data := await reader.read(65_536):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
+                if self.bytes_per_s and is_response:
+                    async with self._link:
+                        await asyncio.sleep(len(data) / self.bytes_per_s)
                 if self.mode is ProxyMode.RESET:
                     break
                 if self.mode is ProxyMode.BLACKHOLE or (
--- a/tests/platform/standin/store.py
+++ b/tests/platform/standin/store.py
@@ -8,7 +8,9 @@
 
 from tests.platform.standin.http import Request, Response, StubServer
 
+# A page ends at the first of these limits; values are counted as transferred.
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 WATCH_POLL_S = 0.005
 # Duration of an ordinary call.
 CALL_DELAY_S = 0.004
@@ -107,8 +109,14 @@
     def _range(self, request: Request) -> Response:
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(key for key in self.entries if key.startswith(prefix) and key > after)
-        items = [self._item(key) for key in keys[:PAGE_ITEMS]]
-        has_more = len(keys) > PAGE_ITEMS
+        items: list[dict] = []
+        size = 0
+        for key in keys[:PAGE_ITEMS]:
+            items.append(self._item(key))
+            size += len(items[-1]["value"])
+            if size >= PAGE_BYTES:
+                break
+        has_more = len(keys) > len(items)
         return Response(200, {"items": items, "has_more": has_more, "at": self.revision})
 
     async def _watch(self, request: Request) -> Response:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -69,6 +69,29 @@
         await self._wait_for_completion(job)
         self.assertEqual([record.end for record in self._runs(job)], ["done", "done"])
 
+    async def test_a_takeover_ends_on_a_slow_link(self) -> None:
+        """A state of several pages is read although a page takes longer than an ordinary call.
+
+        No process finished its takeover after a power loss (large andinas, trouble-1).
+        """
+        for process in self.cluster.processes:
+            await process.kill()
+        step = {"count": 1, "size": [1_000, 100, 0], "estimate_ms": 100}
+        for number in range(400):
+            job_id = f"{number:016x}"
+            fields = {"id": job_id, "team": "t1", "queue": "gone", "payload": "x" * 3_500}
+            fields |= {"steps": [step], "accepted_ms": 0}
+            self.cluster.store.put(f"in/job/{job_id}", fields)
+        for process in self.cluster.processes:
+            process.store_proxy.bytes_per_s = 400_000
+            await process.start()
+        job = new_job(1_000)
+        async with asyncio.timeout(END_TIMEOUT_S):
+            while await submit(self.cluster.processes[0].address, job, 1.0) != 200:
+                await asyncio.sleep(0.1)
+        await self._wait_for_completion(job)
+        self.assertEqual([record.end for record in self._runs(job)], ["done", "done"])
+
     async def test_a_cancelled_job_ends(self) -> None:
         """Cancellation stops the runs of the job, and no further run starts."""
         job = new_job(2, run_ms=60_000)
