--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -115,12 +115,21 @@
     async def _create(
         self, conditions: dict[str, StoreRevision], key: str, value: bytes, deadline_ms: int
     ) -> tuple[WriteOutcome, Committed | Conflict | None]:
-        """Write a key under conditions that fail once it is written; a conflict is a success."""
+        """Write a key under conditions that fail once it is written; a conflict is a success.
+
+        A store whose last calls failed is probed by a read, because a write that gets no response
+        may still take effect.
+        """
         outcome = WriteOutcome.UNAVAILABLE
         while True:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return outcome, None
+            if self._store.is_failing() and not await self._is_answering(key):
+                if outcome is WriteOutcome.UNAVAILABLE:
+                    return outcome, None
+                await asyncio.sleep(RETRY_S)
+                continue
             timeout_ms = min(WRITE_TIMEOUT_MS, left_ms)
             try:
                 result = await self._store.commit(
@@ -136,6 +145,13 @@
                     return outcome, None
             await asyncio.sleep(RETRY_S)
 
+    async def _is_answering(self, key: str) -> bool:
+        try:
+            await self._store.read(key)
+        except (StoreUnavailableError, StoreUncertainError):
+            return False
+        return True
+
 
 class JobApi:
     """Accepts jobs once they are stored, and returns job states from the leader or the store."""
--- a/tests/server/jobs/test_job_api.py
+++ b/tests/server/jobs/test_job_api.py
@@ -7,7 +7,7 @@
 from lagoonshelf_core.jobs.spec import encode_job
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
 from lagoonshelf_server.jobs.keys import cancel_key, job_key, progress_key
-from lagoonshelf_server.jobs.ports import StoreUnavailableError
+from lagoonshelf_server.jobs.ports import StoreUnavailableError, StoreUncertainError
 from tests.support.job_fakes import FakeStore
 from tests.support.jobs import make_job
 
@@ -73,6 +73,24 @@
         self.assertIs(await self.api.submit(spec, 700), WriteOutcome.UNCERTAIN)
         self.assertEqual(self.relayed, [])
 
+    async def test_a_failing_store_is_probed_before_a_write(self) -> None:
+        """Guards against an uncertain outcome for each job of an outage that resets connections.
+
+        A client may not submit a job elsewhere after "may have run"; in such an outage 450
+        submissions got that answer (large andinas, scale-1).
+        """
+
+        async def commit(*args: object, **kwargs: object) -> None:
+            self.store.commits += 1
+            raise StoreUncertainError("connection closed")
+
+        self.store.commit = commit
+        self.assertIs(await self.api.submit(make_job(), 400), WriteOutcome.UNCERTAIN)
+        self.store.is_down = True
+        before = self.store.commits
+        self.assertIs(await self.api.submit(make_job(), 400), WriteOutcome.UNAVAILABLE)
+        self.assertEqual(self.store.commits, before)
+
     async def test_without_the_store_another_member_writes(self) -> None:
         """Guards against refusing a job that another member can store.
 
