Refuse to relay a write at once while the store fails here

Cause: in an outage for all, a submission waited for the probe of one member after the other. Change: a member whose last calls failed answers a relay as unavailable without a probe; the sender may still write by itself. Test: test_node. Measured: the test. Conclusion: what cannot be stored is refused sooner.

--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -340,7 +340,10 @@
         """Write for a member that cannot reach the store."""
         deadline_ms = self._clock.now_ms() + RELAY_WRITE_MS
         job = JobId(body.job)
-        if isinstance(body, JobRecord):
+        if self._ports.store.is_failing():
+            # The sender may ask another member in the time that a probe would take.
+            written = WriteOutcome.UNAVAILABLE
+        elif isinstance(body, JobRecord):
             record = body.record.encode()
             written = await self.job_api.store_job(job, record, deadline_ms)
         else:
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -7,15 +7,17 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId
+from lagoonshelf_core.jobs.spec import encode_job
 from lagoonshelf_server.jobs import node as node_module
 from lagoonshelf_server.jobs.heartbeats import NodeSettings
+from lagoonshelf_server.jobs.job_api import WriteOutcome
 from lagoonshelf_server.jobs.leader import Ports
 from lagoonshelf_server.jobs.leader_lease import LeaderRecord, LeaderStatus
 from lagoonshelf_server.jobs.node import Node
 from lagoonshelf_server.jobs.ports import StoreRevision
-from lagoonshelf_server.messages import PeerState, Pulse, PulseReply, QueueCount
+from lagoonshelf_server.messages import JobRecord, PeerState, Pulse, PulseReply, QueueCount
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers
-from tests.support.jobs import config
+from tests.support.jobs import config, make_job
 
 
 class NodeTest(unittest.IsolatedAsyncioTestCase):
@@ -141,6 +143,15 @@
         self.node.heartbeats.on_reply(current, is_to_leader=True)
         self.assertTrue(config_view.is_fresh())
 
+    async def test_a_member_without_the_store_refuses_to_relay_at_once(self) -> None:
+        """Guards against submissions that wait for one member after the other in an outage."""
+        self.store.is_down = True
+        spec = make_job()
+        record = JobRecord(spec.id, encode_job(spec).decode())
+        kind, body = await self.node._handle(MemberId("m2"), "relayJob", record)
+        self.assertEqual((kind, body.outcome), ("relayed", WriteOutcome.UNAVAILABLE.value))
+        self.assertEqual(self.store.pages_read + self.store.commits, 0)
+
     async def test_an_unexpected_error_does_not_end_the_process(self) -> None:
         """Guards against a process that exits because of one malformed message."""
         calls: list[int] = []
