Give a worker that two gangs hold to the first of them

Cause: second reading: holds were registered in an order that let a later gang override an earlier one for the rest of a pass. Change: the first holder in order of priority has the worker.

--- a/packages/core/lagoonshelf_core/jobs/gang_placement.py
+++ b/packages/core/lagoonshelf_core/jobs/gang_placement.py
@@ -123,7 +123,11 @@
     size = allocation_of(spec.size, spec.is_filler)
     used, at_ms = worker.used, now_ms
     ending = sorted(
-        ((_expected_end_ms(run, now_ms), run) for run in worker.runs.values() if _will_end(run)),
+        (
+            (_expected_end_ms(run, now_ms), run)
+            for run in worker.runs.values()
+            if not run.is_service
+        ),
         key=lambda row: row[0],
     )
     slots: list[tuple[int, int]] = []
@@ -138,10 +142,6 @@
     return slots
 
 
-def _will_end(run: Run) -> bool:
-    return not run.is_service
-
-
 def _expected_end_ms(run: Run, now_ms: int) -> int:
     """Return when a run is expected to end, by its speed or its estimate."""
     elapsed_ms, percent = run.progressed_ms - run.started_ms, run.progress_percent
@@ -161,8 +161,9 @@
 ) -> list[tuple[Task, Worker]]:
     """Return a worker for each gang member, or nothing when not all members fit.
 
-    The order of preference is: workers that have not failed the job, workers in the rack of the
-    data, workers that fit most members, and the fullest among equal ones.
+    The order of preference is: workers that have not failed the job, workers that are not held
+    for another gang, workers in the rack of the data, workers that fit most members, and the
+    fullest among equal ones.
     """
     spec = step.spec
     size = allocation_of(spec.size, spec.is_filler)
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -59,10 +59,13 @@
         return startable_milli(load.capacity_milli, load.used_milli, band, smallest)
 
     def register_holds(self, steps: Iterable[StepRun]) -> None:
-        """Register the workers that waiting gangs hold since earlier passes."""
+        """Register the workers that waiting gangs hold since earlier passes.
+
+        :param steps: steps in order of priority; the first of several holders of a worker has it
+        """
         for step in steps:
-            if step.hold is not None:
-                self.holders.update(dict.fromkeys(step.hold.workers, step))
+            for name in () if step.hold is None else step.hold.workers:
+                self.holders.setdefault(name, step)
 
     def hold(self, step: StepRun, hold: GangHold) -> None:
         """Hold workers for a gang."""
