--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -190,7 +190,7 @@
         if record is not None:
             self.progress_writer.load_record(spec.id, record.revision, job.state)
         if job.is_final:
-            # Its final state was written by an earlier version, which kept all records.
+            # Its last runs had not ended, or an earlier version kept all records of ended jobs.
             self.progress_writer.add({job})
 
     async def _plan_loop(self) -> None:
