Keep the progress of a job whose record cannot be decoded

A takeover took the progress and the cancellation of a job with an unreadable record for remains of an ended job and deleted them, so that its tasks could have run again once the record was readable. Change: only records whose job has no record at all are deleted; a counter that could be derived is gone. Test: fails on the code before. Conclusion: what cannot be read is kept.

--- a/packages/server/lagoonshelf_server/jobs/takeover.py
+++ b/packages/server/lagoonshelf_server/jobs/takeover.py
@@ -5,7 +5,12 @@
 
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_server.jobs.job_watcher import read_cancel, read_job
-from lagoonshelf_server.jobs.keys import PROGRESS_PREFIX, SUBMISSION_PREFIX, USED_WORKERS
+from lagoonshelf_server.jobs.keys import (
+    PROGRESS_PREFIX,
+    SUBMISSION_PREFIX,
+    USED_WORKERS,
+    job_key,
+)
 from lagoonshelf_server.jobs.ports import (
     ABSENT,
     Item,
@@ -57,7 +62,7 @@
 
     async def read(self) -> list[Item]:
         """Return all items; ``revision`` is that of the first page."""
-        after, pages = "", 0
+        after = ""
         while True:
             try:
                 page = await self._store.read_page(self._prefix, after)
@@ -70,9 +75,8 @@
                 )
                 await asyncio.sleep(RETRY_S)
                 continue
-            if not pages:
+            if not after:
                 self.revision = page.revision
-            pages += 1
             self.items += page.items
             if not page.has_more:
                 return self.items
@@ -102,8 +106,10 @@
         if cancelled_job is not None:
             cancelled[cancelled_job] = item.key
     records = {JobId(item.key.removeprefix(PROGRESS_PREFIX)): item for item in progress}
-    orphans = [item.key for job, item in records.items() if job not in jobs]
-    orphans += [key for job, key in cancelled.items() if job not in jobs]
+    # A job whose record cannot be decoded keeps its other records.
+    stored_keys = {item.key for item in stored}
+    orphans = [item.key for job, item in records.items() if job_key(job) not in stored_keys]
+    orphans += [key for job, key in cancelled.items() if job_key(job) not in stored_keys]
     return CellState(
         submissions.revision,
         tuple(jobs.values()),
--- a/tests/server/jobs/test_takeover.py
+++ b/tests/server/jobs/test_takeover.py
@@ -152,6 +152,21 @@
         await eventually(lambda: progress_key(spec.id) not in self.store.items)
         await eventually(lambda: cancel_key(spec.id) not in self.store.items)
 
+    async def test_the_progress_of_an_unreadable_job_is_kept(self) -> None:
+        """Guards against losing which tasks have run when a job's record cannot be decoded.
+
+        A later version of this program may have written it.
+        """
+        spec = make_job()
+        self.store.put(job_key(spec.id), b'{"id":')
+        self.store.put(progress_key(spec.id), encode_progress(Job(spec, 0)))
+        self.store.put(cancel_key(spec.id), b"{}")
+        leader = await self._start_term()
+        await eventually(lambda: leader.is_ready)
+        await asyncio.sleep(0.1)
+        self.assertIn(progress_key(spec.id), self.store.items)
+        self.assertIn(cancel_key(spec.id), self.store.items)
+
     async def test_a_takeover_ends_when_its_lease_is_lost(self) -> None:
         """Guards against a process that leads with the state that it read in an earlier term.
 
