--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -21,6 +21,8 @@
 RETRY_S = 0.1
 # Withdrawn keys stop working within seconds, so no work is accepted by an older configuration.
 MAX_AGE_MS = 5_000
+# A configuration that has not been confirmed for more than one read and its retry is logged.
+LATE_MS = 2_000
 
 _log = logger("config")
 
@@ -36,6 +38,7 @@
         self._revision = 0
         self.current = CellConfig(0)
         self.read_ms = 0
+        self._is_late = False
 
     @property
     def is_known(self) -> bool:
@@ -47,7 +50,11 @@
 
         A process that was paused or is cut off may not know that a key has been withdrawn.
         """
-        return self.is_known and self._clock.now_ms() - self.read_ms < MAX_AGE_MS
+        return self.is_known and self.age_ms() < MAX_AGE_MS
+
+    def age_ms(self) -> int:
+        """Return the time since the configuration was last confirmed, here or by a member."""
+        return self._clock.now_ms() - self.read_ms
 
     def confirm(self, version: int, age_ms: int) -> None:
         """Record that a member read the configuration from the store some time ago.
@@ -60,22 +67,25 @@
     async def poll(self) -> None:
         """Read the configuration periodically; run for the life of the process."""
         while True:
+            sent_ms = self._clock.now_ms()
             try:
                 item = await self._store.read(self._codec.config_key)
+                self._log_confirmed(sent_ms)
                 if item is not None:
-                    self._apply_item(item)
+                    self._apply_item(item, "read", sent_ms)
                 self.read_ms = self._clock.now_ms()
                 job_metrics.config_age_ms.set({}, 0)
                 await asyncio.sleep(READ_INTERVAL_S if self.is_known else RETRY_S)
             except (StoreUnavailableError, StoreUncertainError) as exc:
-                job_metrics.config_age_ms.set({}, self._clock.now_ms() - self.read_ms)
-                _log.debug("configuration not read", reason=str(exc))
+                job_metrics.config_age_ms.set({}, self.age_ms())
+                self._log_late(str(exc))
                 await asyncio.sleep(RETRY_S)
 
     async def watch(self) -> None:
         """Watch changes of the configuration; run for the life of the process."""
         revision = 0
         while True:
+            sent_ms = self._clock.now_ms()
             try:
                 if not revision:
                     _, revision = await self._store.read_all(self._codec.config_key)
@@ -84,18 +94,40 @@
                 )
                 for change in changes:
                     if change.item is not None and change.key == self._codec.config_key:
-                        self._apply_item(change.item)
+                        self._apply_item(change.item, "watch", sent_ms)
             except HistoryLostError:
+                _log.info("history of the configuration lost", version=self.current.version)
                 revision = 0
-            except (StoreUnavailableError, StoreUncertainError):
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                job_metrics.config_watch_failures.inc({})
+                _log.debug("configuration not watched", reason=str(exc))
                 await asyncio.sleep(RETRY_S)
 
-    def _apply_item(self, item: Item) -> None:
+    def _log_late(self, reason: str) -> None:
+        """Log once that the configuration has not been confirmed for a while."""
+        if self.is_known and not self._is_late and self.age_ms() > LATE_MS:
+            self._is_late = True
+            version, age_ms = self.current.version, self.age_ms()
+            _log.warning(
+                "configuration not confirmed", version=version, age_ms=age_ms, reason=reason
+            )
+
+    def _log_confirmed(self, sent_ms: int) -> None:
+        """Log a read that was slow, or that ends a time without confirmation."""
+        took_ms, age_ms = self._clock.now_ms() - sent_ms, self.age_ms()
+        if self.is_known and (self._is_late or age_ms > LATE_MS):
+            self._is_late = False
+            version = self.current.version
+            _log.info(
+                "configuration confirmed again", version=version, age_ms=age_ms, took_ms=took_ms
+            )
+
+    def _apply_item(self, item: Item, source: str, sent_ms: int) -> None:
         if item.revision <= self._revision:
             return
         cfg = self._codec.decode_config(item.value)
         if cfg is None:
-            _log.error("configuration unreadable", revision=item.revision)
+            _log.error("configuration unreadable", revision=item.revision, source=source)
             return
         self._revision = item.revision
         if cfg.version <= self.current.version:
@@ -106,6 +138,9 @@
             before=self.current.version,
             queues=len(cfg.queues),
             teams=len(cfg.teams),
+            source=source,
+            took_ms=self._clock.now_ms() - sent_ms,
+            unconfirmed_ms=self.age_ms() if self.is_known else None,
         )
         self.current = cfg
         job_metrics.config_version.set({}, cfg.version)
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -98,7 +98,7 @@
         self._interval_s = HEARTBEAT_INTERVAL_S
         self._offered_ms = 0
         self._tasks: set[asyncio.Task] = set()
-        self.lag = LoopLag()
+        self.lag = LoopLag(clock)
         self.is_draining = False
 
     async def run(self, net: PeerNet, is_leading: Callable[[], bool]) -> None:
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -33,6 +33,17 @@
 live_jobs = Gauge("lagoonshelf_live_jobs", "Jobs that have not ended.")
 config_version = Gauge("lagoonshelf_config_version", "Version of the configuration in force.")
 config_age_ms = Gauge("lagoonshelf_config_age_ms", "Time since the configuration was read.")
+config_use_age_ms = Histogram(
+    "lagoonshelf_config_use_age_ms",
+    "Time since the configuration by which a request was answered had been confirmed.",
+    buckets=BUCKETS_MS,
+)
+config_watch_failures = Counter(
+    "lagoonshelf_config_watch_failures_total", "Watches of the configuration that failed."
+)
+loop_late_ms = Histogram(
+    "lagoonshelf_loop_late_ms", "Delay of a short timer of the event loop.", buckets=BUCKETS_MS
+)
 is_leader = Gauge("lagoonshelf_is_holder", "1 while this process holds the cell.")
 
 
