--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -175,10 +175,16 @@
                 raise AssertionError(f"not ready in {READY_TIMEOUT_S} s:\n{self.logs()}")
             await asyncio.sleep(0.05)
 
-    def configure(self, cap_cpu: int) -> None:
-        """Write the next version of the configuration."""
+    def configure(self, cap_cpu: int, new_queues: tuple[str, ...] = ()) -> None:
+        """Write the next version of the configuration.
+
+        :param new_queues: queues beside those that always exist
+        """
         self.version += 1
-        self.store.put("op/config", config(self.version, cap_cpu))
+        fields = config(self.version, cap_cpu)
+        for name in new_queues:
+            fields["routes"].append({**fields["routes"][0], "name": name, "prefix": f"/{name}/"})
+        self.store.put("op/config", fields)
 
     async def close(self) -> None:
         """Stop everything that was started."""
--- a/tests/platform/standin/http.py
+++ b/tests/platform/standin/http.py
@@ -111,6 +111,7 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
         self.mode = ProxyMode.OPEN
         self.delay_s = 0.0
         # Rate of all responses together, 0 for no limit.
@@ -134,6 +135,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_connections(self) -> None:
+        """Forward nothing more on the open connections, without closing them; new ones work."""
+        self._silent |= self._writers
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.mode is ProxyMode.RESET:
             writer.transport.abort()
@@ -152,6 +157,7 @@
         with suppress(asyncio.CancelledError):
             await asyncio.gather(*directions, return_exceptions=True)
         self._writers -= {writer, upstream_writer}
+        self._silent -= {writer, upstream_writer}
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, is_response: bool
@@ -165,9 +171,9 @@
                         await asyncio.sleep(len(data) / self.bytes_per_s)
                 if self.mode is ProxyMode.RESET:
                     break
-                if self.mode is ProxyMode.BLACKHOLE or (
-                    self.mode is ProxyMode.NO_RESPONSES and is_response
-                ):
+                if self.mode is ProxyMode.BLACKHOLE or writer in self._silent:
+                    continue
+                if self.mode is ProxyMode.NO_RESPONSES and is_response:
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP client on a slow link."""
+"""Tests of the HTTP client on slow links and silent connections."""
 
 import asyncio
 import unittest
@@ -53,3 +53,57 @@
         client = HttpClient()
         with self.assertRaises(NoResponseError):
             await client.call(self.address, "GET", "/", timeout_ms=100)
+
+
+class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    """A server whose open connections can go silent while new ones work."""
+
+    async def asyncSetUp(self) -> None:
+        self.conns: set[asyncio.StreamWriter] = set()
+        self.silent: set[asyncio.StreamWriter] = set()
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.client = HttpClient()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.conns.add(writer)
+        with suppress(asyncio.CancelledError, asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(0.01)
+                if writer not in self.silent:
+                    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+    async def _call(self) -> int:
+        response = await self.client.call(self.address, "GET", "/", timeout_ms=100)
+        return response.status
+
+    async def test_only_one_call_waits_for_connections_that_went_silent(self) -> None:
+        """Guards against calls that wait for one silent connection of the pool after the other.
+
+        A change of the configuration was in force only after 4.8 s (incident CONFIG).
+        """
+        await asyncio.gather(*(self._call() for _ in range(4)))
+        self.silent = set(self.conns)
+        with self.assertRaises(NoResponseError):
+            await self._call()
+        self.assertEqual(await self._call(), 200)
+
+    async def test_a_connection_that_has_responded_meanwhile_is_kept(self) -> None:
+        """Guards against new connections for all calls because one of them was not answered."""
+        await asyncio.gather(self._call(), self._call())
+        waiting = asyncio.ensure_future(self._call())
+        await asyncio.sleep(0)
+        self.silent = set(self.conns)
+        await asyncio.sleep(0.03)
+        # The second connection of the pool is silent too; the third is new and works.
+        with self.assertRaises(NoResponseError):
+            await self._call()
+        self.assertEqual(await self._call(), 200)
+        with self.assertRaises(NoResponseError):
+            await waiting
+        count = len(self.conns)
+        self.assertEqual(await self._call(), 200)
+        self.assertEqual(len(self.conns), count)
