Date the configuration by the request that read it

Cause: the age of the configuration counted from the arrival of the response of the store or of the leader. A response that has waited in the socket, while the process was paused or late, made a version current that may have been replaced meanwhile. The counts of queues had the same fault. The tests let a response wait for 6 s. Change: reads and heartbeats are dated by when they were sent; the pause between reads counts from the request as well, so that slow answers do not add up. Result: test_the_age_counts_from_when_the_read_was_sent and test_a_reply_that_waited_while_the_process_was_paused_confirms_nothing fail before (age 0 instead of 6,000 ms; counted as fresh) and pass now. Conclusion: the age is an upper bound now, which a limit on answers needs.

--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -37,7 +37,7 @@
         self._clock = clock
         self._revision = 0
         self.current = CellConfig(0)
-        self.read_ms = 0
+        self.confirmed_ms = 0
         self._is_late = False
 
     @property
@@ -53,16 +53,19 @@
         return self.is_known and self.age_ms() < MAX_AGE_MS
 
     def age_ms(self) -> int:
-        """Return the time since the configuration was last confirmed, here or by a member."""
-        return self._clock.now_ms() - self.read_ms
+        """Return how long ago the store is known to have held the configuration."""
+        return self._clock.now_ms() - self.confirmed_ms
 
-    def confirm(self, version: int, age_ms: int) -> None:
+    def confirm(self, version: int, age_ms: int, asked_ms: int) -> None:
         """Record that a member read the configuration from the store some time ago.
 
         A process that alone cannot reach the store learns this way that its own is still current.
+
+        :param age_ms: age of the version at the member when it answered
+        :param asked_ms: when the member was asked; its answer may have waited here for any time
         """
         if version == self.current.version:
-            self.read_ms = max(self.read_ms, self._clock.now_ms() - age_ms)
+            self.confirmed_ms = max(self.confirmed_ms, asked_ms - age_ms)
 
     async def poll(self) -> None:
         """Read the configuration periodically; run for the life of the process."""
@@ -73,9 +76,11 @@
                 self._log_confirmed(sent_ms)
                 if item is not None:
                     self._apply_item(item, "read", sent_ms)
-                self.read_ms = self._clock.now_ms()
-                job_metrics.config_age_ms.set({}, 0)
-                await asyncio.sleep(READ_INTERVAL_S if self.is_known else RETRY_S)
+                # The response may have waited for any time, so the read is as old as its request.
+                self.confirmed_ms = max(self.confirmed_ms, sent_ms)
+                job_metrics.config_age_ms.set({}, self.age_ms())
+                pause_s = READ_INTERVAL_S - (self._clock.now_ms() - sent_ms) / 1000
+                await asyncio.sleep(max(RETRY_S, pause_s) if self.is_known else RETRY_S)
             except (StoreUnavailableError, StoreUncertainError) as exc:
                 job_metrics.config_age_ms.set({}, self.age_ms())
                 self._log_late(str(exc))
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -142,6 +142,7 @@
             self._is_store_troubled(),
             self._cfg.cores_milli,
         )
+        sent_ms = self._clock.now_ms()
         try:
             reply = await net.call(address, "pulse", heartbeat, HEARTBEAT_TIMEOUT_S)
         except PeerLostError as exc:
@@ -151,7 +152,7 @@
             is_refused = isinstance(exc, PeerUnreachableError) and "Refused" in str(exc)
             return self._record_no_reply(record.revision, is_refused=is_refused)
         if isinstance(reply, PulseReply):
-            self.on_reply(reply, is_to_leader=is_to_leader)
+            self.on_reply(reply, sent_ms, is_to_leader=is_to_leader)
         return self._interval_s
 
     def _heartbeat_address(self) -> str | None:
@@ -168,9 +169,10 @@
             return choice(others)
         return None if record is None or not record.address or is_own else record.address
 
-    def on_reply(self, reply: PulseReply, *, is_to_leader: bool) -> None:
+    def on_reply(self, reply: PulseReply, sent_ms: int, *, is_to_leader: bool) -> None:
         """Apply a reply to a heartbeat.
 
+        :param sent_ms: when the heartbeat was sent
         :param is_to_leader: the heartbeat was sent to the leader that is known here
         """
         if is_to_leader:
@@ -182,11 +184,11 @@
             )
             self._relays = reply.members
             if reply.config_version:
-                self._config.confirm(reply.config_version, reply.config_age_ms)
+                self._config.confirm(reply.config_version, reply.config_age_ms, sent_ms)
             self._interval_s = reply.interval_ms / 1000 or HEARTBEAT_INTERVAL_S
             if reply.is_ready:
                 self._job_api.pending = {QueueId(row.queue): row.count for row in reply.pending}
-                self._job_api.pending_at_ms = self._clock.now_ms()
+                self._job_api.pending_at_ms = sent_ms
         elif is_to_leader:
             # A process that restarted at the leader's address does not hold the lease.
             self._leader_lease.record_status(LeaderStatus.DEAD, self._leader_lease.revision)
@@ -270,7 +272,7 @@
             is_ready=leader.may_answer(),
             interval_ms=self._reply_interval_ms(),
             config_version=self._config.current.version,
-            config_age_ms=min(now_ms - self._config.read_ms, MAX_REPORTED_AGE_MS),
+            config_age_ms=min(now_ms - self._config.confirmed_ms, MAX_REPORTED_AGE_MS),
         )
 
     def _reply_interval_ms(self) -> int:
--- a/tests/server/jobs/test_config_view.py
+++ b/tests/server/jobs/test_config_view.py
@@ -65,3 +65,16 @@
         found = [(r.message, r.kwargs["age_ms"], r.kwargs.get("reason")) for r in logs.records]
         late = ("configuration not confirmed", LATE_MS + 1, "down")
         self.assertEqual(found, [late, ("configuration confirmed again", LATE_MS + 1, None)])
+
+    async def test_the_age_counts_from_when_the_read_was_sent(self) -> None:
+        """Guards against an old configuration that counts as new after a pause of the process.
+
+        The response waited in the socket while the process was paused.
+        """
+        self.store.delay_ms = 6_000
+        await self._poll_once()
+        self.assertEqual(self.view.age_ms(), 6_000)
+        self.assertFalse(self.view.is_fresh())
+        self.store.delay_ms = 10
+        await self._poll_once()
+        self.assertTrue(self.view.is_fresh())
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -15,16 +15,26 @@
 from lagoonshelf_server.jobs.leader_lease import LeaderRecord, LeaderStatus
 from lagoonshelf_server.jobs.node import Node
 from lagoonshelf_server.jobs.ports import StoreRevision
-from lagoonshelf_server.messages import JobRecord, PeerState, Pulse, PulseReply, QueueCount
+from lagoonshelf_server.messages import Body, JobRecord, PeerState, Pulse, PulseReply, QueueCount
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers
 from tests.support.jobs import config, make_job
 
 
+class PausableClock(Clock):
+    """Clock that can skip the time for which the process is paused."""
+
+    skipped_ms = 0
+
+    def now_ms(self) -> int:
+        """Return the current time."""
+        return super().now_ms() + self.skipped_ms
+
+
 class NodeTest(unittest.IsolatedAsyncioTestCase):
     """A follower of a leader in another process."""
 
     async def asyncSetUp(self) -> None:
-        self.clock, self.store = Clock(), FakeStore()
+        self.clock, self.store = PausableClock(), FakeStore()
         ports = Ports(self.store, FakeWorkers(self.clock), FakeCodec())
         cfg = NodeSettings(MemberId("m1"), FailureDomain("d"), "127.0.0.1", 7000, 2_000)
         self.node = Node(cfg, ports, None, self.clock)
@@ -33,27 +43,31 @@
     async def test_counts_of_a_leader_that_has_not_read_all_jobs_are_ignored(self) -> None:
         """Guards against a wrong zero count during a takeover (andinas-grown, trouble-1)."""
         full = PulseReply(True, 5, 0, (QueueCount("q", 7),), is_ready=True)
-        self.node.heartbeats.on_reply(full, is_to_leader=True)
+        self.node.heartbeats.on_reply(full, self.clock.now_ms(), is_to_leader=True)
         self.assertEqual(self.node.pending("q"), 7)
-        self.node.heartbeats.on_reply(PulseReply(True, 5, 0), is_to_leader=True)
+        self.node.heartbeats.on_reply(
+            PulseReply(True, 5, 0), self.clock.now_ms(), is_to_leader=True
+        )
         self.assertEqual(self.node.pending("q"), 7)
 
     async def test_outdated_counts_are_not_returned(self) -> None:
         """Guards against returning counts that are older than 2 s."""
         full = PulseReply(True, 5, 0, (QueueCount("q", 7),), is_ready=True)
-        self.node.heartbeats.on_reply(full, is_to_leader=True)
+        self.node.heartbeats.on_reply(full, self.clock.now_ms(), is_to_leader=True)
         self.node.job_api.pending_at_ms -= 2_000
         self.assertIsNone(self.node.pending("q"))
 
     async def test_a_process_that_does_not_lead_marks_the_leader_dead(self) -> None:
         """Guards against waiting for a leader that has restarted at the same address."""
-        self.node.heartbeats.on_reply(PulseReply(False, 0, 0), is_to_leader=True)
+        self.node.heartbeats.on_reply(
+            PulseReply(False, 0, 0), self.clock.now_ms(), is_to_leader=True
+        )
         self.assertIs(self.node.leader_lease.leader_status, LeaderStatus.DEAD)
 
     async def test_a_newer_lease_is_learned_from_any_member(self) -> None:
         """Guards against an outdated leader while the store is unreachable."""
         reply = PulseReply(False, 9, 0, holder="m3", holder_address="a:3")
-        self.node.heartbeats.on_reply(reply, is_to_leader=False)
+        self.node.heartbeats.on_reply(reply, self.clock.now_ms(), is_to_leader=False)
         self.assertEqual(self.node.leader_lease.record.member, "m3")
 
     async def test_a_leader_cut_off_from_the_store_steps_down(self) -> None:
@@ -129,20 +143,43 @@
         """
         config_view = self.node.config
         config_view.current = config()
-        config_view.read_ms = self.clock.now_ms()
+        config_view.confirmed_ms = self.clock.now_ms()
         self.assertTrue(config_view.is_fresh())
-        config_view.read_ms -= 5_000
+        config_view.confirmed_ms -= 5_000
         self.assertFalse(config_view.is_fresh())
         newer = PulseReply(True, 5, 0, is_ready=True, config_version=2, config_age_ms=10)
-        self.node.heartbeats.on_reply(newer, is_to_leader=True)
+        self.node.heartbeats.on_reply(newer, self.clock.now_ms(), is_to_leader=True)
         self.assertFalse(config_view.is_fresh(), "the leader has a newer configuration")
         outdated = PulseReply(True, 5, 0, is_ready=True, config_version=1, config_age_ms=6_000)
-        self.node.heartbeats.on_reply(outdated, is_to_leader=True)
+        self.node.heartbeats.on_reply(outdated, self.clock.now_ms(), is_to_leader=True)
         self.assertFalse(config_view.is_fresh(), "the leader does not reach the store either")
         current = PulseReply(True, 5, 0, is_ready=True, config_version=1, config_age_ms=10)
-        self.node.heartbeats.on_reply(current, is_to_leader=True)
+        self.node.heartbeats.on_reply(current, self.clock.now_ms(), is_to_leader=True)
         self.assertTrue(config_view.is_fresh())
 
+    async def test_a_reply_that_waited_while_the_process_was_paused_confirms_nothing(self) -> None:
+        """Guards against an old configuration and old counts that count as new after a pause."""
+        rows = (QueueCount("q", 7),)
+        reply = PulseReply(True, 5, 0, rows, is_ready=True, config_version=1, config_age_ms=10)
+        clock = self.clock
+
+        class _Net:
+            pause_ms = 0
+
+            async def call(self, address: str, kind: str, body: Pulse, timeout_s: float) -> Body:
+                clock.skipped_ms += self.pause_ms
+                return reply
+
+        self.node.config.current = config()
+        net = _Net()
+        await self.node.heartbeats.send(net)
+        self.assertTrue(self.node.config.is_fresh())
+        self.assertEqual(self.node.pending("q"), 7)
+        net.pause_ms = 6_000
+        await self.node.heartbeats.send(net)
+        self.assertFalse(self.node.config.is_fresh())
+        self.assertIsNone(self.node.pending("q"))
+
     async def test_a_member_without_the_store_refuses_to_relay_at_once(self) -> None:
         """Guards against submissions that wait for one member after the other in an outage."""
         self.store.is_down = True
