Answer no request by a configuration that may have been replaced

Cause: queues (404), keys (401), counts and job states were answered from the configuration at hand, whatever its age; only submissions and cancellations needed one that was at most 5 s old, on deployments that allow 2 to 4 s. Each fault that delays the distribution for whatever reason became a wrong answer. Readiness keeps its 5 s: in an outage for all, being sent elsewhere helps no client.

--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -19,8 +19,8 @@
 # A watch may be broken without an error, so the key is also read periodically.
 READ_INTERVAL_S = 0.9
 RETRY_S = 0.1
-# Withdrawn keys stop working within seconds, so no work is accepted by an older configuration.
-MAX_AGE_MS = 5_000
+# Withdrawn keys stop working within 6 s; the rest is for the request itself.
+DEFAULT_MAX_AGE_MS = 5_000
 # A configuration that has not been confirmed for more than one read and its retry is logged.
 LATE_MS = 2_000
 
@@ -30,11 +30,21 @@
 class ConfigView:
     """Watches the configuration in the store."""
 
-    def __init__(self, store: Store, codec: PlatformCodec, clock: Clock) -> None:
-        """Set up without a configuration."""
+    def __init__(
+        self,
+        store: Store,
+        codec: PlatformCodec,
+        clock: Clock,
+        max_age_ms: int = DEFAULT_MAX_AGE_MS,
+    ) -> None:
+        """Set up without a configuration.
+
+        :param max_age_ms: time after which a change of the configuration has to be in force
+        """
         self._store = store
         self._codec = codec
         self._clock = clock
+        self._max_age_ms = max_age_ms
         self._revision = 0
         self.current = CellConfig(0)
         self.confirmed_ms = 0
@@ -46,11 +56,12 @@
         return self.current.version > 0
 
     def is_fresh(self) -> bool:
-        """Return whether the configuration was read recently enough to check keys by it.
+        """Return whether requests may be answered by the configuration.
 
-        A process that was paused or is cut off may not know that a key has been withdrawn.
+        A process that was paused, is late or is cut off may not know that a key has been
+        withdrawn or a queue has been added.
         """
-        return self.is_known and self.age_ms() < MAX_AGE_MS
+        return self.is_known and self.age_ms() < self._max_age_ms
 
     def age_ms(self) -> int:
         """Return how long ago the store is known to have held the configuration."""
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -7,7 +7,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
-from lagoonshelf_server.jobs.config_view import ConfigView
+from lagoonshelf_server.jobs.config_view import DEFAULT_MAX_AGE_MS, ConfigView
 from lagoonshelf_server.jobs.job_api import JobApi
 from lagoonshelf_server.jobs.lag import LoopLag
 from lagoonshelf_server.jobs.leader import Leader
@@ -57,6 +57,7 @@
     """Identity and address of this process.
 
     :param cores_milli: cores of this host, in thousandths
+    :param config_max_age_ms: time after which a change of the configuration has to be in force
     """
 
     member: MemberId
@@ -64,6 +65,7 @@
     host: str
     peer_port: int
     cores_milli: int = LEADER_CORES_MILLI
+    config_max_age_ms: int = DEFAULT_MAX_AGE_MS
 
     @property
     def address(self) -> str:
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -63,6 +63,9 @@
 # Reported queue counts may be at most 2 s old.
 PENDING_MAX_AGE_MS = 1_900
 RETRY_S = 0.1
+# Without confirmation of the configuration for this long, new clients are better served elsewhere.
+# In a shorter outage of the store they are no better off, and a refusal tells them when to return.
+READY_MAX_AGE_MS = 5_000
 # Pause before a main loop that failed unexpectedly runs again.
 LOOP_RESTART_S = 0.5
 
@@ -85,7 +88,7 @@
         self._leader: Leader | None = None
         self._advice_lock = asyncio.Lock()
         self.is_draining = False
-        self.config = ConfigView(ports.store, ports.codec, clock)
+        self.config = ConfigView(ports.store, ports.codec, clock, cfg.config_max_age_ms)
         self.leader_lease = LeaderLease(ports.store, clock, cfg.member, cfg.address)
         if cfg.cores_milli < LEADER_CORES_MILLI:
             self.leader_lease.claim_delay_ms = SMALL_HOST_CLAIM_DELAY_MS
@@ -114,7 +117,8 @@
 
     def is_ready(self) -> bool:
         """Return whether new clients should be routed to this process."""
-        return not self.is_draining and self.config.is_fresh() and self._net is not None
+        is_usable = self.config.is_known and self.config.age_ms() < READY_MAX_AGE_MS
+        return not self.is_draining and is_usable and self._net is not None
 
     def pending(self, queue: QueueId) -> int | None:
         """Return the number of jobs in a queue that have not started, ``None`` if outdated."""
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 from unittest.mock import patch
 
-from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId
 from lagoonshelf_core.jobs.spec import encode_job
 from lagoonshelf_server.jobs import node as node_module
@@ -16,20 +15,10 @@
 from lagoonshelf_server.jobs.node import Node
 from lagoonshelf_server.jobs.ports import StoreRevision
 from lagoonshelf_server.messages import Body, JobRecord, PeerState, Pulse, PulseReply, QueueCount
-from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers
+from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, PausableClock
 from tests.support.jobs import config, make_job
 
 
-class PausableClock(Clock):
-    """Clock that can skip the time for which the process is paused."""
-
-    skipped_ms = 0
-
-    def now_ms(self) -> int:
-        """Return the current time."""
-        return super().now_ms() + self.skipped_ms
-
-
 class NodeTest(unittest.IsolatedAsyncioTestCase):
     """A follower of a leader in another process."""
 
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -32,6 +32,16 @@
 PAUSE_S = 0.0005
 
 
+class PausableClock(Clock):
+    """Clock that can skip the time for which the process is paused."""
+
+    skipped_ms = 0
+
+    def now_ms(self) -> int:
+        """Return the current time."""
+        return super().now_ms() + self.skipped_ms
+
+
 class FakeStore:
     """Linearizable store that can be down or lose answers."""
 
