Start no work by a configuration that may have been replaced

Callers would see: a team above a limit that was lowered, if the leader renews its lease but cannot read the configuration. Cause: the leader planned by the configuration at hand, whatever its age. Change: a pass plans only by a configuration that is certainly in force, or in an outage of the store that all members see. Result: test_a_leader_starts_nothing_by_an_old_configuration fails before (two starts) and passes now. The leaders in the tests read the configuration like real ones, as two tests take longer than its limit of age.

--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -207,7 +207,7 @@
     def _run_pass(self) -> None:
         cell, now_ms = self.cell, self._clock.now_ms()
         cell.cfg = self._config.current
-        if self._leader_lease.may_dispatch():
+        if self._leader_lease.may_dispatch() and self._is_config_valid():
             supervise(cell, now_ms)
             plan(cell, now_ms, self._clock.wall_ms(), self.advice_router.budget_ms())
         commands, cell.commands = cell.commands, []
@@ -224,6 +224,13 @@
         for message, fields in notes:
             _log.info(message, seat=self._leader_lease.revision, **fields)
 
+    def _is_config_valid(self) -> bool:
+        """Return whether limits and queues are certainly those in force.
+
+        In an outage that all members see, nobody can change them.
+        """
+        return self._config.is_fresh() or self.is_store_troubled()
+
     def _after_report(self) -> None:
         self._record_changes()
         self.request_pass()
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -55,9 +55,12 @@
         await lease._write({LEADER_KEY: lease.revision})
         cfg = ConfigView(self.store, self.codec, self.clock)
         cfg.current = config()
+        cfg.confirmed_ms = self.clock.now_ms()
         ports = Ports(self.store, self.workers, self.codec)
         leader = Leader(ports, lease, cfg, self.clock)
-        leader.lease = lease
+        leader.lease, leader.config_view = lease, cfg
+        self.config_poll = asyncio.ensure_future(cfg.poll())
+        self.tasks.append(self.config_poll)
         for coro in (lease.renew(), leader.run()):
             self.tasks.append(asyncio.ensure_future(coro))
         await eventually(lambda: leader.is_ready)
@@ -75,6 +78,24 @@
         self.workers.end_all()
         await eventually(lambda: leader.state(spec.id) is JobState.COMPLETE)
 
+    async def test_a_leader_starts_nothing_by_an_old_configuration(self) -> None:
+        """Guards against starts above a limit that has been lowered.
+
+        The leader renews its lease, but cannot read the configuration. In an outage that all
+        members see it goes on, since nobody can change the configuration then.
+        """
+        leader = await self._term("m1")
+        self.config_poll.cancel()
+        leader.config_view.confirmed_ms -= 60_000
+        spec = make_job(make_step(2))
+        self._store(spec)
+        await eventually(lambda: leader.state(spec.id) is not None)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.workers.started, [])
+        leader.is_store_troubled = lambda: True
+        leader.request_pass()
+        await eventually(lambda: len(self.workers.started) == 2)
+
     async def test_an_end_is_acknowledged_only_when_it_is_durable(self) -> None:
         """Guards against running a task twice when it ends during a store outage.
 
--- a/tests/server/jobs/test_takeover.py
+++ b/tests/server/jobs/test_takeover.py
@@ -50,6 +50,7 @@
         await lease._try_claim()
         cfg = ConfigView(self.store, self.codec, self.clock)
         cfg.current = config()
+        cfg.confirmed_ms = self.clock.now_ms()
         leader = Leader(Ports(self.store, self.workers, self.codec), lease, cfg, self.clock)
         leader.lease = lease
         leader.term = asyncio.ensure_future(leader.run())
