Do not fill small links with reads of an unchanged configuration

Cause: each process read the whole configuration every 0.9 s. A read that took longer than 1.2 s was given up and repeated at once, although its response was arriving, so it never ended and took the bandwidth of the watch and of all else. A version that the leader confirms with each heartbeat is read again only when it is 1.4 s old, so in general the leader alone reads. After a loss of history the watch uses what it has read. An undecodable value is logged once. Conclusion: the cost of a configuration grows with its changes, not with time. The leader itself still reads every 0.9 s; the store has no cheaper read that is not a write.

--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -6,6 +6,7 @@
 from lagoonshelf_core.jobs.config import CellConfig
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.ports import (
+    ABSENT,
     HistoryLostError,
     Item,
     PlatformCodec,
@@ -16,8 +17,12 @@
 from lagoonshelf_server.logs import logger
 
 WATCH_MS = 2_000
-# A watch may be broken without an error, so the key is also read periodically.
-READ_INTERVAL_S = 0.9
+# A watch may be broken without an error, so the key is also read when it is this old, or this old
+# where the leader confirms it. A read that fails leaves time for another one.
+READ_INTERVAL_MS = 900
+CONFIRMED_READ_INTERVAL_MS = 1_400
+# Longest time without any data of the response.
+READ_TIMEOUT_MS = 600
 RETRY_S = 0.1
 # Withdrawn keys stop working within 6 s; the rest is for the request itself.
 DEFAULT_MAX_AGE_MS = 5_000
@@ -45,7 +50,9 @@
         self._codec = codec
         self._clock = clock
         self._max_age_ms = max_age_ms
-        self._revision = 0
+        self._revision = ABSENT
+        self._read_ms = 0
+        self._member_confirmed_ms = 0
         self.current = CellConfig(0)
         self.confirmed_ms = 0
         self._is_late = False
@@ -68,7 +75,7 @@
         return self._clock.now_ms() - self.confirmed_ms
 
     def confirm(self, version: int, age_ms: int, asked_ms: int) -> None:
-        """Record that a member read the configuration from the store some time ago.
+        """Record which version a member read from the store some time ago.
 
         A process that alone cannot reach the store learns this way that its own is still current.
 
@@ -76,26 +83,18 @@
         :param asked_ms: when the member was asked; its answer may have waited here for any time
         """
         if version == self.current.version:
+            self._member_confirmed_ms = max(self._member_confirmed_ms, asked_ms - age_ms)
             self.confirmed_ms = max(self.confirmed_ms, asked_ms - age_ms)
 
     async def poll(self) -> None:
-        """Read the configuration periodically; run for the life of the process."""
+        """Read the configuration when nobody has confirmed it; run for the life of the process."""
         while True:
-            sent_ms = self._clock.now_ms()
-            try:
-                item = await self._store.read(self._codec.config_key)
-                self._log_confirmed(sent_ms)
-                if item is not None:
-                    self._apply_item(item, "read", sent_ms)
-                # The response may have waited for any time, so the read is as old as its request.
-                self.confirmed_ms = max(self.confirmed_ms, sent_ms)
-                job_metrics.config_age_ms.set({}, self.age_ms())
-                pause_s = READ_INTERVAL_S - (self._clock.now_ms() - sent_ms) / 1000
-                await asyncio.sleep(max(RETRY_S, pause_s) if self.is_known else RETRY_S)
-            except (StoreUnavailableError, StoreUncertainError) as exc:
-                job_metrics.config_age_ms.set({}, self.age_ms())
-                self._log_late(str(exc))
-                await asyncio.sleep(RETRY_S)
+            wait_ms = self._read_due_ms() - self._clock.now_ms()
+            if self.is_known and wait_ms > 0:
+                await asyncio.sleep(wait_ms / 1000)
+                continue
+            await self._read()
+            await asyncio.sleep(RETRY_S)
 
     async def watch(self) -> None:
         """Watch changes of the configuration; run for the life of the process."""
@@ -104,13 +103,15 @@
             sent_ms = self._clock.now_ms()
             try:
                 if not revision:
-                    _, revision = await self._store.read_all(self._codec.config_key)
-                changes, revision = await self._store.watch(
-                    self._codec.config_key, revision, WATCH_MS
-                )
-                for change in changes:
-                    if change.item is not None and change.key == self._codec.config_key:
-                        self._apply_item(change.item, "watch", sent_ms)
+                    items, revision = await self._store.read_all(self._codec.config_key)
+                else:
+                    changes, revision = await self._store.watch(
+                        self._codec.config_key, revision, WATCH_MS
+                    )
+                    items = [change.item for change in changes if change.item is not None]
+                for item in items:
+                    if item.key == self._codec.config_key:
+                        self._apply_item(item, "watch", sent_ms)
             except HistoryLostError:
                 _log.info("history of the configuration lost", version=self.current.version)
                 revision = 0
@@ -119,6 +120,34 @@
                 _log.debug("configuration not watched", reason=str(exc))
                 await asyncio.sleep(RETRY_S)
 
+    def _read_due_ms(self) -> int:
+        """Return when to read again.
+
+        Each read transfers the whole configuration, so the leader's confirmations replace reads.
+        """
+        own_due_ms = self._read_ms + min(READ_INTERVAL_MS, self._max_age_ms // 2)
+        member_due_ms = self._member_confirmed_ms + min(
+            CONFIRMED_READ_INTERVAL_MS, self._max_age_ms * 2 // 3
+        )
+        return max(own_due_ms, member_due_ms)
+
+    async def _read(self) -> None:
+        """Read the configuration."""
+        sent_ms = self._clock.now_ms()
+        try:
+            item = await self._store.read(self._codec.config_key, timeout_ms=READ_TIMEOUT_MS)
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            self._log_late(str(exc))
+            job_metrics.config_age_ms.set({}, self.age_ms())
+            return
+        self._log_confirmed(sent_ms)
+        if item is not None:
+            self._apply_item(item, "read", sent_ms)
+        # The response may have waited for any time, so the read is as old as its request.
+        self._read_ms = sent_ms
+        self.confirmed_ms = max(self.confirmed_ms, sent_ms)
+        job_metrics.config_age_ms.set({}, self.age_ms())
+
     def _log_late(self, reason: str) -> None:
         """Log once that the configuration has not been confirmed for a while."""
         if self.is_known and not self._is_late and self.age_ms() > LATE_MS:
@@ -142,10 +171,10 @@
         if item.revision <= self._revision:
             return
         cfg = self._codec.decode_config(item.value)
+        self._revision = item.revision
         if cfg is None:
             _log.error("configuration unreadable", revision=item.revision, source=source)
             return
-        self._revision = item.revision
         if cfg.version <= self.current.version:
             return
         _log.info(
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -89,8 +89,11 @@
     Calls raise ``StoreUnavailableError`` or ``StoreUncertainError``.
     """
 
-    async def read(self, key: str) -> Item | None:
-        """Return the item of a key, ``None`` if there is no such key."""
+    async def read(self, key: str, *, timeout_ms: int | None = None) -> Item | None:
+        """Return the item of a key, ``None`` if there is no such key.
+
+        :param timeout_ms: longest time without any data of the response
+        """
 
     async def read_all(self, prefix: str, *, stale: bool = False) -> tuple[list[Item], int]:
         """Return the items under a prefix and the revision to watch from."""
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -19,6 +19,7 @@
 HOST = "desk.example"
 KEY = "key-1"
 GRACE_S = 3.0
+CONFIG_APPLY_MS = 2_000
 READY_TIMEOUT_S = 20.0
 # Queues by name: priority, allowed failures, whether the advice service is used.
 QUEUES = {"urgent": (0, 3, False), "batch": (2, 3, False), "advised": (1, 3, True)}
@@ -85,7 +86,7 @@
             "port_range": [self._first_port, self._first_port + 1],
             "platform": {"addr": self.store_proxy.address},
             "hint": self._cluster.advice.address,
-            "bounds": {"grace_s": GRACE_S},
+            "bounds": {"grace_s": GRACE_S, "config_apply_ms": CONFIG_APPLY_MS},
             "limits": {"cpu_share": 1.0, "cores": 2.0},
         }
         path = Path(self._cluster.folder.name) / f"{self.name}.json"
@@ -186,6 +187,11 @@
             fields["routes"].append({**fields["routes"][0], "name": name, "prefix": f"/{name}/"})
         self.store.put("op/config", fields)
 
+    def followers(self) -> list[Process]:
+        """Return the processes that do not hold the leader lease."""
+        leader = self.store.read("cell/holder")["member"]
+        return [process for process in self.processes if process.name != leader]
+
     async def close(self) -> None:
         """Stop everything that was started."""
         for process in self.processes:
--- a/tests/platform/standin/http.py
+++ b/tests/platform/standin/http.py
@@ -117,6 +117,7 @@
         # Rate of all responses together, 0 for no limit.
         self.bytes_per_s = 0
         self._link = asyncio.Lock()
+        self.response_bytes = 0
         self.address = ""
 
     async def listen(self) -> None:
@@ -175,6 +176,7 @@
                     continue
                 if self.mode is ProxyMode.NO_RESPONSES and is_response:
                     continue
+                self.response_bytes += len(data) if is_response else 0
                 writer.write(data)
                 await writer.drain()
         with suppress(OSError):
--- a/tests/platform/standin/store.py
+++ b/tests/platform/standin/store.py
@@ -1,7 +1,7 @@
 """Stand-in for the platform's store: items with revisions, leases, watches and transactions."""
 
 import asyncio
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from dataclasses import dataclass
 
 import orjson
@@ -43,6 +43,10 @@
         self.revision += 1
         self._put(key, b64encode(orjson.dumps(value)).decode(), 0)
 
+    def read(self, key: str) -> dict:
+        """Return the decoded value of a key."""
+        return orjson.loads(b64decode(self.entries[key].value))
+
     def delete(self, key: str) -> None:
         """Delete a key at the current revision."""
         if self.entries.pop(key, None) is not None:
--- a/tests/server/jobs/test_config_view.py
+++ b/tests/server/jobs/test_config_view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from logbook import TestHandler
 
@@ -22,15 +23,16 @@
         self.is_down = False
         self.delay_ms = 0
         self.reads = 0
+        self.value = b"1"
 
-    async def read(self, key: str) -> Item:
+    async def read(self, key: str, *, timeout_ms: int | None = None) -> Item:
         """Answer a read."""
         await asyncio.sleep(0)
         self.reads += 1
         self._clock.advance(self.delay_ms)
         if self.is_down:
             raise StoreUnavailableError("down")
-        return Item(key, b"1", StoreRevision(7))
+        return Item(key, self.value, StoreRevision(6 + int(self.value)))
 
 
 class ConfigViewTest(unittest.IsolatedAsyncioTestCase):
@@ -40,18 +42,21 @@
         self.clock = ManualClock(START_MS)
         self.store = StoreStub(self.clock)
         codec = FakeCodec()
-        codec.configs[b"1"] = config()
+        codec.configs = {b"1": config(), b"2": replace(config(), version=2)}
         self.view = ConfigView(self.store, codec, self.clock)
 
-    async def _poll_once(self) -> None:
-        """Run the polling loop until it has read once."""
-        reads = self.store.reads
+    async def _poll_for_a_moment(self) -> None:
         task = asyncio.ensure_future(self.view.poll())
-        while self.store.reads == reads:
+        for _ in range(10):
             await asyncio.sleep(0)
-        await asyncio.sleep(0)
         task.cancel()
 
+    async def _poll_once(self) -> None:
+        """Run the polling loop when a read is due, for one read."""
+        reads = self.store.reads
+        await self._poll_for_a_moment()
+        self.assertEqual(self.store.reads, reads + 1)
+
     async def test_a_time_without_confirmation_is_logged_once(self) -> None:
         """Guards against an old configuration in use of which no log tells the age and reason."""
         await self._poll_once()
@@ -78,3 +83,26 @@
         self.store.delay_ms = 10
         await self._poll_once()
         self.assertTrue(self.view.is_fresh())
+
+    async def test_confirmations_of_the_leader_replace_reads(self) -> None:
+        """Guards against a small link that is filled by reads of one large configuration."""
+        await self._poll_once()
+        for _ in range(20):
+            self.clock.advance(300)
+            self.view.confirm(1, 600, self.clock.now_ms())
+            await self._poll_for_a_moment()
+        self.assertEqual(self.store.reads, 1)
+        self.clock.advance(1_000)
+        await self._poll_for_a_moment()
+        self.assertEqual(self.store.reads, 2)
+
+    async def test_a_configuration_that_cannot_be_decoded_is_logged_once(self) -> None:
+        """Guards against a log that is filled by each read of the same value."""
+        await self._poll_once()
+        self.store.value = b"3"
+        with TestHandler() as logs:
+            for _ in range(3):
+                self.clock.advance(1_000)
+                await self._poll_once()
+        self.assertEqual([r.message for r in logs.records], ["configuration unreadable"])
+        self.assertEqual(self.view.current.version, 1)
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -73,7 +73,7 @@
     def trouble_ms(self) -> int:
         return self.clock.now_ms() if self.is_down else self.troubled_ms
 
-    async def read(self, key: str) -> Item | None:
+    async def read(self, key: str, *, timeout_ms: int | None = None) -> Item | None:
         await self._pause()
         return self.items.get(key)
 
