Take a newer configuration from the leader while the store fails here

Callers saw: a process that the store turns away answered by its old version; with the limit of age it would refuse all of them instead, for the whole outage. Cause: the store was the only way by which a version reaches a process; the leader's heartbeats told that there was a newer one, but not which. Change: a process that cannot read the configuration, and has learned from a heartbeat that the leader has a newer one, asks the leader for its copy, which carries its age. A copy never replaces a newer version. Result: test_a_change_is_in_force_where_the_store_turns_one_process_away and test_a_newer_version_is_taken_from_the_leader_while_the_store_fails fail before and pass now; work is accepted there through the leader. Conclusion: distribution no longer depends on one path. A process that reaches neither the store nor the leader refuses.

--- a/packages/server/lagoonshelf_server/codec.py
+++ b/packages/server/lagoonshelf_server/codec.py
@@ -17,6 +17,8 @@
     Answer,
     Body,
     ConfigAsk,
+    ConfigCopy,
+    ConfigCopyAsk,
     ConfigReply,
     Delegate,
     DelegateDone,
@@ -76,6 +78,8 @@
     "relayJob": JobRecord,
     "relayCancel": JobRef,
     "relayed": Relayed,
+    "configCopyAsk": ConfigCopyAsk,
+    "configCopy": ConfigCopy,
 }
 
 capnp.remove_import_hook()
--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -1,6 +1,7 @@
 """Configuration in force in this process; its version never decreases."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.config import CellConfig
@@ -11,10 +12,12 @@
     Item,
     PlatformCodec,
     Store,
+    StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
 )
 from lagoonshelf_server.logs import logger
+from lagoonshelf_server.messages import ConfigCopy
 
 WATCH_MS = 2_000
 # A watch may be broken without an error, so the key is also read when it is this old, or this old
@@ -51,10 +54,13 @@
         self._clock = clock
         self._max_age_ms = max_age_ms
         self._revision = ABSENT
+        self._item: Item | None = None
         self._read_ms = 0
         self._member_confirmed_ms = 0
+        self._is_behind = False
         self.current = CellConfig(0)
         self.confirmed_ms = 0
+        self.fetch_copy: Callable[[], Awaitable[ConfigCopy | None]] = _no_copy
         self._is_late = False
 
     @property
@@ -82,10 +88,17 @@
         :param age_ms: age of the version at the member when it answered
         :param asked_ms: when the member was asked; its answer may have waited here for any time
         """
+        self._is_behind = version > self.current.version
         if version == self.current.version:
             self._member_confirmed_ms = max(self._member_confirmed_ms, asked_ms - age_ms)
             self.confirmed_ms = max(self.confirmed_ms, asked_ms - age_ms)
 
+    def copy(self) -> ConfigCopy:
+        """Return the configuration in force for a member that cannot read it itself."""
+        if self._item is None:
+            return ConfigCopy(0, b"", 0)
+        return ConfigCopy(self._item.revision, self._item.value, self.age_ms())
+
     async def poll(self) -> None:
         """Read the configuration when nobody has confirmed it; run for the life of the process."""
         while True:
@@ -132,12 +145,14 @@
         return max(own_due_ms, member_due_ms)
 
     async def _read(self) -> None:
-        """Read the configuration."""
+        """Read the configuration, or take a newer one from the leader if the store fails here."""
         sent_ms = self._clock.now_ms()
         try:
             item = await self._store.read(self._codec.config_key, timeout_ms=READ_TIMEOUT_MS)
         except (StoreUnavailableError, StoreUncertainError) as exc:
             self._log_late(str(exc))
+            if self._is_behind:
+                await self._read_copy()
             job_metrics.config_age_ms.set({}, self.age_ms())
             return
         self._log_confirmed(sent_ms)
@@ -148,6 +163,16 @@
         self.confirmed_ms = max(self.confirmed_ms, sent_ms)
         job_metrics.config_age_ms.set({}, self.age_ms())
 
+    async def _read_copy(self) -> None:
+        sent_ms = self._clock.now_ms()
+        copy = await self.fetch_copy()
+        if copy is None or not copy.document:
+            return
+        item = Item(self._codec.config_key, copy.document, StoreRevision(copy.revision))
+        self._apply_item(item, "leader", sent_ms)
+        if self._item is not None and self._item.revision == item.revision:
+            self.confirm(self.current.version, copy.age_ms, sent_ms)
+
     def _log_late(self, reason: str) -> None:
         """Log once that the configuration has not been confirmed for a while."""
         if self.is_known and not self._is_late and self.age_ms() > LATE_MS:
@@ -187,5 +212,9 @@
             took_ms=self._clock.now_ms() - sent_ms,
             unconfirmed_ms=self.age_ms() if self.is_known else None,
         )
-        self.current = cfg
+        self.current, self._item = cfg, item
         job_metrics.config_version.set({}, cfg.version)
+
+
+async def _no_copy() -> None:
+    """Return no copy, as there is no other member."""
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -39,6 +39,8 @@
     Advice,
     AdviceAsk,
     Body,
+    ConfigCopy,
+    ConfigCopyAsk,
     Hello,
     JobRecord,
     JobRef,
@@ -54,6 +56,7 @@
 )
 
 STATE_TIMEOUT_S = 0.4
+CONFIG_COPY_TIMEOUT_S = 0.8
 ANNOUNCE_TIMEOUT_S = 0.5
 ANNOUNCE_ATTEMPTS = 4
 RELAY_TIMEOUT_S = 1.5
@@ -89,6 +92,7 @@
         self._advice_lock = asyncio.Lock()
         self.is_draining = False
         self.config = ConfigView(ports.store, ports.codec, clock, cfg.config_max_age_ms)
+        self.config.fetch_copy = self._fetch_config
         self.leader_lease = LeaderLease(ports.store, clock, cfg.member, cfg.address)
         if cfg.cores_milli < LEADER_CORES_MILLI:
             self.leader_lease.claim_delay_ms = SMALL_HOST_CLAIM_DELAY_MS
@@ -211,6 +215,17 @@
             raise ConnectionError("this process is not ready to lead the cell")
         return await self._net.call(record.address, kind, body, timeout_s)
 
+    async def _fetch_config(self) -> ConfigCopy | None:
+        """Return the leader's copy of the configuration, ``None`` if it does not answer."""
+        try:
+            reply = await self._call_leader(
+                "configCopyAsk", ConfigCopyAsk(self._cfg.member), CONFIG_COPY_TIMEOUT_S
+            )
+        except (ConnectionError, PeerLostError) as exc:
+            _log.info("no copy of the configuration", reason=str(exc))
+            return None
+        return reply if isinstance(reply, ConfigCopy) else None
+
     async def _announce(self, job: JobId, record: str, created: StoreRevision) -> None:
         body = JobRecord(job, record, created)
         for _ in range(ANNOUNCE_ATTEMPTS):
@@ -312,6 +327,8 @@
         if kind == "pulse":
             request_advice = self._advice_via(body.address)
             return "pulseReply", self.heartbeats.answer(member, body, self._leader, request_advice)
+        if kind == "configCopyAsk":
+            return "configCopy", self.config.copy()
         if kind == "adviceAsk":
             return "advice", await self._on_advice(body)
         if kind in ("relayJob", "relayCancel"):
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -401,6 +401,27 @@
     outcome: str
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigCopyAsk:
+    """Request for the leader's copy of the configuration."""
+
+    member: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigCopy:
+    """Configuration as the sender read it from the store.
+
+    :param revision: revision of its key in the store
+    :param document: value of the key, empty if the sender has none
+    :param age_ms: time since the store is known to have held it
+    """
+
+    revision: int
+    document: bytes
+    age_ms: int
+
+
 Body = (
     Hello
     | Status
@@ -427,6 +448,8 @@
     | AdviceAsk
     | Advice
     | Relayed
+    | ConfigCopyAsk
+    | ConfigCopy
 )
 
 
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -37,6 +37,8 @@
     relayJob @31 :JobRecord;
     relayCancel @32 :JobRef;
     relayed @33 :Relayed;
+    configCopyAsk @34 :ConfigCopyAsk;
+    configCopy @35 :ConfigCopy;
   }
 }
 
@@ -285,3 +287,13 @@
 struct Relayed {
   outcome @0 :Text;
 }
+
+struct ConfigCopyAsk {
+  member @0 :Text;
+}
+
+struct ConfigCopy {
+  revision @0 :UInt64;
+  document @1 :Data;
+  ageMs @2 :UInt32;
+}
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -45,6 +45,20 @@
         await asyncio.sleep(max(APPLY_S, UNDISTURBED_AFTER_S))
         self.assertEqual(await self._get_status("added"), HTTP_OK, self.cluster.logs())
 
+    async def test_a_change_is_in_force_where_the_store_turns_one_process_away(self) -> None:
+        """Guards against a process that answers by an old version, or refuses, in such an outage.
+
+        The leader reads the new version, and the process reaches the leader.
+        """
+        self.process.store_proxy.mode = ProxyMode.RESET
+        self.process.store_proxy.reset_connections()
+        await asyncio.sleep(0.5)
+        self.cluster.configure(0, ("added",))
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(await self._get_status("added"), HTTP_OK, self.cluster.logs())
+        status = await submit(self.process.address, new_job(1, "added"), 1.0)
+        self.assertEqual(status, HTTP_OK)
+
     async def test_no_old_version_is_used_in_an_outage_for_all(self) -> None:
         """Guards against answers by a version that may have been replaced, for a whole outage."""
         for process in self.cluster.processes:
--- a/tests/server/jobs/test_config_view.py
+++ b/tests/server/jobs/test_config_view.py
@@ -9,6 +9,7 @@
 from lagoonshelf_core.clock import ManualClock
 from lagoonshelf_server.jobs.config_view import LATE_MS, ConfigView
 from lagoonshelf_server.jobs.ports import Item, StoreRevision, StoreUnavailableError
+from lagoonshelf_server.messages import ConfigCopy
 from tests.support.job_fakes import FakeCodec
 from tests.support.jobs import config
 
@@ -84,6 +85,33 @@
         await self._poll_once()
         self.assertTrue(self.view.is_fresh())
 
+    async def test_a_newer_version_is_taken_from_the_leader_while_the_store_fails(self) -> None:
+        """Guards against refusals for the whole time for which the store turns one process away.
+
+        The leader reads a newer version, so the one of this process may not be used any more.
+        """
+        await self._poll_once()
+        self.store.is_down = True
+        copies = [ConfigCopy(8, b"2", 300)]
+
+        async def fetch_copy() -> ConfigCopy:
+            return copies[0]
+
+        self.view.fetch_copy = fetch_copy
+        self.clock.advance(2_000)
+        self.view.confirm(1, 100, self.clock.now_ms())
+        self.clock.advance(2_000)
+        await self._poll_once()
+        self.assertEqual((self.view.current.version, self.view.age_ms()), (1, 2_100))
+        self.view.confirm(2, 100, self.clock.now_ms())
+        await self._poll_once()
+        self.assertEqual((self.view.current.version, self.view.age_ms()), (2, 300))
+        copies[0] = ConfigCopy(7, b"1", 0)
+        self.view.confirm(3, 100, self.clock.now_ms())
+        self.clock.advance(2_000)
+        await self._poll_once()
+        self.assertEqual((self.view.current.version, self.view.age_ms()), (2, 2_300))
+
     async def test_confirmations_of_the_leader_replace_reads(self) -> None:
         """Guards against a small link that is filled by reads of one large configuration."""
         await self._poll_once()
