Replace a connection between members that has gone silent

Callers would see: late starts, counts refused with 503 and configurations that are not confirmed, for up to 5 s after open connections went silent. Evidence: with a link that sends nothing more, the second call times out as well; a new connection to the same member works at once. Change: a call that times out on a link that has carried nothing for 1 s makes further calls use a new connection; calls that wait keep the old one open. Result: test_a_connection_that_went_silent_is_replaced fails before (TimeoutError of the second call) and passes now; a link that is in use is kept.

--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -18,6 +18,9 @@
 CONNECT_TIMEOUT_S = 1.0
 SERVE_IDLE_S = 30.0
 LINK_IDLE_S = 5.0  # a working link carries two ping replies per second
+# A link on which a call timed out is replaced if it has carried nothing for this long. A member
+# that is paused for some seconds thus gets few new connections.
+SILENT_LINK_S = 1.0
 MAX_HELLO_BYTES = 4096
 MAX_HANDSHAKES = 128
 MAX_IN_FLIGHT = 8192
@@ -47,6 +50,8 @@
         self.waiting: dict[int, asyncio.Future[Body]] = {}
         self.next_id = 1
         self.closed = False
+        self.is_replaced = False
+        self.received_at = asyncio.get_running_loop().time()
 
     def close(self) -> None:
         self.closed = True
@@ -96,9 +101,24 @@
             link.conn.send(Envelope(number, kind, body))
             return await asyncio.wait_for(fut, timeout_s)
         except (TimeoutError, OSError) as exc:
+            self._replace_silent(address, link)
             raise PeerLostError(f"{address}: {type(exc).__name__}") from exc
         finally:
             link.waiting.pop(number, None)
+            if link.is_replaced and not link.waiting:
+                link.close()
+
+    def _replace_silent(self, address: str, link: _Link) -> None:
+        """Use a new connection for further calls if nothing arrives on a link.
+
+        An open connection can go silent while new ones work. Calls that wait on the old link keep
+        it open, as the member may only be slow.
+        """
+        silent_s = asyncio.get_running_loop().time() - link.received_at
+        if silent_s >= SILENT_LINK_S and self._links.get(address) is link:
+            _log.info("silent connection replaced", address=address, silent_ms=int(silent_s * 1e3))
+            del self._links[address]
+            link.is_replaced = True
 
     def drop(self, address: str) -> None:
         """Close the connection to a member, if there is one."""
@@ -144,6 +164,7 @@
         try:
             while True:
                 result = decode(await link.conn.read(LINK_IDLE_S))
+                link.received_at = asyncio.get_running_loop().time()
                 if isinstance(result, Failure):
                     break
                 envelope = result.unwrap()
--- a/tests/server/test_peers.py
+++ b/tests/server/test_peers.py
@@ -191,6 +191,48 @@
         for writer in accepted:
             writer.close()
 
+    async def test_a_connection_that_went_silent_is_replaced(self) -> None:
+        """Guards against calls that time out on a silent connection while a new one would work.
+
+        Advice and heartbeats failed for up to 5 s (incident CONFIG, the same cause elsewhere).
+        """
+        await self.check_good()
+        address = f"{HOST}:{self.port}"
+        link = self.good._links[address]
+        with (
+            patch.object(link.conn, "send", lambda envelope: None),
+            patch.object(peers, "SILENT_LINK_S", 0.2),
+        ):
+            waiting = asyncio.ensure_future(self.good.call(address, "ack", Ack(1), 1.0))
+            with self.assertRaises(PeerLostError):
+                await self.good.call(address, "ack", Ack(1), 0.3)
+            self.assertEqual(await self.good.call(address, "ack", Ack(41), 0.3), Ack(42))
+            self.assertFalse(waiting.done(), "a slow reply may still arrive")
+            with self.assertRaises(PeerLostError):
+                await waiting
+        self.assertTrue(link.closed)
+
+    async def test_a_connection_that_is_in_use_outlives_a_call_without_reply(self) -> None:
+        """Guards against new connections for all calls because a single one takes long."""
+        never = asyncio.Event()
+        handle = self.server._handler
+
+        async def handle_slowly(member: MemberId, kind: str, body: Body) -> tuple[str, Body]:
+            if isinstance(body, Ack) and body.code == 7:
+                await never.wait()
+            return await handle(member, kind, body)
+
+        self.server._handler = handle_slowly
+        address = f"{HOST}:{self.port}"
+        with patch.object(peers, "SILENT_LINK_S", 0.2):
+            slow = asyncio.ensure_future(self.good.call(address, "ack", Ack(7), 0.3))
+            link = await self.good._link(address)
+            await asyncio.sleep(0.2)
+            await self.check_good()
+            with self.assertRaises(PeerLostError):
+                await slow
+            self.assertIs(await self.good._link(address), link)
+
     async def test_a_refused_connection_counts_as_not_sent(self) -> None:
         """Guards against OUTCOME_UNKNOWN for a message that was never sent."""
         server = await asyncio.start_server(lambda r, w: None, HOST, 0)
