--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client on slow links and silent connections."""
 
 import asyncio
+import gc
 import unittest
 from contextlib import suppress
 
@@ -48,6 +49,18 @@
             await client.call(self.address, "GET", "/", timeout_ms=100, is_bulk=True)
         self.assertLess(asyncio.get_running_loop().time() - started, 0.5)
 
+    async def test_a_cancelled_call_leaves_no_error_behind(self) -> None:
+        """Guards against log lines about a future of a call that nobody waits for any more."""
+        errors: list[dict] = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, ctx: errors.append(ctx))
+        client = HttpClient()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await client.call(self.address, "GET", "/", timeout_ms=1_000, is_bulk=True)
+        await asyncio.sleep(0.05)
+        gc.collect()
+        self.assertEqual(errors, [])
+
     async def test_other_responses_keep_their_timeout(self) -> None:
         """Guards against a call that takes longer than its caller can wait."""
         client = HttpClient()
