End the processes of a stand-in cluster with the test that started them

Cause: not in the product. A test run had been aborted at 18:21, when a process of its pool crashed, and left its three server processes running. At 18:38 the store of the soak got the port of their former store: the old m1 logs 'store regained silent_ms 1038734' and 'seat taken 107', and the new m1 reads at its start that m1 holds seat 107. Two processes with one member id led the cell. Change: the kernel ends these processes when their parent ends. Result: a script that starts a cluster and exits at once leaves 3 processes before and 0 after. Conclusion: traced; a member id is unique on the platform.

--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -1,6 +1,7 @@
 """Stand-in platform on loopback that runs real server processes."""
 
 import asyncio
+import ctypes
 import os
 import signal
 import sys
@@ -21,6 +22,8 @@
 GRACE_S = 3.0
 CONFIG_APPLY_MS = 2_000
 READY_TIMEOUT_S = 20.0
+# From <linux/prctl.h>.
+PR_SET_PDEATHSIG = 1
 # Queues by name: priority, allowed failures, whether the advice service is used.
 QUEUES = {"urgent": (0, 3, False), "batch": (2, 3, False), "advised": (1, 3, True)}
 
@@ -53,6 +56,14 @@
     }
 
 
+def _end_with_parent() -> None:
+    """Let the kernel kill this process when its parent ends.
+
+    A process that outlives an aborted test joins a later cluster that uses the same port.
+    """
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Process:
     """A server process and its proxy to the store."""
 
@@ -98,6 +109,7 @@
             stdout=log,
             stderr=log,
             env={**os.environ, "LAGOONSHELF_SETTINGS": str(path)},
+            preexec_fn=_end_with_parent,
         )
         log.close()
         self.is_paused = False
