Check in the soak by which configuration requests are answered

Now queues are replaced all the time, each process is asked for present and former ones over a connection that is kept open while it lasts, and an answer that only a version allows which has been replaced for more than 2 s is a violation, whatever fault is under way. Two faults are added: open connections to the store go silent, and the store turns one process away for longer than a change may take; generators of their own leave the other faults of a seed as they were. Seed 1015 is kept as a regression. Conclusion: the promise is checked under overlapping faults from now on.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -17,13 +17,21 @@
     FINAL,
     STORED,
     UNCERTAIN,
+    QueueAnswer,
     incorrect_responses,
+    outdated_answers,
     overcommitted,
     overlapping_runs,
     repeated_completions,
 )
-from tests.platform.standin.clients import ClientJob, poll_state, request, submit
-from tests.platform.standin.cluster import GRACE_S, Cluster, Process
+from tests.platform.standin.clients import (
+    ClientJob,
+    KeepAliveClient,
+    poll_state,
+    request,
+    submit,
+)
+from tests.platform.standin.cluster import CONFIG_APPLY_MS, GRACE_S, Cluster, Process
 from tests.platform.standin.executors import CAPACITY
 from tests.platform.standin.http import ProxyMode
 from tests.platform.standin.store import CALL_DELAY_S
@@ -52,6 +60,7 @@
         self.cluster = Cluster(processes, executors, seed)
         self.cap_cpu = self.rng.choice((0, 0, 24_000))
         self.jobs: list[ClientJob] = []
+        self.answers: list[QueueAnswer] = []
         self.violations: list[str] = []
         self.fault_log: list[str] = []
         self._tasks: set[asyncio.Task] = set()
@@ -64,6 +73,9 @@
             self.cluster.configure(self.cap_cpu)
             await asyncio.sleep(1.2)
             self._started_s = monotonic()
+            for process in self.cluster.processes:
+                self._spawn(self._query_queues(process, Random(f"{process.name} {self.seed}")))
+            self._spawn(self._change_queues(Random(f"queues of seed {self.seed}")))
             await asyncio.gather(self._submit_jobs(), self._inject_faults())
             await asyncio.gather(*self._tasks)
             await self._clear_faults()
@@ -74,6 +86,8 @@
             self.violations += repeated_completions(history)
             self.violations += overcommitted(history, CAPACITY["cpu"], self.cap_cpu, now_s)
             self.violations += incorrect_responses(self.jobs, history)
+            changes = self.cluster.config_changes
+            self.violations += outdated_answers(self.answers, changes, CONFIG_APPLY_MS / 1000)
             return self.violations
         finally:
             for task in self._tasks:
@@ -126,6 +140,27 @@
             if job.accepted_s:
                 await poll_state(rng.choice(processes).address, job)
 
+    async def _change_queues(self, rng: Random) -> None:
+        """Replace the queue that exists beside the others, again and again."""
+        while self._now_s() < LOAD_S:
+            self.cluster.configure(self.cap_cpu, (f"queue-{self.cluster.version}",))
+            await asyncio.sleep(rng.choice((0.1, 0.3, 3.0)))
+
+    async def _query_queues(self, process: Process, rng: Random) -> None:
+        """Ask one process for the present and for former queues, on one connection if possible."""
+        client = KeepAliveClient(process.address)
+        while self._now_s() < LOAD_S:
+            await asyncio.sleep(rng.uniform(0.02, 0.2))
+            recent = [
+                queue for change in self.cluster.config_changes[-8:] for queue in change.queues
+            ]
+            if not recent:
+                continue
+            queue, sent_s = rng.choice(recent), monotonic()
+            status, _ = await client.request("GET", f"/{queue}/")
+            self.answers.append(QueueAnswer(process.name, queue, status, sent_s, monotonic()))
+        client.close()
+
     # Faults
 
     async def _inject_faults(self) -> None:
@@ -143,6 +178,11 @@
             self._restart_executor,
             self._reconfigure,
         )
+        # Early, so that changes follow while it lasts; with a generator of its own, as below.
+        rng = Random(f"faults of the configuration of seed {self.seed}")
+        if rng.random() < LATER_FAULTS_SHARE:
+            fault = rng.choice((self._silence_connections, self._turn_one_away))
+            self._spawn(self._inject_fault(fault, rng.uniform(1.0, 6.0)))
         for _ in range(self.rng.randrange(2, MAX_FAULTS + 1)):
             fault = self.rng.choice(faults)
             await asyncio.sleep(self.rng.uniform(0, 1.2))
@@ -231,6 +271,22 @@
         for process in self.cluster.processes:
             process.store_proxy.mode = ProxyMode.OPEN
 
+    async def _silence_connections(self, duration_s: float) -> None:
+        """Silence the open connections to the store, of one process and then of all."""
+        first = Random(self.seed).choice(self.cluster.processes)
+        first.store_proxy.silence_connections()
+        await asyncio.sleep(duration_s)
+        for process in self.cluster.processes:
+            process.store_proxy.silence_connections()
+
+    async def _turn_one_away(self, duration_s: float) -> None:
+        """Reset the store connections of one process for longer than a change may take."""
+        proxy = Random(self.seed).choice(self.cluster.processes).store_proxy
+        proxy.mode = ProxyMode.RESET
+        proxy.reset_connections()
+        await asyncio.sleep(CONFIG_APPLY_MS / 1000 + duration_s)
+        proxy.mode = ProxyMode.OPEN
+
     async def _slow_store(self, duration_s: float) -> None:
         self.cluster.store.delay_s = self.rng.uniform(0.05, 0.4)
         await asyncio.sleep(duration_s)
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -1,18 +1,59 @@
 """Checks of the soak test on the responses to clients and the runs on executors."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from itertools import pairwise
 
 from tests.platform.standin.clients import NO_RESPONSE, ClientJob
+from tests.platform.standin.cluster import ConfigChange
 from tests.platform.standin.executors import RunRecord
 
 STORED = 200
 REFUSED = (429, 503)
 UNCERTAIN = (NO_RESPONSE, 502, 504)
+UNKNOWN_QUEUE = 404
 STATE_ORDER = {"queued": 0, "running": 1, "complete": 2, "failed": 2, "cancelled": 2}
 FINAL = ("complete", "failed", "cancelled")
 
 
+@dataclass(frozen=True, slots=True)
+class QueueAnswer:
+    """Answer to a request for the count of a queue."""
+
+    process: str
+    queue: str
+    status: int
+    sent_s: float
+    answered_s: float
+
+
+def outdated_answers(
+    answers: Iterable[QueueAnswer], changes: list[ConfigChange], apply_s: float
+) -> list[str]:
+    """Return the answers that only a version allows which must not be in force any more.
+
+    :param changes: all versions, in order
+    :param apply_s: time after which a version has to be in force
+    """
+    violations = []
+    for answer in answers:
+        due = [c for c in changes if c.acknowledged_s < answer.sent_s - apply_s][-1:]
+        later = [
+            change
+            for change in changes
+            if answer.sent_s - apply_s <= change.acknowledged_s <= answer.answered_s
+        ]
+        is_known = {answer.queue in change.queues for change in (*due, *later)}
+        claimed = {STORED: True, UNKNOWN_QUEUE: False}.get(answer.status)
+        if due and claimed is not None and claimed not in is_known:
+            violations.append(
+                f"old configuration: {answer.process} answered {answer.status} for "
+                f"{answer.queue}, whose last change was acknowledged "
+                f"{answer.sent_s - due[0].acknowledged_s:.2f} s before"
+            )
+    return violations
+
+
 def overlapping_runs(history: Iterable[RunRecord], end_s: float) -> list[str]:
     """Return a violation for each pair of runs of one task that overlap in time."""
     by_task: dict[str, list[RunRecord]] = {}
--- a/tests/platform/standin/clients.py
+++ b/tests/platform/standin/clients.py
@@ -1,4 +1,4 @@
-"""Clients that send each request on a new connection and record the responses."""
+"""Clients of the server processes, which record the responses."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -30,6 +30,54 @@
     states: list[str] = field(default_factory=list)
 
 
+class KeepAliveClient:
+    """Client that sends all requests to one process on one connection while it is open."""
+
+    def __init__(self, address: str) -> None:
+        """Initialize without connecting."""
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def request(
+        self, method: str, path: str, body: object = None, timeout_s: float = RESPONSE_TIMEOUT_S
+    ) -> tuple[int, dict]:
+        """Send a request; return status and body, with status 0 for no complete response."""
+        data = b"" if body is None else orjson.dumps(body)
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+            f"Lagoonshelf-Deadline-Ms: {int(timeout_s * 1000)}\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self._writer is None:
+                    self._reader, self._writer = await asyncio.open_connection(
+                        self._host, self._port
+                    )
+                self._writer.write(head.encode() + data)
+                return await self._read_response()
+        except (OSError, TimeoutError, EOFError, asyncio.IncompleteReadError):
+            self.close()
+            return NO_RESPONSE, {}
+
+    async def _read_response(self) -> tuple[int, dict]:
+        response_head = await self._reader.readuntil(b"\r\n\r\n")
+        lines = response_head.decode("latin-1").lower().split("\r\n")
+        sizes = [line.partition(":")[2] for line in lines if line.startswith("content-length")]
+        content = await self._reader.readexactly(int(sizes[0]) if sizes else 0)
+        if "connection: close" in lines:
+            self.close()
+        return int(lines[0].split(" ")[1]), orjson.loads(content) if content else {}
+
+    def close(self) -> None:
+        """Close the connection, if there is one."""
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+
 async def request(
     address: str,
     method: str,
@@ -38,27 +86,11 @@
     timeout_s: float = RESPONSE_TIMEOUT_S,
 ) -> tuple[int, dict]:
     """Send a request; return status and body, with status 0 for no complete response."""
-    data = b"" if body is None else orjson.dumps(body)
-    head = (
-        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
-        f"Lagoonshelf-Deadline-Ms: {int(timeout_s * 1000)}\r\nContent-Length: {len(data)}\r\n\r\n"
-    )
-    host, _, port = address.rpartition(":")
-    writer = None
+    client = KeepAliveClient(address)
     try:
-        async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(head.encode() + data)
-            response_head = await reader.readuntil(b"\r\n\r\n")
-            lines = response_head.decode("latin-1").lower().split("\r\n")
-            sizes = [line.partition(":")[2] for line in lines if line.startswith("content-length")]
-            content = await reader.readexactly(int(sizes[0]) if sizes else 0)
-            return int(lines[0].split(" ")[1]), orjson.loads(content) if content else {}
-    except (OSError, TimeoutError, EOFError, asyncio.IncompleteReadError):
-        return NO_RESPONSE, {}
+        return await client.request(method, path, body, timeout_s)
     finally:
-        if writer is not None:
-            writer.close()
+        client.close()
 
 
 async def submit(address: str, job: ClientJob, now_s: float) -> int:
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -5,9 +5,11 @@
 import os
 import signal
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
+from time import monotonic
 
 import orjson
 
@@ -56,6 +58,17 @@
     }
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigChange:
+    """A version of the configuration that the store has acknowledged.
+
+    :param queues: queues beside those that always exist
+    """
+
+    acknowledged_s: float
+    queues: tuple[str, ...]
+
+
 def _end_with_parent() -> None:
     """Let the kernel kill this process when its parent ends.
 
@@ -167,6 +180,7 @@
         self.processes: list[Process] = []
         self._background_tasks: list[asyncio.Task] = []
         self.version = 1
+        self.config_changes: list[ConfigChange] = []
 
     async def start(self) -> None:
         """Start everything and wait until each process is ready."""
@@ -198,6 +212,7 @@
         for name in new_queues:
             fields["routes"].append({**fields["routes"][0], "name": name, "prefix": f"/{name}/"})
         self.store.put("op/config", fields)
+        self.config_changes.append(ConfigChange(monotonic(), new_queues))
 
     def followers(self) -> list[Process]:
         """Return the processes that do not hold the leader lease."""
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -5,18 +5,22 @@
 
 from tests.platform.soak import SoakRun
 from tests.platform.soak_checks import (
+    QueueAnswer,
     incorrect_responses,
+    outdated_answers,
     overcommitted,
     overlapping_runs,
     repeated_completions,
 )
 from tests.platform.standin.clients import ClientJob
+from tests.platform.standin.cluster import ConfigChange
 from tests.platform.standin.executors import RunRecord
 
 # Seeds that have failed before; each comment names the cause.
 REGRESSIONS = (
     18,  # a process returned outdated job states after a pause
     118,  # a job state was returned before it was stored
+    1015,  # a process that the store turned away answered by an old configuration
     218,  # a start reached an executor's next incarnation, and its task was started again
 )
 CI_SEEDS = (2, 3)
@@ -86,6 +90,24 @@
         ):
             self.assertEqual(len(incorrect_responses([client_job], runs)), 1, client_job)
 
+    def test_outdated_answers(self) -> None:
+        """Answers by an old version are reported once the next one has to be in force."""
+        changes = [ConfigChange(0.0, ("a",)), ConfigChange(10.0, ("b",))]
+        for queue, status, sent_s, expected in (
+            ("a", 200, 11.9, 0),
+            ("a", 200, 12.1, 1),
+            ("a", 404, 12.1, 0),
+            ("b", 404, 11.9, 0),
+            ("b", 404, 12.1, 1),
+            ("b", 200, 9.8, 0),
+            ("b", 200, 9.0, 1),
+            ("a", 404, 9.0, 1),
+            ("b", 503, 12.1, 0),
+            ("b", 0, 12.1, 0),
+        ):
+            answer = QueueAnswer("m0", queue, status, sent_s, sent_s + 0.3)
+            self.assertEqual(len(outdated_answers([answer], changes, 2.0)), expected, answer)
+
     def test_refusal_after_an_uncertain_response(self) -> None:
         """The first submission may have been stored, so a later run is no violation."""
         client_job = job(accepted_s=0.0, statuses=[504, 503], states=[])
