Read the leader lease periodically, as the configuration and the registry are

And the lease was the only one of the three watched keys that nobody read beside the watch: on a connection that went silent, its watch takes 5.8 s to notice. Change: followers read the lease's key every 0.8 s. A read without a result does not undo what the watch has reported meanwhile.

--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -32,6 +32,10 @@
 CLAIM_INTERVAL_S = 0.05
 WATCH_MS = 5_000
 RETRY_S = 0.1
+# A watch may be broken without an error, so followers also read the key periodically. The answers
+# show as well that this process reaches the store, see MAX_STORE_AGE_MS.
+READ_INTERVAL_S = 0.8
+READ_TIMEOUT_MS = 600
 # A leader that still answers heartbeats gets this long to rewrite its lapsed key.
 INCUMBENT_GRACE_MS = 1_000
 # A process does not claim the lease if the store's last answer to it is older than this.
@@ -128,6 +132,22 @@
                 _log.debug("leader lease not read", reason=str(exc))
                 await asyncio.sleep(RETRY_S)
 
+    async def poll(self) -> None:
+        """Read the lease periodically while it is not held; run for the life of the process."""
+        while True:
+            await asyncio.sleep(READ_INTERVAL_S)
+            if self.is_held:
+                continue
+            before = self.record
+            try:
+                item = await self._store.read(LEADER_KEY, timeout_ms=READ_TIMEOUT_MS)
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                _log.debug("leader lease not read", reason=str(exc))
+                continue
+            # The watch may have reported a newer lease while a read without result was under way.
+            if item is not None or self.record is before:
+                self._apply_item(item)
+
     async def campaign(self) -> None:
         """Claim the lease whenever it is free; run for the life of the process."""
         claimable_since_ms: int | None = None
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -111,6 +111,7 @@
             self.config.poll,
             self.config.watch,
             self.leader_lease.watch,
+            self.leader_lease.poll,
             self.leader_lease.campaign,
             self.leader_lease.renew,
             self.heartbeats.lag.run,
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -128,6 +128,21 @@
         await self._submit(job, 2)
         await self._wait_for_completion(job)
 
+    async def test_a_leader_without_the_store_forwards_jobs(self) -> None:
+        """Guards against refusals for as long as the other processes do not use the store.
+
+        Their store answers were too old for them to count as relays.
+        """
+        await asyncio.sleep(1.0)
+        followers = self.cluster.followers()
+        leader = next(p for p in self.cluster.processes if p not in followers)
+        leader.store_proxy.mode = ProxyMode.RESET
+        leader.store_proxy.reset_connections()
+        await asyncio.sleep(0.1)
+        for number in range(40, 50):
+            status = await submit(leader.address, new_job(number), 1.0)
+            self.assertEqual(status, 200)
+
     async def test_invalid_requests_get_specific_errors(self) -> None:
         """Unknown queues, jobs and methods and invalid ids and bodies get a specific status."""
         address = self.cluster.processes[0].address
--- a/tests/server/jobs/test_leader_lease.py
+++ b/tests/server/jobs/test_leader_lease.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
+from lagoonshelf_server.jobs import leader_lease
 from lagoonshelf_server.jobs.keys import LEADER_KEY, TERM_KEY
 from lagoonshelf_server.jobs.leader_lease import (
     INCUMBENT_GRACE_MS,
@@ -28,7 +30,7 @@
             for number in range(3)
         ]
         for lease in self.leases:
-            for coro in (lease.watch(), lease.campaign(), lease.renew()):
+            for coro in (lease.watch(), lease.poll(), lease.campaign(), lease.renew()):
                 task = asyncio.ensure_future(coro)
                 self.addCleanup(task.cancel)
 
@@ -47,6 +49,37 @@
         self.assertEqual(sum(lease.is_held for lease in self.leases), 1)
         self.assertTrue(leader.may_dispatch())
 
+    async def test_a_new_leader_is_known_although_the_watch_is_silent(self) -> None:
+        """Guards against a former leader that is taken for the present one for seconds.
+
+        The connection of the watch went silent without an error.
+        """
+        silent = LeaderLease(self.store, Clock(), MemberId("m9"), "a:9")
+        poll = asyncio.ensure_future(silent.poll())
+        self.addCleanup(poll.cancel)
+        leader = await self._leader()
+        await eventually(lambda: silent.revision == leader.revision)
+        leader.is_candidate = silent.is_candidate = False
+        await leader.release()
+        await eventually(lambda: silent.record.member != leader.member)
+
+    async def test_a_read_without_result_does_not_undo_what_the_watch_reported(self) -> None:
+        """Guards against a lease that counts as free because a read was overtaken."""
+        lease = LeaderLease(self.store, Clock(), MemberId("m9"), "a:9")
+
+        async def read(key: str, *, timeout_ms: int) -> None:
+            lease.observe_record(LeaderRecord(StoreRevision(99), MemberId("m8"), "a:8"))
+
+        with (
+            patch.object(leader_lease, "READ_INTERVAL_S", 0.01),
+            patch.object(self.store, "read", read),
+        ):
+            poll = asyncio.ensure_future(lease.poll())
+            await asyncio.sleep(0.015)
+            poll.cancel()
+        self.assertEqual(lease.revision, 99)
+        self.assertFalse(lease._is_claimable())
+
     async def test_a_dead_leader_is_replaced_before_its_lease_expires(self) -> None:
         """Guards against waiting for the lease of a dead process, and against a reused token."""
         leader = await self._leader()
