Ask any member for the configuration while the store fails here

Callers would see: 503 at a former leader for up to a second, until a new leader confirms its configuration, on deployments that allow 2 s for a change. Cause: only replies of the leader confirmed a configuration, and a process that has led until now gets none. Change: a process whose store fails and whose configuration is older than half of the limit asks the leader or another member, at most every 250 ms; the member leaves the document out if it is the same. Conclusion: a process that reaches any member which reaches the store serves.

--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -27,6 +27,8 @@
 # Longest time without any data of the response.
 READ_TIMEOUT_MS = 600
 RETRY_S = 0.1
+# Shortest interval between questions to other members.
+ASK_INTERVAL_MS = 250
 # Withdrawn keys stop working within 6 s; the rest is for the request itself.
 DEFAULT_MAX_AGE_MS = 5_000
 # A configuration that has not been confirmed for more than one read and its retry is logged.
@@ -60,7 +62,8 @@
         self._is_behind = False
         self.current = CellConfig(0)
         self.confirmed_ms = 0
-        self.fetch_copy: Callable[[], Awaitable[ConfigCopy | None]] = _no_copy
+        self._member_asked_ms = 0
+        self.fetch_copy: Callable[[StoreRevision], Awaitable[ConfigCopy | None]] = _no_copy
         self._is_late = False
 
     @property
@@ -93,11 +96,16 @@
             self._member_confirmed_ms = max(self._member_confirmed_ms, asked_ms - age_ms)
             self.confirmed_ms = max(self.confirmed_ms, asked_ms - age_ms)
 
-    def copy(self) -> ConfigCopy:
-        """Return the configuration in force for a member that cannot read it itself."""
+    def copy(self, known_revision: int) -> ConfigCopy:
+        """Return the configuration in force for a member that cannot read it itself.
+
+        :param known_revision: revision of the member's copy, of which the document is left out
+        """
         if self._item is None:
             return ConfigCopy(0, b"", 0)
-        return ConfigCopy(self._item.revision, self._item.value, self.age_ms())
+        is_known = self._item.revision == known_revision
+        document = b"" if is_known else self._item.value
+        return ConfigCopy(self._item.revision, document, self.age_ms())
 
     async def poll(self) -> None:
         """Read the configuration when nobody has confirmed it; run for the life of the process."""
@@ -145,14 +153,14 @@
         return max(own_due_ms, member_due_ms)
 
     async def _read(self) -> None:
-        """Read the configuration, or take a newer one from the leader if the store fails here."""
+        """Read the configuration, or ask another member for it if the store fails here."""
         sent_ms = self._clock.now_ms()
         try:
             item = await self._store.read(self._codec.config_key, timeout_ms=READ_TIMEOUT_MS)
         except (StoreUnavailableError, StoreUncertainError) as exc:
             self._log_late(str(exc))
-            if self._is_behind:
-                await self._read_copy()
+            if self._is_behind or self.age_ms() > self._max_age_ms // 2:
+                await self._ask_member()
             job_metrics.config_age_ms.set({}, self.age_ms())
             return
         self._log_confirmed(sent_ms)
@@ -163,14 +171,19 @@
         self.confirmed_ms = max(self.confirmed_ms, sent_ms)
         job_metrics.config_age_ms.set({}, self.age_ms())
 
-    async def _read_copy(self) -> None:
+    async def _ask_member(self) -> None:
+        """Take over or confirm the configuration of another member."""
         sent_ms = self._clock.now_ms()
-        copy = await self.fetch_copy()
-        if copy is None or not copy.document:
+        if sent_ms - self._member_asked_ms < ASK_INTERVAL_MS:
+            return
+        self._member_asked_ms = sent_ms
+        copy = await self.fetch_copy(ABSENT if self._item is None else self._item.revision)
+        if copy is None:
             return
-        item = Item(self._codec.config_key, copy.document, StoreRevision(copy.revision))
-        self._apply_item(item, "leader", sent_ms)
-        if self._item is not None and self._item.revision == item.revision:
+        if copy.document:
+            item = Item(self._codec.config_key, copy.document, StoreRevision(copy.revision))
+            self._apply_item(item, "member", sent_ms)
+        if self._item is not None and self._item.revision == copy.revision:
             self.confirm(self.current.version, copy.age_ms, sent_ms)
 
     def _log_late(self, reason: str) -> None:
@@ -216,5 +229,6 @@
         job_metrics.config_version.set({}, cfg.version)
 
 
-async def _no_copy() -> None:
+async def _no_copy(revision: StoreRevision) -> None:
     """Return no copy, as there is no other member."""
+    del revision
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import Awaitable, Callable
-from random import shuffle
+from random import choice, shuffle
 
 from returns.result import Failure
 
@@ -56,7 +56,7 @@
 )
 
 STATE_TIMEOUT_S = 0.4
-CONFIG_COPY_TIMEOUT_S = 0.8
+CONFIG_COPY_TIMEOUT_S = 0.4
 ANNOUNCE_TIMEOUT_S = 0.5
 ANNOUNCE_ATTEMPTS = 4
 RELAY_TIMEOUT_S = 1.5
@@ -216,16 +216,24 @@
             raise ConnectionError("this process is not ready to lead the cell")
         return await self._net.call(record.address, kind, body, timeout_s)
 
-    async def _fetch_config(self) -> ConfigCopy | None:
-        """Return the leader's copy of the configuration, ``None`` if it does not answer."""
-        try:
-            reply = await self._call_leader(
-                "configCopyAsk", ConfigCopyAsk(self._cfg.member), CONFIG_COPY_TIMEOUT_S
-            )
-        except (ConnectionError, PeerLostError) as exc:
-            _log.info("no copy of the configuration", reason=str(exc))
+    async def _fetch_config(self, revision: StoreRevision) -> ConfigCopy | None:
+        """Return the configuration of the leader or, without an answer, of another member.
+
+        :param revision: revision of the configuration that is known here
+        """
+        addresses = self.heartbeats.relay_addresses()
+        if self._net is None or not addresses:
             return None
-        return reply if isinstance(reply, ConfigCopy) else None
+        for address in {addresses[0]: None, choice(addresses): None}:
+            try:
+                body = ConfigCopyAsk(revision)
+                reply = await self._net.call(address, "configCopyAsk", body, CONFIG_COPY_TIMEOUT_S)
+            except PeerLostError as exc:
+                _log.info("no copy of the configuration", member=address, reason=str(exc))
+                continue
+            if isinstance(reply, ConfigCopy) and reply.revision:
+                return reply
+        return None
 
     async def _announce(self, job: JobId, record: str, created: StoreRevision) -> None:
         body = JobRecord(job, record, created)
@@ -329,7 +337,7 @@
             request_advice = self._advice_via(body.address)
             return "pulseReply", self.heartbeats.answer(member, body, self._leader, request_advice)
         if kind == "configCopyAsk":
-            return "configCopy", self.config.copy()
+            return "configCopy", self.config.copy(body.revision)
         if kind == "adviceAsk":
             return "advice", await self._on_advice(body)
         if kind in ("relayJob", "relayCancel"):
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -403,9 +403,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigCopyAsk:
-    """Request for the leader's copy of the configuration."""
+    """Request for a member's copy of the configuration.
 
-    member: str
+    :param revision: revision of the sender's copy, 0 for none
+    """
+
+    revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -413,7 +416,7 @@
     """Configuration as the sender read it from the store.
 
     :param revision: revision of its key in the store
-    :param document: value of the key, empty if the sender has none
+    :param document: value of the key, empty if the receiver has this revision or the sender none
     :param age_ms: time since the store is known to have held it
     """
 
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -289,7 +289,7 @@
 }
 
 struct ConfigCopyAsk {
-  member @0 :Text;
+  revision @0 :UInt64;
 }
 
 struct ConfigCopy {
--- a/tests/server/jobs/test_config_view.py
+++ b/tests/server/jobs/test_config_view.py
@@ -94,7 +94,7 @@
         self.store.is_down = True
         copies = [ConfigCopy(8, b"2", 300)]
 
-        async def fetch_copy() -> ConfigCopy:
+        async def fetch_copy(revision: StoreRevision) -> ConfigCopy:
             return copies[0]
 
         self.view.fetch_copy = fetch_copy
@@ -112,6 +112,32 @@
         await self._poll_once()
         self.assertEqual((self.view.current.version, self.view.age_ms()), (2, 2_300))
 
+    async def test_another_member_confirms_while_the_store_fails(self) -> None:
+        """Guards against refusals at a former leader, to which no leader replies yet.
+
+        Members are asked at most every 250 ms.
+        """
+        await self._poll_once()
+        self.store.is_down = True
+        asked: list[int] = []
+
+        async def fetch_copy(revision: StoreRevision) -> ConfigCopy:
+            asked.append(revision)
+            return ConfigCopy(7, b"", 400)
+
+        self.view.fetch_copy = fetch_copy
+        self.clock.advance(1_000)
+        await self._poll_once()
+        self.assertEqual(asked, [], "it is not old yet")
+        self.clock.advance(3_000)
+        await self._poll_once()
+        self.assertEqual((asked, self.view.age_ms()), ([7], 400))
+        self.clock.advance(4_000)
+        await self._poll_once()
+        self.clock.advance(100)
+        await self._poll_for_a_moment()
+        self.assertEqual(len(asked), 2)
+
     async def test_confirmations_of_the_leader_replace_reads(self) -> None:
         """Guards against a small link that is filled by reads of one large configuration."""
         await self._poll_once()
