Read the registry, not a stale copy of it, after its history is lost

Cause: the watch of the registry begins at the revision of a stale copy. Change: after a loss of history the revision comes from a read that is not stale. Result: test_a_lost_history_is_not_asked_for_again_and_again fails before and passes now.

--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -205,17 +205,19 @@
     async def _watch_registry(self) -> None:
         revision = 0
         prefix = self._codec.registry_prefix
+        is_history_lost = False
         while True:
             try:
                 if not revision:
-                    _, revision = await self._store.read_all(prefix, stale=True)
+                    # A stale copy may be older than the history that is left.
+                    _, revision = await self._store.read_all(prefix, stale=not is_history_lost)
                 changes, revision = await self._store.watch(prefix, revision, WATCH_MS)
                 for change in changes:
                     if change.item is not None:
                         self._apply_entry(change.item)
                 await self.write_used()
             except HistoryLostError:
-                revision = 0
+                revision, is_history_lost = 0, True
             except (StoreUnavailableError, StoreUncertainError):
                 await asyncio.sleep(RETRY_S)
 
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -14,7 +14,7 @@
 from lagoonshelf_server.jobs.keys import LEADER_KEY, cancel_key, job_key, progress_key
 from lagoonshelf_server.jobs.leader import Leader, Ports
 from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS, LeaderLease
-from lagoonshelf_server.jobs.ports import StoreRevision
+from lagoonshelf_server.jobs.ports import Item, StoreRevision
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, eventually
 from tests.support.jobs import config, make_job, make_step, worker_info
 
@@ -96,6 +96,33 @@
         leader.request_pass()
         await eventually(lambda: len(self.workers.started) == 2)
 
+    async def test_a_lost_history_is_not_asked_for_again_and_again(self) -> None:
+        """Guards against a flood of calls while stale copies are older than the history.
+
+        The watch of the registry began from a stale copy, whose revision was lost again.
+        """
+        await self._term("m1")
+        await asyncio.sleep(0.1)
+        original, calls = self.store.read_all, 0
+
+        async def read_all(prefix: str, *, stale: bool = False) -> tuple[list[Item], int]:
+            nonlocal calls
+            calls += 1
+            items, revision = await original(prefix)
+            return items, 1 if stale else revision
+
+        self.store.read_all = read_all
+        self.store.compact()
+        await asyncio.sleep(0.3)
+        self.assertLessEqual(calls, 4)
+        info = worker_info(WORKERS)
+        self.codec.infos[b"new"] = info
+        self.workers.add(info)
+        self.store.put(f"workers/{info.id}", b"new")
+        spec = make_job(*(make_step(40) for _ in range(2)))
+        self._store(spec)
+        await eventually(lambda: any(name == info.id for name, _, _ in self.workers.started))
+
     async def test_an_end_is_acknowledged_only_when_it_is_durable(self) -> None:
         """Guards against running a task twice when it ends during a store outage.
 
