--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -24,8 +24,8 @@
 # where the leader confirms it. A read that fails leaves time for another one.
 READ_INTERVAL_MS = 900
 CONFIRMED_READ_INTERVAL_MS = 1_400
-# Longest time without any data of the response.
-READ_TIMEOUT_MS = 600
+# Longest time without any data of the response. A slow store takes several hundred milliseconds.
+READ_TIMEOUT_MS = 1_000
 RETRY_S = 0.1
 # Shortest interval between questions to other members.
 ASK_INTERVAL_MS = 250
--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -35,7 +35,7 @@
 # A watch may be broken without an error, so followers also read the key periodically. The answers
 # show as well that this process reaches the store, see MAX_STORE_AGE_MS.
 READ_INTERVAL_S = 0.8
-READ_TIMEOUT_MS = 600
+READ_TIMEOUT_MS = 1_000
 # A leader that still answers heartbeats gets this long to rewrite its lapsed key.
 INCUMBENT_GRACE_MS = 1_000
 # A process does not claim the lease if the store's last answer to it is older than this.
