Say with one method when the configuration was confirmed, and by whom

Read again as a newcomer: three places set the time of confirmation, and a confirmation by a member did not end 'configuration not confirmed' in the logs; a copy of another member hid that the leader has a newer version; an age beyond 49 days did not fit its field. Behaviour is otherwise the same; tests unchanged.

--- a/packages/server/lagoonshelf_server/jobs/config_view.py
+++ b/packages/server/lagoonshelf_server/jobs/config_view.py
@@ -33,12 +33,13 @@
 DEFAULT_MAX_AGE_MS = 5_000
 # A configuration that has not been confirmed for more than one read and its retry is logged.
 LATE_MS = 2_000
+MAX_REPORTED_AGE_MS = 3_600_000
 
 _log = logger("config")
 
 
 class ConfigView:
-    """Watches the configuration in the store."""
+    """Follows the configuration in the store, directly and through other members."""
 
     def __init__(
         self,
@@ -93,8 +94,7 @@
         """
         self._is_behind = version > self.current.version
         if version == self.current.version:
-            self._member_confirmed_ms = max(self._member_confirmed_ms, asked_ms - age_ms)
-            self.confirmed_ms = max(self.confirmed_ms, asked_ms - age_ms)
+            self._confirm_by_member(asked_ms - age_ms)
 
     def copy(self, known_revision: int) -> ConfigCopy:
         """Return the configuration in force for a member that cannot read it itself.
@@ -103,9 +103,8 @@
         """
         if self._item is None:
             return ConfigCopy(0, b"", 0)
-        is_known = self._item.revision == known_revision
-        document = b"" if is_known else self._item.value
-        return ConfigCopy(self._item.revision, document, self.age_ms())
+        document = b"" if self._item.revision == known_revision else self._item.value
+        return ConfigCopy(self._item.revision, document, min(self.age_ms(), MAX_REPORTED_AGE_MS))
 
     async def poll(self) -> None:
         """Read the configuration when nobody has confirmed it; run for the life of the process."""
@@ -163,13 +162,11 @@
                 await self._ask_member()
             job_metrics.config_age_ms.set({}, self.age_ms())
             return
-        self._log_confirmed(sent_ms)
         if item is not None:
             self._apply_item(item, "read", sent_ms)
         # The response may have waited for any time, so the read is as old as its request.
         self._read_ms = sent_ms
-        self.confirmed_ms = max(self.confirmed_ms, sent_ms)
-        job_metrics.config_age_ms.set({}, self.age_ms())
+        self._set_confirmed(sent_ms)
 
     async def _ask_member(self) -> None:
         """Take over or confirm the configuration of another member."""
@@ -184,7 +181,21 @@
             item = Item(self._codec.config_key, copy.document, StoreRevision(copy.revision))
             self._apply_item(item, "member", sent_ms)
         if self._item is not None and self._item.revision == copy.revision:
-            self.confirm(self.current.version, copy.age_ms, sent_ms)
+            self._confirm_by_member(sent_ms - copy.age_ms)
+
+    def _confirm_by_member(self, at_ms: int) -> None:
+        self._member_confirmed_ms = max(self._member_confirmed_ms, at_ms)
+        self._set_confirmed(at_ms)
+
+    def _set_confirmed(self, at_ms: int) -> None:
+        """Record that the store held the configuration in force at a time."""
+        age_ms = self.age_ms()
+        self.confirmed_ms = max(self.confirmed_ms, at_ms)
+        job_metrics.config_age_ms.set({}, self.age_ms())
+        if self._is_late and self.age_ms() <= LATE_MS:
+            self._is_late = False
+            version = self.current.version
+            _log.info("configuration confirmed again", version=version, age_ms=age_ms)
 
     def _log_late(self, reason: str) -> None:
         """Log once that the configuration has not been confirmed for a while."""
@@ -195,16 +206,6 @@
                 "configuration not confirmed", version=version, age_ms=age_ms, reason=reason
             )
 
-    def _log_confirmed(self, sent_ms: int) -> None:
-        """Log a read that was slow, or that ends a time without confirmation."""
-        took_ms, age_ms = self._clock.now_ms() - sent_ms, self.age_ms()
-        if self.is_known and (self._is_late or age_ms > LATE_MS):
-            self._is_late = False
-            version = self.current.version
-            _log.info(
-                "configuration confirmed again", version=version, age_ms=age_ms, took_ms=took_ms
-            )
-
     def _apply_item(self, item: Item, source: str, sent_ms: int) -> None:
         if item.revision <= self._revision:
             return
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -7,7 +7,11 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
-from lagoonshelf_server.jobs.config_view import DEFAULT_MAX_AGE_MS, ConfigView
+from lagoonshelf_server.jobs.config_view import (
+    DEFAULT_MAX_AGE_MS,
+    MAX_REPORTED_AGE_MS,
+    ConfigView,
+)
 from lagoonshelf_server.jobs.job_api import JobApi
 from lagoonshelf_server.jobs.lag import LoopLag
 from lagoonshelf_server.jobs.leader import Leader
@@ -39,7 +43,6 @@
 STORE_TROUBLE_MS = 1_000
 # Reports of members about the store are ignored when older than this.
 MEMBER_TIMEOUT_MS = 1_000
-MAX_REPORTED_AGE_MS = 3_600_000
 # The leader of 176 workers uses about one core. A host with less delays its claim, and offers the
 # lease to a host that has at least this much and LARGER_HOST_FACTOR times its own cores.
 LEADER_CORES_MILLI = 1_000
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -224,7 +224,7 @@
         addresses = self.heartbeats.relay_addresses()
         if self._net is None or not addresses:
             return None
-        for address in {addresses[0]: None, choice(addresses): None}:
+        for address in dict.fromkeys((addresses[0], choice(addresses))):
             try:
                 body = ConfigCopyAsk(revision)
                 reply = await self._net.call(address, "configCopyAsk", body, CONFIG_COPY_TIMEOUT_S)
