Log and count workers that lost their runs, with the ages of the runs

Cause: after a crash of a worker the logs had one line "run lost" a run, and neither which runs had just started nor how long the worker had been silent; no metric counted crashes.

Change: each path by which a worker loses its runs (another incarnation at its address, a new incarnation under its id, a lapsed lease) goes through lagoonshelf_core.jobs.crashes, which writes one line "worker lost its runs" and counts it once in lagoonshelf_worker_losses_total. Workers keep when they were last heard. An outdated registry entry no longer restarts the session of a worker.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -26,6 +26,8 @@
     MAX_LEASE_MS,
     Worker,
     WorkerInfo,
+    WorkerLoss,
+    alive_ms,
     lapse_after_ms,
 )
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
@@ -98,6 +100,7 @@
         self.recorded_runs: list[RecordedRun] = []
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
+        self.on_loss: Callable[[WorkerLoss], None] = lambda loss: None
 
     # Jobs
 
@@ -229,7 +232,7 @@
     def end_worker_runs(self, worker: Worker, now_ms: int, reason: str) -> None:
         """End all runs of a worker that no longer has them."""
         for run in list(worker.runs.values()):
-            self.note("run lost", run, reason=reason)
+            self.note("run lost", run, reason=reason, alive_ms=alive_ms(worker, run))
             self.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
 
     def apply_report(
@@ -267,7 +270,7 @@
             run = self._adopt(worker, row, now_ms)
         elif run.phase is RunPhase.STARTING:
             self.start_confirmed(run, now_ms)
-        run.is_unverified = False
+        run.is_unverified = run.is_loss_recorded = False
         if row.percent != run.progress_percent:
             run.progress_percent = row.percent
             run.progressed_ms = now_ms
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -64,6 +64,7 @@
     :param pace_percent: share of full speed that was last requested for the run
     :param is_duplicate: the task has another run, or had one when this run was found
     :param is_unverified: known only from a record, not reported by the worker
+    :param is_loss_recorded: the loss of its worker has been recorded
     """
 
     name: str
@@ -85,6 +86,7 @@
     paced_at_ms: int = 0
     is_duplicate: bool = False
     is_unverified: bool = False
+    is_loss_recorded: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -1,6 +1,7 @@
 """Workers of the cell, their state and their runs."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lagoonshelf_core.ids import FailureDomain, RackId, WorkerId
 from lagoonshelf_core.jobs.config import PoolId
@@ -15,6 +16,17 @@
 LEASE_END_MARGIN_MS = 1_000
 
 
+class WorkerLoss(Enum):
+    """How a worker lost its runs.
+
+    ``RESTARTED``: another incarnation is in its place. ``LAPSED``: it has not answered until the
+    lease of its runs had lapsed; it may have crashed or may be cut off.
+    """
+
+    RESTARTED = "restarted"
+    LAPSED = "lapsed"
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerInfo:
     """A worker's entry in the registry.
@@ -43,6 +55,7 @@
     :param is_read: this leader has read its runs
     :param is_recorded: a later leader would know from the store that it may have runs
     :param reported_ms: time of its last report of runs
+    :param heard_ms: time of its last answer of any kind to this leader
     :param lapse_ms: clock time by which all its runs have ended unless their lease is renewed
     :param drain_end_ms: clock time until which a draining worker remains available
     :param used: sum of the allocations of its runs
@@ -55,6 +68,7 @@
     is_read: bool = False
     is_recorded: bool = False
     reported_ms: int = 0
+    heard_ms: int = 0
     lapse_ms: int = 0
     drain_end_ms: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
@@ -99,6 +113,11 @@
         self.fillers -= run.is_filler
 
 
+def alive_ms(worker: Worker, run: Run) -> int:
+    """Return for how long a worker has been heard after it was told to start a run."""
+    return max(0, worker.heard_ms - run.started_ms)
+
+
 def lapse_after_ms(lease_ms: int) -> int:
     """Return the time after which all runs of a lease have certainly ended.
 
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -10,7 +10,8 @@
 from lagoonshelf_core.ids import FailureDomain, RackId, WorkerId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import PoolId
-from lagoonshelf_core.jobs.workers import Worker, WorkerInfo, lapse_after_ms
+from lagoonshelf_core.jobs.crashes import end_runs_of_lost_worker, keep_runs_of_restarted_worker
+from lagoonshelf_core.jobs.workers import Worker, WorkerInfo, WorkerLoss, lapse_after_ms
 from lagoonshelf_core.resources import ZERO_RESOURCES
 from lagoonshelf_server.jobs.keys import LEADER_KEY, USED_WORKERS
 from lagoonshelf_server.jobs.leader_lease import MAX_OUTAGE_MS, LeaderLease
@@ -270,8 +271,11 @@
                 draining=info.is_draining,
                 cpu_milli=info.capacity.cpu_milli,
             )
-        is_restarted = known is not None and known.info.born_ms != info.born_ms
-        self._cell.update_worker(info, self._clock.now_ms())
+        is_restarted = known is not None and known.info.born_ms < info.born_ms
+        now_ms = self._clock.now_ms()
+        if is_restarted:
+            keep_runs_of_restarted_worker(self._cell, known, now_ms)
+        self._cell.update_worker(info, now_ms)
         if is_restarted and info.id in self._session_tasks:
             self._session_tasks.pop(info.id).cancel()
         self._hooks.on_change()
@@ -292,7 +296,7 @@
         if worker.runs or worker.blocks_inherited:
             _log.warning("lease of a lost worker lapsed", worker=worker.id, runs=len(worker.runs))
         worker.blocks_inherited = False
-        self._cell.end_worker_runs(worker, now_ms, "lease lapsed")
+        end_runs_of_lost_worker(self._cell, worker, WorkerLoss.LAPSED, now_ms)
 
     def _drop(self, worker: Worker) -> None:
         self._cell.remove_worker(worker)
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -26,6 +26,9 @@
     "lagoonshelf_job_ms", "Time from receipt of a job to its end by state.", buckets=BUCKETS_MS
 )
 run_ends = Counter("lagoonshelf_run_ends_total", "Ends of runs by how they ended.")
+worker_losses = Counter(
+    "lagoonshelf_worker_losses_total", "Workers that lost their runs by how they were lost."
+)
 wasted_core_ms = Counter(
     "lagoonshelf_wasted_core_ms_total", "Core-milliseconds of runs that did not end well, by end."
 )
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -11,6 +11,7 @@
 from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_core.jobs.supervision import supervise
+from lagoonshelf_core.jobs.workers import WorkerLoss
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.advice_router import AdviceRouter
 from lagoonshelf_server.jobs.config_view import ConfigView
@@ -72,6 +73,7 @@
         self._tasks: set[asyncio.Task] = set()
         self.cell = Cell(config.current)
         self.cell.on_end = _count_end
+        self.cell.on_loss = _count_loss
         self.progress_writer = ProgressWriter(self._store, leader_lease)
         self.advice_router = AdviceRouter(self.cell, clock, self.request_pass)
         self._job_watcher = JobWatcher(self._store, self.accept, self.cancel)
@@ -300,6 +302,10 @@
             self._leader_lease.step_down("a task of the leader term failed")
 
 
+def _count_loss(loss: WorkerLoss) -> None:
+    job_metrics.worker_losses.inc({"how": loss.value})
+
+
 def _count_end(run: Run, end: RunEnd, now_ms: int) -> None:
     job_metrics.run_ends.inc({"how": end.value})
     if end is not RunEnd.DONE:
--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -5,7 +5,8 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.workers import Worker, lapse_after_ms
+from lagoonshelf_core.jobs.crashes import end_runs_of_lost_worker, keep_runs_of_restarted_worker
+from lagoonshelf_core.jobs.workers import Worker, WorkerLoss, lapse_after_ms
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.ports import (
     Listing,
@@ -76,7 +77,8 @@
         return until
 
     def record_clock(self, worker_clock_ms: int) -> None:
-        """Record the worker's clock from an answer that was just received."""
+        """Record an answer of the worker that was just received, and the clock in it."""
+        self._worker.heard_ms = self._clock.now_ms()
         if worker_clock_ms:
             self._clock_sample = (worker_clock_ms, self._clock.now_ms())
             self._worker.lapse_ms = self._lapse_ms()
@@ -135,7 +137,8 @@
         if worker.runs or worker.is_read or worker.blocks_inherited:
             _log.warning("worker gone", worker=worker.id, reason=reason)
             worker.is_read = worker.blocks_inherited = False
-            self._cell.end_worker_runs(worker, self._clock.now_ms(), "its worker is gone")
+            now_ms = self._clock.now_ms()
+            end_runs_of_lost_worker(self._cell, worker, WorkerLoss.RESTARTED, now_ms)
             self._on_report()
 
     def _apply_listing(self, listing: Listing, sent_ms: int) -> None:
@@ -157,7 +160,7 @@
         """Reset the state of the old incarnation; the registry provides the new one."""
         if self._worker.is_recorded:
             _log.warning("worker restarted", worker=self._worker.id, born_ms=born_ms)
-        self._cell.mark_runs_unverified(self._worker, self._clock.now_ms())
+        keep_runs_of_restarted_worker(self._cell, self._worker, self._clock.now_ms())
         self._worker.is_recorded = False
         self._clock_sample = None
         self._lease_end_ms = 0
