--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -172,8 +172,11 @@
         self.store = StubStore()
         self.advice = StubServer(self._advise)
         self.history: list[RunRecord] = []
+        self.crashed_by: list[tuple[str, int]] = []
         self.executors = [
-            StubExecutor(f"i-{number}", self.store, Random(seed + number), self.history)
+            StubExecutor(
+                f"i-{number}", self.store, Random(seed + number), self.history, self.crashed_by
+            )
             for number in range(executors)
         ]
         self._process_count = processes
--- a/tests/platform/standin/executors.py
+++ b/tests/platform/standin/executors.py
@@ -10,6 +10,11 @@
 CAPACITY = {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0}
 MAX_LEASE_MS = 10_000
 STOP_DELAY_S = 0.1
+# The first task of a step whose ``spec`` has this word crashes its executor soon after its start.
+CRASHES = "crashes"
+CRASH_DELAY_S = 0.01
+# Time after which a crashed executor is back.
+CRASH_DOWN_S = 1.0
 
 
 @dataclass(slots=True)
@@ -30,15 +35,28 @@
 
 
 class StubExecutor:
-    """An executor behind a proxy; the ``spec`` of its tasks is "MILLISECONDS CPU"."""
+    """An executor behind a proxy; the ``spec`` of its tasks is "MILLISECONDS CPU [crashes]".
 
-    def __init__(self, name: str, store: StubStore, rng: Random, history: list[RunRecord]) -> None:
+    :ivar crashed_by: task and attempt that caused each crash of any executor, in order
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: StubStore,
+        rng: Random,
+        history: list[RunRecord],
+        crashed_by: list[tuple[str, int]] | None = None,
+    ) -> None:
         """Initialize; ``start`` registers it.
 
         :param rng: determines its clock and which runs fail
         :param history: receives a record of each run
+        :param crashed_by: receives the run that caused each crash
         """
         self.name = name
+        self.crashed_by = [] if crashed_by is None else crashed_by
+        self._crash_task: asyncio.Task | None = None
         self._store = store
         self._rng = rng
         self._history = history
@@ -83,9 +101,32 @@
         self._kill_runs("crashed")
         for task in list(self._stop_tasks):
             task.cancel()
+        if self._crash_task is not None:
+            self._crash_task.cancel()
         await self._server.close()
         await self.proxy.close()
 
+    def crash(self) -> None:
+        """Crash, and be back after some time at the same address under a new id."""
+        if self._crash_task is None or self._crash_task.done():
+            self._crash_task = asyncio.ensure_future(self._crash())
+
+    async def _crash(self) -> None:
+        self._kill_runs("crashed")
+        self.set_proxy_mode(ProxyMode.RESET)
+        self.proxy.reset_connections()
+        await asyncio.sleep(CRASH_DOWN_S)
+        self._store.revision += 1
+        self._store.delete(f"servers/{self.name}")
+        self.name = f"{self.name.partition('+')[0]}+{self._incarnation}"
+        self.restart()
+        self.set_proxy_mode(ProxyMode.OPEN)
+
+    async def _crash_by(self, record: RunRecord) -> None:
+        await asyncio.sleep(CRASH_DELAY_S)
+        self.crashed_by.append((record.task, record.attempt))
+        self.crash()
+
     def restart(self) -> None:
         """Simulate a crash and restart under the same id, with all state lost."""
         self._kill_runs("crashed")
@@ -156,10 +197,13 @@
             return Response(409, {"reason": "old", **clock})
         if body["deadline_ms"] <= self._clock_ms():
             return Response(409, {"reason": "late", **clock})
-        run_ms, cpu = (int(part) for part in body["spec"].split())
-        record = RunRecord(*key, self.name, cpu, self._now())
+        run_ms, cpu, *options = body["spec"].split()
+        record = RunRecord(*key, self.name, int(cpu), self._now())
         self._history.append(record)
-        task = asyncio.ensure_future(self._execute(record, run_ms / 1000))
+        if CRASHES in options and body["task"].endswith(".0"):
+            task = asyncio.ensure_future(self._crash_by(record))
+        else:
+            task = asyncio.ensure_future(self._execute(record, int(run_ms) / 1000))
         self._running[key] = (record, task)
         return Response(200, clock)
 
