Give up tasks that crash the workers that start them

Cause: the end of a run on a crashed worker was "lapsed", which has no limit; only runs that a worker reported as failed were counted. Runs that were lost together were placed together again on the empty worker.

Change: the task at fault is found by elimination. A run had settled if its worker was heard 0.5 s after its start; all others make their tasks suspects when the worker crashes. A suspect starts on a quiet worker, which gets no other work until the run has settled, so that the next crash points to it alone; then its job fails, with the reason in its record and the log. Losses that may have another cause (lapsed leases, a rack, crashes around a takeover, drains, maintenance) delay or prevent the verdict; a task is given up at the fifth loss in any case. Tasks that crash workers later are found by a longer settling time. The counts are part of the progress record, and suspects do not start without it.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -1,5 +1,6 @@
 """State of the cell at its leader: jobs, workers and runs, and how events change them."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -24,10 +25,10 @@
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence
 from lagoonshelf_core.jobs.workers import (
     MAX_LEASE_MS,
+    LossRecord,
     Worker,
     WorkerInfo,
     WorkerLoss,
-    alive_ms,
     lapse_after_ms,
 )
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
@@ -45,6 +46,9 @@
     starts_after_failure=8,
 )
 
+# Losses of workers that are remembered.
+MAX_LOSS_RECORDS = 500
+
 
 @dataclass(frozen=True, slots=True)
 class RunningRow:
@@ -98,9 +102,13 @@
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
         self.recorded_runs: list[RecordedRun] = []
+        # Whether starts are recorded before they are sent; not in an outage of the store.
+        self.is_recording = True
+        self.losses: deque[LossRecord] = deque(maxlen=MAX_LOSS_RECORDS)
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
         self.on_loss: Callable[[WorkerLoss], None] = lambda loss: None
+        self.on_give_up: Callable[[], None] = lambda: None
 
     # Jobs
 
@@ -143,6 +151,14 @@
         self._finish(job, JobState.CANCELLED, now_wall_ms)
         return True
 
+    def fail_job(self, job: Job, reason: str) -> None:
+        """End a job as failed.
+
+        :param reason: text for the log and the record of the job
+        """
+        job.failure = reason
+        self._finish(job, JobState.FAILED, 0)
+
     def suspend_job(self, job_id: JobId) -> None:
         """Keep a job but start none of its tasks."""
         job = self.jobs[job_id]
@@ -232,7 +248,7 @@
     def end_worker_runs(self, worker: Worker, now_ms: int, reason: str) -> None:
         """End all runs of a worker that no longer has them."""
         for run in list(worker.runs.values()):
-            self.note("run lost", run, reason=reason, alive_ms=alive_ms(worker, run))
+            self.note("run lost", run, reason=reason, alive_ms=worker.alive_ms(run))
             self.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
 
     def apply_report(
@@ -484,7 +500,7 @@
             return
         queue = self.queue_of(job)
         if queue is not None and self._has_failed(job, queue.max_failures):
-            self._finish(job, JobState.FAILED, 0)
+            self.fail_job(job, f"a task or gang has failed {queue.max_failures} times")
         elif job.is_complete():
             self._finish(job, JobState.COMPLETE, 0)
         else:
--- a/packages/core/lagoonshelf_core/jobs/crashes.py
+++ b/packages/core/lagoonshelf_core/jobs/crashes.py
@@ -1,8 +1,31 @@
-"""Losses of workers, and the runs that may have caused them."""
+"""Losses of workers, and the tasks that may have caused them.
+
+A task that crashes its workers is found by elimination. Each run that had just been started when a
+worker crashed makes its task a suspect. A suspect is started on a worker that gets no other work
+until the run has settled (see ``isolation``), so the next crash points to it alone.
+"""
 
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.workers import Worker, WorkerLoss, alive_ms
+from lagoonshelf_core.jobs.progress import (
+    MAX_SETTLE_MS,
+    SETTLE_MS,
+    SUSPECT_LOSSES,
+    CrashHistory,
+    Run,
+    Task,
+)
+from lagoonshelf_core.jobs.workers import LossRecord, Worker, WorkerLoss
 
+# A task is given up after this many losses also where none of them points to it alone.
+MAX_LOSSES = 5
+# Several suspects may have to start together, as members of gangs do. One of them is at fault
+# after this many crashes if the others are no suspects.
+MAX_SHARED_CRASHES = 3
+# Losses of workers within this time may have a common cause. It covers the time in which calls to
+# workers without power time out.
+COMMON_CAUSE_MS = 2_500
+# Fewer lost workers of a rack are no failure of the rack.
+MIN_RACK_LOSSES = 3
 # Runs named in the log entry about the loss of a worker, those that started last.
 MAX_LOGGED_RUNS = 20
 
@@ -28,18 +51,126 @@
     runs = [run for run in worker.runs.values() if not run.is_loss_recorded]
     if not runs:
         return
+    lost_ms = worker.silent_since_ms or now_ms
+    record = LossRecord(lost_ms, worker.info.address, worker.info.rack, bool(worker.isolated_runs))
+    cell.losses.append(record)
     cell.on_loss(loss)
-    runs.sort(key=lambda run: -run.started_ms)
+    is_planned = worker.info.is_draining or worker.is_maintenance_due
+    is_rack_failure = _is_rack_failure(cell, record)
+    _note_loss(cell, worker, loss, runs, now_ms, is_planned, is_rack_failure)
+    for run in runs:
+        run.is_loss_recorded = True
+    if not is_planned:
+        is_crash = loss is WorkerLoss.RESTARTED
+        runs_of_tasks = [run for run in runs if run.task is not None]
+        _blame(cell, worker, runs_of_tasks, is_crash, is_rack_failure)
+
+
+def _blame(
+    cell: Cell, worker: Worker, runs: list[Run], is_crash: bool, is_rack_failure: bool
+) -> None:
+    """Count a loss for the tasks of some runs, and give up those that caused it.
+
+    :param is_crash: the worker certainly crashed
+    """
+    unsettled = [run for run in runs if not worker.has_settled(run)]
+    former_suspects = {run.task for run in runs if run.task.is_suspect}
+    for run in runs:
+        _count_loss(worker, run, may_be_cause=is_crash and run in unsettled)
+        cell.changed_jobs.add(run.task.job)
+    # A run that a former leader started may have settled long before the crash.
+    is_clear = is_crash and not is_rack_failure
+    is_clear = is_clear and not any(run.is_unverified for run in unsettled)
+    for run in unsettled:
+        task = run.task
+        if task.job.is_final or task.crash_history is None:
+            continue
+        others = {other.task for other in unsettled if other.task.job is not task.job}
+        is_alone = is_clear and task in former_suspects and not others
+        if is_alone or _is_given_up(task.crash_history, others & former_suspects):
+            _give_up(cell, worker, task)
+
+
+def _count_loss(worker: Worker, run: Run, *, may_be_cause: bool) -> None:
+    task = run.task
+    alive_ms = worker.alive_ms(run)
+    if alive_ms >= MAX_SETTLE_MS:
+        task.crash_history = None
+        return
+    history = task.crash_history = task.crash_history or CrashHistory()
+    if may_be_cause:
+        history.crashes += 1
+    else:
+        history.losses += 1
+        if history.losses >= SUSPECT_LOSSES:
+            # It may crash its workers some time after its start.
+            settle_ms = min(alive_ms + SETTLE_MS, MAX_SETTLE_MS)
+            history.settle_ms = max(history.settle_ms, settle_ms)
+    task.step.has_suspects = task.step.has_suspects or history.is_suspect
+
+
+def _is_given_up(history: CrashHistory, other_suspects: set[Task]) -> bool:
+    """Return whether a task is given up although it was not alone on its workers."""
+    if history.crashes + history.losses >= MAX_LOSSES:
+        return True
+    return history.crashes >= MAX_SHARED_CRASHES and not other_suspects
+
+
+def _give_up(cell: Cell, worker: Worker, task: Task) -> None:
+    history = task.crash_history
+    fields = {
+        "request": task.job.id,
+        "task": task.name,
+        "worker": worker.id,
+        "crashes": history.crashes,
+        "losses": history.losses,
+    }
+    cell.notes.append(("task given up", fields))
+    cell.on_give_up()
+    lost = history.crashes + history.losses
+    cell.fail_job(task.job, f"task {task.name} was on {lost} workers as they crashed")
+
+
+def _is_rack_failure(cell: Cell, record: LossRecord) -> bool:
+    """Return whether half of the workers of a rack or more were lost at about the same time.
+
+    Those with isolated runs are not counted, as these runs may have caused their loss.
+    """
+    lost, isolated, present = set(), set(), set()
+    for loss in cell.losses:
+        if loss.rack == record.rack and abs(loss.lost_ms - record.lost_ms) <= COMMON_CAUSE_MS:
+            (isolated if loss.had_isolated_runs else lost).add(loss.address)
+    for other in cell.workers.values():
+        if other.info.rack != record.rack or not other.is_listed:
+            continue
+        silent_ms = other.silent_since_ms
+        if not silent_ms or abs(silent_ms - record.lost_ms) > COMMON_CAUSE_MS:
+            present.add(other.info.address)
+        else:
+            (isolated if other.isolated_runs else lost).add(other.info.address)
+    return len(lost) >= max(MIN_RACK_LOSSES, len(present - lost - isolated))
+
+
+def _note_loss(
+    cell: Cell,
+    worker: Worker,
+    loss: WorkerLoss,
+    runs: list[Run],
+    now_ms: int,
+    is_planned: bool,
+    is_rack_failure: bool,
+) -> None:
+    runs = sorted(runs, key=lambda run: -run.started_ms)
     fields = {
         "worker": worker.id,
         "address": worker.info.address,
         "how": loss.value,
-        "silent_ms": now_ms - worker.heard_ms,
+        "silent_ms": now_ms - worker.heard_ms if worker.heard_ms else None,
+        "planned": is_planned,
+        "rack_failed": is_rack_failure,
         "runs": len(runs),
         "youngest": [
-            [run.name, run.attempt, alive_ms(worker, run)] for run in runs[:MAX_LOGGED_RUNS]
+            [run.name, run.attempt, worker.alive_ms(run)] for run in runs[:MAX_LOGGED_RUNS]
         ],
     }
-    for run in runs:
-        run.is_loss_recorded = True
     cell.notes.append(("worker lost its runs", fields))
--- a/packages/core/lagoonshelf_core/jobs/gang_placement.py
+++ b/packages/core/lagoonshelf_core/jobs/gang_placement.py
@@ -3,6 +3,7 @@
 from lagoonshelf_core.ids import TaskId
 from lagoonshelf_core.jobs.capacity import count_fitting
 from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.isolation import is_quiet
 from lagoonshelf_core.jobs.progress import GangHold, Run, StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
@@ -36,6 +37,8 @@
     """
     if not all(task.is_waiting for task in step.tasks):
         return []
+    if step.has_suspects and not cell.is_recording:
+        return []
     size = allocation_of(step.spec.size, step.spec.is_filler)
     if size.cpu_milli * step.spec.count > state.startable_milli(step, pool, band):
         return []
@@ -161,9 +164,9 @@
 ) -> list[tuple[Task, Worker]]:
     """Return a worker for each gang member, or nothing when not all members fit.
 
-    The order of preference is: workers that have not failed the job, workers that are not held
-    for another gang, workers in the rack of the data, workers that fit most members, and the
-    fullest among equal ones.
+    The order of preference is: workers without other recent starts if the gang has suspects,
+    workers that have not failed the job, workers that are not held for another gang, workers in
+    the rack of the data, workers that fit most members, and the fullest among equal ones.
     """
     spec = step.spec
     size = allocation_of(spec.size, spec.is_filler)
@@ -181,7 +184,9 @@
         is_other_rack = bool(spec.rack) and worker.info.rack != spec.rack
         free_milli = capacity.cpu_milli - used.cpu_milli
         is_held = state.holders.get(worker.id, step) is not step
-        key = (worker.id in failed_workers, is_held, is_other_rack, -count, free_milli, worker.id)
+        is_unclear = step.has_suspects and not is_quiet(worker)
+        has_failed = worker.id in failed_workers
+        key = (is_unclear, has_failed, is_held, is_other_rack, -count, free_milli, worker.id)
         slots.append((key, worker, count))
     slots.sort(key=lambda row: row[0])
     if spec.same_rack:
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -10,6 +10,7 @@
 from lagoonshelf_core.jobs.commands import StartRun
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
+from lagoonshelf_core.jobs.isolation import place_suspects
 from lagoonshelf_core.jobs.progress import StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
@@ -96,11 +97,32 @@
             _start(cell, state, task, worker, gang_attempt, checkpoint, permit)
         else:
             _start(cell, state, task, worker, task.attempt + 1, task.checkpoint, permit)
+    if step.has_suspects and not spec.is_gang:
+        placed += _start_suspects(cell, state, step, queue, workers, permits, band)
     if placed:
         _note_placement(cell, state, step, placed)
         cell.update_open_steps(step.job)
 
 
+def _start_suspects(
+    cell: Cell,
+    state: SchedulingPass,
+    step: StepRun,
+    queue: Queue,
+    workers: list[Worker],
+    permits: dict[WorkerId, str] | None,
+    band: Band,
+) -> list[tuple[Task, Worker]]:
+    """Start the suspected tasks of a step that can start, each isolated from other starts."""
+    started = []
+    for task, worker in place_suspects(cell, state, step, queue.pool, workers, band):
+        permit = "" if permits is None else permits[worker.id]
+        _start(cell, state, task, worker, task.attempt + 1, task.checkpoint, permit)
+        state.close(worker)
+        started.append((task, worker))
+    return started
+
+
 def _find_workers(
     step: StepRun, usable: dict[WorkerId, Worker], names: Iterable[WorkerId]
 ) -> list[Worker]:
@@ -120,13 +142,15 @@
     tasks: dict[str, list[tuple[int, int]]] = {}
     for task, worker in placed:
         tasks.setdefault(worker.id, []).append((task.index, task.attempt))
-    fields = {
+    fields: dict[str, object] = {
         "request": step.job.id,
         "step": step.name,
         "queue": step.job.spec.queue,
         "waited_ms": state.now_ms - step.job.received_ms,
         "workers": tasks,
     }
+    if step.has_suspects:
+        fields["isolated"] = [task.index for task, _ in placed if task.is_suspect]
     cell.notes.append(("tasks placed", fields))
 
 
@@ -173,6 +197,8 @@
     placed: list[tuple[Task, Worker]] = []
     planned_total = ZERO_RESOURCES
     for task in step.waiting_tasks:
+        if task.is_suspect:
+            continue
         startable_milli -= size.cpu_milli
         if not candidates or startable_milli < 0:
             break
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -12,6 +12,13 @@
 # Attempt numbers that a new leader skips, so that it never reuses the number of a start by its
 # predecessor that it has not seen.
 ATTEMPTS_SKIPPED = 16
+# A run counts as settled once its worker has been heard this long after its start: starting it
+# did not crash the worker.
+SETTLE_MS = 500
+# Tasks that crash their workers later than this are not recognized.
+MAX_SETTLE_MS = 10_000
+# A task is suspected after this many workers were lost in ways that do not point to it.
+SUSPECT_LOSSES = 2
 
 
 class JobState(Enum):
@@ -89,6 +96,25 @@
     is_loss_recorded: bool = False
 
 
+@dataclass(slots=True)
+class CrashHistory:
+    """Workers that were lost while they ran a task.
+
+    :param crashes: workers that crashed before the run had settled, so that it may be the cause
+    :param losses: workers that were lost in another way, or after the run had settled
+    :param settle_ms: time after which a run of the task counts as settled
+    """
+
+    crashes: int = 0
+    losses: int = 0
+    settle_ms: int = SETTLE_MS
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether the task may be what crashes its workers."""
+        return self.crashes > 0 or self.losses >= SUSPECT_LOSSES
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """A task of a step.
@@ -99,6 +125,7 @@
         several workers in any order
     :param checkpoint: latest checkpoint that a worker has reported
     :param duplicate_runs: number of runs beside ``run`` that have not ended yet
+    :param crash_history: workers that were lost while they ran the task, None for none
     """
 
     step: "StepRun"
@@ -110,6 +137,7 @@
     failures: int = 0
     checkpoint: str = ""
     duplicate_runs: int = 0
+    crash_history: CrashHistory | None = None
 
     @property
     def name(self) -> str:
@@ -126,6 +154,16 @@
         """Return whether the task is not done and has no run on any worker."""
         return not self.is_done and self.run is None and not self.duplicate_runs
 
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether the task may be what crashes its workers."""
+        return self.crash_history is not None and self.crash_history.is_suspect
+
+    @property
+    def settle_ms(self) -> int:
+        """Return the time after which a run of the task counts as settled."""
+        return SETTLE_MS if self.crash_history is None else self.crash_history.settle_ms
+
 
 @dataclass(frozen=True, slots=True)
 class GangHold:
@@ -145,6 +183,7 @@
     """One step of one occurrence of a job.
 
     :param failed_attempts: attempts in which at least one task failed
+    :param has_suspects: some of its tasks may be what crashes their workers
     :param hold: workers that are held for the step, a gang that waits for capacity
     :param next_hold_ms: when workers may be chosen again after there were none
     :param remaining_ms: estimated time from its start to the end of its dependent steps
@@ -156,6 +195,7 @@
     spec: StepSpec
     tasks: list[Task] = field(default_factory=list)
     failed_attempts: set[int] = field(default_factory=set)
+    has_suspects: bool = False
     hold: GangHold | None = None
     next_hold_ms: int = 0
     name: str = field(init=False)
@@ -185,6 +225,7 @@
     :param is_inherited: accepted before this process became the leader
     :param is_excess: submitted beyond the rate of its team
     :param attempt_floor: first attempts of tasks are numbered above it
+    :param failure: why the job failed, for its operator
     :param critical_path_ms: estimated run time of the longest chain of dependent steps
     """
 
@@ -197,6 +238,7 @@
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     has_started: bool = False
     attempt_floor: int = 0
+    failure: str = ""
     critical_path_ms: float = field(init=False)
 
     def __post_init__(self) -> None:
@@ -279,9 +321,10 @@
     """Return the durable record of a job's progress.
 
     Each step has a row for each task with a counted end, [index, done, failures, counted attempts,
-    checkpoint], and one for each current run, [index, attempt, worker].
+    checkpoint], and one for each current run, [index, attempt, worker]. Tasks that ran on lost
+    workers have a row in "crashes", [index, crashes, losses, settle time].
     """
-    steps = {}
+    steps, crashes = {}, {}
     for (occurrence, index), step in job.steps.items():
         rows = [
             [
@@ -301,18 +344,32 @@
         ]
         if rows or runs:
             steps[f"{occurrence}.{index}"] = [sorted(step.failed_attempts), rows, runs]
-    record = {
+        histories = [
+            [task.index, history.crashes, history.losses, history.settle_ms]
+            for task in step.tasks
+            if (history := task.crash_history) is not None and not task.is_done
+        ]
+        if histories:
+            crashes[f"{occurrence}.{index}"] = histories
+    record: dict[str, object] = {
         "state": job.state.value,
         "ended_ms": job.ended_wall_ms,
         "started": job.has_started,
         "steps": steps,
     }
+    if crashes:
+        record["crashes"] = crashes
+    if job.failure:
+        record["failure"] = job.failure
     return orjson.dumps(record)
 
 
 def encode_end(job: Job) -> bytes:
     """Return the durable record of an ended job, which replaces all its other records."""
-    return orjson.dumps({"state": job.state.value, "ended_ms": job.ended_wall_ms})
+    record: dict[str, object] = {"state": job.state.value, "ended_ms": job.ended_wall_ms}
+    if job.failure:
+        record["failure"] = job.failure
+    return orjson.dumps(record)
 
 
 def decode_end_ms(data: bytes) -> int:
@@ -349,10 +406,16 @@
     job.state = JobState(raw["state"])
     job.ended_wall_ms = raw["ended_ms"]
     job.has_started = raw["started"]
+    job.failure = raw.get("failure", "")
     recorded = []
+    for key, histories in raw.get("crashes", {}).items():
+        step = _find_step(job, key)
+        for task_index, crashes, losses, settle_ms in histories:
+            history = CrashHistory(crashes, losses, settle_ms)
+            step.tasks[task_index].crash_history = history
+            step.has_suspects = step.has_suspects or history.is_suspect
     for key, (failed_attempts, rows, runs) in raw["steps"].items():
-        occurrence, index = (int(part) for part in key.split("."))
-        step = job.occurrence_steps(Occurrence(occurrence))[index]
+        step = _find_step(job, key)
         step.failed_attempts = set(failed_attempts)
         for task_index, is_done, failures, counted_attempts, checkpoint in rows:
             task = step.tasks[task_index]
@@ -364,3 +427,9 @@
         for task_index, attempt, worker in runs:
             recorded.append(RecordedRun(step.tasks[task_index].name, attempt, WorkerId(worker)))
     return recorded
+
+
+def _find_step(job: Job, key: str) -> StepRun:
+    """Return the step with a key in a durable record, "occurrence.index"."""
+    occurrence, index = (int(part) for part in key.split("."))
+    return job.occurrence_steps(Occurrence(occurrence))[index]
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -51,6 +51,10 @@
         load.capacity_milli += worker.info.capacity.cpu_milli
         load.used_milli += worker.used.cpu_milli
 
+    def close(self, worker: Worker) -> None:
+        """Give no more tasks to a worker in this pass."""
+        self.usable[worker.info.pool].pop(worker.id, None)
+
     def startable_milli(self, step: StepRun, pool: str, band: Band) -> int:
         """Return how much CPU the tasks of a step may take beside the reserve of its band."""
         load, spec = self.pools[pool], step.spec
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -5,7 +5,7 @@
 
 from lagoonshelf_core.ids import FailureDomain, RackId, WorkerId
 from lagoonshelf_core.jobs.config import PoolId
-from lagoonshelf_core.jobs.progress import Run
+from lagoonshelf_core.jobs.progress import SETTLE_MS, Run
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
 
 # A worker shortens longer leases to this duration.
@@ -27,6 +27,20 @@
     LAPSED = "lapsed"
 
 
+@dataclass(frozen=True, slots=True)
+class LossRecord:
+    """The loss of a worker.
+
+    :param lost_ms: time of its first call without an answer
+    :param had_isolated_runs: it had just been given a task that may crash its workers
+    """
+
+    lost_ms: int
+    address: str
+    rack: RackId
+    had_isolated_runs: bool
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerInfo:
     """A worker's entry in the registry.
@@ -61,6 +75,9 @@
     :param used: sum of the allocations of its runs
     :param unknown_runs: number of its runs whose tasks, and so whose sizes, are not known
     :param blocks_inherited: may run tasks of a previous leader, and has not been read since
+    :param silent_since_ms: time since which it has not answered, 0 while it answers
+    :param isolated_runs: runs of suspected tasks that have not settled; it gets no other work
+        meanwhile, so that only they can be the cause if it crashes
     """
 
     info: WorkerInfo
@@ -78,6 +95,8 @@
     fillers: int = 0
     is_maintenance_due: bool = False
     blocks_inherited: bool = False
+    silent_since_ms: int = 0
+    isolated_runs: set[Run] = field(default_factory=set)
 
     @property
     def id(self) -> WorkerId:
@@ -93,8 +112,25 @@
             and not self.info.is_draining
             and not self.is_maintenance_due
             and not self.unknown_runs
+            and not self.isolated_runs
         )
 
+    def record_answer(self, now_ms: int) -> None:
+        """Record that the worker has answered this leader."""
+        self.heard_ms = now_ms
+        self.silent_since_ms = 0
+        if self.isolated_runs:
+            self.isolated_runs = {run for run in self.isolated_runs if not self.has_settled(run)}
+
+    def has_settled(self, run: Run) -> bool:
+        """Return whether the worker has been heard long enough after the start of a run."""
+        settle_ms = SETTLE_MS if run.task is None else run.task.settle_ms
+        return self.alive_ms(run) >= settle_ms
+
+    def alive_ms(self, run: Run) -> int:
+        """Return for how long the worker has been heard after it was told to start a run."""
+        return max(0, self.heard_ms - run.started_ms)
+
     def add_run(self, run: Run) -> None:
         """Add a run and allocate its resources."""
         self.runs[(run.name, run.attempt)] = run
@@ -102,6 +138,8 @@
         self.unknown_runs += run.task is None
         self.services += run.is_service
         self.fillers += run.is_filler
+        if run.task is not None and run.task.is_suspect:
+            self.isolated_runs.add(run)
 
     def remove_run(self, run: Run) -> None:
         """Remove a run and release its resources."""
@@ -111,11 +149,7 @@
         self.unknown_runs -= run.task is None
         self.services -= run.is_service
         self.fillers -= run.is_filler
-
-
-def alive_ms(worker: Worker, run: Run) -> int:
-    """Return for how long a worker has been heard after it was told to start a run."""
-    return max(0, worker.heard_ms - run.started_ms)
+        self.isolated_runs.discard(run)
 
 
 def lapse_after_ms(lease_ms: int) -> int:
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -25,6 +25,7 @@
 
 # Timeouts of successive start attempts; a worker usually answers within milliseconds.
 START_TIMEOUTS_MS = (200, 300, 600)
+SUSPECT_START_TIMEOUTS_MS = (600,)
 COMMAND_TIMEOUT_MS = 500
 RETRY_S = 0.1
 
@@ -59,7 +60,9 @@
         """Start a run; repeat an unanswered command, then cancel it with a stop."""
         run = command.run
         is_uncertain = False
-        for timeout_ms in START_TIMEOUTS_MS:
+        # A worker that crashed is not to be crashed again by the same attempt.
+        is_suspect = run.task is not None and run.task.is_suspect
+        for timeout_ms in SUSPECT_START_TIMEOUTS_MS if is_suspect else START_TIMEOUTS_MS:
             worker = self._cell.workers.get(run.worker)
             session = self._sessions.get(run.worker)
             lease_end_ms = None if session is None else session.lease_end_ms()
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -93,6 +93,8 @@
         # Worker and revision of each registry entry that was applied last.
         self._applied: dict[str, tuple[WorkerId | None, StoreRevision]] = {}
         self._used_lock = asyncio.Lock()
+        # Workers that have restarted since the previous leader used them.
+        self._restarted: set[WorkerId] = set()
         self._sessions_changed = asyncio.Event()
         self.sessions: dict[str, WorkerSession] = {}
 
@@ -136,6 +138,8 @@
             )
             worker = self._cell.update_worker(info, now_ms)
             worker.is_listed = False
+        if row.born_ms < worker.info.born_ms:
+            self._restarted.add(worker.id)
         self._used[row.worker] = row
         worker.lapse_ms = lapse_ms
         # A predecessor starts work without a record while the store is troubled for all members.
@@ -150,6 +154,9 @@
                 worker.lapse_ms = worker.lapse_ms or lapse_ms
                 self._cell.add_unverified_run(worker, run.name, run.attempt, now_ms)
         self._cell.recorded_runs.clear()
+        for name in self._restarted:
+            keep_runs_of_restarted_worker(self._cell, self._cell.workers[name], now_ms)
+        self._restarted.clear()
 
     async def _record_used(self) -> None:
         """Record new workers whenever sessions change."""
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -29,6 +29,9 @@
 worker_losses = Counter(
     "lagoonshelf_worker_losses_total", "Workers that lost their runs by how they were lost."
 )
+given_up_tasks = Counter(
+    "lagoonshelf_given_up_tasks_total", "Tasks that were given up as they crash their workers."
+)
 wasted_core_ms = Counter(
     "lagoonshelf_wasted_core_ms_total", "Core-milliseconds of runs that did not end well, by end."
 )
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -74,6 +74,7 @@
         self.cell = Cell(config.current)
         self.cell.on_end = _count_end
         self.cell.on_loss = _count_loss
+        self.cell.on_give_up = lambda: job_metrics.given_up_tasks.inc({})
         self.progress_writer = ProgressWriter(self._store, leader_lease)
         self.advice_router = AdviceRouter(self.cell, clock, self.request_pass)
         self._job_watcher = JobWatcher(self._store, self.accept, self.cancel)
@@ -209,6 +210,7 @@
     def _run_pass(self) -> None:
         cell, now_ms = self.cell, self._clock.now_ms()
         cell.cfg = self._config.current
+        cell.is_recording = not self.is_store_troubled()
         if self._leader_lease.may_dispatch() and self._is_config_valid():
             supervise(cell, now_ms)
             plan(cell, now_ms, self._clock.wall_ms(), self.advice_router.budget_ms())
@@ -245,7 +247,14 @@
                 job.ended_wall_ms = self._clock.wall_ms()
                 waited_ms = self._clock.now_ms() - job.received_ms
                 job_metrics.job_ms.observe({"state": job.state.value}, waited_ms)
-                _log.info("job ended", request=job.id, state=job.state.value, after_ms=waited_ms)
+                fields = {"reason": job.failure} if job.failure else {}
+                _log.info(
+                    "job ended",
+                    request=job.id,
+                    state=job.state.value,
+                    after_ms=waited_ms,
+                    **fields,
+                )
         self.progress_writer.add(self.cell.changed_jobs, is_urgent=is_urgent)
         self.cell.changed_jobs = set()
 
@@ -266,12 +275,26 @@
         wait_s = OUTAGE_RECORD_TIMEOUT_S if self.is_store_troubled() else RECORD_TIMEOUT_S
         while not await self.progress_writer.wait_durable(mark, wait_s):
             if self.is_store_troubled():
-                for command in commands:
-                    self.cell.note("start not recorded", command.run)
+                commands = self._keep_unrecorded(commands)
                 break
         for command in commands:
             self._spawn(self.dispatcher.start(command))
 
+    def _keep_unrecorded(self, commands: list[StartRun]) -> list[StartRun]:
+        """Return the starts that are sent without a record, and withdraw the others.
+
+        A successor could not count the crashes of a task that it does not know to be started.
+        """
+        kept = []
+        for command in commands:
+            if command.run.task.step.has_suspects:
+                self.cell.note("start withdrawn", command.run, reason="not recorded")
+                self.cell.start_rejected(command.run)
+            else:
+                self.cell.note("start not recorded", command.run)
+                kept.append(command)
+        return kept
+
     async def _report(self) -> None:
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -78,7 +78,7 @@
 
     def record_clock(self, worker_clock_ms: int) -> None:
         """Record an answer of the worker that was just received, and the clock in it."""
-        self._worker.heard_ms = self._clock.now_ms()
+        self._worker.record_answer(self._clock.now_ms())
         if worker_clock_ms:
             self._clock_sample = (worker_clock_ms, self._clock.now_ms())
             self._worker.lapse_ms = self._lapse_ms()
@@ -127,6 +127,7 @@
     def _record_failure(self, reason: str) -> None:
         self.failures += 1
         if self.failures == 1:
+            self._worker.silent_since_ms = self._clock.now_ms()
             _log.warning("worker lost", worker=self._worker.id, reason=reason)
         if self.failures > 1 and self._worker.is_read:
             self._worker.is_read = False
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -301,6 +301,48 @@
         self.workers.workers[self.workers.started[0][0]].is_replaced = True
         await eventually(lambda: len(self.workers.started) == 2, 1.5)
 
+    async def test_a_suspect_is_started_once_by_a_call(self) -> None:
+        """Guards against a start call that is repeated at the next incarnation of a worker.
+
+        A task that crashes its workers would crash the second one under the same attempt.
+        """
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        self.workers.workers[self.workers.started[0][0]].is_replaced = True
+        for entry in self._entries():
+            entry.lose_starts = 10
+        job = leader.cell.jobs[spec.id]
+        await eventually(lambda: job.find_task(0, 0, 0).is_suspect)
+        await eventually(lambda: any(entry.late_starts for entry in self._entries()))
+        await asyncio.sleep(0.3)
+        attempts = [start.attempt for entry in self._entries() for start in entry.late_starts]
+        self.assertEqual(len(attempts), len(set(attempts)), attempts)
+
+    async def test_a_start_of_a_suspect_is_withdrawn_if_it_cannot_be_recorded(self) -> None:
+        """Guards against a start in an outage of which a successor cannot count the crash."""
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        original, held = self.store.commit, asyncio.Event()
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            await held.wait()
+            return await original(*args, **kwargs)
+
+        self.store.commit = commit
+        self.workers.workers[self.workers.started[0][0]].is_replaced = True
+        job = leader.cell.jobs[spec.id]
+        await eventually(lambda: job.find_task(0, 0, 0).is_suspect)
+        leader.is_store_troubled = lambda: True
+        await asyncio.sleep(0.4)
+        self.assertEqual(len(self.workers.started), 1)
+        leader.is_store_troubled = lambda: False
+        held.set()
+        await eventually(lambda: len(self.workers.started) == 2)
+
     async def test_a_worker_that_has_left_is_not_used_by_a_successor(self) -> None:
         """Guards against a worker that left while the leader was replaced.
 
