Count the excess of shrunk workers as no load of their pool

Cause: the free processors of a pool were its capacity less all that is used. A worker whose capacity has shrunk below what it runs took away the free processors of the other workers, so that nothing started on them.

Change: the load of a worker counts up to its capacity. Tests of workers that shrink and grow: nothing starts beyond the capacity, also while runs are stopped; a worker that has grown is used again; the other workers are used.

Measured: test_other_workers_are_still_used failed before (0 of 4 urgent tasks started beside three shrunk workers).

--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -48,8 +48,10 @@
         pool = worker.info.pool
         self.usable.setdefault(pool, {})[worker.id] = worker
         load = self.pools.setdefault(pool, PoolLoad())
-        load.capacity_milli += worker.info.capacity.cpu_milli
-        load.used_milli += worker.used.cpu_milli
+        capacity_milli = worker.info.capacity.cpu_milli
+        load.capacity_milli += capacity_milli
+        # A worker that has shrunk may use more than it has, which is no load of the others.
+        load.used_milli += min(worker.used.cpu_milli, capacity_milli)
 
     def close(self, worker: Worker) -> None:
         """Give no more tasks to a worker in this pass."""
