Choose the held workers of a gang anew when they have shrunk

Cause: a gang held its workers until the time at which it was expected to fit on them, also when one of them had shrunk so that it never would; other work took what fell free elsewhere meanwhile.

Change: a hold keeps the capacity that its workers had together, and is chosen anew when they have less.

Measured: test_a_gang_holds_other_workers_instead failed before.

Conclusion: a gang waits no longer for a worker that has shrunk than until the next pass.

--- a/packages/core/lagoonshelf_core/jobs/gang_placement.py
+++ b/packages/core/lagoonshelf_core/jobs/gang_placement.py
@@ -8,6 +8,7 @@
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
+from lagoonshelf_core.resources import ZERO_RESOURCES
 
 # Share of a pool's workers that may be held for waiting gangs of a band and higher ones; one gang
 # may always hold workers. A hold keeps out only work of its own band and lower ones.
@@ -111,13 +112,14 @@
         for worker, slots in slots_by_worker.items()
     ]
     ready.sort(key=lambda row: (-row[0], row[1].used.cpu_milli, row[1].id))
-    held, missing = [], step.spec.count
+    held, capacity, missing = [], ZERO_RESOURCES, step.spec.count
     for count, worker in ready:
         if missing <= 0:
             break
         held.append(worker.id)
+        capacity += worker.info.capacity
         missing -= count
-    return GangHold(frozenset(held), band, at_ms)
+    return GangHold(frozenset(held), capacity, band, at_ms)
 
 
 def _expected_slots(step: StepRun, worker: Worker, now_ms: int) -> list[tuple[int, int]]:
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -169,11 +169,13 @@
 class GangHold:
     """Workers that are held for a waiting gang.
 
+    :param capacity: capacity of the workers together when they were chosen
     :param band: priority band of the gang when the workers were chosen
     :param expected_ms: when the gang is expected to fit on them
     """
 
     workers: frozenset[WorkerId]
+    capacity: Resources
     band: int
     expected_ms: int
 
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -8,6 +8,7 @@
 from lagoonshelf_core.jobs.progress import GangHold, StepRun
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
+from lagoonshelf_core.resources import ZERO_RESOURCES
 
 
 @dataclass(slots=True)
@@ -88,11 +89,16 @@
         step.hold = None
 
     def has_all_held(self, step: StepRun, pool: str) -> bool:
-        """Return whether the workers that a gang holds are still usable and held for it."""
-        usable = self.usable[pool]
-        return step.hold is not None and all(
-            name in usable and self.holders.get(name) is step for name in step.hold.workers
-        )
+        """Return whether the workers that a gang holds are usable, held for it, and as large."""
+        usable, hold = self.usable[pool], step.hold
+        if hold is None:
+            return False
+        capacity = ZERO_RESOURCES
+        for name in hold.workers:
+            if name not in usable or self.holders.get(name) is not step:
+                return False
+            capacity += usable[name].info.capacity
+        return hold.capacity.fits_in(capacity)
 
     def count_held(self, band: Band) -> int:
         """Return the number of workers held for gangs of a band and higher ones."""
--- a/tests/core/jobs/test_capacity.py
+++ b/tests/core/jobs/test_capacity.py
@@ -75,3 +75,26 @@
         self.assertEqual(len(plan_starts(cell)), 4)
         gang = accept_job(cell, make_job(make_step(4, SMALL, is_gang=True)))
         self.assertEqual([run.task.job for run in plan_starts(cell)], [gang] * 4)
+
+
+class HeldWorkerTest(unittest.TestCase):
+    """Gangs that hold a worker which shrinks."""
+
+    def test_a_gang_holds_other_workers_instead(self) -> None:
+        """Guards against a gang that waits for a worker on which it no longer fits."""
+        cell = make_cell(4)
+        accept_job(cell, make_job(*(make_step(15, estimate_ms=6_000) for _ in range(4))))
+        confirm_starts(cell, plan_starts(cell))
+        gang = accept_job(cell, make_job(make_step(12, is_gang=True)))
+        self.assertEqual(plan_starts(cell), [])
+        (held,) = gang.steps[(0, 0)].hold.workers
+        set_capacity(cell, held, SMALL)
+        other = next(worker for worker in cell.workers.values() if worker.id != held)
+        runs = list(other.runs.values())
+        for run in runs[:8]:
+            end_run(cell, run)
+        accept_job(cell, make_job(make_step(8)))
+        self.assertEqual(plan_starts(cell, 300), [], "left to the gang")
+        for run in runs[8:]:
+            end_run(cell, run)
+        self.assertEqual({run.task.job for run in plan_starts(cell, 400)}, {gang})
