Withdraw starts whose worker has shrunk since it was chosen

Cause: a start waits until it is recorded, and was sent then without another look at its worker, however long the store had taken.

Change: before each start call the dispatcher checks that everything allocated on the worker fits its capacity; a start that was not sent yet is withdrawn and its task waits for another worker, one that may have arrived is stopped. The other members of a gang are stopped.

Conclusion: what is on its way as a worker shrinks is covered; how old the known capacity may be comes next.

--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -103,6 +103,11 @@
         """Return the worker's id."""
         return self.info.id
 
+    @property
+    def is_overfull(self) -> bool:
+        """Return whether it has shrunk below what its runs, also those starting, need."""
+        return not self.used.fits_in(self.info.capacity)
+
     @property
     def is_usable(self) -> bool:
         """Return whether the worker may get new tasks."""
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -70,6 +70,11 @@
                 break
             if run.phase is not RunPhase.STARTING:
                 return
+            if worker.is_overfull:
+                if not is_uncertain:
+                    self._withdraw(run, "its worker has shrunk")
+                    return
+                break
             request = StartRequest(
                 run.name,
                 run.attempt,
@@ -171,6 +176,14 @@
             self._handle_refusal(run, outcome, worker)
         self._on_change()
 
+    def _withdraw(self, run: Run, reason: str) -> None:
+        """End a run whose start has not been sent."""
+        self._cell.note("start withdrawn", run, reason=reason)
+        self._cell.start_rejected(run)
+        if run.task is not None and run.task.step.spec.is_gang:
+            self._cell.stop_gang_attempt(run.task.step, run.attempt)
+        self._on_change()
+
     def _observe_first_start(self, run: Run) -> None:
         job = None if run.task is None else run.task.job
         if job is not None and not job.has_started:
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
 from lagoonshelf_core.jobs.progress import JobState, RunEnd
 from lagoonshelf_core.jobs.spec import JobSpec, encode_job
+from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.jobs import worker_session
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient
@@ -289,6 +291,30 @@
         await eventually(lambda: len(self.workers.started) == 1)
         held.set()
 
+    async def test_a_start_on_its_way_is_withdrawn_when_its_worker_shrinks(self) -> None:
+        """Guards against overfilling a worker that shrank after it was chosen."""
+        leader = await self._term("m1")
+        original, held = self.store.commit, asyncio.Event()
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            await held.wait()
+            return await original(*args, **kwargs)
+
+        self.store.commit = commit
+        spec = make_job(make_step(16))
+        leader.accept(spec, StoreRevision(self.store.revision + 1))
+        await eventually(lambda: any(w.runs for w in leader.cell.workers.values()))
+        chosen = next(w for w in leader.cell.workers.values() if w.runs)
+        self.assertEqual(len(chosen.runs), 16)
+        shrunk = replace(chosen.info, capacity=Resources(8_000, 131_072))
+        self.codec.infos[b"shrunk"] = shrunk
+        self.store.put(f"workers/{chosen.id}", b"shrunk")
+        await eventually(lambda: chosen.info == shrunk)
+        held.set()
+        await eventually(lambda: self._starts_of(spec) == 16)
+        on_chosen = [task for name, task, _ in self.workers.started if name == chosen.id]
+        self.assertLessEqual(len(on_chosen), 2)
+
     async def test_tasks_of_a_replaced_worker_start_again_at_once(self) -> None:
         """Guards against waiting for the lease of a worker that was replaced.
 
