Fill no worker by a capacity that may be outdated

Change: each worker has the time at which its registry entry was current, from the watch or from the read before the one that found a change. An older entry of a worker never replaces a newer one. The stand-in's executors report themselves periodically, as those of the platform do.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -104,6 +104,8 @@
         self.recorded_runs: list[RecordedRun] = []
         # Whether starts are recorded before they are sent; not in an outage of the store.
         self.is_recording = True
+        # Age from which the capacity of a worker may be outdated, 0 for none.
+        self.max_capacity_age_ms = 0
         self.losses: deque[LossRecord] = deque(maxlen=MAX_LOSS_RECORDS)
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
@@ -231,6 +233,12 @@
         worker.is_listed = True
         return worker
 
+    def may_use_capacity(self, worker: Worker, now_ms: int) -> bool:
+        """Return whether what a worker has reported of its capacity is recent enough."""
+        if not self.max_capacity_age_ms:
+            return True
+        return now_ms - worker.registered_ms <= self.max_capacity_age_ms
+
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -28,7 +28,9 @@
         return
     state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
     for worker in cell.workers.values():
-        if worker.is_usable and not cell.health.is_quarantined(worker.id, now_ms):
+        if not worker.is_usable or cell.health.is_quarantined(worker.id, now_ms):
+            continue
+        if cell.may_use_capacity(worker, now_ms):
             state.add_usable(worker)
     ranked = []
     for step in cell.open_steps:
@@ -58,6 +60,7 @@
         "workers": len(cell.workers),
         "usable": len(usable),
         "quarantined": sum(cell.health.is_quarantined(w.id, now_ms) for w in usable),
+        "outdated": sum(not cell.may_use_capacity(w, now_ms) for w in usable),
         "blocking": sum(worker.blocks_inherited for worker in cell.workers.values()),
         "runs": sum(len(worker.runs) for worker in cell.workers.values()),
         "cpu_milli": sum(worker.info.capacity.cpu_milli for worker in usable),
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -75,6 +75,7 @@
     :param used: sum of the allocations of its runs
     :param unknown_runs: number of its runs whose tasks, and so whose sizes, are not known
     :param blocks_inherited: may run tasks of a previous leader, and has not been read since
+    :param registered_ms: time at which its registry entry, and so its capacity, was current
     :param silent_since_ms: time since which it has not answered, 0 while it answers
     :param isolated_runs: runs of suspected tasks that have not settled; it gets no other work
         meanwhile, so that only they can be the cause if it crashes
@@ -95,6 +96,7 @@
     fillers: int = 0
     is_maintenance_due: bool = False
     blocks_inherited: bool = False
+    registered_ms: int = 0
     silent_since_ms: int = 0
     isolated_runs: set[Run] = field(default_factory=set)
 
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -70,10 +70,11 @@
                 break
             if run.phase is not RunPhase.STARTING:
                 return
-            if worker.is_overfull:
-                if not is_uncertain:
-                    self._withdraw(run, "its worker has shrunk")
-                    return
+            reason = self._find_obstacle(worker)
+            if reason and not is_uncertain:
+                self._withdraw(run, reason)
+                return
+            if reason:
                 break
             request = StartRequest(
                 run.name,
@@ -176,6 +177,14 @@
             self._handle_refusal(run, outcome, worker)
         self._on_change()
 
+    def _find_obstacle(self, worker: Worker) -> str:
+        """Return why a worker may not be given a start that was planned for it, "" if it may."""
+        if worker.is_overfull:
+            return "its worker has shrunk"
+        if not self._cell.may_use_capacity(worker, self._clock.now_ms()):
+            return "the capacity of its worker may be outdated"
+        return ""
+
     def _withdraw(self, run: Run, reason: str) -> None:
         """End a run whose start has not been sent."""
         self._cell.note("start withdrawn", run, reason=reason)
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -38,6 +38,8 @@
 CHECK_INTERVAL_S = 0.1
 # Registry entries that lapsed in a store outage are back within about 2 s of its end.
 REGISTRY_GRACE_MS = 2_300
+# Part of the greatest age of a capacity that an entry is taken to have as a takeover reads it.
+TAKEOVER_AGE_SHARE = 0.5
 
 Spawn = Callable[[Coroutine], asyncio.Task]
 _log = logger("fleet")
@@ -89,6 +91,7 @@
         self._hooks = hooks
         self._session_tasks: dict[WorkerId, asyncio.Task] = {}
         self._store_failed_ms = 0
+        self._registry_read_ms = 0
         self._used: dict[WorkerId, _UsedWorker] = {}
         # Worker and revision of each registry entry that was applied last.
         self._applied: dict[str, tuple[WorkerId | None, StoreRevision]] = {}
@@ -111,10 +114,12 @@
     def restore(self, registry: Sequence[Item], used: Item | None) -> int:
         """Add known workers; return when leases that a predecessor granted have lapsed."""
         now_ms = self._clock.now_ms()
+        registered_ms = now_ms - int(TAKEOVER_AGE_SHARE * self._cell.max_capacity_age_ms)
         for item in registry:
             info = self._codec.decode_worker(item.key, item.value)
             if info is not None:
-                self._cell.update_worker(info, now_ms)
+                self._cell.update_worker(info, now_ms).registered_ms = registered_ms
+                self._applied[item.key] = (info.id, item.revision)
         lapse_ms = now_ms + lapse_after_ms(RUN_LEASE_MS)
         # A predecessor that may be alive keeps granting leases this much longer in a store outage.
         if not self._leader_lease.predecessor_is_dead:
@@ -220,9 +225,10 @@
                     # A stale copy may be older than the history that is left.
                     _, revision = await self._store.read_all(prefix, stale=not is_history_lost)
                 changes, revision = await self._store.watch(prefix, revision, WATCH_MS)
+                now_ms = self._clock.now_ms()
                 for change in changes:
                     if change.item is not None:
-                        self._apply_entry(change.item)
+                        self._apply_if_changed(change.item, now_ms)
                 await self.write_used()
             except HistoryLostError:
                 revision, is_history_lost = 0, True
@@ -233,17 +239,25 @@
         """Read the whole registry periodically, as a watch may be broken without an error."""
         while True:
             await asyncio.sleep(READ_INTERVAL_S)
+            sent_ms = self._clock.now_ms()
             try:
                 items, _ = await self._store.read_all(self._codec.registry_prefix)
-                self._apply_registry(items)
+                self._apply_registry(items, sent_ms)
                 await self.write_used()
             except (StoreUnavailableError, StoreUncertainError) as exc:
                 _log.info("registry not read", reason=str(exc))
                 self._store_failed_ms = self._clock.now_ms()
 
-    def _apply_registry(self, items: list[Item]) -> None:
+    def _apply_registry(self, items: list[Item], sent_ms: int) -> None:
+        """Apply all entries of the registry.
+
+        :param sent_ms: when they were requested
+        """
         now_ms = self._clock.now_ms()
-        listed = {self._apply_if_changed(item) for item in items}
+        # An entry that the watch has missed may have been written since the previous read.
+        registered_ms = min(sent_ms, self._registry_read_ms or sent_ms)
+        self._registry_read_ms = sent_ms
+        listed = {self._apply_if_changed(item, registered_ms) for item in items}
         self._applied = {item.key: self._applied[item.key] for item in items}
         for worker in self._cell.workers.values():
             if worker.id in listed:
@@ -253,18 +267,21 @@
                 worker.is_listed = False
                 _log.info("worker removed from the registry", worker=worker.id)
 
-    def _apply_if_changed(self, item: Item) -> WorkerId | None:
-        """Apply an entry unless it was applied before; most entries rarely change."""
+    def _apply_if_changed(self, item: Item, registered_ms: int) -> WorkerId | None:
+        """Apply an entry unless it was applied before.
+
+        :param registered_ms: time at which it was current
+        """
         worker_id, revision = self._applied.get(item.key, (None, ABSENT))
-        if worker_id is not None and revision == item.revision:
+        if worker_id is not None and revision >= item.revision:
             worker = self._cell.workers.get(worker_id)
             if worker is not None and worker.is_listed:
                 return worker_id
-        worker_id = self._apply_entry(item)
+        worker_id = self._apply_entry(item, registered_ms)
         self._applied[item.key] = (worker_id, item.revision)
         return worker_id
 
-    def _apply_entry(self, item: Item) -> WorkerId | None:
+    def _apply_entry(self, item: Item, registered_ms: int) -> WorkerId | None:
         info = self._codec.decode_worker(item.key, item.value)
         if info is None:
             _log.warning("registry entry unreadable", key=item.key)
@@ -282,7 +299,8 @@
         now_ms = self._clock.now_ms()
         if is_restarted:
             keep_runs_of_restarted_worker(self._cell, known, now_ms)
-        self._cell.update_worker(info, now_ms)
+        worker = self._cell.update_worker(info, now_ms)
+        worker.registered_ms = max(worker.registered_ms, registered_ms)
         if is_restarted and info.id in self._session_tasks:
             self._session_tasks.pop(info.id).cancel()
         self._hooks.on_change()
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -193,6 +193,7 @@
         for executor in self.executors:
             await executor.start()
             self._background_tasks.append(asyncio.ensure_future(executor.expire_leases()))
+            self._background_tasks.append(asyncio.ensure_future(executor.report()))
         self._background_tasks.append(asyncio.ensure_future(self.store.expire_leases()))
         self.processes = [
             Process(f"m{number}", number, self) for number in range(self._process_count)
--- a/tests/platform/standin/executors.py
+++ b/tests/platform/standin/executors.py
@@ -15,6 +15,8 @@
 CRASH_DELAY_S = 0.01
 # Time after which a crashed executor is back.
 CRASH_DOWN_S = 1.0
+# Interval at which an executor writes its registry entry.
+REPORT_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
@@ -64,6 +66,7 @@
         self._clock_rate = rng.uniform(0.98, 1.0)
         self._clock_offset_ms = rng.randrange(1_000_000)
         self._started_s = 0.0
+        self._reports = 0
         self._incarnation = 1
         self._fencing_token = 0
         self._lease_end_ms = 0.0
@@ -93,9 +96,18 @@
             "capacity": CAPACITY,
             "labels": ["a", "r1"],
             "born": self._incarnation,
+            "seq": self._reports,
         }
+        self._reports += 1
         self._store.put(f"servers/{self.name}", entry)
 
+    async def report(self) -> None:
+        """Write the registry entry periodically, until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            if self._crash_task is None or self._crash_task.done():
+                self._register()
+
     async def close(self) -> None:
         """Stop the executor and all its runs."""
         self._kill_runs("crashed")
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -315,6 +315,25 @@
         on_chosen = [task for name, task, _ in self.workers.started if name == chosen.id]
         self.assertLessEqual(len(on_chosen), 2)
 
+    async def test_a_worker_is_not_filled_by_a_capacity_that_may_be_outdated(self) -> None:
+        """Guards against filling workers that may have shrunk while they could not report it.
+
+        Neither in an outage of the store nor right after it, before a worker has reported again.
+        """
+        leader = await self._term("m1")
+        leader.cell.max_capacity_age_ms = 150
+        await asyncio.sleep(0.2)
+        self.store.is_down = True
+        await asyncio.sleep(0.2)
+        self.store.is_down = False
+        spec = make_job(make_step(3))
+        leader.accept(spec, StoreRevision(self.store.revision + 1))
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.workers.started, [])
+        self.store.put("workers/w001", b"w001")
+        await eventually(lambda: len(self.workers.started) == 3)
+        self.assertEqual({name for name, _, _ in self.workers.started}, {"w001"})
+
     async def test_tasks_of_a_replaced_worker_start_again_at_once(self) -> None:
         """Guards against waiting for the lease of a worker that was replaced.
 
