Do not blame workers that refuse a start for want of room

Cause: a refusal "no room" counted as a failure of the worker. A worker that guards a capacity which has shrunk was quarantined for 4 s and longer, and was asked again and again before.

Change: such a worker gets no starts until it has reported itself again, or a run on it has ended.

Conclusion: refusals of workers that guard themselves cost one call each.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -231,6 +231,7 @@
             worker.drain_end_ms = now_ms + info.remaining_ms
         worker.info = info
         worker.is_listed = True
+        worker.is_full = False
         return worker
 
     def may_use_capacity(self, worker: Worker, now_ms: int) -> bool:
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -75,6 +75,8 @@
     :param used: sum of the allocations of its runs
     :param unknown_runs: number of its runs whose tasks, and so whose sizes, are not known
     :param blocks_inherited: may run tasks of a previous leader, and has not been read since
+    :param is_full: it has refused a start for want of room, and has not reported itself or ended a
+        run since
     :param registered_ms: time at which its registry entry, and so its capacity, was current
     :param silent_since_ms: time since which it has not answered, 0 while it answers
     :param isolated_runs: runs of suspected tasks that have not settled; it gets no other work
@@ -96,6 +98,7 @@
     fillers: int = 0
     is_maintenance_due: bool = False
     blocks_inherited: bool = False
+    is_full: bool = False
     registered_ms: int = 0
     silent_since_ms: int = 0
     isolated_runs: set[Run] = field(default_factory=set)
@@ -120,6 +123,7 @@
             and not self.is_maintenance_due
             and not self.unknown_runs
             and not self.isolated_runs
+            and not self.is_full
         )
 
     def record_answer(self, now_ms: int) -> None:
@@ -157,6 +161,7 @@
         self.services -= run.is_service
         self.fillers -= run.is_filler
         self.isolated_runs.discard(run)
+        self.is_full = False
 
 
 def lapse_after_ms(lease_ms: int) -> int:
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -210,7 +210,9 @@
             self._cell.permits.permit_rejected(task.step.name, run.worker)
         elif outcome is StartOutcome.OTHER_INCARNATION and worker is not None:
             worker.is_read = False
-        elif outcome in (StartOutcome.UNHEALTHY, StartOutcome.NO_ROOM):
+        elif outcome is StartOutcome.NO_ROOM and worker is not None:
+            worker.is_full = True
+        elif outcome is StartOutcome.UNHEALTHY:
             self._cell.health.failed(run.worker, TaskId(task.job.id), self._clock.now_ms())
         if task.step.spec.is_gang:
             self._cell.stop_gang_attempt(task.step, run.attempt)
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -334,6 +334,28 @@
         await eventually(lambda: len(self.workers.started) == 3)
         self.assertEqual({name for name, _, _ in self.workers.started}, {"w001"})
 
+    async def test_a_worker_that_refuses_for_want_of_room_is_not_blamed(self) -> None:
+        """Guards against the quarantine of workers that guard a capacity which has shrunk.
+
+        They are asked again when they have reported themselves, not in each pass before.
+        """
+        leader = await self._term("m1")
+        for entry in self._entries():
+            entry.refuse_starts = 1_000
+        specs = [make_job(), make_job(), make_job()]
+        for spec in specs:
+            self._store(spec)
+        await eventually(lambda: all(w.is_full for w in leader.cell.workers.values()))
+        await asyncio.sleep(0.2)
+        refused = sum(1_000 - entry.refuse_starts for entry in self._entries())
+        self.assertLessEqual(refused, WORKERS * len(specs))
+        for entry in self._entries():
+            entry.refuse_starts = 0
+        for number in range(WORKERS):
+            name = worker_info(number).id
+            self.store.put(f"workers/{name}", name.encode())
+        await eventually(lambda: len(self.workers.started) == len(specs))
+
     async def test_tasks_of_a_replaced_worker_start_again_at_once(self) -> None:
         """Guards against waiting for the lease of a worker that was replaced.
 
