Log the stop of a run once while its worker does not answer

Cause: a stop is repeated until the worker answers or the run has ended, every 0.1 s, with a log line each.

Change: one line for the first unanswered stop, and pauses that grow to 0.5 s.

--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -21,15 +21,14 @@
     WorkerUnreachableError,
 )
 from lagoonshelf_server.jobs.worker_session import WorkerSession
-from lagoonshelf_server.logs import logger
 
 # Timeouts of successive start attempts; a worker usually answers within milliseconds.
 START_TIMEOUTS_MS = (200, 300, 600)
 SUSPECT_START_TIMEOUTS_MS = (600,)
 COMMAND_TIMEOUT_MS = 500
 RETRY_S = 0.1
-
-_log = logger("orders")
+# Pauses between unanswered stops of a run grow up to this.
+MAX_STOP_RETRY_S = 0.5
 
 
 class Dispatcher:
@@ -104,6 +103,7 @@
     async def stop(self, command: StopRun) -> None:
         """Stop a run; repeat until the worker has answered or the run has ended."""
         run = command.run
+        unanswered = 0
         while self._is_current(run):
             worker = self._cell.workers[run.worker]
             try:
@@ -115,8 +115,10 @@
                     COMMAND_TIMEOUT_MS,
                 )
             except (WorkerUnreachableError, NoAnswerError) as exc:
-                self._cell.note("stop not answered", run, reason=str(exc))
-                await asyncio.sleep(RETRY_S)
+                unanswered += 1
+                if unanswered == 1:
+                    self._cell.note("stop not answered", run, reason=str(exc))
+                await asyncio.sleep(min(RETRY_S * unanswered, MAX_STOP_RETRY_S))
                 continue
             if answer.outcome is StopOutcome.FENCED:
                 self._leader_lease.step_down(f"fenced at worker {run.worker}")
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -447,6 +447,19 @@
         await eventually(lambda: not any(w.running for w in self._entries()))
         await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
 
+    async def test_a_stop_that_is_not_answered_is_logged_once(self) -> None:
+        """Guards against logs full of stops that a crashed worker does not answer."""
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        self.workers.workers[self.workers.started[0][0]].is_silent = True
+        with patch.object(leader.cell, "note", wraps=leader.cell.note) as note:
+            self.store.put(cancel_key(spec.id), b"{}")
+            await asyncio.sleep(1.2)
+        messages = [call.args[0] for call in note.call_args_list]
+        self.assertEqual(messages.count("stop not answered"), 1)
+
     async def test_jobs_are_found_after_the_store_compacted_its_history(self) -> None:
         """Guards against missed jobs when a watch fails because its revision was compacted."""
         await self._term("m1")
