Let suspects start in a full cell; a load test of tasks that crash their workers

Cause: a suspect waits for a worker without recent starts. Where each worker gets a start twice a second there is none, and jobs that were on a crashed worker by chance waited until the load fell.

Change: if none is quiet, the fitting worker without a start for the longest time is kept from steps of lower priority, one in each pool. Suspects choose among the workers by one order: quiet, not held, not lost recently, least used.

Tried: a quarter of the pool kept for suspects, before all other steps.

Measured: test_a_suspect_gets_a_worker_in_a_full_cell failed before.

--- a/bench/cell_simulation.py
+++ b/bench/cell_simulation.py
@@ -259,6 +259,7 @@
 
     def _confirm_start(self, run: Run, now_ms: int) -> None:
         started_s = process_time()
+        self.cell.workers[run.worker].record_answer(now_ms)
         self.cell.start_confirmed(run, now_ms)
         self.result.decision_cpu_s += process_time() - started_s
         ends_ms = now_ms + self._task_ms[run.task.job.id]
@@ -276,6 +277,7 @@
         ]
         ended = EndedRow(next(self._end_numbers), run.name, run.attempt, end, "")
         started_s = process_time()
+        worker.record_answer(now_ms)
         self.cell.apply_report(worker, running, [ended], now_ms, now_ms)
         self.result.decision_cpu_s += process_time() - started_s
         if job.state is JobState.COMPLETE:
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -31,6 +31,7 @@
     :param late_checks: number of late steps checked for an advice request
     :param late_gangs: number of late gangs that may wait for capacity
     :param holders: gang that each held worker is held for
+    :param quieted_pools: pools of which a worker is kept for a suspected task
     :param advice_budget_ms: time of the placement policy that requests may still use
     """
 
@@ -42,6 +43,7 @@
     late_checks: int = 0
     late_gangs: int = 0
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
+    quieted_pools: set[str] = field(default_factory=set)
     advice_budget_ms: float = 0.0
 
     def add_usable(self, worker: Worker) -> None:
--- a/tests/core/jobs/test_crashes.py
+++ b/tests/core/jobs/test_crashes.py
@@ -354,6 +354,21 @@
         self.wait(SETTLE_MS)
         self.assertEqual([run.task.job for run in self.start()], [self.job])
 
+    def test_a_suspect_gets_a_worker_in_a_full_cell(self) -> None:
+        """Guards against suspects that wait for as long as each worker has recent starts."""
+        for worker in list(self.cell.workers.values())[2:]:
+            self.cell.remove_worker(worker)
+        for passes in range(40):
+            self.cell.is_recording = passes > 0
+            self.accept(make_step(2, max_per_worker=1))
+            if any(run.task.job is self.job for run in self.start()):
+                return
+            self.wait(SETTLE_MS // 4)
+            for worker in self.cell.workers.values():
+                for run in list(worker.runs.values())[:-6]:
+                    end_run(self.cell, run)
+        self.fail("never started")
+
     def test_the_least_loaded_worker_is_used(self) -> None:
         """Guards against another crash that ends much work of others."""
         self.cell.is_recording = False
