Give up a task only for crashes while it was certainly in progress

Cause: each run on a crashed worker was counted. A start may not have arrived when the worker crashes, as two tasks at fault started there at once; a run of which a successor has only the record may have ended before the crash.

Change: crashes count towards giving up if the run was confirmed and is not known from a record only; other losses make the task a suspect, and a task is given up after five in any case. A worker that was lost twice in the 30 s before is itself the likely cause of its next crash, which counts as such a loss.

Conclusion: the evidence that the users ask for, two crashed workers under the task, is there when a job is failed.

--- a/packages/core/lagoonshelf_core/jobs/crashes.py
+++ b/packages/core/lagoonshelf_core/jobs/crashes.py
@@ -12,10 +12,13 @@
     SUSPECT_LOSSES,
     CrashHistory,
     Run,
+    RunPhase,
     Task,
 )
 from lagoonshelf_core.jobs.workers import LossRecord, Worker, WorkerLoss
 
+# The users accept that a task is given up once this many workers have crashed while they ran it.
+MIN_CRASHES = 2
 # A task is given up after this many losses also where none of them points to it alone.
 MAX_LOSSES = 5
 # Several suspects may have to start together, as members of gangs do. One of them is at fault
@@ -24,6 +27,9 @@
 # Losses of workers within this time may have a common cause. It covers the time in which calls to
 # workers without power time out.
 COMMON_CAUSE_MS = 2_500
+# A worker that was lost this often in the time before is itself the likely cause of the next loss.
+MIN_FLAPS = 2
+FLAPPING_MS = 30_000
 # Fewer lost workers of a rack are no failure of the rack.
 MIN_RACK_LOSSES = 3
 # Runs named in the log entry about the loss of a worker, those that started last.
@@ -48,12 +54,13 @@
 
 
 def _record_loss(cell: Cell, worker: Worker, loss: WorkerLoss, now_ms: int) -> None:
-    runs = [run for run in worker.runs.values() if not run.is_loss_recorded]
-    if not runs:
-        return
     lost_ms = worker.silent_since_ms or now_ms
     record = LossRecord(lost_ms, worker.info.address, worker.info.rack, bool(worker.isolated_runs))
+    is_flapping = _is_flapping(cell, record)
     cell.losses.append(record)
+    runs = [run for run in worker.runs.values() if not run.is_loss_recorded]
+    if not runs:
+        return
     cell.on_loss(loss)
     is_planned = worker.info.is_draining or worker.is_maintenance_due
     is_rack_failure = _is_rack_failure(cell, record)
@@ -61,7 +68,7 @@
     for run in runs:
         run.is_loss_recorded = True
     if not is_planned:
-        is_crash = loss is WorkerLoss.RESTARTED
+        is_crash = loss is WorkerLoss.RESTARTED and not is_flapping
         runs_of_tasks = [run for run in runs if run.task is not None]
         _blame(cell, worker, runs_of_tasks, is_crash, is_rack_failure)
 
@@ -71,49 +78,60 @@
 ) -> None:
     """Count a loss for the tasks of some runs, and give up those that caused it.
 
-    :param is_crash: the worker certainly crashed
+    :param is_crash: the worker certainly crashed, and does not do so all the time
     """
     unsettled = [run for run in runs if not worker.has_settled(run)]
     former_suspects = {run.task for run in runs if run.task.is_suspect}
     for run in runs:
-        _count_loss(worker, run, may_be_cause=is_crash and run in unsettled)
+        _count_loss(worker, run, is_crash=is_crash and _was_running(run))
         cell.changed_jobs.add(run.task.job)
-    # A run that a former leader started may have settled long before the crash.
-    is_clear = is_crash and not is_rack_failure
-    is_clear = is_clear and not any(run.is_unverified for run in unsettled)
     for run in unsettled:
         task = run.task
         if task.job.is_final or task.crash_history is None:
             continue
         others = {other.task for other in unsettled if other.task.job is not task.job}
-        is_alone = is_clear and task in former_suspects and not others
-        if is_alone or _is_given_up(task.crash_history, others & former_suspects):
+        is_alone = task in former_suspects and not others and not is_rack_failure
+        is_crashed = is_crash and _was_running(run) and task.crash_history.crashes >= MIN_CRASHES
+        if (is_alone and is_crashed) or _is_given_up(task.crash_history, others & former_suspects):
             _give_up(cell, worker, task)
 
 
-def _count_loss(worker: Worker, run: Run, *, may_be_cause: bool) -> None:
+def _was_running(run: Run) -> bool:
+    """Return whether a run was certainly in progress when its worker was lost.
+
+    Its start may not have arrived, and a run of which only a record is known may have ended.
+    """
+    return run.phase is RunPhase.RUNNING and not run.is_unverified
+
+
+def _count_loss(worker: Worker, run: Run, *, is_crash: bool) -> None:
+    """Count the loss of a worker for the task of a run.
+
+    :param is_crash: the worker certainly crashed while it ran the task
+    """
     task = run.task
     alive_ms = worker.alive_ms(run)
     if alive_ms >= MAX_SETTLE_MS:
         task.crash_history = None
         return
     history = task.crash_history = task.crash_history or CrashHistory()
-    if may_be_cause:
+    if is_crash:
         history.crashes += 1
+        history.early_crashes += not worker.has_settled(run)
     else:
         history.losses += 1
-        if history.losses >= SUSPECT_LOSSES:
-            # It may crash its workers some time after its start.
-            settle_ms = min(alive_ms + SETTLE_MS, MAX_SETTLE_MS)
-            history.settle_ms = max(history.settle_ms, settle_ms)
+    if history.total >= SUSPECT_LOSSES:
+        # It may crash its workers some time after its start.
+        settle_ms = min(alive_ms + SETTLE_MS, MAX_SETTLE_MS)
+        history.settle_ms = max(history.settle_ms, settle_ms)
     task.step.has_suspects = task.step.has_suspects or history.is_suspect
 
 
 def _is_given_up(history: CrashHistory, other_suspects: set[Task]) -> bool:
     """Return whether a task is given up although it was not alone on its workers."""
-    if history.crashes + history.losses >= MAX_LOSSES:
+    if history.total >= MAX_LOSSES:
         return True
-    return history.crashes >= MAX_SHARED_CRASHES and not other_suspects
+    return history.early_crashes >= MAX_SHARED_CRASHES and not other_suspects
 
 
 def _give_up(cell: Cell, worker: Worker, task: Task) -> None:
@@ -127,8 +145,17 @@
     }
     cell.notes.append(("task given up", fields))
     cell.on_give_up()
-    lost = history.crashes + history.losses
-    cell.fail_job(task.job, f"task {task.name} was on {lost} workers as they crashed")
+    cell.fail_job(task.job, f"task {task.name} was on {history.total} workers as they crashed")
+
+
+def _is_flapping(cell: Cell, record: LossRecord) -> bool:
+    """Return whether workers at the same address were lost several times shortly before."""
+    former = {
+        loss.lost_ms
+        for loss in cell.losses
+        if loss.address == record.address and 0 < record.lost_ms - loss.lost_ms <= FLAPPING_MS
+    }
+    return len(former) >= MIN_FLAPS
 
 
 def _is_rack_failure(cell: Cell, record: LossRecord) -> bool:
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -17,7 +17,7 @@
 SETTLE_MS = 500
 # Tasks that crash their workers later than this are not recognized.
 MAX_SETTLE_MS = 10_000
-# A task is suspected after this many workers were lost in ways that do not point to it.
+# A task is suspected after this many lost workers, also if none of the losses points to it.
 SUSPECT_LOSSES = 2
 
 
@@ -100,19 +100,26 @@
 class CrashHistory:
     """Workers that were lost while they ran a task.
 
-    :param crashes: workers that crashed before the run had settled, so that it may be the cause
-    :param losses: workers that were lost in another way, or after the run had settled
+    :param crashes: workers that certainly crashed while they ran it
+    :param early_crashes: those that crashed before its run had settled, which may be due to it
+    :param losses: workers that may not have crashed, or may not have begun to run it
     :param settle_ms: time after which a run of the task counts as settled
     """
 
     crashes: int = 0
+    early_crashes: int = 0
     losses: int = 0
     settle_ms: int = SETTLE_MS
 
+    @property
+    def total(self) -> int:
+        """Return the number of workers that were lost."""
+        return self.crashes + self.losses
+
     @property
     def is_suspect(self) -> bool:
         """Return whether the task may be what crashes its workers."""
-        return self.crashes > 0 or self.losses >= SUSPECT_LOSSES
+        return self.early_crashes > 0 or self.total >= SUSPECT_LOSSES
 
 
 @dataclass(slots=True, eq=False)
@@ -324,7 +331,7 @@
 
     Each step has a row for each task with a counted end, [index, done, failures, counted attempts,
     checkpoint], and one for each current run, [index, attempt, worker]. Tasks that ran on lost
-    workers have a row in "crashes", [index, crashes, losses, settle time].
+    workers have a row in "crashes", [index, crashes, early crashes, losses, settle time].
     """
     steps, crashes = {}, {}
     for (occurrence, index), step in job.steps.items():
@@ -347,7 +354,13 @@
         if rows or runs:
             steps[f"{occurrence}.{index}"] = [sorted(step.failed_attempts), rows, runs]
         histories = [
-            [task.index, history.crashes, history.losses, history.settle_ms]
+            [
+                task.index,
+                history.crashes,
+                history.early_crashes,
+                history.losses,
+                history.settle_ms,
+            ]
             for task in step.tasks
             if (history := task.crash_history) is not None and not task.is_done
         ]
@@ -412,8 +425,8 @@
     recorded = []
     for key, histories in raw.get("crashes", {}).items():
         step = _find_step(job, key)
-        for task_index, crashes, losses, settle_ms in histories:
-            history = CrashHistory(crashes, losses, settle_ms)
+        for task_index, *counts in histories:
+            history = CrashHistory(*counts)
             step.tasks[task_index].crash_history = history
             step.has_suspects = step.has_suspects or history.is_suspect
     for key, (failed_attempts, rows, runs) in raw["steps"].items():
