Soak: tasks that crash executors, and executors whose capacity changes

The soak checks that no task crashes more than five executors, that a job fails only for a cause, and that no start overfills an executor that shrank touch_ms and a heartbeat before.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -19,10 +19,12 @@
     UNCERTAIN,
     QueueAnswer,
     incorrect_responses,
+    needless_crashes,
     outdated_answers,
     overcommitted,
     overlapping_runs,
     repeated_completions,
+    unfounded_failures,
 )
 from tests.platform.standin.clients import (
     ClientJob,
@@ -31,8 +33,16 @@
     request,
     submit,
 )
-from tests.platform.standin.cluster import CONFIG_APPLY_MS, GRACE_S, Cluster, Process
-from tests.platform.standin.executors import CAPACITY
+from tests.platform.standin.cluster import (
+    CONFIG_APPLY_MS,
+    GRACE_S,
+    HEARTBEAT_MS,
+    QUEUES,
+    TOUCH_MS,
+    Cluster,
+    Process,
+)
+from tests.platform.standin.executors import CAPACITY, CRASHES
 from tests.platform.standin.http import ProxyMode
 from tests.platform.standin.store import CALL_DELAY_S
 
@@ -76,7 +86,9 @@
             for process in self.cluster.processes:
                 self._spawn(self._query_queues(process, Random(f"{process.name} {self.seed}")))
             self._spawn(self._change_queues(Random(f"queues of seed {self.seed}")))
-            await asyncio.gather(self._submit_jobs(), self._inject_faults())
+            await asyncio.gather(
+                self._submit_jobs(), self._inject_faults(), self._disturb_capacity()
+            )
             await asyncio.gather(*self._tasks)
             await self._clear_faults()
             await self._wait_for_jobs()
@@ -84,7 +96,16 @@
             history = self.cluster.history
             self.violations += overlapping_runs(history, now_s)
             self.violations += repeated_completions(history)
-            self.violations += overcommitted(history, CAPACITY["cpu"], self.cap_cpu, now_s)
+            self.violations += overcommitted(
+                history,
+                CAPACITY["cpu"],
+                self.cap_cpu,
+                now_s,
+                self.cluster.capacity_changes(),
+                (TOUCH_MS + HEARTBEAT_MS) / 1000,
+            )
+            self.violations += needless_crashes(self.cluster.crashed_by)
+            self.violations += unfounded_failures(self.jobs, history, QUEUES["batch"][1])
             self.violations += incorrect_responses(self.jobs, history)
             changes = self.cluster.config_changes
             self.violations += outdated_answers(self.answers, changes, CONFIG_APPLY_MS / 1000)
@@ -112,16 +133,16 @@
     async def _submit_jobs(self) -> None:
         while self._now_s() < LOAD_S:
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_S))
-            job = self._new_job()
+            job = self._new_job(self.rng)
             self.jobs.append(job)
             self._spawn(self._run_client(job, Random(self.rng.random())))
 
-    def _new_job(self) -> ClientJob:
-        tasks, run_ms = self.rng.randrange(1, 6), self.rng.randrange(50, 1_500)
-        cpu = self.rng.randrange(1_000, 9_000)
+    def _new_job(self, rng: Random) -> ClientJob:
+        tasks, run_ms = rng.randrange(1, 6), rng.randrange(50, 1_500)
+        cpu = rng.randrange(1_000, 9_000)
         step = {"count": tasks, "cpu": cpu, "mem_mb": 100, "estimate_ms": run_ms}
-        queue = self.rng.choice(("urgent", "batch", "batch", "advised"))
-        name = f"{self.rng.getrandbits(64):016x}"
+        queue = rng.choice(("urgent", "batch", "batch", "advised"))
+        name = f"{rng.getrandbits(64):016x}"
         return ClientJob(name, queue, tasks, {"spec": f"{run_ms} {cpu}", "phases": [step]})
 
     async def _run_client(self, job: ClientJob, rng: Random) -> None:
@@ -195,6 +216,31 @@
             fault = rng.choice((self._kill_all_again, self._narrow_store_links))
             self._spawn(self._inject_fault(fault, rng.uniform(0.3, 4.0)))
 
+    async def _disturb_capacity(self) -> None:
+        """Submit tasks that crash their executors, and let executors shrink and grow.
+
+        A generator of its own leaves the other faults of a seed as they were.
+        """
+        rng = Random(f"crashes and capacities of seed {self.seed}")
+        if rng.random() >= LATER_FAULTS_SHARE:
+            return
+        for _ in range(rng.randrange(1, 4)):
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+            job = self._new_job(rng)
+            job.body["spec"] += f" {CRASHES}"
+            self.jobs.append(job)
+            self._spawn(self._run_client(job, Random(rng.random())))
+            self._spawn(self._inject_fault(self._shrink_executors, rng.uniform(0.5, 4.0)))
+
+    async def _shrink_executors(self, duration_s: float) -> None:
+        for executor in self.cluster.executors[:2]:
+            executor.set_capacity(0.5)
+        await asyncio.sleep(duration_s / 2)
+        self.cluster.executors[0].set_capacity(0.0)
+        await asyncio.sleep(duration_s / 2)
+        for executor in self.cluster.executors[:2]:
+            executor.set_capacity(1.0)
+
     async def _inject_fault(
         self, fault: Callable[[float], Awaitable[None]], duration_s: float
     ) -> None:
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -1,6 +1,7 @@
 """Checks of the soak test on the responses to clients and the runs on executors."""
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import pairwise
 
@@ -14,6 +15,10 @@
 UNKNOWN_QUEUE = 404
 STATE_ORDER = {"queued": 0, "running": 1, "complete": 2, "failed": 2, "cancelled": 2}
 FINAL = ("complete", "failed", "cancelled")
+# The users' bounds: a task may be given up after two executors have crashed under it, and must not
+# be started three times more after three have.
+MIN_CRASHES = 2
+MAX_CRASHES = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,12 +86,20 @@
 
 
 def overcommitted(
-    history: Iterable[RunRecord], capacity_cpu: int, cap_cpu: int, end_s: float
+    history: Iterable[RunRecord],
+    capacity_cpu: int,
+    cap_cpu: int,
+    end_s: float,
+    capacity_changes: Mapping[str, list[tuple[float, int]]] | None = None,
+    apply_s: float = 0.0,
 ) -> list[str]:
     """Return the executors, and the tenant, whose running tasks exceeded their CPU limit.
 
     :param cap_cpu: CPU limit of the tenant, 0 for none
+    :param capacity_changes: changes of the capacity of executors
+    :param apply_s: time after which a smaller capacity counts
     """
+    changes_of = capacity_changes or {}
     changes: dict[str, list[tuple[float, int]]] = {}
     for record in history:
         for name in (record.executor, "tenant"):
@@ -95,16 +108,58 @@
             rows.append((record.ended_s or end_s, -record.cpu))
     violations = []
     for name, rows in changes.items():
-        limit = cap_cpu if name == "tenant" else capacity_cpu
-        used = peak = 0
-        for _, change in sorted(rows):
+        used = 0
+        for at_s, change in sorted(rows):
             used += change
-            peak = max(peak, used)
-        if limit and peak > limit:
-            violations.append(f"over capacity: {name} ran {peak} of {limit}")
+            if name == "tenant":
+                limit = cap_cpu or used
+            else:
+                history_of = changes_of.get(name.partition("+")[0], ())
+                limit = _capacity_at(capacity_cpu, history_of, at_s - apply_s, at_s)
+            if change > 0 and used > limit:
+                violations.append(f"over capacity: {name} ran {used} of {limit}")
+                break
     return violations
 
 
+def _capacity_at(
+    first_cpu: int, changes: Iterable[tuple[float, int]], from_s: float, until_s: float
+) -> int:
+    """Return the greatest capacity of an executor in a time span."""
+    before = [cpu for at_s, cpu in changes if at_s <= from_s][-1:] or [first_cpu]
+    return max(before + [cpu for at_s, cpu in changes if from_s < at_s <= until_s])
+
+
+def needless_crashes(crashed_by: Iterable[tuple[str, int]]) -> list[str]:
+    """Return the tasks that were started too often after they had crashed executors."""
+    counts = Counter(task for task, _ in crashed_by)
+    return [
+        f"crashed {count} executors: {task}"
+        for task, count in counts.items()
+        if count > MAX_CRASHES
+    ]
+
+
+def unfounded_failures(
+    jobs: Iterable[ClientJob], history: Iterable[RunRecord], attempts: int
+) -> list[str]:
+    """Return the jobs that failed although no task had failed or crashed often enough.
+
+    :param attempts: failed runs of one task after which its job fails
+    """
+    failed, crashed = Counter(), Counter()
+    for record in history:
+        failed[record.task] += record.end == "failed"
+        crashed[record.task] += record.end == "crashed"
+    causes = {task.partition(".")[0] for task, count in failed.items() if count >= attempts}
+    causes |= {task.partition(".")[0] for task, count in crashed.items() if count >= MIN_CRASHES}
+    return [
+        f"failed without a cause: {job.id}"
+        for job in jobs
+        if "failed" in job.states and job.id not in causes
+    ]
+
+
 def incorrect_responses(jobs: Iterable[ClientJob], history: Iterable[RunRecord]) -> list[str]:
     """Return the jobs whose clients received an incorrect response."""
     runs: dict[str, list[RunRecord]] = {}
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -23,6 +23,9 @@
 KEY = "key-1"
 GRACE_S = 3.0
 CONFIG_APPLY_MS = 2_000
+# A start may go by the former capacity of an executor for the sum of these.
+TOUCH_MS = 1_000
+HEARTBEAT_MS = 1_000
 READY_TIMEOUT_S = 20.0
 # From <linux/prctl.h>.
 PR_SET_PDEATHSIG = 1
@@ -110,7 +113,12 @@
             "port_range": [self._first_port, self._first_port + 1],
             "platform": {"addr": self.store_proxy.address},
             "hint": self._cluster.advice.address,
-            "bounds": {"grace_s": GRACE_S, "config_apply_ms": CONFIG_APPLY_MS},
+            "bounds": {
+                "grace_s": GRACE_S,
+                "config_apply_ms": CONFIG_APPLY_MS,
+                "touch_ms": TOUCH_MS,
+            },
+            "heartbeat_ms": HEARTBEAT_MS,
             "limits": {"cpu_share": 1.0, "cores": 2.0},
         }
         path = Path(self._cluster.folder.name) / f"{self.name}.json"
@@ -218,6 +226,13 @@
         self.store.put("op/config", fields)
         self.config_changes.append(ConfigChange(monotonic(), new_queues))
 
+    def capacity_changes(self) -> dict[str, list[tuple[float, int]]]:
+        """Return the changes of capacity by executor, by the name that it had first."""
+        return {
+            executor.name.partition("+")[0]: executor.capacity_changes
+            for executor in self.executors
+        }
+
     def followers(self) -> list[Process]:
         """Return the processes that do not hold the leader lease."""
         leader = self.store.read("cell/holder")["member"]
--- a/tests/platform/standin/executors.py
+++ b/tests/platform/standin/executors.py
@@ -40,6 +40,7 @@
     """An executor behind a proxy; the ``spec`` of its tasks is "MILLISECONDS CPU [crashes]".
 
     :ivar crashed_by: task and attempt that caused each crash of any executor, in order
+    :ivar capacity_changes: time and CPU of each change of its capacity, in order
     """
 
     def __init__(
@@ -76,6 +77,8 @@
         self._last_end = 0
         self._highest_attempt: dict[str, int] = {}
         self._stop_tasks: set[asyncio.Task] = set()
+        self._capacity = dict(CAPACITY)
+        self.capacity_changes: list[tuple[float, int]] = []
         self.failure_rate = 0.02
         self.proxy: Proxy | None = None
 
@@ -93,7 +96,7 @@
             "service": "desk",
             "zone": "z1",
             "state": "ready",
-            "capacity": CAPACITY,
+            "capacity": self._capacity,
             "labels": ["a", "r1"],
             "born": self._incarnation,
             "seq": self._reports,
@@ -151,6 +154,14 @@
         self._incarnation += 1
         self._register()
 
+    def set_capacity(self, share: float) -> None:
+        """Change its capacity, which it reports soon but does not check.
+
+        :param share: new capacity as a share of the usual one
+        """
+        self._capacity = {name: int(share * amount) for name, amount in CAPACITY.items()}
+        self.capacity_changes.append((self._now(), self._capacity["cpu"]))
+
     def set_proxy_mode(self, link: ProxyMode) -> None:
         """Set how the proxy treats connections to this executor."""
         self.proxy.mode = link
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -7,10 +7,12 @@
 from tests.platform.soak_checks import (
     QueueAnswer,
     incorrect_responses,
+    needless_crashes,
     outdated_answers,
     overcommitted,
     overlapping_runs,
     repeated_completions,
+    unfounded_failures,
 )
 from tests.platform.standin.clients import ClientJob
 from tests.platform.standin.cluster import ConfigChange
@@ -20,7 +22,9 @@
 REGRESSIONS = (
     18,  # a process returned outdated job states after a pause
     118,  # a job state was returned before it was stored
-    1015,  # a process that the store turned away answered by an old configuration
+    # A process that the store turned away answered by an old configuration; later, a task that had
+    # ended was given up after two restarts of its executor.
+    1015,
     218,  # a start reached an executor's next incarnation, and its task was started again
 )
 CI_SEEDS = (2, 3)
@@ -74,6 +78,37 @@
         self.assertEqual(len(overcommitted(runs, 7_999, 0, 9.0)), 1)
         self.assertEqual(len(overcommitted(runs, 8_000, 11_999, 9.0)), 1)
 
+    def test_overcommitted_after_a_change_of_capacity(self) -> None:
+        """A smaller capacity counts after a while, and only for starts; a greater one at once."""
+        runs = [record(1, 0.0, 9.0), record(1, 5.0, 9.0)]
+        for changes, expected in (
+            ([(1.0, 4_000)], 1),
+            ([(4.0, 4_000)], 0),
+            ([(1.0, 4_000), (4.5, 8_000)], 0),
+            ([(6.0, 0)], 0),
+        ):
+            found = overcommitted(runs, 8_000, 0, 9.0, {"i-1": changes}, 2.0)
+            self.assertEqual(len(found), expected, changes)
+
+    def test_needless_crashes(self) -> None:
+        """A task may crash five executors, as it may be started twice more after the third."""
+        crashes = [("j.0.0.0", attempt) for attempt in range(1, 7)]
+        self.assertEqual(needless_crashes(crashes[:5]), [])
+        self.assertEqual(len(needless_crashes(crashes)), 1)
+
+    def test_unfounded_failures(self) -> None:
+        """A job fails after three failed runs of a task or after two crashes under one."""
+        for ends, expected in (
+            (["failed"] * 3, 0),
+            (["failed"] * 2 + ["crashed"], 1),
+            (["crashed"] * 2, 0),
+            (["done"], 1),
+        ):
+            runs = [record(n, n, n + 0.5, end=end) for n, end in enumerate(ends, 1)]
+            found = unfounded_failures([job(states=["failed"])], runs, 3)
+            self.assertEqual(len(found), expected, ends)
+        self.assertEqual(unfounded_failures([job()], [record(1, 0.0, 1.0)], 3), [])
+
     def test_incorrect_responses(self) -> None:
         """Each kind of incorrect response is reported once."""
         run = record(1, 0.0, 1.0)
