Count late crashes of workers under a task, without isolating it

Cause: a task that had been lost twice, also seconds after its starts, was isolated until later than that. Each such start closed a whole worker for seconds, and most of these tasks were on crashed workers by chance.

Change: only tasks whose run had not settled are isolated. A task that crashes its workers later is given up after four crashes within 10 s of a start. Runs on a crashed worker that had settled are judged by their number as well.

--- a/packages/core/lagoonshelf_core/jobs/crashes.py
+++ b/packages/core/lagoonshelf_core/jobs/crashes.py
@@ -6,21 +6,15 @@
 """
 
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.progress import (
-    MAX_SETTLE_MS,
-    SETTLE_MS,
-    SUSPECT_LOSSES,
-    CrashHistory,
-    Run,
-    RunPhase,
-    Task,
-)
+from lagoonshelf_core.jobs.progress import CrashHistory, Run, RunPhase, Task
 from lagoonshelf_core.jobs.workers import LossRecord, Worker, WorkerLoss
 
-# The users accept that a task is given up once this many workers have crashed while they ran it.
-MIN_CRASHES = 2
-# A task is given up after this many losses also where none of them points to it alone.
+# A task is given up after this many crashes of workers, or lost workers, also where none of them
+# points to it alone. It may have crashed them some time after its start.
+MAX_CRASHES = 4
 MAX_LOSSES = 5
+# A run that was alive for this long shows that its task does not crash its workers.
+CLEARED_MS = 10_000
 # Several suspects may have to start together, as members of gangs do. One of them is at fault
 # after this many crashes if the others are no suspects.
 MAX_SHARED_CRASHES = 3
@@ -83,15 +77,14 @@
     unsettled = [run for run in runs if not worker.has_settled(run)]
     former_suspects = {run.task for run in runs if run.task.is_suspect}
     for run in runs:
-        _count_loss(worker, run, is_crash=is_crash and _was_running(run))
-        cell.changed_jobs.add(run.task.job)
-    for run in unsettled:
         task = run.task
+        _count_loss(worker, run, is_crash=is_crash and _was_running(run))
+        cell.changed_jobs.add(task.job)
         if task.job.is_final or task.crash_history is None:
             continue
         others = {other.task for other in unsettled if other.task.job is not task.job}
         is_alone = task in former_suspects and not others and not is_rack_failure
-        is_crashed = is_crash and _was_running(run) and task.crash_history.crashes >= MIN_CRASHES
+        is_crashed = is_crash and _was_running(run) and run in unsettled
         if (is_alone and is_crashed) or _is_given_up(task.crash_history, others & former_suspects):
             _give_up(cell, worker, task)
 
@@ -110,8 +103,7 @@
     :param is_crash: the worker certainly crashed while it ran the task
     """
     task = run.task
-    alive_ms = worker.alive_ms(run)
-    if alive_ms >= MAX_SETTLE_MS:
+    if worker.alive_ms(run) >= CLEARED_MS:
         task.crash_history = None
         return
     history = task.crash_history = task.crash_history or CrashHistory()
@@ -120,16 +112,12 @@
         history.early_crashes += not worker.has_settled(run)
     else:
         history.losses += 1
-    if history.total >= SUSPECT_LOSSES:
-        # It may crash its workers some time after its start.
-        settle_ms = min(alive_ms + SETTLE_MS, MAX_SETTLE_MS)
-        history.settle_ms = max(history.settle_ms, settle_ms)
-    task.step.has_suspects = task.step.has_suspects or history.is_suspect
+    task.step.has_suspects = task.step.has_suspects or task.is_suspect
 
 
 def _is_given_up(history: CrashHistory, other_suspects: set[Task]) -> bool:
     """Return whether a task is given up although it was not alone on its workers."""
-    if history.total >= MAX_LOSSES:
+    if history.crashes >= MAX_CRASHES or history.crashes + history.losses >= MAX_LOSSES:
         return True
     return history.early_crashes >= MAX_SHARED_CRASHES and not other_suspects
 
@@ -145,7 +133,8 @@
     }
     cell.notes.append(("task given up", fields))
     cell.on_give_up()
-    cell.fail_job(task.job, f"task {task.name} was on {history.total} workers as they crashed")
+    lost = history.crashes + history.losses
+    cell.fail_job(task.job, f"task {task.name} was on {lost} workers as they crashed")
 
 
 def _is_flapping(cell: Cell, record: LossRecord) -> bool:
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -15,10 +15,6 @@
 # A run counts as settled once its worker has been heard this long after its start: starting it
 # did not crash the worker.
 SETTLE_MS = 500
-# Tasks that crash their workers later than this are not recognized.
-MAX_SETTLE_MS = 10_000
-# A task is suspected after this many lost workers, also if none of the losses points to it.
-SUSPECT_LOSSES = 2
 
 
 class JobState(Enum):
@@ -103,23 +99,11 @@
     :param crashes: workers that certainly crashed while they ran it
     :param early_crashes: those that crashed before its run had settled, which may be due to it
     :param losses: workers that may not have crashed, or may not have begun to run it
-    :param settle_ms: time after which a run of the task counts as settled
     """
 
     crashes: int = 0
     early_crashes: int = 0
     losses: int = 0
-    settle_ms: int = SETTLE_MS
-
-    @property
-    def total(self) -> int:
-        """Return the number of workers that were lost."""
-        return self.crashes + self.losses
-
-    @property
-    def is_suspect(self) -> bool:
-        """Return whether the task may be what crashes its workers."""
-        return self.early_crashes > 0 or self.total >= SUSPECT_LOSSES
 
 
 @dataclass(slots=True, eq=False)
@@ -164,12 +148,7 @@
     @property
     def is_suspect(self) -> bool:
         """Return whether the task may be what crashes its workers."""
-        return self.crash_history is not None and self.crash_history.is_suspect
-
-    @property
-    def settle_ms(self) -> int:
-        """Return the time after which a run of the task counts as settled."""
-        return SETTLE_MS if self.crash_history is None else self.crash_history.settle_ms
+        return self.crash_history is not None and self.crash_history.early_crashes > 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -331,7 +310,7 @@
 
     Each step has a row for each task with a counted end, [index, done, failures, counted attempts,
     checkpoint], and one for each current run, [index, attempt, worker]. Tasks that ran on lost
-    workers have a row in "crashes", [index, crashes, early crashes, losses, settle time].
+    workers have a row in "crashes", [index, crashes, early crashes, losses].
     """
     steps, crashes = {}, {}
     for (occurrence, index), step in job.steps.items():
@@ -354,13 +333,7 @@
         if rows or runs:
             steps[f"{occurrence}.{index}"] = [sorted(step.failed_attempts), rows, runs]
         histories = [
-            [
-                task.index,
-                history.crashes,
-                history.early_crashes,
-                history.losses,
-                history.settle_ms,
-            ]
+            [task.index, history.crashes, history.early_crashes, history.losses]
             for task in step.tasks
             if (history := task.crash_history) is not None and not task.is_done
         ]
@@ -426,9 +399,9 @@
     for key, histories in raw.get("crashes", {}).items():
         step = _find_step(job, key)
         for task_index, *counts in histories:
-            history = CrashHistory(*counts)
-            step.tasks[task_index].crash_history = history
-            step.has_suspects = step.has_suspects or history.is_suspect
+            task = step.tasks[task_index]
+            task.crash_history = CrashHistory(*counts)
+            step.has_suspects = step.has_suspects or task.is_suspect
     for key, (failed_attempts, rows, runs) in raw["steps"].items():
         step = _find_step(job, key)
         step.failed_attempts = set(failed_attempts)
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -135,8 +135,7 @@
 
     def has_settled(self, run: Run) -> bool:
         """Return whether the worker has been heard long enough after the start of a run."""
-        settle_ms = SETTLE_MS if run.task is None else run.task.settle_ms
-        return self.alive_ms(run) >= settle_ms
+        return self.alive_ms(run) >= SETTLE_MS
 
     def alive_ms(self, run: Run) -> int:
         """Return for how long the worker has been heard after it was told to start a run."""
