Split the durable records of jobs from their progress

Change: lagoonshelf_core.jobs.job_records has the records; nothing else changes.

Conclusion: a pure move.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -8,18 +8,17 @@
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
 from lagoonshelf_core.jobs.commands import Command, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Queue
+from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.permits import Permits
 from lagoonshelf_core.jobs.progress import (
     ATTEMPTS_SKIPPED,
     Job,
     JobState,
-    RecordedRun,
     Run,
     RunEnd,
     RunPhase,
     StepRun,
     Task,
-    restore_progress,
 )
 from lagoonshelf_core.jobs.rates import TeamRates
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence
--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -8,7 +8,8 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import QueueId
-from lagoonshelf_core.jobs.progress import FINAL_STATES, JobState, decode_state
+from lagoonshelf_core.jobs.job_records import decode_state
+from lagoonshelf_core.jobs.progress import FINAL_STATES, JobState
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, encode_job
 from lagoonshelf_server.jobs.keys import cancel_key, ended_key, job_key, progress_key
 from lagoonshelf_server.jobs.ports import (
--- a/packages/server/lagoonshelf_server/jobs/progress_writer.py
+++ b/packages/server/lagoonshelf_server/jobs/progress_writer.py
@@ -8,7 +8,8 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-from lagoonshelf_core.jobs.progress import Job, JobState, encode_end, encode_progress
+from lagoonshelf_core.jobs.job_records import encode_end, encode_progress
+from lagoonshelf_core.jobs.progress import Job, JobState
 from lagoonshelf_core.jobs.spec import JobId
 from lagoonshelf_server.jobs.keys import (
     LEADER_KEY,
--- a/packages/server/lagoonshelf_server/jobs/retention.py
+++ b/packages/server/lagoonshelf_server/jobs/retention.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.jobs.progress import decode_end_ms
+from lagoonshelf_core.jobs.job_records import decode_end_ms
 from lagoonshelf_core.jobs.spec import JobId
 from lagoonshelf_server.jobs.keys import ENDED_PREFIX
 from lagoonshelf_server.jobs.ports import Item, Store, StoreUnavailableError, StoreUncertainError
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -3,7 +3,8 @@
 import unittest
 
 from lagoonshelf_core.jobs.cell import RunningRow
-from lagoonshelf_core.jobs.progress import JobState, RunEnd, encode_progress
+from lagoonshelf_core.jobs.job_records import encode_progress
+from lagoonshelf_core.jobs.progress import JobState, RunEnd
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
--- a/tests/core/jobs/test_crashes.py
+++ b/tests/core/jobs/test_crashes.py
@@ -14,15 +14,8 @@
     end_runs_of_lost_worker,
     keep_runs_of_restarted_worker,
 )
-from lagoonshelf_core.jobs.progress import (
-    SETTLE_MS,
-    Job,
-    JobState,
-    Run,
-    RunEnd,
-    encode_end,
-    encode_progress,
-)
+from lagoonshelf_core.jobs.job_records import encode_end, encode_progress
+from lagoonshelf_core.jobs.progress import SETTLE_MS, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import StepSpec
 from lagoonshelf_core.jobs.workers import Worker, WorkerLoss
 from lagoonshelf_core.resources import Resources
--- a/tests/server/jobs/test_job_api.py
+++ b/tests/server/jobs/test_job_api.py
@@ -3,7 +3,8 @@
 import unittest
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.jobs.progress import Job, JobState, encode_progress
+from lagoonshelf_core.jobs.job_records import encode_progress
+from lagoonshelf_core.jobs.progress import Job, JobState
 from lagoonshelf_core.jobs.spec import encode_job
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
 from lagoonshelf_server.jobs.keys import cancel_key, job_key, progress_key
--- a/tests/server/jobs/test_progress_writer.py
+++ b/tests/server/jobs/test_progress_writer.py
@@ -5,7 +5,8 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId, WorkerId
-from lagoonshelf_core.jobs.progress import Job, JobState, Run, RunPhase, decode_state
+from lagoonshelf_core.jobs.job_records import decode_state
+from lagoonshelf_core.jobs.progress import Job, JobState, Run, RunPhase
 from lagoonshelf_core.jobs.spec import Occurrence, encode_job
 from lagoonshelf_server.jobs.keys import (
     LEADER_KEY,
--- a/tests/server/jobs/test_takeover.py
+++ b/tests/server/jobs/test_takeover.py
@@ -5,7 +5,8 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
-from lagoonshelf_core.jobs.progress import Job, JobState, encode_end, encode_progress
+from lagoonshelf_core.jobs.job_records import encode_end, encode_progress
+from lagoonshelf_core.jobs.progress import Job, JobState
 from lagoonshelf_core.jobs.spec import JobSpec, encode_job
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
