--- a/bench/cell_simulation.py
+++ b/bench/cell_simulation.py
@@ -10,13 +10,14 @@
 from zlib import crc32
 
 from lagoonshelf_core.ids import FailureDomain, QueueId, RackId, TeamId, WorkerId
-from lagoonshelf_core.jobs.cell import Cell, EndedRow, RunningRow
+from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Pool, PoolId
 from lagoonshelf_core.jobs.planning import plan
 from lagoonshelf_core.jobs.progress import Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, StepSpec
 from lagoonshelf_core.jobs.supervision import supervise
+from lagoonshelf_core.jobs.worker_reports import EndedRow, RunningRow, apply_report
 from lagoonshelf_core.jobs.workers import WorkerInfo
 from lagoonshelf_core.resources import Resources
 
@@ -278,7 +279,7 @@
         ended = EndedRow(next(self._end_numbers), run.name, run.attempt, end, "")
         started_s = process_time()
         worker.record_answer(now_ms)
-        self.cell.apply_report(worker, running, [ended], now_ms, now_ms)
+        apply_report(self.cell, worker, running, [ended], now_ms, now_ms)
         self.result.decision_cpu_s += process_time() - started_s
         if job.state is JobState.COMPLETE:
             self._record_completion(job, now_ms - job.received_ms)
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -1,8 +1,7 @@
 """State of the cell at its leader: jobs, workers and runs, and how events change them."""
 
 from collections import deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable
 
 from lagoonshelf_core.health import Health, HealthLimits
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
@@ -49,34 +48,6 @@
 MAX_LOSS_RECORDS = 500
 
 
-@dataclass(frozen=True, slots=True)
-class RunningRow:
-    """A run that a worker reports as running.
-
-    :param load: tail latency in ms of a service's task, CPU use of any other task
-    """
-
-    name: str
-    attempt: int
-    checkpoint: str
-    percent: int
-    load: float
-
-
-@dataclass(frozen=True, slots=True)
-class EndedRow:
-    """A run that a worker reports as ended.
-
-    :param number: sequence number of the end within the worker's incarnation
-    """
-
-    number: int
-    name: str
-    attempt: int
-    end: RunEnd
-    checkpoint: str
-
-
 class Cell:
     """Jobs, workers and runs of the cell.
 
@@ -259,122 +230,6 @@
             self.note("run lost", run, reason=reason, alive_ms=worker.alive_ms(run))
             self.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
 
-    def apply_report(
-        self,
-        worker: Worker,
-        running: Iterable[RunningRow],
-        ended: Iterable[EndedRow],
-        requested_ms: int,
-        now_ms: int,
-    ) -> None:
-        """Apply a worker's report of its runs.
-
-        :param requested_ms: clock time at which the report was requested
-        """
-        worker.reported_ms = now_ms
-        done: dict[str, list[str]] = {}
-        for row in ended:
-            if row.end is RunEnd.DONE and (row.name, row.attempt) in worker.runs:
-                done.setdefault(row.name.rpartition(".")[0], []).append(row.name)
-            self._apply_end(worker, row, now_ms)
-        for step, names in done.items():
-            self._note_done(worker, step, names)
-        listed = set()
-        for row in running:
-            listed.add((row.name, row.attempt))
-            self._apply_running(worker, row, now_ms)
-        for key, run in list(worker.runs.items()):
-            if key not in listed and run.confirmed_ms and run.confirmed_ms < requested_ms:
-                self.note("run missing", run, reason="not listed by its worker")
-                self.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
-
-    def _apply_running(self, worker: Worker, row: RunningRow, now_ms: int) -> None:
-        run = worker.runs.get((row.name, row.attempt))
-        if run is None:
-            run = self._adopt(worker, row, now_ms)
-        elif run.phase is RunPhase.STARTING:
-            self.start_confirmed(run, now_ms)
-        run.is_unverified = run.is_loss_recorded = False
-        if row.percent != run.progress_percent:
-            run.progress_percent = row.percent
-            run.progressed_ms = now_ms
-        run.load = row.load
-        if row.checkpoint:
-            run.checkpoint = row.checkpoint
-            if run.task is not None and run.task.run is run:
-                run.task.checkpoint = row.checkpoint
-
-    def _adopt(self, worker: Worker, row: RunningRow, now_ms: int) -> Run:
-        """Adopt a run that this leader did not start, or stop it when no task needs it."""
-        task = self.find_task(row.name)
-        step = None if task is None else task.step
-        run = Run(
-            row.name,
-            row.attempt,
-            worker.id,
-            ZERO_RESOURCES if step is None else step.spec.size,
-            None if step is None else step.job.spec.team,
-            task,
-            RunPhase.RUNNING,
-            now_ms,
-            is_filler=step is not None and step.spec.is_filler,
-            is_service=step is not None and step.spec.is_service,
-            confirmed_ms=now_ms,
-            progressed_ms=now_ms,
-        )
-        self._allocate(worker, run)
-        if task is None:
-            self.stop_run(run, "its task is not known")
-            return run
-        self._supersede(task, run)
-        is_wanted = not task.is_done and task.run is None and self._is_current_attempt(run)
-        if task.job.is_final or not is_wanted:
-            self._mark_duplicate(run)
-            self.stop_run(run, "its task does not need it")
-            return run
-        task.run = run
-        task.attempt = max(task.attempt, row.attempt)
-        task.job.has_started = True
-        self.health.started(worker.id, TaskId(task.job.id))
-        self._update_job_state(task.job)
-        self.note("run adopted", run)
-        return run
-
-    def _supersede(self, task: Task, found: Run) -> None:
-        """Stop a run known only from a record when a later run of its task is found.
-
-        The previous leader had seen the earlier run end, but could not record that.
-        """
-        run = task.run
-        if run is None or not run.is_unverified or run.attempt >= found.attempt:
-            return
-        if task.step.spec.is_gang:
-            return
-        self.note("run superseded", run, by_attempt=found.attempt, found_at=found.worker)
-        task.run = None
-        self._mark_duplicate(run)
-        self.stop_run(run, "a later run was found")
-
-    def _mark_duplicate(self, run: Run) -> None:
-        """Mark a run as not the current one of its task; the task waits for it to end."""
-        if run.task is not None and not run.is_duplicate:
-            run.is_duplicate = True
-            run.task.duplicate_runs += 1
-
-    def add_unverified_run(self, worker: Worker, name: str, attempt: int, now_ms: int) -> None:
-        """Add a recorded run that may be in progress on a worker whose runs cannot be read."""
-        row = RunningRow(name, attempt, "", 0, 0.0)
-        if (name, attempt) not in worker.runs:
-            self._adopt(worker, row, now_ms).is_unverified = True
-
-    def _is_current_attempt(self, run: Run) -> bool:
-        """Return whether a run may join the gang's runs, which must all have one attempt."""
-        task = run.task
-        if task is None or not task.step.spec.is_gang:
-            return True
-        attempts = [other.run.attempt for other in task.step.tasks if other.run is not None]
-        return all(attempt == run.attempt for attempt in attempts)
-
     # Runs
 
     def find_task(self, name: str) -> Task | None:
@@ -404,7 +259,7 @@
         )
         task.run = run
         task.attempt = attempt
-        self._allocate(worker, run)
+        self.allocate(worker, run)
         self.health.started(worker.id, TaskId(task.job.id))
         return run
 
@@ -452,20 +307,9 @@
             self.health.dropped(run.worker, job_id)
         if task.run is run:
             task.run = None
-        self._count_end(task, run.attempt, end, checkpoint)
-
-    def _apply_end(self, worker: Worker, row: EndedRow, now_ms: int) -> None:
-        run = worker.runs.get((row.name, row.attempt))
-        if run is not None:
-            if row.end is not RunEnd.DONE:
-                self.note("run ended", run, how=row.end.value, percent=run.progress_percent)
-            self.end_run(run, row.end, row.checkpoint, now_ms)
-            return
-        task = self.find_task(row.name)
-        if task is not None and row.attempt not in task.counted_attempts:
-            self._count_end(task, row.attempt, row.end, row.checkpoint)
+        self.count_end(task, run.attempt, end, checkpoint)
 
-    def _count_end(self, task: Task, attempt: int, end: RunEnd, checkpoint: str) -> None:
+    def count_end(self, task: Task, attempt: int, end: RunEnd, checkpoint: str) -> None:
         """Count the end of an attempt once for its task, gang and job."""
         if attempt in task.counted_attempts:
             return
@@ -483,7 +327,7 @@
         if step.spec.is_gang and end in (RunEnd.FAILED, RunEnd.LAPSED, RunEnd.ALONE):
             self.stop_gang_attempt(step, attempt)
         self.changed_jobs.add(job)
-        self._update_job_state(job)
+        self.update_job_state(job)
 
     def _mark_done(self, task: Task, attempt: int) -> None:
         """Mark a task as done; one done member completes all tasks of its gang."""
@@ -502,7 +346,7 @@
             if run is not None and run.attempt == attempt:
                 self.stop_run(run, "another member of its gang ended")
 
-    def _update_job_state(self, job: Job) -> None:
+    def update_job_state(self, job: Job) -> None:
         """Update the state of a job after one of its runs was adopted or ended."""
         if job.is_final:
             return
@@ -544,7 +388,8 @@
         for step in job.steps.values():
             self.permits.remove(step.name)
 
-    def _allocate(self, worker: Worker, run: Run) -> None:
+    def allocate(self, worker: Worker, run: Run) -> None:
+        """Allocate the resources of a run on its worker and for its team."""
         worker.add_run(run)
         if run.team is not None:
             used = self.team_allocations.get(run.team, ZERO_RESOURCES)
@@ -577,16 +422,6 @@
             and (limit.accelerators == 0 or allocated.accelerators <= limit.accelerators)
         )
 
-    def _note_done(self, worker: Worker, step: str, names: list[str]) -> None:
-        """Add one log entry for the tasks of a step that a report shows as done."""
-        fields = {
-            "request": step.partition(".")[0],
-            "step": step,
-            "worker": worker.id,
-            "tasks": [int(name.rpartition(".")[2]) for name in names],
-        }
-        self.notes.append(("tasks done", fields))
-
     def note(self, message: str, run: Run, **fields: object) -> None:
         """Add a log entry about a decision."""
         fields.update(request=run.name.partition(".")[0], task=run.name, attempt=run.attempt)
--- /dev/null
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -0,0 +1,184 @@
+"""Reports of workers about their runs, and how they change the cell."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lagoonshelf_core.ids import TaskId
+from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.progress import Run, RunEnd, RunPhase, Task
+from lagoonshelf_core.jobs.workers import Worker
+from lagoonshelf_core.resources import ZERO_RESOURCES
+
+
+@dataclass(frozen=True, slots=True)
+class RunningRow:
+    """A run that a worker reports as running.
+
+    :param load: tail latency in ms of a service's task, CPU use of any other task
+    """
+
+    name: str
+    attempt: int
+    checkpoint: str
+    percent: int
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRow:
+    """A run that a worker reports as ended.
+
+    :param number: sequence number of the end within the worker's incarnation
+    """
+
+    number: int
+    name: str
+    attempt: int
+    end: RunEnd
+    checkpoint: str
+
+
+def apply_report(
+    cell: Cell,
+    worker: Worker,
+    running: Iterable[RunningRow],
+    ended: Iterable[EndedRow],
+    requested_ms: int,
+    now_ms: int,
+) -> None:
+    """Apply a worker's report of its runs.
+
+    :param requested_ms: clock time at which the report was requested
+    """
+    worker.reported_ms = now_ms
+    done: dict[str, list[str]] = {}
+    for row in ended:
+        if row.end is RunEnd.DONE and (row.name, row.attempt) in worker.runs:
+            done.setdefault(row.name.rpartition(".")[0], []).append(row.name)
+        _apply_end(cell, worker, row, now_ms)
+    for step, names in done.items():
+        _note_done(cell, worker, step, names)
+    listed = set()
+    for row in running:
+        listed.add((row.name, row.attempt))
+        _apply_running(cell, worker, row, now_ms)
+    for key, run in list(worker.runs.items()):
+        if key not in listed and run.confirmed_ms and run.confirmed_ms < requested_ms:
+            cell.note("run missing", run, reason="not listed by its worker")
+            cell.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
+
+
+def add_unverified_run(cell: Cell, worker: Worker, name: str, attempt: int, now_ms: int) -> None:
+    """Add a recorded run that may be in progress on a worker whose runs cannot be read."""
+    row = RunningRow(name, attempt, "", 0, 0.0)
+    if (name, attempt) not in worker.runs:
+        _adopt(cell, worker, row, now_ms).is_unverified = True
+
+
+def _apply_running(cell: Cell, worker: Worker, row: RunningRow, now_ms: int) -> None:
+    run = worker.runs.get((row.name, row.attempt))
+    if run is None:
+        run = _adopt(cell, worker, row, now_ms)
+    elif run.phase is RunPhase.STARTING:
+        cell.start_confirmed(run, now_ms)
+    run.is_unverified = run.is_loss_recorded = False
+    if row.percent != run.progress_percent:
+        run.progress_percent = row.percent
+        run.progressed_ms = now_ms
+    run.load = row.load
+    if row.checkpoint:
+        run.checkpoint = row.checkpoint
+        if run.task is not None and run.task.run is run:
+            run.task.checkpoint = row.checkpoint
+
+
+def _apply_end(cell: Cell, worker: Worker, row: EndedRow, now_ms: int) -> None:
+    run = worker.runs.get((row.name, row.attempt))
+    if run is not None:
+        if row.end is not RunEnd.DONE:
+            cell.note("run ended", run, how=row.end.value, percent=run.progress_percent)
+        cell.end_run(run, row.end, row.checkpoint, now_ms)
+        return
+    task = cell.find_task(row.name)
+    if task is not None and row.attempt not in task.counted_attempts:
+        cell.count_end(task, row.attempt, row.end, row.checkpoint)
+
+
+def _adopt(cell: Cell, worker: Worker, row: RunningRow, now_ms: int) -> Run:
+    """Adopt a run that this leader did not start, or stop it when no task needs it."""
+    task = cell.find_task(row.name)
+    step = None if task is None else task.step
+    run = Run(
+        row.name,
+        row.attempt,
+        worker.id,
+        ZERO_RESOURCES if step is None else step.spec.size,
+        None if step is None else step.job.spec.team,
+        task,
+        RunPhase.RUNNING,
+        now_ms,
+        is_filler=step is not None and step.spec.is_filler,
+        is_service=step is not None and step.spec.is_service,
+        confirmed_ms=now_ms,
+        progressed_ms=now_ms,
+    )
+    cell.allocate(worker, run)
+    if task is None:
+        cell.stop_run(run, "its task is not known")
+        return run
+    _supersede(cell, task, run)
+    is_wanted = not task.is_done and task.run is None and _is_current_attempt(run)
+    if task.job.is_final or not is_wanted:
+        _mark_duplicate(run)
+        cell.stop_run(run, "its task does not need it")
+        return run
+    task.run = run
+    task.attempt = max(task.attempt, row.attempt)
+    task.job.has_started = True
+    cell.health.started(worker.id, TaskId(task.job.id))
+    cell.update_job_state(task.job)
+    cell.note("run adopted", run)
+    return run
+
+
+def _supersede(cell: Cell, task: Task, found: Run) -> None:
+    """Stop a run known only from a record when a later run of its task is found.
+
+    The previous leader had seen the earlier run end, but could not record that.
+    """
+    run = task.run
+    if run is None or not run.is_unverified or run.attempt >= found.attempt:
+        return
+    if task.step.spec.is_gang:
+        return
+    cell.note("run superseded", run, by_attempt=found.attempt, found_at=found.worker)
+    task.run = None
+    _mark_duplicate(run)
+    cell.stop_run(run, "a later run was found")
+
+
+def _mark_duplicate(run: Run) -> None:
+    """Mark a run as not the current one of its task; the task waits for it to end."""
+    if run.task is not None and not run.is_duplicate:
+        run.is_duplicate = True
+        run.task.duplicate_runs += 1
+
+
+def _is_current_attempt(run: Run) -> bool:
+    """Return whether a run may join the gang's runs, which must all have one attempt."""
+    task = run.task
+    if task is None or not task.step.spec.is_gang:
+        return True
+    attempts = [other.run.attempt for other in task.step.tasks if other.run is not None]
+    return all(attempt == run.attempt for attempt in attempts)
+
+
+def _note_done(cell: Cell, worker: Worker, step: str, names: list[str]) -> None:
+    """Add one log entry for the tasks of a step that a report shows as done."""
+    fields = {
+        "request": step.partition(".")[0],
+        "step": step,
+        "worker": worker.id,
+        "tasks": [int(name.rpartition(".")[2]) for name in names],
+    }
+    cell.notes.append(("tasks done", fields))
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -11,6 +11,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import PoolId
 from lagoonshelf_core.jobs.crashes import end_runs_of_lost_worker, keep_runs_of_restarted_worker
+from lagoonshelf_core.jobs.worker_reports import add_unverified_run
 from lagoonshelf_core.jobs.workers import Worker, WorkerInfo, WorkerLoss, lapse_after_ms
 from lagoonshelf_core.resources import ZERO_RESOURCES
 from lagoonshelf_server.jobs.keys import LEADER_KEY, USED_WORKERS
@@ -157,7 +158,7 @@
             worker = self._cell.workers.get(run.worker)
             if worker is not None and not worker.is_read:
                 worker.lapse_ms = worker.lapse_ms or lapse_ms
-                self._cell.add_unverified_run(worker, run.name, run.attempt, now_ms)
+                add_unverified_run(self._cell, worker, run.name, run.attempt, now_ms)
         self._cell.recorded_runs.clear()
         for name in self._restarted:
             keep_runs_of_restarted_worker(self._cell, self._cell.workers[name], now_ms)
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -6,9 +6,9 @@
 from typing import NewType, Protocol
 
 from lagoonshelf_core.ids import WorkerId
-from lagoonshelf_core.jobs.cell import EndedRow, RunningRow
 from lagoonshelf_core.jobs.config import CellConfig
 from lagoonshelf_core.jobs.waves import MachineId, MachineView, WaveSpec
+from lagoonshelf_core.jobs.worker_reports import EndedRow, RunningRow
 from lagoonshelf_core.jobs.workers import WorkerInfo
 
 StoreRevision = NewType("StoreRevision", int)
--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -6,6 +6,7 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.crashes import end_runs_of_lost_worker, keep_runs_of_restarted_worker
+from lagoonshelf_core.jobs.worker_reports import apply_report
 from lagoonshelf_core.jobs.workers import Worker, WorkerLoss, lapse_after_ms
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.ports import (
@@ -150,7 +151,7 @@
         if self.failures or is_new:
             _log.info("worker reachable", worker=worker.id, runs=len(listing.running))
         self.failures = 0
-        self._cell.apply_report(worker, listing.running, listing.ended, sent_ms, now_ms)
+        apply_report(self._cell, worker, listing.running, listing.ended, sent_ms, now_ms)
         worker.is_read = True
         worker.blocks_inherited = False
         self._on_report()
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from lagoonshelf_core.jobs.cell import RunningRow
 from lagoonshelf_core.jobs.job_records import encode_progress
 from lagoonshelf_core.jobs.progress import JobState, RunEnd
+from lagoonshelf_core.jobs.worker_reports import RunningRow, add_unverified_run, apply_report
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
@@ -72,13 +72,13 @@
         accept_job(cell, make_job())
         (run,) = plan_starts(cell)
         confirm_starts(cell, [run], 5)
-        cell.apply_report(cell.workers[run.worker], [], [], 5, 6)
+        apply_report(cell, cell.workers[run.worker], [], [], 5, 6)
         self.assertIn(
             run,
             cell.workers[run.worker].runs.values(),
             "the report was requested when the start was confirmed",
         )
-        cell.apply_report(cell.workers[run.worker], [], [], 10, 20)
+        apply_report(cell, cell.workers[run.worker], [], [], 10, 20)
         self.assertEqual(len(plan_starts(cell)), 1, "started again")
 
     def test_an_unanswered_start_keeps_its_allocation(self) -> None:
@@ -86,7 +86,7 @@
         cell = make_cell(1, capacity=Resources(4_000, 8_192))
         accept_job(cell, make_job())
         (run,) = plan_starts(cell)
-        cell.apply_report(cell.workers[run.worker], [], [], 10, 20)
+        apply_report(cell, cell.workers[run.worker], [], [], 10, 20)
         accept_job(cell, make_job())
         self.assertEqual(plan_starts(cell, 30), [])
 
@@ -97,7 +97,7 @@
         confirm_starts(cell, plan_starts(cell), 5)
         worker = add_worker(cell, worker_info(0, born_ms=2_000), 10)
         self.assertEqual(plan_starts(cell, 10), [])
-        cell.apply_report(worker, [], [], 20, 30)
+        apply_report(cell, worker, [], [], 20, 30)
         self.assertEqual(len(plan_starts(cell, 30)), 1)
 
     def test_a_start_may_have_reached_the_new_incarnation(self) -> None:
@@ -113,7 +113,7 @@
         worker = cell.update_worker(worker_info(number, born_ms=2_000), 10)
         self.assertGreater(worker.lapse_ms, 10_000)
         self.assertEqual(plan_starts(cell, 10), [])
-        cell.apply_report(worker, [running_row(run)], [], 20, 30)
+        apply_report(cell, worker, [running_row(run)], [], 20, 30)
         self.assertEqual(plan_starts(cell, 30), [])
         end_run(cell, run)
         self.assertTrue(run.task.job.is_final)
@@ -140,10 +140,10 @@
         self.job = accept_job(self.cell, make_job(), is_inherited=True)
         self.task = self.job.find_task(0, 0, 0)
         self.first, self.second = self.cell.workers["w000"], self.cell.workers["w001"]
-        self.cell.add_unverified_run(self.first, self.task.name, 1, 5)
+        add_unverified_run(self.cell, self.first, self.task.name, 1, 5)
 
     def _list(self, worker: Worker, *rows: RunningRow, now_ms: int = 100) -> None:
-        self.cell.apply_report(worker, rows, [], now_ms - 10, now_ms)
+        apply_report(self.cell, worker, rows, [], now_ms - 10, now_ms)
         worker.is_read = True
 
     def test_a_later_run_found_replaces_the_recorded_one(self) -> None:
@@ -224,7 +224,7 @@
         runs = plan_starts(predecessor)
         cell = make_cell(1)
         accepted = cell.restore(spec, None, 0)
-        cell.apply_report(cell.workers["w000"], [running_row(run) for run in runs], [], 10, 20)
+        apply_report(cell, cell.workers["w000"], [running_row(run) for run in runs], [], 10, 20)
         self.assertEqual(cell.team_allocations[TEAM], Resources(8_000, 8_192))
         self.assertIs(accepted.state, JobState.RUNNING)
         self.assertEqual(plan_starts(cell), [])
@@ -238,7 +238,7 @@
         cell = make_cell(2)
         cell.restore(spec, None, 0)
         for worker in cell.workers.values():
-            cell.apply_report(worker, [running_row(run)], [], 10, 20)
+            apply_report(cell, worker, [running_row(run)], [], 10, 20)
         self.assertEqual(len(take_stops(cell)), 1)
 
     def test_a_run_of_an_unknown_job_is_stopped(self) -> None:
@@ -247,7 +247,7 @@
         accept_job(predecessor, make_job())
         (run,) = plan_starts(predecessor)
         cell = make_cell(1)
-        cell.apply_report(cell.workers["w000"], [running_row(run)], [], 10, 20)
+        apply_report(cell, cell.workers["w000"], [running_row(run)], [], 10, 20)
         self.assertEqual([stopped.name for stopped in take_stops(cell)], [run.name])
 
     def test_progress_is_restored(self) -> None:
@@ -273,7 +273,7 @@
         lost = cell.update_worker(worker_info(7), 0)
         spec = make_job(make_step(2))
         cell.restore(spec, None, 0)
-        cell.add_unverified_run(lost, f"{spec.id}.0.0.0", 1, 0)
+        add_unverified_run(cell, lost, f"{spec.id}.0.0.0", 1, 0)
         self.assertEqual([run.name for run in plan_starts(cell)], [f"{spec.id}.0.0.1"])
         cell.end_worker_runs(lost, 10, "lease lapsed")
         self.assertEqual([run.name for run in plan_starts(cell)], [f"{spec.id}.0.0.0"])
@@ -308,7 +308,7 @@
         (run,) = plan_starts(cell)
         cell.start_rejected(run)
         cell.cancel(accepted.id, 5)
-        cell.apply_report(cell.workers["w000"], [running_row(run)], [], 10, 20)
+        apply_report(cell, cell.workers["w000"], [running_row(run)], [], 10, 20)
         self.assertEqual([stopped.name for stopped in take_stops(cell)], [run.name])
 
 
@@ -323,7 +323,7 @@
         cell = make_cell(1)
         worker = cell.workers["w000"]
         row = RunningRow("00000000000000ff.0.0.0", 1, "", 10, 0.0)
-        cell.apply_report(worker, [row], [], 0, 10)
+        apply_report(cell, worker, [row], [], 0, 10)
         self.assertEqual(len(take_stops(cell)), 1)
         accept_job(cell, make_job())
         self.assertEqual(plan_starts(cell, 20), [])
--- a/tests/core/jobs/test_crashes.py
+++ b/tests/core/jobs/test_crashes.py
@@ -17,6 +17,7 @@
 from lagoonshelf_core.jobs.job_records import encode_end, encode_progress
 from lagoonshelf_core.jobs.progress import SETTLE_MS, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import StepSpec
+from lagoonshelf_core.jobs.worker_reports import add_unverified_run, apply_report
 from lagoonshelf_core.jobs.workers import Worker, WorkerLoss
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
@@ -292,7 +293,7 @@
         worker = self.cell.workers[run.worker]
         worker.is_read = False
         self.wait(DOWN_MS)
-        self.cell.apply_report(worker, [running_row(run)], [], self.now_ms, self.now_ms)
+        apply_report(self.cell, worker, [running_row(run)], [], self.now_ms, self.now_ms)
         worker.is_read = True
         self.assertEqual(self.history(job), (0, 0))
 
@@ -434,7 +435,7 @@
         restored = self.cell.restore(job.spec, encode_progress(job), self.now_ms)
         for run in self.cell.recorded_runs:
             worker = self.cell.workers[run.worker]
-            self.cell.add_unverified_run(worker, run.name, run.attempt, self.now_ms)
+            add_unverified_run(self.cell, worker, run.name, run.attempt, self.now_ms)
         return former, restored
 
     def test_the_count_is_in_the_record_of_the_progress(self) -> None:
--- a/tests/core/jobs/test_supervision.py
+++ b/tests/core/jobs/test_supervision.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from lagoonshelf_core.jobs.cell import RunningRow
 from lagoonshelf_core.jobs.supervision import STALL_MS, SUPERVISION_INTERVAL_MS, supervise
+from lagoonshelf_core.jobs.worker_reports import RunningRow, apply_report
 from tests.support.jobs import (
     accept_job,
     confirm_starts,
@@ -26,7 +26,7 @@
 
     def _report(self, percent: int, now_ms: int) -> None:
         row = RunningRow(self.run_.name, self.run_.attempt, "", percent, 0.0)
-        self.cell.apply_report(self.worker, [row], [], now_ms, now_ms)
+        apply_report(self.cell, self.worker, [row], [], now_ms, now_ms)
 
     def test_a_run_without_a_report_is_not_stalled(self) -> None:
         """Guards against giving up the runs of a worker that is only silent.
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.jobs.cell import EndedRow, RunningRow
 from lagoonshelf_core.jobs.progress import RunEnd
+from lagoonshelf_core.jobs.worker_reports import EndedRow, RunningRow
 from lagoonshelf_core.jobs.workers import WorkerInfo
 from lagoonshelf_server.jobs.ports import (
     Change,
--- a/tests/support/jobs.py
+++ b/tests/support/jobs.py
@@ -3,12 +3,13 @@
 from itertools import count
 
 from lagoonshelf_core.ids import FailureDomain, QueueId, RackId, TeamId, WorkerId
-from lagoonshelf_core.jobs.cell import Cell, EndedRow, RunningRow
+from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.config import AdviceTiming, CellConfig, Pool, PoolId, Queue, Team
 from lagoonshelf_core.jobs.planning import plan
 from lagoonshelf_core.jobs.progress import Job, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, StepSpec
+from lagoonshelf_core.jobs.worker_reports import EndedRow, RunningRow, apply_report
 from lagoonshelf_core.jobs.workers import Worker, WorkerInfo
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
 
@@ -121,7 +122,7 @@
         for run in entry.runs.values()
         if (run.name, run.attempt) != (name, attempt)
     ]
-    cell.apply_report(entry, others, [EndedRow(1, name, attempt, end, checkpoint)], 10, 20)
+    apply_report(cell, entry, others, [EndedRow(1, name, attempt, end, checkpoint)], 10, 20)
 
 
 def running_row(run: Run) -> RunningRow:
