Use and renew permits earlier while starts arrive late

Cause: a permit was used until 150 ms before its expiry, counted from the pass.

Change: the margin grows by half with each refused permit, to 0.6 of the validity at most, and shrinks by 1% with each start that is accepted. A start that has waited takes the newest permit of its step, and is withdrawn if there is none.

--- a/bench/cell_simulation.py
+++ b/bench/cell_simulation.py
@@ -246,9 +246,8 @@
         if command.step.job.is_final:
             self.cell.permits.remove(command.step.name)
             return
-        valid_until_ms = now_ms + queue.advice.valid_ms
         self.cell.permits.response_received(
-            step, queue.id, command.workers, allowed, valid_until_ms
+            step, queue.id, command.workers, allowed, now_ms, queue.advice.valid_ms
         )
         self._request_pass(now_ms)
 
--- a/packages/core/lagoonshelf_core/jobs/commands.py
+++ b/packages/core/lagoonshelf_core/jobs/commands.py
@@ -11,12 +11,14 @@
     """Start a run on its worker.
 
     :param permit: permit of the placement policy, empty when none is required
+    :param permit_expires_ms: clock time at which the permit expires
     """
 
     run: Run
     payload: str
     checkpoint: str
     permit: str
+    permit_expires_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/lagoonshelf_core/jobs/permits.py
+++ b/packages/core/lagoonshelf_core/jobs/permits.py
@@ -5,9 +5,17 @@
 from lagoonshelf_core.ids import QueueId, WorkerId
 
 # A permit is not used this close to its expiry, because the start command takes time to arrive.
+# The margin grows with each start that arrives too late, up to a share of the validity, and
+# shrinks with the others.
 EXPIRY_MARGIN_MS = 150
-# A permit is renewed this long before its expiry, plus the time that the request takes.
-RENEWAL_MARGIN_MS = 300
+MAX_MARGIN_SHARE = 0.6
+MAX_MARGIN_MS = 2_000
+MARGIN_GROWTH = 1.5
+MARGIN_DECAY = 0.99
+# A start is not sent this close to the expiry of its permit.
+SEND_MARGIN_MS = 50
+# A permit is renewed this long before it is no longer used, plus the time that the request takes.
+RENEWAL_MARGIN_MS = 150
 RETRY_MS = 200
 # Share of workers that the policy is assumed to allow before its first response, lower bound of
 # the share, and weight of one response in its exponential moving average.
@@ -28,6 +36,7 @@
     allowed: set[WorkerId] = field(default_factory=set)
     permits: dict[WorkerId, str] = field(default_factory=dict)
     expires_ms: int = 0
+    validity_ms: int = 0
     requested: set[WorkerId] = field(default_factory=set)
     is_requested: bool = False
     next_request_ms: int = 0
@@ -40,14 +49,30 @@
         """Initialize without permits."""
         self._steps: dict[str, _StepPermits] = {}
         self._shares: dict[QueueId, float] = {}
+        self._margin_ms = float(EXPIRY_MARGIN_MS)
 
     def valid(self, step: str, now_ms: int) -> dict[WorkerId, str]:
         """Return the permits of a step by worker, empty when they have expired."""
         entry = self._steps.get(step)
-        if entry is None or now_ms >= entry.expires_ms - EXPIRY_MARGIN_MS:
+        if entry is None or now_ms >= self._usable_until_ms(entry):
             return {}
         return entry.permits
 
+    def _usable_until_ms(self, entry: _StepPermits) -> float:
+        return entry.expires_ms - min(self._margin_ms, MAX_MARGIN_SHARE * entry.validity_ms)
+
+    def find(self, step: str, worker: WorkerId, now_ms: int) -> str:
+        """Return a permit with which a start may be sent now, "" if there is none."""
+        entry = self._steps.get(step)
+        if entry is None or now_ms >= entry.expires_ms - SEND_MARGIN_MS:
+            return ""
+        return entry.permits.get(worker, "")
+
+    def expires_ms(self, step: str) -> int:
+        """Return when the permits of a step expire."""
+        entry = self._steps.get(step)
+        return 0 if entry is None else entry.expires_ms
+
     def allowed(self, step: str) -> set[WorkerId]:
         """Return the workers that the policy allows for a step, with or without valid permits."""
         entry = self._steps.get(step)
@@ -63,7 +88,7 @@
             return True
         if entry.is_requested or now_ms < entry.next_request_ms:
             return False
-        return now_ms >= entry.expires_ms - RENEWAL_MARGIN_MS - cost_ms
+        return now_ms >= self._usable_until_ms(entry) - RENEWAL_MARGIN_MS - cost_ms
 
     def is_in_use(self, step: str, now_ms: int) -> bool:
         """Return whether a request for a step is in progress or its permits are valid."""
@@ -94,7 +119,8 @@
         queue: QueueId,
         requested: tuple[WorkerId, ...],
         permits: dict[WorkerId, str],
-        expires_ms: int,
+        now_ms: int,
+        validity_ms: int,
     ) -> None:
         """Record the response to a request; it replaces all permits of the step.
 
@@ -116,7 +142,8 @@
         entry.allowed.difference_update(requested)
         entry.allowed.update(permits)
         entry.permits = permits
-        entry.expires_ms = expires_ms
+        entry.expires_ms = now_ms + validity_ms
+        entry.validity_ms = validity_ms
 
     def request_failed(self, step: str, now_ms: int) -> None:
         """Record that a request got no response."""
@@ -124,8 +151,13 @@
         entry.is_requested = False
         entry.next_request_ms = now_ms + RETRY_MS
 
+    def permit_accepted(self) -> None:
+        """Record that a start arrived in time."""
+        self._margin_ms = max(EXPIRY_MARGIN_MS, MARGIN_DECAY * self._margin_ms)
+
     def permit_rejected(self, step: str, worker: WorkerId) -> None:
         """Record that a worker rejected its permit."""
+        self._margin_ms = min(MAX_MARGIN_MS, MARGIN_GROWTH * self._margin_ms)
         entry = self._steps.get(step)
         if entry is not None:
             entry.permits.pop(worker, None)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -256,4 +256,5 @@
 ) -> None:
     run = cell.begin_run(task, worker, attempt, state.now_ms)
     state.pools[worker.info.pool].used_milli += allocation_of(run.size, run.is_filler).cpu_milli
-    cell.commands.append(StartRun(run, task.job.spec.payload, checkpoint, permit))
+    expires_ms = cell.permits.expires_ms(task.step.name) if permit else 0
+    cell.commands.append(StartRun(run, task.job.spec.payload, checkpoint, permit, expires_ms))
--- a/packages/server/lagoonshelf_server/jobs/advice_router.py
+++ b/packages/server/lagoonshelf_server/jobs/advice_router.py
@@ -80,8 +80,9 @@
         if queue is None or queue.advice is None or command.step.job.is_final:
             self._cell.permits.remove(step)
             return
-        expires_ms = now_ms + queue.advice.valid_ms
-        self._cell.permits.response_received(step, queue.id, command.workers, permits, expires_ms)
+        self._cell.permits.response_received(
+            step, queue.id, command.workers, permits, now_ms, queue.advice.valid_ms
+        )
         _log.info(
             "advised",
             request=command.step.job.id,
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -7,6 +7,7 @@
 from lagoonshelf_core.ids import TaskId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import PaceRun, StartRun, StopRun
+from lagoonshelf_core.jobs.permits import SEND_MARGIN_MS
 from lagoonshelf_core.jobs.progress import ATTEMPTS_SKIPPED, Run, RunPhase
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_server.jobs import job_metrics
@@ -69,7 +70,10 @@
                 break
             if run.phase is not RunPhase.STARTING:
                 return
+            permit = self._find_permit(command)
             reason = self._find_obstacle(worker)
+            if command.permit and not permit:
+                reason = "its permit has expired"
             if reason and not is_uncertain:
                 self._withdraw(run, reason)
                 return
@@ -82,7 +86,7 @@
                 lease_end_ms,
                 self._leader_lease.revision,
                 command.checkpoint,
-                command.permit,
+                permit,
             )
             try:
                 answer = await self._port.start(worker.info, request, timeout_ms)
@@ -165,6 +169,7 @@
         if outcome is StartOutcome.STARTED:
             self._observe_first_start(run)
             self._cell.start_confirmed(run, self._clock.now_ms())
+            self._cell.permits.permit_accepted()
             return
         if outcome is StartOutcome.FENCED:
             self._leader_lease.step_down(f"fenced at worker {run.worker}")
@@ -179,6 +184,19 @@
             self._handle_refusal(run, outcome, worker)
         self._on_change()
 
+    def _find_permit(self, command: StartRun) -> str:
+        """Return the permit of a start, or a newer one; "" if it has expired or none is required.
+
+        A start may have waited for its record, or for a turn of a late process.
+        """
+        if not command.permit:
+            return ""
+        now_ms, run = self._clock.now_ms(), command.run
+        newer = self._cell.permits.find(run.task.step.name, run.worker, now_ms)
+        if newer or now_ms >= command.permit_expires_ms - SEND_MARGIN_MS:
+            return newer
+        return command.permit
+
     def _find_obstacle(self, worker: Worker) -> str:
         """Return why a worker may not be given a start that was planned for it, "" if it may."""
         if worker.is_overfull:
--- a/tests/core/jobs/test_load_advised_gangs.py
+++ b/tests/core/jobs/test_load_advised_gangs.py
@@ -69,7 +69,7 @@
         for request in plan_advice_requests(cell):
             permits = dict.fromkeys(request.workers, "permit")
             cell.permits.response_received(
-                request.step.name, ADVISED, request.workers, permits, 2_000
+                request.step.name, ADVISED, request.workers, permits, 0, 2_000
             )
         late_job = accept_job(cell, make_job(queue=ADVISED))
         late_job.received_ms = -100_000
--- a/tests/core/jobs/test_load_large_gangs.py
+++ b/tests/core/jobs/test_load_large_gangs.py
@@ -92,7 +92,7 @@
         for request in plan_advice_requests(self.cell, now_ms):
             permits = dict.fromkeys(request.workers, "permit")
             self.cell.permits.response_received(
-                request.step.name, ADVISED, request.workers, permits, now_ms + 2_000
+                request.step.name, ADVISED, request.workers, permits, now_ms, 2_000
             )
 
     def _starts(self, now_ms: int) -> list[Run]:
@@ -157,6 +157,6 @@
         for request in plan_advice_requests(cell, 0):
             permits = dict.fromkeys(request.workers, "permit")
             cell.permits.response_received(
-                request.step.name, ADVISED, request.workers, permits, 2_000
+                request.step.name, ADVISED, request.workers, permits, 0, 2_000
             )
         self.assertEqual(len(plan_starts(cell, 10)), 51)
--- a/tests/core/jobs/test_planning.py
+++ b/tests/core/jobs/test_planning.py
@@ -253,12 +253,12 @@
         (request,) = plan_advice_requests(cell)
         self.assertEqual(plan_advice_requests(cell), [])
         cell.permits.response_received(
-            request.step.name, ADVISED, request.workers, {"w002": "t"}, 2_000
+            request.step.name, ADVISED, request.workers, {"w002": "t"}, 0, 2_000
         )
         (run,) = plan_starts(cell, 1_900) or [None]
         self.assertIsNone(run, "permits expire before the start command would arrive")
         cell.permits.response_received(
-            request.step.name, ADVISED, request.workers, {"w002": "t"}, 4_000
+            request.step.name, ADVISED, request.workers, {"w002": "t"}, 2_000, 2_000
         )
         (run,) = plan_starts(cell, 2_000)
         self.assertEqual(run.worker, "w002")
@@ -269,7 +269,7 @@
         accept_job(cell, make_job(queue=ADVISED))
         (request,) = plan_advice_requests(cell)
         cell.permits.response_received(
-            request.step.name, ADVISED, request.workers, {"w002": "t"}, 10
+            request.step.name, ADVISED, request.workers, {"w002": "t"}, 0, 10
         )
         (again,) = plan_advice_requests(cell, 100)
         self.assertEqual(again.workers, ("w002",))
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -7,6 +7,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
+from lagoonshelf_core.jobs.config import AdviceTiming
 from lagoonshelf_core.jobs.progress import JobState, RunEnd
 from lagoonshelf_core.jobs.spec import JobSpec, encode_job
 from lagoonshelf_core.resources import Resources
@@ -18,7 +19,7 @@
 from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS, LeaderLease
 from lagoonshelf_server.jobs.ports import Item, StoreRevision
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, eventually
-from tests.support.jobs import config, make_job, make_step, worker_info
+from tests.support.jobs import ADVISED, config, make_job, make_step, worker_info
 
 WORKERS = 3
 
@@ -315,6 +316,37 @@
         on_chosen = [task for name, task, _ in self.workers.started if name == chosen.id]
         self.assertLessEqual(len(on_chosen), 2)
 
+    async def test_a_start_is_not_sent_with_a_permit_that_has_expired(self) -> None:
+        """Guards against refused starts whose record, or turn, came too late for their permit."""
+        leader = await self._term("m1")
+        cfg = config()
+        timing = AdviceTiming(1, 0, 300)
+        cfg.queues[ADVISED] = replace(cfg.queues[ADVISED], advice=timing)
+        leader.config_view.current = cfg
+        permits = []
+
+        async def advise(step: str, workers: tuple[str, ...]) -> dict[str, str]:
+            permits.append(f"permit-{len(permits)}")
+            return dict.fromkeys(workers, permits[-1])
+
+        leader.advice_router.record_heartbeat("m1", advise)
+        original, held = self.store.commit, asyncio.Event()
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            await held.wait()
+            return await original(*args, **kwargs)
+
+        self.store.commit = commit
+        with patch.object(self.workers, "start", wraps=self.workers.start) as start:
+            spec = make_job(queue=ADVISED)
+            leader.accept(spec, StoreRevision(self.store.revision + 1))
+            await eventually(lambda: any(w.runs for w in leader.cell.workers.values()))
+            await asyncio.sleep(0.4)
+            held.set()
+            leader.advice_router.record_heartbeat("m1", advise)
+            await eventually(lambda: len(self.workers.started) == 1)
+        self.assertNotEqual(start.call_args_list[0].args[1].permit, permits[0])
+
     async def test_a_worker_is_not_filled_by_a_capacity_that_may_be_outdated(self) -> None:
         """Guards against filling workers that may have shrunk while they could not report it.
 
