Count a crash also if the run was to be stopped meanwhile

Cause: a crash counted only while its run was in the phase "running". The other members of a gang end alone before it is certain that the worker of one has crashed, and the run of that one is then to be stopped; so the crashes of a gang's member counted as uncertain losses, and it took five workers instead of two or three. Found by reading.

Change: runs know whether their worker has confirmed the start or has reported them; that decides, not the phase.

Measured: test_a_member_of_a_gang_whose_other_members_end_first failed before.

Conclusion: gangs are given up as soon as other jobs.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -267,6 +267,7 @@
         """Record that a worker has started a run."""
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
+        run.has_started = True
         run.confirmed_ms = now_ms
         run.progressed_ms = now_ms
         if run.task is not None and not run.task.job.has_started:
--- a/packages/core/lagoonshelf_core/jobs/crashes.py
+++ b/packages/core/lagoonshelf_core/jobs/crashes.py
@@ -6,7 +6,7 @@
 """
 
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.progress import CrashHistory, Run, RunPhase, Task
+from lagoonshelf_core.jobs.progress import CrashHistory, Run, Task
 from lagoonshelf_core.jobs.workers import LossRecord, Worker, WorkerLoss
 
 # A task is given up after this many crashes of workers, or lost workers, also where none of them
@@ -84,8 +84,9 @@
             continue
         others = {other.task for other in unsettled if other.task.job is not task.job}
         is_alone = task in former_suspects and not others and not is_rack_failure
-        is_crashed = is_crash and _was_running(run) and run in unsettled
-        if (is_alone and is_crashed) or _is_given_up(task.crash_history, others & former_suspects):
+        is_early_crash = is_crash and _was_running(run) and run in unsettled
+        is_proven = is_alone and is_early_crash
+        if is_proven or _is_given_up(task.crash_history, others & former_suspects):
             _give_up(cell, worker, task)
 
 
@@ -94,7 +95,7 @@
 
     Its start may not have arrived, and a run of which only a record is known may have ended.
     """
-    return run.phase is RunPhase.RUNNING and not run.is_unverified
+    return run.has_started and not run.is_unverified
 
 
 def _count_loss(worker: Worker, run: Run, *, is_crash: bool) -> None:
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -66,6 +66,7 @@
     :param is_duplicate: the task has another run, or had one when this run was found
     :param is_unverified: known only from a record, not reported by the worker
     :param is_loss_recorded: the loss of its worker has been recorded
+    :param has_started: the worker has confirmed the start or has reported the run
     """
 
     name: str
@@ -88,6 +89,7 @@
     is_duplicate: bool = False
     is_unverified: bool = False
     is_loss_recorded: bool = False
+    has_started: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -82,6 +82,7 @@
     elif run.phase is RunPhase.STARTING:
         cell.start_confirmed(run, now_ms)
     run.is_unverified = run.is_loss_recorded = False
+    run.has_started = True
     if row.percent != run.progress_percent:
         run.progress_percent = row.percent
         run.progressed_ms = now_ms
--- a/tests/core/jobs/test_crashes.py
+++ b/tests/core/jobs/test_crashes.py
@@ -201,6 +201,22 @@
                 break
         self.assertIs(job.state, JobState.FAILED)
 
+    def test_a_member_of_a_gang_whose_other_members_end_first(self) -> None:
+        """Guards against a crash that is not counted, as the run was to be stopped meanwhile.
+
+        The other members of a gang end before it is certain that the worker has crashed.
+        """
+        job = self.accept(make_step(6, HOST, is_gang=True))
+        (crashing, *others) = self.start()
+        worker = self.cell.workers[crashing.worker]
+        self.wait(CRASH_DELAY_MS)
+        worker.silent_since_ms, worker.is_read = self.now_ms, False
+        self.wait(DOWN_MS)
+        for run in others:
+            end_run(self.cell, run, RunEnd.ALONE)
+        self.replace(worker)
+        self.assertEqual(self.history(job, crashing.task.index), (1, 1))
+
     def test_a_service_a_filler_and_an_occurrence(self) -> None:
         """Guards against kinds of work that are restarted however they end."""
         for step, fields in (
