--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,68 +1,75 @@
-"""The leader is killed while times of a scheduled job wait that later ones have overtaken."""
+"""More than 500 tasks of one executor end while the store is down for 4.5 s."""
 
 import asyncio
-import time
+import zlib
 from pathlib import Path
 
-from review.lib.cell import BOUNDS, BROKEN, HELD, NOT_RUN, Cell, main
+from review.lib.cell import BROKEN, HELD, Cell, main
+from review.lib.executor import Run
 
-QUEUE, JOB = "hold", "00000000000000a1"
-TIMES, INTERVAL_MS, WORK_S = 14, 300, 2.0
-CPU, CAP_CPU = 1_000, 2_000
-KILL_AFTER_S = 6.0
-# Time that all runs need, two at a time, with room for a new leader.
-WORK_TOTAL_S = TIMES * WORK_S / 2 + 10.0
-CALM_S = 3.0
+JOBS, TASKS_PER_JOB = 25, 32
+DOWN_AFTER_S, DOWN_S = 4.5, 4.5
+QUEUE = "hold"
 
 
 def plan(task: str, attempt: int, spec: str) -> tuple[float, str]:
-    """Let each task work for 2 s, and end done."""
-    del task, attempt, spec
-    return WORK_S, "done"
+    """Let each task work for 4 to 7 s, and end done."""
+    del attempt, spec
+    return 4.0 + zlib.crc32(task.encode()) % 3_000 / 1000, "done"
+
+
+def twice(history: list[Run]) -> list[str]:
+    """Return what breaks the rule: runs at the same time, and starts after an end that counts."""
+    found = []
+    by_task: dict[str, list[Run]] = {}
+    for run in history:
+        by_task.setdefault(run.task, []).append(run)
+    for task, runs in by_task.items():
+        for index, later in enumerate(runs):
+            for earlier in runs[:index]:
+                if not earlier.ended_s or earlier.ended_s > later.started_s:
+                    found.append(f"{task}: attempts {earlier.attempt} and {later.attempt} at once")
+                elif earlier.how == "done" and earlier.acked_s and not earlier.is_lapsed:
+                    found.append(
+                        f"{task}: attempt {later.attempt} starts after {earlier.attempt} was done"
+                    )
+    return found
 
 
 async def case(is_troubled: bool) -> int:
-    """Hand a scheduled job in, kill the leader, and wait until its times must be over."""
+    """Hand the jobs in, take the store down, and look for tasks that ran twice."""
     cell = Cell(Path(__file__).parent, plan, executors=3)
     try:
-        # The tenant may have two of the tasks running, so times wait for those before them.
-        await cell.start({QUEUE: {}}, {"cpu": CAP_CPU})
-        start_s = cell.now_s() + 1.0
-        body = {
-            "spec": "x",
-            "phases": [{"count": 1, "cpu": CPU, "mem_mb": 100, "estimate_ms": int(WORK_S * 1000)}],
-            "repeats": TIMES,
-            "start_at_ms": time.time_ns() // 1_000_000 + 1_000,
-            "interval_ms": INTERVAL_MS,
-        }
-        if await cell.submit(cell.processes[0], JOB, QUEUE, body) != 200:
-            return NOT_RUN
-        await asyncio.sleep(start_s + KILL_AFTER_S - cell.now_s())
+        await cell.start({QUEUE: {}})
+        # 800 tasks of 75 thousandths of a core fit on one executor of 64 cores.
+        step = {"count": TASKS_PER_JOB, "cpu": 75, "mem_mb": 100, "estimate_ms": 5_500}
+        began_s = cell.now_s()
+        jobs = [f"{number:016x}" for number in range(1, JOBS + 1)]
+        for number, job in enumerate(jobs):
+            process = cell.processes[number % len(cell.processes)]
+            await cell.submit(process, job, QUEUE, {"spec": "x", "phases": [step]})
+            await asyncio.sleep(0.08)
+        await asyncio.sleep(began_s + DOWN_AFTER_S - cell.now_s())
+        if is_troubled:
+            cell.note("the store is down, silently")
+            cell.store.go_down()
+        await asyncio.sleep(DOWN_S)
         if is_troubled:
-            await cell.kill(cell.leader())
-        # The job was handed in more than finish_s before the end of this wait.
-        await asyncio.sleep(start_s + max(WORK_TOTAL_S, BOUNDS["finish_s"]) - cell.now_s())
-        idle_s = 0.0
-        while idle_s < CALM_S + 1.0:
-            await asyncio.sleep(0.1)
-            idle_s = (
-                0.0 if any(executor.running() for executor in cell.executors) else idle_s + 0.1
-            )
-            if cell.now_s() > start_s + 60.0:
-                break
-        state = ""
-        for process in cell.processes:
-            state = await cell.state(process, JOB, QUEUE) or state
-        done = {int(run.task.split(".")[1]) for run in cell.history if run.how == "done"}
-        started = {int(run.task.split(".")[1]) for run in cell.history}
-        missing = sorted(set(range(TIMES)) - started)
-        cell.note(f"nothing has run for {idle_s:.1f} s; the job is {state!r}")
-        cell.note(f"times that are done: {sorted(done)}; never started: {missing}")
-        is_broken = bool(missing) and state != "complete" and idle_s >= CALM_S
-        if is_broken:
-            cell.note(f"LOST the turn of {missing} came, and none of them has been started")
-        print(f"state {state}, never started: {missing}")
-        return BROKEN if is_broken else HELD
+            cell.store.come_back()
+            cell.note("the store is back")
+        await asyncio.sleep(25.0)
+        states = [await cell.state(cell.processes[0], job, QUEUE) for job in jobs]
+        found = twice(cell.history)
+        for executor in cell.executors:
+            runs = [run for run in cell.history if run.executor == executor.name]
+            most = executor.most_connections
+            cell.note(f"{executor.name}: {len(runs)} runs, at most {most} connections")
+        cell.note(f"{len(cell.history)} runs of {JOBS * TASKS_PER_JOB} tasks")
+        cell.note(f"{states.count('complete')} of {JOBS} jobs are complete")
+        for text in found:
+            cell.note(f"TWICE {text}")
+        print(f"{len(cell.history)} runs, {len(found)} times TWICE")
+        return BROKEN if found else HELD
     finally:
         await cell.close()
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,93 +1,57 @@
-"""A process is killed and the store drops its history while jobs are handed in and cancelled."""
+"""The task of a long-running step ends "done"."""
 
 import asyncio
 from pathlib import Path
 
-from review.lib.cell import BOUNDS, BROKEN, HELD, NOT_RUN, Cell, main
-from review.lib.executor import Run
+from review.lib.cell import BROKEN, HELD, NOT_RUN, Cell, main
 
-QUEUE = "hold"
-JOBS = 150
-STEPS, STEP_S = 4, 3.0
-# The process is killed this long after the clients have begun.
-KILL_AFTER_S = 0.12
-DEAF_S = 1.0
-WATCHED_S = 20.0
-UNANSWERED = 0
+QUEUE, JOB, OTHER_JOB = "hold", "00000000000000b1", "00000000000000b2"
+END_AFTER_S = 3.0
+# The rule counts from 6 s after the last run, and asks for 3 s without one after 4 calm ones.
+AFTER_LAST_RUN_S, CALM_S, IDLE_S = 6.0, 4.0, 3.0
+WATCHED_S = 25.0
 
 
-def plan(task: str, attempt: int, spec: str) -> tuple[float, str]:
-    """Let each task work for 3 s, and end done."""
-    del task, attempt, spec
-    return STEP_S, "done"
-
-
-def late_starts(cell: Cell, cancelled: dict[str, float], from_s: float) -> list[Run]:
-    """Return the runs that break the rule, and note them.
-
-    :param cancelled: when the cancelling of each job was acknowledged
-    :param from_s: earlier starts don't count
-    """
-    late = []
-    for run in cell.history:
-        job, start_s = run.task.partition(".")[0], cell.offset_s(run.started_s)
-        cancelled_s = cancelled.get(job)
-        if cancelled_s is None or start_s < from_s:
-            continue
-        if start_s > cancelled_s + BOUNDS["cancel_ms"] / 1000:
-            late.append(run)
-            cell.note(
-                f"UNASKED {run.task} is started at {start_s:.3f}; the cancelling of its job was "
-                f"acknowledged at {cancelled_s:.3f}"
-            )
-    return late
+async def case(is_troubled: bool) -> int:
+    """Hand in two jobs that last; one ends "done", the other one "failed"."""
 
+    def plan(task: str, attempt: int, spec: str) -> tuple[float | None, str]:
+        """Let the first run of each task end after 3 s, as its spec says, and the others last."""
+        del task
+        return (END_AFTER_S, spec) if is_troubled and attempt == 1 else (None, "")
 
-async def case(is_troubled: bool) -> int:
-    """Hand jobs in at one process, cancel them at another one, and look for late starts."""
     cell = Cell(Path(__file__).parent, plan, executors=3)
     try:
         await cell.start({QUEUE: {}})
-        leader = cell.leader()
-        first, second = [process for process in cell.processes if process is not leader]
-        cell.note(
-            f"{leader.name} leads; jobs go to {first.name}, and are cancelled at {second.name}"
-        )
-        step = {"count": 1, "cpu": 200, "mem_mb": 100, "estimate_ms": int(STEP_S * 1000)}
-        steps = [step, *({**step, "after": [number]} for number in range(STEPS - 1))]
-        cancelled: dict[str, float] = {}
-
-        async def hand_in(number: int) -> None:
-            """Hand a job in, and cancel it as soon as it is answered or the connection breaks."""
-            job = f"{number:016x}"
-            await asyncio.sleep(number * 0.001)
-            await cell.submit(first, job, QUEUE, {"spec": "x", "phases": steps})
-            status = await cell.cancel(second, job, QUEUE)
-            if status == 200:
-                cancelled[job] = cell.now_s()
-
-        if is_troubled:
-            cell.note("the watches of the store hear nothing")
-            cell.store.deafen()
-        clients = [asyncio.ensure_future(hand_in(number)) for number in range(1, JOBS + 1)]
-        await asyncio.sleep(KILL_AFTER_S)
-        if is_troubled:
-            await cell.kill(first)
-        await asyncio.sleep(DEAF_S - KILL_AFTER_S)
-        if is_troubled:
-            cell.store.drop_history()
-            cell.note("the store has dropped its history and cut its watches")
-        calm_s = cell.now_s()
-        await asyncio.gather(*clients)
-        await asyncio.sleep(calm_s + WATCHED_S - cell.now_s())
-        if not cancelled:
-            return NOT_RUN
-        # Only what a machine starts that has been in touch since touch_ms counts.
-        late = late_starts(cell, cancelled, calm_s + BOUNDS["touch_ms"] / 1000 + 1.0)
-        for job in sorted({run.task.partition(".")[0] for run in late}):
-            await cell.state(second, job, QUEUE)
-        print(f"{len(cancelled)} cancellations acknowledged, {len(late)} late starts")
-        return BROKEN if late else HELD
+        step = {
+            "count": 1,
+            "cpu": 2_000,
+            "mem_mb": 500,
+            "estimate_ms": 1_000,
+            "long_running": True,
+        }
+        for job, how in ((JOB, "done"), (OTHER_JOB, "failed")):
+            body = {"spec": how, "phases": [step]}
+            if await cell.submit(cell.processes[0], job, QUEUE, body) != 200:
+                return NOT_RUN
+        await asyncio.sleep(END_AFTER_S + WATCHED_S)
+        is_broken = False
+        for job in (JOB, OTHER_JOB):
+            state = await cell.state(cell.processes[1], job, QUEUE)
+            runs = [run for run in cell.history if run.task.startswith(job)]
+            is_running = any(not run.ended_s for run in runs)
+            ends = [run for run in runs if run.ended_s]
+            idle_s = (
+                0.0 if is_running or not ends else cell.now_s() - cell.offset_s(ends[-1].ended_s)
+            )
+            cell.note(f"{job}: {state!r}, {len(runs)} runs, without one for {idle_s:.1f} s")
+            if not runs:
+                return NOT_RUN
+            if state in ("queued", "running") and idle_s >= AFTER_LAST_RUN_S + CALM_S + IDLE_S:
+                cell.note(f"LOST {job}: its task ended {ends[-1].how!r} and is not started again")
+                is_broken = True
+            print(f"{job}: {state}, {len(runs)} runs, without one for {idle_s:.1f} s")
+        return BROKEN if is_broken else HELD
     finally:
         await cell.close()
 
--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from review.lib.advice import Advice
 from review.lib.executor import Executor, Plan, Run
 from review.lib.store import Store
 from tests.platform.standin.clients import request
@@ -43,7 +44,9 @@
 class Process:
     """One process of the system, started with the command of the deploy file."""
 
-    def __init__(self, name: str, zone: str, folder: Path, store_address: str) -> None:
+    def __init__(
+        self, name: str, zone: str, folder: Path, store_address: str, hint_address: str
+    ) -> None:
         """Set up without starting the program."""
         self.name = name
         front, ready, first, _ = free_ports(4)
@@ -66,6 +69,7 @@
             "heartbeat_ms": 1_500,
             "bounds": BOUNDS,
             "control_mode": "invoke",
+            "hint": hint_address,
             "platform": {
                 "addr": store_address,
                 "form": "kv",
@@ -124,6 +128,7 @@
         """
         self.began_s = time.monotonic()
         self.store = Store()
+        self.advice = Advice()
         self.history: list[Run] = []
         self.executors = [
             Executor(f"i-{number}", self.store, plan, self.history, f"z{number % 3}")
@@ -155,6 +160,7 @@
         :param cap: what the only tenant may have running
         """
         await self.store.server.listen()
+        await self.advice.server.listen()
         self._tasks.append(asyncio.ensure_future(self.store.expire_leases()))
         routes = [
             {
@@ -177,8 +183,9 @@
         for executor in self.executors:
             await executor.start()
         for number in range(self._count):
-            folder, address = Path(self._folder.name), self.store.server.address
-            self.processes.append(Process(f"m{number}", f"z{number % 3}", folder, address))
+            addresses = (self.store.server.address, self.advice.server.address)
+            folder = Path(self._folder.name)
+            self.processes.append(Process(f"m{number}", f"z{number % 3}", folder, *addresses))
         for process in self.processes:
             await process.start()
         until_s = time.monotonic() + READY_TIMEOUT_S
@@ -205,6 +212,7 @@
             task.cancel()
         for executor in self.executors:
             await executor.close()
+        await self.advice.server.close()
         await self.store.server.close()
         if os.environ.get("KEEP_LOGS"):
             for path in sorted(Path(self._folder.name).glob("*.log")):
