--- a/review/lib/executor.py
+++ b/review/lib/executor.py
@@ -59,7 +59,6 @@
         self.history = history
         self.fenced_orders = 0
         self.is_up = False
-        self.is_grey = False
         self._store = store
         self._plan = plan
         self._zone = zone
@@ -169,9 +168,6 @@
             limit_ms = self._clock_ms() + MAX_LEASE_MS
             self._lease_ms = max(self._lease_ms, min(body["deadline_ms"], limit_ms))
         call = request.path.removeprefix("/lagoonshelf/")
-        if self.is_grey and call in ("run-start", "run-stop"):
-            # Unhealthy: it has then done nothing.
-            return self._answer(503)
         if call == "run-start":
             return self._start(body)
         if call == "run-stop":
