Tests: move the base of tests that lead a cell to tests/support

Change: LeaderTest's set-up, _term, _store and _entries are moved unchanged to TermTestCase; no test is changed. Conclusion: tests of the fleet can use it.

--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -1,77 +1,26 @@
 """Tests of a leader term with a fake store and fake workers."""
 
 import asyncio
-import unittest
 from dataclasses import replace
 from unittest.mock import patch
 
-from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.ids import MemberId
 from lagoonshelf_core.jobs.config import AdviceTiming
 from lagoonshelf_core.jobs.progress import JobState, RunEnd
-from lagoonshelf_core.jobs.spec import JobSpec, encode_job
+from lagoonshelf_core.jobs.spec import JobSpec
 from lagoonshelf_core.resources import Resources
-from lagoonshelf_server.jobs import worker_session
-from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient
-from lagoonshelf_server.jobs.keys import LEADER_KEY, cancel_key, job_key, progress_key
-from lagoonshelf_server.jobs.leader import Leader, Ports
-from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS, LeaderLease
+from lagoonshelf_server.jobs.keys import cancel_key, progress_key
+from lagoonshelf_server.jobs.leader import Leader
+from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS
 from lagoonshelf_server.jobs.ports import Item, StoreRevision
-from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, eventually
+from tests.support.job_fakes import eventually
 from tests.support.jobs import ADVISED, config, make_job, make_step, worker_info
+from tests.support.terms import WORKERS, TermTestCase
 
-WORKERS = 3
 
-
-class LeaderTest(unittest.IsolatedAsyncioTestCase):
+class LeaderTest(TermTestCase):
     """Terms of one or two processes with three workers."""
 
-    async def asyncSetUp(self) -> None:
-        self.clock = Clock()
-        self.store, self.codec = FakeStore(), FakeCodec()
-        self.workers = FakeWorkers(self.clock)
-        self.tasks: list[asyncio.Task] = []
-        for number in range(WORKERS):
-            info = worker_info(number)
-            name = info.id.encode()
-            self.codec.infos[name] = info
-            self.workers.add(info)
-            self.store.put(f"workers/{info.id}", name)
-        short = patch.object(worker_session, "LONG_POLL_MS", 50)
-        short.start()
-        self.addCleanup(short.stop)
-
-    async def asyncTearDown(self) -> None:
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
-    def _starts_of(self, spec: JobSpec) -> int:
-        return sum(task.startswith(spec.id) for _, task, _ in self.workers.started)
-
-    async def _term(self, member: str) -> Leader:
-        """Start a term that replaces any other."""
-        lease = LeaderLease(self.store, self.clock, MemberId(member), member)
-        await lease._refresh()
-        lease.predecessor_is_dead = True
-        await lease._write({LEADER_KEY: lease.revision})
-        cfg = ConfigView(self.store, self.codec, self.clock)
-        cfg.current = config()
-        cfg.confirmed_ms = self.clock.now_ms()
-        ports = Ports(self.store, self.workers, self.codec)
-        leader = Leader(ports, lease, cfg, self.clock)
-        leader.lease, leader.config_view = lease, cfg
-        self.config_poll = asyncio.ensure_future(cfg.poll())
-        self.tasks.append(self.config_poll)
-        for coro in (lease.renew(), leader.run()):
-            self.tasks.append(asyncio.ensure_future(coro))
-        await eventually(lambda: leader.is_ready)
-        return leader
-
-    def _store(self, spec: JobSpec) -> None:
-        self.store.put(job_key(spec.id), encode_job(spec))
-
     async def test_a_stored_job_runs_without_an_announcement(self) -> None:
         """Guards against a lost job when the accepting process dies before its announcement."""
         leader = await self._term("m1")
@@ -525,6 +474,3 @@
         return await JobApi(
             self.store, self.clock, LeaderClient(announce, announce, state, announce)
         ).state(spec.id)
-
-    def _entries(self) -> list:
-        return list(self.workers.workers.values())
