Keep a worker on record until its ends and its loss are durable

Cause: cell/workers names the workers that a successor reads before it starts inherited work. A worker without an entry left it as soon as the leader had read that it runs nothing, before the progress that holds the ends was written. If the leader changed between the two writes, no process knew where the ends were. Change: Fleet._next_rows keeps the row of a worker that was lost, has left or was replaced until the progress as it was then is durable. On the same path a restarted worker's row named the new incarnation before the loss of the old one was durable. A takeover logs recorded runs on workers that are not recorded. Tests, each failing before: test_ends_that_are_not_durable_are_found_by_the_next_leader (12 starts instead of 6) and test_the_crash_of_a_worker_is_known_to_the_next_leader (no crash history). Conclusion: whatever happens between the writes, either the ends are recorded or the worker that has them is.

--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -62,11 +62,13 @@
     :param spawn: runs a coroutine until the term ends
     :param on_report: called after each list of runs from a worker
     :param on_change: called when a scheduling pass is needed
+    :param record_changes: queues all changes of the cell for writing
     """
 
     spawn: Spawn
     on_report: Callable[[], None]
     on_change: Callable[[], None]
+    record_changes: Callable[[], None]
 
 
 class Fleet:
@@ -94,6 +96,9 @@
         self._store_failed_ms = 0
         self._registry_read_ms = 0
         self._used: dict[WorkerId, _UsedWorker] = {}
+        # Next rows, None for none, of recorded workers that are lost or have left, with the mark
+        # of the progress that has to be durable before.
+        self._replaced: dict[WorkerId, tuple[_UsedWorker | None, int]] = {}
         # Worker and revision of each registry entry that was applied last.
         self._applied: dict[str, tuple[WorkerId | None, StoreRevision]] = {}
         self._used_lock = asyncio.Lock()
@@ -156,7 +161,10 @@
         now_ms = self._clock.now_ms()
         for run in self._cell.recorded_runs:
             worker = self._cell.workers.get(run.worker)
-            if worker is not None and not worker.is_read:
+            if worker is None:
+                fields = {"task": run.name, "attempt": run.attempt, "worker": run.worker}
+                _log.warning("recorded run on a worker that is not recorded", **fields)
+            elif not worker.is_read:
                 worker.lapse_ms = worker.lapse_ms or lapse_ms
                 add_unverified_run(self._cell, worker, run.name, run.attempt, now_ms)
         self._cell.recorded_runs.clear()
@@ -165,7 +173,7 @@
         self._restarted.clear()
 
     async def _record_used(self) -> None:
-        """Record new workers whenever sessions change."""
+        """Record new workers whenever sessions change, and lost ones once that is possible."""
         while True:
             await self._sessions_changed.wait()
             self._sessions_changed.clear()
@@ -176,24 +184,22 @@
                 await asyncio.sleep(RETRY_S)
                 self._sessions_changed.set()
             self._hooks.on_change()
+            if self._replaced:
+                await asyncio.sleep(RETRY_S)
+                self._sessions_changed.set()
 
     async def write_used(self) -> None:
         """Record which workers may have runs, before they are used."""
         async with self._used_lock:
-            wanted = {
-                worker.id: _used_worker(worker)
-                for worker in self._cell.workers.values()
-                if worker.is_listed or worker.runs or worker.blocks_inherited
-            }
-            if wanted != self._used:
-                rows = [row.fields() for row in wanted.values()]
+            rows = self._next_rows()
+            if rows != self._used:
+                value = orjson.dumps([row.fields() for row in rows.values()])
                 result = await self._store.commit(
-                    {LEADER_KEY: self._leader_lease.revision},
-                    [Put(USED_WORKERS, orjson.dumps(rows))],
+                    {LEADER_KEY: self._leader_lease.revision}, [Put(USED_WORKERS, value)]
                 )
                 if not isinstance(result, Committed):
                     raise StoreUnavailableError("list of used workers not written")
-                self._used = wanted
+                self._used = rows
         for worker in self._cell.workers.values():
             row = self._used.get(worker.id)
             if row is None or row.born_ms != worker.info.born_ms:
@@ -202,6 +208,34 @@
             if worker.id not in self._session_tasks:
                 self._open_session(worker)
 
+    def _next_rows(self) -> "dict[WorkerId, _UsedWorker]":
+        """Return the rows to record now.
+
+        The row of a lost incarnation stays until the progress of the jobs that ran there is
+        durable: a successor reads the ends, and counts the loss, of recorded workers only.
+        """
+        rows = {
+            worker.id: _used_worker(worker)
+            for worker in self._cell.workers.values()
+            if worker.is_listed or worker.runs or worker.blocks_inherited
+        }
+        replaced: dict[WorkerId, tuple[_UsedWorker | None, int]] = {}
+        for name, row in self._used.items():
+            next_row = rows.get(name)
+            if next_row == row:
+                continue
+            known_row, mark = self._replaced.get(name, (row, 0))
+            if known_row != next_row:
+                self._hooks.record_changes()
+                mark = self._progress_writer.mark()
+            if not self._progress_writer.is_durable(mark):
+                replaced[name] = next_row, mark
+                rows[name] = row
+        self._replaced = replaced
+        if replaced:
+            self._sessions_changed.set()
+        return rows
+
     def _open_session(self, worker: Worker) -> None:
         session = WorkerSession(
             worker,
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -78,7 +78,9 @@
         self.progress_writer = ProgressWriter(self._store, leader_lease)
         self.advice_router = AdviceRouter(self.cell, clock, self.request_pass)
         self._job_watcher = JobWatcher(self._store, self.accept, self.cancel)
-        hooks = FleetHooks(self._spawn, self._after_report, self.request_pass)
+        hooks = FleetHooks(
+            self._spawn, self._after_report, self.request_pass, self._record_changes
+        )
         fleet_ports = FleetPorts(ports.store, ports.workers, ports.codec)
         self._fleet = Fleet(
             self.cell, fleet_ports, self.progress_writer, leader_lease, clock, hooks
--- /dev/null
+++ b/tests/server/jobs/test_fleet.py
@@ -0,0 +1,118 @@
+"""Tests of the registry and of the record of used workers, with terms of several leaders."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+
+from lagoonshelf_core.jobs.progress import JobState
+from lagoonshelf_server.jobs.keys import ENDED_PREFIX, PROGRESS_PREFIX
+from lagoonshelf_server.jobs.ports import (
+    Committed,
+    Conflict,
+    Put,
+    StoreUnavailableError,
+)
+from tests.support.job_fakes import eventually
+from tests.support.jobs import make_job, make_step, worker_info
+from tests.support.terms import WORKERS, TermTestCase
+
+
+class UsedWorkersTest(TermTestCase):
+    """The record of workers that may have runs, over changes of the leader."""
+
+    def _fail_progress_writes(self) -> None:
+        """Let the store turn away the progress of jobs, and take all else."""
+        original = self.store.commit
+
+        async def commit(
+            conditions: Mapping[str, int],
+            puts: Sequence[Put] = (),
+            deletes: Sequence[str] = (),
+            *,
+            timeout_ms: int | None = None,
+        ) -> Committed | Conflict | None:
+            if any(put.key.startswith((PROGRESS_PREFIX, ENDED_PREFIX)) for put in puts):
+                raise StoreUnavailableError("turned away")
+            return await original(conditions, puts, deletes, timeout_ms=timeout_ms)
+
+        self.store.commit = commit
+
+    def _restore_progress_writes(self) -> None:
+        del self.store.commit
+
+    def _lose_entries(self) -> None:
+        """Remove all registry entries, as their leases ran out in an outage of the store."""
+        for number in range(WORKERS):
+            self.store._delete(f"workers/{worker_info(number).id}")
+
+    def _return_entry(self, name: str) -> None:
+        self.store.put(f"workers/{name}", name.encode())
+
+    async def test_ends_that_are_not_durable_are_found_by_the_next_leader(self) -> None:
+        """Guards against tasks that are done and run again after two changes of the leader.
+
+        The registry was empty after an outage. The first leader had read all ends and forgot the
+        workers, but was replaced before the progress of the jobs was written (review, case 1).
+        """
+        await self._term("m1")
+        spec = make_job(make_step(6))
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 6)
+        self._lose_entries()
+        self._fail_progress_writes()
+        second = await self._term("m2")
+        self.workers.end_all()
+        await eventually(lambda: second.cell.jobs[spec.id].is_final)
+        await asyncio.sleep(0.3)
+        third = await self._term("m3")
+        self._restore_progress_writes()
+        # The first entries that are back are those of workers that have run nothing.
+        used = {name for name, _, _ in self.workers.started}
+        idle = self.workers.workers.keys() - used
+        for name in idle:
+            self._return_entry(name)
+        workers = third.cell.workers
+        await eventually(lambda: all(n in workers and workers[n].is_usable for n in idle))
+        await asyncio.sleep(0.2)
+        for name in used:
+            self._return_entry(name)
+        await eventually(lambda: third.state(spec.id) is JobState.COMPLETE)
+        self.assertEqual(len(self.workers.started), 6)
+
+    async def test_a_worker_that_has_left_is_forgotten_once_its_ends_are_durable(self) -> None:
+        """Guards against a record of used workers that grows with each worker that has left."""
+        leader = await self._term("m1")
+        spec = make_job(make_step(6))
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 6)
+        self.workers.end_all()
+        await eventually(lambda: leader.state(spec.id) is JobState.COMPLETE)
+        left = worker_info(0).id
+        self.store._delete(f"workers/{left}")
+        await eventually(lambda: left not in leader.cell.workers, timeout_s=5.0)
+        await eventually(lambda: left not in leader._fleet._used)
+
+    async def test_the_crash_of_a_worker_is_known_to_the_next_leader(self) -> None:
+        """Guards against a crash that no leader counts for the tasks that ran on the worker.
+
+        The new incarnation was recorded before what the loss of the old one means for the jobs.
+        """
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: leader.state(spec.id) is JobState.RUNNING)
+        name = self.workers.started[0][0]
+        self._fail_progress_writes()
+        info = next(i for i in map(worker_info, range(WORKERS)) if i.id == name)
+        restarted = replace(info, born_ms=info.born_ms + 1_000)
+        self.workers.add(restarted)
+        self.codec.infos[b"restarted"] = restarted
+        self.store.put(f"workers/{name}", b"restarted")
+        task = leader.cell.jobs[spec.id].find_task(0, 0, 0)
+        await eventually(lambda: task.crash_history is not None)
+        await asyncio.sleep(0.3)
+        successor = await self._term("m2")
+        self._restore_progress_writes()
+        history = successor.cell.jobs[spec.id].find_task(0, 0, 0).crash_history
+        self.assertIsNotNone(history)
+        self.assertEqual(history.crashes + history.losses, 1)
