Probe a quarantined worker whatever was started on it before

Cause: after a quarantine a worker is probed only if it has no open start. A service's task is open until its job is cancelled, so the worker got nothing more. Long batch tasks delayed probes alike, and services at work used up the eight starts that a worker may have open after one failure. Change: only starts since the quarantine began are its probes; a service's task that is at work is the outcome of its start, so a service may be a probe. The line 'cell' counts workers on probe. Tests, each failing before: QuarantineTest.test_a_worker_with_a_service_is_used_again_after_a_quarantine, .test_a_service_that_is_at_work_ends_a_quarantine, .test_services_at_work_do_not_use_up_the_starts_after_a_failure (core.jobs.test_cell), test_starts_before_the_quarantine_do_not_block_its_probes (core.test_health). Conclusion: a probe waits for nothing that need not end.

--- a/packages/core/lagoonshelf_core/health.py
+++ b/packages/core/lagoonshelf_core/health.py
@@ -55,6 +55,7 @@
 
     :param outcomes: task and whether it succeeded, newest last
     :param open_starts: started tasks without an outcome
+    :param open_probes: those of them that were started since the quarantine began
     :param quarantined_until_ms: end of the quarantine
     :param quarantine_ms: length of the last quarantine
     :param cleared_ms: when the last quarantine was cleared
@@ -64,6 +65,7 @@
     limits: HealthLimits
     outcomes: deque[tuple[TaskId, bool]] = field(default_factory=deque)
     open_starts: set[TaskId] = field(default_factory=set)
+    open_probes: set[TaskId] = field(default_factory=set)
     quarantined: bool = False
     quarantined_until_ms: int = 0
     quarantine_ms: int = 0
@@ -76,6 +78,11 @@
         if len(self.outcomes) > self.limits.history:
             self.outcomes.popleft()
 
+    def close_start(self, task: TaskId) -> None:
+        """Remove a started task that has an outcome, or will have none."""
+        self.open_starts.discard(task)
+        self.open_probes.discard(task)
+
     def streak(self) -> int:
         """Return the number of failures since the last success."""
         count = 0
@@ -115,10 +122,11 @@
         if worker_history is None:
             return True
         if worker_history.quarantined:
+            # Earlier starts show nothing about the worker as it is now, and may last.
             return (
                 now_ms >= worker_history.quarantined_until_ms
                 and repeatable
-                and not worker_history.open_starts
+                and not worker_history.open_probes
             )
         streak = worker_history.streak()
         if streak == 0:
@@ -141,6 +149,15 @@
             and now_ms < worker_history.quarantined_until_ms
         )
 
+    def is_on_probe(self, worker: WorkerId, now_ms: int) -> bool:
+        """Return whether a quarantine has passed, and its probes have not succeeded yet."""
+        worker_history = self._workers.get(worker)
+        return (
+            worker_history is not None
+            and worker_history.quarantined
+            and now_ms >= worker_history.quarantined_until_ms
+        )
+
     def quarantine_until_ms(self, worker: WorkerId) -> int:
         """Return when the worker's quarantine ends, 0 when it is not quarantined."""
         worker_history = self._workers.get(worker)
@@ -156,19 +173,22 @@
 
     def started(self, worker: WorkerId, task: TaskId) -> None:
         """Record the start of a task."""
-        self._workers.setdefault(worker, _WorkerHistory(self._limits)).open_starts.add(task)
+        worker_history = self._workers.setdefault(worker, _WorkerHistory(self._limits))
+        worker_history.open_starts.add(task)
+        if worker_history.quarantined:
+            worker_history.open_probes.add(task)
 
     def dropped(self, worker: WorkerId, task: TaskId) -> None:
         """Record that a start ended without an outcome: stopped, cancelled or refused."""
         worker_history = self._workers.get(worker)
         if worker_history is not None:
-            worker_history.open_starts.discard(task)
+            worker_history.close_start(task)
 
     def succeeded(self, worker: WorkerId, task: TaskId, now_ms: int) -> None:
         """Record that a task succeeded."""
         self._failed_on.pop(task, None)
         worker_history = self._workers.setdefault(worker, _WorkerHistory(self._limits))
-        worker_history.open_starts.discard(task)
+        worker_history.close_start(task)
         worker_history.add_outcome(task, True)
         if not worker_history.quarantined or now_ms < worker_history.quarantined_until_ms:
             return
@@ -179,7 +199,7 @@
     def failed(self, worker: WorkerId, task: TaskId, now_ms: int) -> FailureVerdict:
         """Record that a task failed, and return whether to retry it."""
         worker_history = self._workers.setdefault(worker, _WorkerHistory(self._limits))
-        worker_history.open_starts.discard(task)
+        worker_history.close_start(task)
         worker_history.add_outcome(task, False)
         if self._count_failed_worker(task, worker):
             self._discard_task_failures(task, now_ms)
@@ -243,4 +263,5 @@
     worker_history.quarantined = False
     worker_history.cleared_ms = now_ms
     worker_history.probes = 0
+    worker_history.open_probes.clear()
     worker_history.outcomes.clear()
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -277,6 +277,14 @@
                 job.state = JobState.RUNNING
                 self.changed_jobs.add(job)
 
+    def record_at_work(self, run: Run, now_ms: int) -> None:
+        """Record that a run of a service is at work, which shows that its worker is sound.
+
+        Such a run ends only with its job, so that its start would otherwise stay without outcome.
+        """
+        run.has_served = True
+        self.health.succeeded(run.worker, TaskId(run.task.job.id), now_ms)
+
     def start_rejected(self, run: Run) -> None:
         """Record that a worker has not started a run and never will."""
         self._release(run)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -60,6 +60,7 @@
         "workers": len(cell.workers),
         "usable": len(usable),
         "quarantined": sum(cell.health.is_quarantined(w.id, now_ms) for w in usable),
+        "on_probe": sum(cell.health.is_on_probe(w.id, now_ms) for w in usable),
         "outdated": sum(not cell.may_use_capacity(w, now_ms) for w in usable),
         "blocking": sum(worker.blocks_inherited for worker in cell.workers.values()),
         "runs": sum(len(worker.runs) for worker in cell.workers.values()),
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -13,6 +13,8 @@
 # A run counts as settled once its worker has been heard this long after its start: starting it
 # did not crash the worker.
 SETTLE_MS = 500
+# A task of a service reports this progress once it serves, after a short startup.
+FULL_PERCENT = 100
 
 
 class JobState(Enum):
@@ -67,6 +69,7 @@
     :param is_unverified: known only from a record, not reported by the worker
     :param is_loss_recorded: the loss of its worker has been recorded
     :param has_started: the worker has confirmed the start or has reported the run
+    :param has_served: a run of a service that has been at work
     """
 
     name: str
@@ -90,6 +93,7 @@
     is_unverified: bool = False
     is_loss_recorded: bool = False
     has_started: bool = False
+    has_served: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/core/lagoonshelf_core/jobs/supervision.py
+++ b/packages/core/lagoonshelf_core/jobs/supervision.py
@@ -3,7 +3,7 @@
 from lagoonshelf_core.ids import TaskId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import PaceRun
-from lagoonshelf_core.jobs.progress import Run, RunPhase, StepRun
+from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunPhase, StepRun
 from lagoonshelf_core.jobs.workers import Worker
 
 # Stalls and changes of the tail latency take half a second or more to show.
@@ -12,9 +12,8 @@
 # elsewhere.
 STALL_MS = 2_000
 STALL_ESTIMATE_SHARE = 0.4
-# A task of a service reports 100 percent progress once it serves, after a short startup.
+# Longest startup of a task of a service.
 SERVICE_STARTUP_MS = 4_000
-FULL_PERCENT = 100
 # A run that would end less than this time before its draining worker leaves is moved.
 DRAIN_MARGIN_MS = 400
 # A tail latency above the high share of its target slows the best-effort fillers on the worker;
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -5,7 +5,7 @@
 
 from lagoonshelf_core.ids import TaskId
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.progress import Run, RunEnd, RunPhase, Task
+from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunEnd, RunPhase, Task
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import ZERO_RESOURCES
 
@@ -86,6 +86,8 @@
     if row.percent != run.progress_percent:
         run.progress_percent = row.percent
         run.progressed_ms = now_ms
+    if run.is_service and not run.has_served and row.percent >= FULL_PERCENT:
+        cell.record_at_work(run, now_ms)
     run.load = row.load
     if row.checkpoint:
         run.checkpoint = row.checkpoint
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -1,14 +1,18 @@
 """Tests of the state of the cell."""
 
 import unittest
+from dataclasses import replace
 
+from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.job_records import encode_progress
-from lagoonshelf_core.jobs.progress import JobState, RunEnd
+from lagoonshelf_core.jobs.planning import summary
+from lagoonshelf_core.jobs.progress import JobState, Run, RunEnd
 from lagoonshelf_core.jobs.worker_reports import RunningRow, add_unverified_run, apply_report
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
     TEAM,
+    URGENT,
     accept_job,
     add_worker,
     confirm_starts,
@@ -287,6 +291,69 @@
         self.assertEqual([run.task.job for run in plan_starts(cell)], [fresh])
 
 
+class QuarantineTest(unittest.TestCase):
+    """Quarantine of workers that also run services."""
+
+    def _start_service(self, cell: Cell, now_ms: int = 0) -> Run:
+        accept_job(cell, make_job(make_step(is_service=True), queue=URGENT))
+        (run,) = plan_starts(cell, now_ms)
+        confirm_starts(cell, [run], now_ms)
+        return run
+
+    def _report_at_work(self, cell: Cell, run: Run, now_ms: int = 0) -> None:
+        row = replace(running_row(run), percent=100)
+        apply_report(cell, cell.workers[run.worker], [row], [], now_ms, now_ms)
+
+    def _quarantine(self, cell: Cell) -> None:
+        """Let the runs of two jobs fail; these are cancelled, so that nothing waits."""
+        for _ in range(2):
+            failing = accept_job(cell, make_job())
+            (run,) = plan_starts(cell)
+            confirm_starts(cell, [run])
+            end_run(cell, run, RunEnd.FAILED)
+            cell.cancel(failing.id, 0)
+        self.assertTrue(cell.health.is_quarantined(run.worker, 20))
+
+    def test_a_worker_with_a_service_is_used_again_after_a_quarantine(self) -> None:
+        """Guards against workers that get nothing more since the start of a service stays open.
+
+        Once all workers had been quarantined, nothing was started any more (review, case 3).
+        """
+        cell = make_cell(1)
+        service = self._start_service(cell)
+        self._report_at_work(cell, service)
+        self._quarantine(cell)
+        accept_job(cell, make_job())
+        self.assertEqual(plan_starts(cell, 3_000), [])
+        self.assertEqual(len(plan_starts(cell, 5_000)), 1)
+
+    def test_a_service_that_is_at_work_ends_a_quarantine(self) -> None:
+        """Guards against a quarantine without end when its probe is a service."""
+        cell = make_cell(1)
+        self._quarantine(cell)
+        probe = self._start_service(cell, 5_000)
+        accept_job(cell, make_job())
+        self.assertEqual(plan_starts(cell, 5_100), [])
+        self.assertEqual(summary(cell, 5_100)["on_probe"], 1)
+        self._report_at_work(cell, probe, 5_200)
+        self.assertEqual(summary(cell, 5_200)["on_probe"], 0)
+        self.assertEqual(len(plan_starts(cell, 5_300)), 1)
+
+    def test_services_at_work_do_not_use_up_the_starts_after_a_failure(self) -> None:
+        """Guards against a worker with many services that gets nothing after one failure."""
+        cell = make_cell(1)
+        for _ in range(9):
+            self._start_service(cell)
+        worker = cell.workers[worker_info(0).id]
+        rows = [replace(running_row(run), percent=100) for run in worker.runs.values()]
+        apply_report(cell, worker, rows, [], 10, 20)
+        accept_job(cell, make_job())
+        (run,) = plan_starts(cell)
+        confirm_starts(cell, [run])
+        end_run(cell, run, RunEnd.FAILED)
+        self.assertEqual(len(plan_starts(cell, 100)), 1)
+
+
 class CancelTest(unittest.TestCase):
     """Cancelled jobs."""
 
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -106,6 +106,18 @@
         health.dropped(W, TaskId("p"))
         self.assertTrue(health.may_start(W, True, 30_000))
 
+    def test_starts_before_the_quarantine_do_not_block_its_probes(self) -> None:
+        """Guards against a worker that is never used again beside a task that does not end."""
+        health = Health()
+        health.started(W, TaskId("service"))
+        quarantine(health, "a")
+        for number in range(3):
+            self.assertTrue(health.may_start(W, True, 30_000))
+            health.started(W, TaskId(f"p{number}"))
+            self.assertFalse(health.may_start(W, True, 30_000))
+            health.succeeded(W, TaskId(f"p{number}"), 31_000)
+        self.assertTrue(health.may_start(W, False, 31_000))
+
 
 class TaskFaultTest(unittest.TestCase):
     """Tasks that fail on every worker."""
