Let replicas of services end a quarantine in the partition engine too

A replica of a service that is started as the probe of a quarantined worker has no end, so the worker got nothing more. Change: a replica that has run for 10 s is the success of its start. Test, failing without the change: FailingWorkerTest.test_a_replica_of_a_service_ends_a_quarantine. Conclusion: no start stays open for ever in either engine.

--- a/packages/server/lagoonshelf_server/worker_health.py
+++ b/packages/server/lagoonshelf_server/worker_health.py
@@ -6,10 +6,13 @@
 from lagoonshelf_core.commands import Command, Start
 from lagoonshelf_core.health import FailureVerdict, Health
 from lagoonshelf_core.ids import TaskId, WorkerId
-from lagoonshelf_core.model import Task, WorkerInfo
+from lagoonshelf_core.model import Task, TaskState, WorkerInfo, WorkKind
 
 # Interval at which starts that ended without a report (refused, lost) are detected.
 SWEEP_INTERVAL_MS = 1_000
+# A replica of a service that has run for this long has started well; the jobs engine clears a task
+# that was alive this long as well.
+SERVICE_SETTLE_MS = 10_000
 
 
 class WorkerHealth:
@@ -44,7 +47,9 @@
         return True
 
     def begin_pass(self, tasks: dict[TaskId, Task]) -> None:
-        """Remove starts whose tasks have ended or are not on that worker any more.
+        """Remove starts whose tasks are not on that worker any more, and count running replicas.
+
+        A replica of a service ends only with its request, so its start succeeds before.
 
         :param tasks: all tasks that the scheduler knows
         """
@@ -56,6 +61,9 @@
             task = tasks.get(name)
             if task is None or task.worker != worker:
                 self._drop(name, worker)
+            elif _has_settled(task, now_ms):
+                del self._started[name]
+                self.health.succeeded(worker, name, now_ms)
 
     def end_pass(self, commands: Iterable[Command]) -> None:
         """Record the starts of a pass and discard allowed placements that were not used."""
@@ -106,3 +114,9 @@
             and not self.health.is_quarantined(info.worker, now_ms)
             for info in self._ready_workers()
         )
+
+
+def _has_settled(task: Task, now_ms: int) -> bool:
+    """Return whether a task is a replica of a service that has started well."""
+    is_running = task.kind is WorkKind.SERVICE and task.state is TaskState.RUNNING
+    return is_running and now_ms - task.started_ms >= SERVICE_SETTLE_MS
--- a/tests/server/test_policy.py
+++ b/tests/server/test_policy.py
@@ -6,13 +6,16 @@
 from dataclasses import replace
 
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.commands import Start
 from lagoonshelf_core.document import Document, QueueConfig, TeamConfig
 from lagoonshelf_core.errors import LagoonshelfError, ResultCode
+from lagoonshelf_core.health import PROBES_TO_CLEAR
 from lagoonshelf_core.ids import Revision
-from lagoonshelf_core.model import WorkKind
+from lagoonshelf_core.model import TaskState, WorkKind
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server import metrics
 from lagoonshelf_server.pass_trigger import MIN_PASS_INTERVAL_MS, PassTrigger
+from lagoonshelf_server.worker_health import SERVICE_SETTLE_MS
 from tests.support.fakes import OwnerHarness, spec, until
 
 TEAM = TeamConfig(limit_tasks=1000, limit_cpu_milli=1_000_000)
@@ -227,6 +230,26 @@
         health.end_pass([])
         self.assertTrue(health.may_use("w0", self.task(spec("third"))))
 
+    async def test_a_replica_of_a_service_ends_a_quarantine(self) -> None:
+        """Guards against a worker that is never used again as its probe does not end."""
+        health = self.owner._partition.policy.health
+        for number in range(5):
+            health.record_end("w0", f"0.1.{900 + number}", "failed")
+        health.health._workers["w0"].quarantined_until_ms = Clock().now_ms() - 1
+        probes = [
+            self.task(spec(f"service{number}", kind=WorkKind.SERVICE))
+            for number in range(PROBES_TO_CLEAR)
+        ]
+        for task in probes:
+            self.assertTrue(health.may_use("w0", task))
+            task.worker, task.state = "w0", TaskState.RUNNING
+            task.started_ms = Clock().now_ms() - SERVICE_SETTLE_MS
+            health.end_pass([Start(task.task, "w0")])
+            self.assertFalse(health.may_use("w0", self.task(spec(f"after-{task.task}"))))
+            health._last_sweep_ms = 0
+            health.begin_pass({task.task: task for task in probes})
+        self.assertTrue(health.may_use("w0", self.task(spec("last"))))
+
     def task(self, request) -> object:
         """Return a task of a request that is not queued."""
         record = self.owner.record_table.submit(request, 0).unwrap()[0]
