Start the task of a service again also when it has ended done

Cause: count_end marks a task as done for any end 'done', and the progress record keeps that for each successor. Change: a service's task is never done. A gang of services is stopped and starts again as a whole. Records of earlier versions are read without the flag. Tests, each failing before: ServiceEndsTest (core.jobs.test_cell), three tests. Conclusion: only the cancellation of its job ends a service.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -44,6 +44,9 @@
     starts_after_failure=8,
 )
 
+# Ends of one member after which the other runs of its gang's attempt are of no use.
+_GANG_ENDS = frozenset({RunEnd.DONE, RunEnd.FAILED, RunEnd.LAPSED, RunEnd.ALONE})
+
 # Losses of workers that are remembered.
 MAX_LOSS_RECORDS = 500
 
@@ -328,12 +331,14 @@
         task.attempt = max(task.attempt, attempt)
         if checkpoint:
             task.checkpoint = checkpoint
-        if end is RunEnd.DONE:
+        # A task of a service is never done: however its run ends, it starts again.
+        is_done = end is RunEnd.DONE and not step.spec.is_service
+        if is_done:
             self._mark_done(task, attempt)
         elif end is RunEnd.FAILED:
             task.failures += 1
             step.failed_attempts.add(attempt)
-        if step.spec.is_gang and end in (RunEnd.FAILED, RunEnd.LAPSED, RunEnd.ALONE):
+        if step.spec.is_gang and not is_done and end in _GANG_ENDS:
             self.stop_gang_attempt(step, attempt)
         self.changed_jobs.add(job)
         self.update_job_state(job)
--- a/packages/core/lagoonshelf_core/jobs/job_records.py
+++ b/packages/core/lagoonshelf_core/jobs/job_records.py
@@ -111,7 +111,8 @@
         step.failed_attempts = set(failed_attempts)
         for task_index, is_done, failures, counted_attempts, checkpoint in rows:
             task = step.tasks[task_index]
-            task.is_done = bool(is_done)
+            # Earlier versions recorded a service's task as done when its run had ended so.
+            task.is_done = bool(is_done) and not step.spec.is_service
             task.failures = failures
             task.counted_attempts = set(counted_attempts)
             task.attempt = max(counted_attempts, default=0) + job.attempt_floor
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -3,6 +3,8 @@
 import unittest
 from dataclasses import replace
 
+import orjson
+
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.job_records import encode_progress
 from lagoonshelf_core.jobs.planning import summary
@@ -291,6 +293,50 @@
         self.assertEqual([run.task.job for run in plan_starts(cell)], [fresh])
 
 
+class ServiceEndsTest(unittest.TestCase):
+    """Ends of tasks that last until their job is cancelled."""
+
+    def test_a_service_that_ends_done_starts_again(self) -> None:
+        """Guards against a service that is gone for good once its task has ended "done".
+
+        Its job was shown as running with nothing running (review, case 4).
+        """
+        cell = make_cell()
+        accepted = accept_job(cell, make_job(make_step(is_service=True)))
+        for attempt in (1, 2):
+            (run,) = plan_starts(cell)
+            self.assertEqual(run.attempt, attempt)
+            confirm_starts(cell, [run])
+            end_run(cell, run, RunEnd.DONE)
+        self.assertIs(accepted.state, JobState.RUNNING)
+        self.assertEqual(len(plan_starts(cell)), 1)
+
+    def test_a_service_that_ended_done_starts_again_after_a_takeover(self) -> None:
+        """Guards against a service that stays away as an earlier version recorded it as done."""
+        cell = make_cell()
+        spec = make_job(make_step(is_service=True))
+        record = {
+            "state": "running",
+            "ended_ms": 0,
+            "started": True,
+            "steps": {"0.0": [[], [[0, 1, 0, [], ""]], []]},
+        }
+        cell.restore(spec, orjson.dumps(record), 0)
+        self.assertEqual(len(plan_starts(cell)), 1)
+
+    def test_the_members_of_a_service_that_is_a_gang_start_again_together(self) -> None:
+        """Guards against members that go on without the one that has ended "done"."""
+        cell = make_cell()
+        accept_job(cell, make_job(make_step(3, is_service=True, is_gang=True)))
+        first, *others = plan_starts(cell)
+        confirm_starts(cell, [first, *others])
+        end_run(cell, first, RunEnd.DONE)
+        self.assertEqual({run.name for run in take_stops(cell)}, {run.name for run in others})
+        for run in others:
+            end_run(cell, run, RunEnd.STOPPED)
+        self.assertEqual([run.attempt for run in plan_starts(cell)], [2, 2, 2])
+
+
 class QuarantineTest(unittest.TestCase):
     """Quarantine of workers that also run services."""
 
