Remember the last end of a service's task

The ends of a service's task are not kept, as they are not counted. So a takeover between two runs lost its checkpoint and numbered its starts from 17 again, below numbers that workers had seen, and an end that was listed again put the checkpoint of the next run back. Change: the attempt of the last end is kept, and with it the record of the task. Tests, each failing before: test_a_service_between_two_runs_is_continued_after_a_takeover (17 not greater than 32), test_a_repeated_end_of_a_service_does_not_undo_its_later_progress ('old'). Conclusion: an end of a service is applied once, and known to a successor.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -323,10 +323,15 @@
 
     def count_end(self, task: Task, attempt: int, end: RunEnd, checkpoint: str) -> None:
         """Count the end of an attempt once for its task, gang and job."""
+        step, job = task.step, task.job
         if attempt in task.counted_attempts:
             return
-        step, job = task.step, task.job
-        if not step.spec.is_service:
+        if step.spec.is_service:
+            # It may end any number of times, and nothing depends on the number of its ends.
+            if attempt < max(task.counted_attempts, default=0):
+                return
+            task.counted_attempts = {attempt}
+        else:
             task.counted_attempts.add(attempt)
         task.attempt = max(task.attempt, attempt)
         if checkpoint:
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -8,8 +8,13 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.job_records import encode_progress
 from lagoonshelf_core.jobs.planning import summary
-from lagoonshelf_core.jobs.progress import JobState, Run, RunEnd
-from lagoonshelf_core.jobs.worker_reports import RunningRow, add_unverified_run, apply_report
+from lagoonshelf_core.jobs.progress import ATTEMPTS_SKIPPED, JobState, Run, RunEnd
+from lagoonshelf_core.jobs.worker_reports import (
+    EndedRow,
+    RunningRow,
+    add_unverified_run,
+    apply_report,
+)
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
@@ -324,6 +329,41 @@
         cell.restore(spec, orjson.dumps(record), 0)
         self.assertEqual(len(plan_starts(cell)), 1)
 
+    def test_a_service_between_two_runs_is_continued_after_a_takeover(self) -> None:
+        """Guards against lost progress, and attempts that are counted from the start again.
+
+        A service that had been restarted more often than a successor skips attempts got numbers
+        that its workers had seen before.
+        """
+        cell = make_cell()
+        accepted = accept_job(cell, make_job(make_step(is_service=True, saves_progress=True)))
+        for number in range(2 * ATTEMPTS_SKIPPED):
+            (run,) = plan_starts(cell)
+            confirm_starts(cell, [run])
+            end_run(cell, run, RunEnd.FAILED, f"saved-{number}")
+        successor = make_cell()
+        restored = successor.restore(accepted.spec, encode_progress(accepted), 0)
+        (again,) = plan_starts(successor)
+        self.assertGreater(again.attempt, run.attempt)
+        self.assertEqual(restored.find_task(0, 0, 0).checkpoint, f"saved-{number}")
+
+    def test_a_repeated_end_of_a_service_does_not_undo_its_later_progress(self) -> None:
+        """Guards against a checkpoint that goes back while an end is not acknowledged."""
+        cell = make_cell(1)
+        accepted = accept_job(cell, make_job(make_step(is_service=True, saves_progress=True)))
+        (first,) = plan_starts(cell)
+        confirm_starts(cell, [first])
+        end_run(cell, first, RunEnd.FAILED, "old")
+        (second,) = plan_starts(cell)
+        confirm_starts(cell, [second])
+        row = replace(running_row(second), checkpoint="new")
+        again = [EndedRow(1, first.name, first.attempt, RunEnd.FAILED, "old")]
+        for ended in ([], again):
+            apply_report(cell, cell.workers[second.worker], [row], ended, 10, 20)
+        cell.end_worker_runs(cell.workers[second.worker], 30, "lost")
+        apply_report(cell, cell.workers[second.worker], [], again, 40, 50)
+        self.assertEqual(accepted.find_task(0, 0, 0).checkpoint, "new")
+
     def test_the_members_of_a_service_that_is_a_gang_start_again_together(self) -> None:
         """Guards against members that go on without the one that has ended "done"."""
         cell = make_cell()
