Delay the restart of a service whose task ends at once

Cause: since a service's task starts again after any end, one that ends 'done' at once was started as fast as its worker answers, as one that fails at once was before: 1,000 starts in 10 simulated seconds with a report each 20 ms. Each start is a store write of the leader, so one such job would take time from all others. Change: after a run of less than 10 s that has ended by itself the next one follows 0.5 s later, the delay of the partition engine. Test, failing without the delay: test_a_service_that_ends_at_once_does_not_flood_its_worker (1,000 starts, not 42 at most). Conclusion: a service that cannot run costs two starts a second and task.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -47,6 +47,11 @@
 # Ends of one member after which the other runs of its gang's attempt are of no use.
 _GANG_ENDS = frozenset({RunEnd.DONE, RunEnd.FAILED, RunEnd.LAPSED, RunEnd.ALONE})
 
+# Without a delay, a service whose task ends at once is started as fast as its worker answers. A
+# run that lasted is followed by the next one immediately.
+SERVICE_RESTART_DELAY_MS = 500
+SHORT_SERVICE_RUN_MS = 10_000
+
 # Losses of workers that are remembered.
 MAX_LOSS_RECORDS = 500
 
@@ -319,6 +324,9 @@
             self.health.dropped(run.worker, job_id)
         if task.run is run:
             task.run = None
+        is_short = now_ms - run.started_ms < SHORT_SERVICE_RUN_MS
+        if run.is_service and is_short and end in (RunEnd.DONE, RunEnd.FAILED):
+            task.restart_ms = now_ms + SERVICE_RESTART_DELAY_MS
         self.count_end(task, run.attempt, end, checkpoint)
 
     def count_end(self, task: Task, attempt: int, end: RunEnd, checkpoint: str) -> None:
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -72,7 +72,7 @@
 def _plan_step(cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band) -> None:
     """Start the tasks of a step that can start, and request advice for it."""
     usable = state.usable.get(queue.pool)
-    if not usable:
+    if not usable or _awaits_restart(step, state.now_ms):
         return
     spec = step.spec
     smallest_start = spec.size.scaled(spec.count) if spec.is_gang else spec.size
@@ -108,6 +108,14 @@
         cell.update_open_steps(step.job)
 
 
+def _awaits_restart(step: StepRun, now_ms: int) -> bool:
+    """Return whether a service's tasks have ended shortly after their start just now."""
+    if not step.spec.is_service:
+        return False
+    delayed = [task.restart_ms > now_ms for task in step.waiting_tasks]
+    return any(delayed) if step.spec.is_gang else all(delayed)
+
+
 def _start_suspects(
     cell: Cell,
     state: SchedulingPass,
@@ -201,7 +209,7 @@
     placed: list[tuple[Task, Worker]] = []
     planned_total = ZERO_RESOURCES
     for task in step.waiting_tasks:
-        if task.is_suspect:
+        if task.is_suspect or task.restart_ms > state.now_ms:
             continue
         startable_milli -= size.cpu_milli
         if not candidates or startable_milli < 0:
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -121,6 +121,7 @@
     :param checkpoint: latest checkpoint that a worker has reported
     :param duplicate_runs: number of runs beside ``run`` that have not ended yet
     :param crash_history: workers that were lost while they ran the task, None for none
+    :param restart_ms: time before which a task of a service is not started again
     """
 
     step: "StepRun"
@@ -133,6 +134,7 @@
     checkpoint: str = ""
     duplicate_runs: int = 0
     crash_history: CrashHistory | None = None
+    restart_ms: int = 0
 
     @property
     def name(self) -> str:
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -309,12 +309,27 @@
         cell = make_cell()
         accepted = accept_job(cell, make_job(make_step(is_service=True)))
         for attempt in (1, 2):
-            (run,) = plan_starts(cell)
+            (run,) = plan_starts(cell, attempt * 1_000)
             self.assertEqual(run.attempt, attempt)
             confirm_starts(cell, [run])
             end_run(cell, run, RunEnd.DONE)
         self.assertIs(accepted.state, JobState.RUNNING)
-        self.assertEqual(len(plan_starts(cell)), 1)
+        self.assertEqual(len(plan_starts(cell, 3_000)), 1)
+
+    def test_a_service_that_ends_at_once_does_not_flood_its_worker(self) -> None:
+        """Guards against a loop of starts, which would take the leader from all other jobs."""
+        for is_gang in (False, True):
+            cell = make_cell()
+            accept_job(cell, make_job(make_step(2, is_service=True, is_gang=is_gang)))
+            starts = 0
+            for now_ms in range(0, 10_000, 20):
+                for run in plan_starts(cell, now_ms):
+                    starts += 1
+                    confirm_starts(cell, [run], now_ms)
+                    ended = EndedRow(starts, run.name, run.attempt, RunEnd.DONE, "")
+                    apply_report(cell, cell.workers[run.worker], [], [ended], now_ms, now_ms)
+            self.assertLessEqual(starts, 2 * 21)
+            self.assertGreaterEqual(starts, 2 * 19)
 
     def test_a_service_that_ended_done_starts_again_after_a_takeover(self) -> None:
         """Guards against a service that stays away as an earlier version recorded it as done."""
@@ -338,7 +353,7 @@
         cell = make_cell()
         accepted = accept_job(cell, make_job(make_step(is_service=True, saves_progress=True)))
         for number in range(2 * ATTEMPTS_SKIPPED):
-            (run,) = plan_starts(cell)
+            (run,) = plan_starts(cell, number * 1_000)
             confirm_starts(cell, [run])
             end_run(cell, run, RunEnd.FAILED, f"saved-{number}")
         successor = make_cell()
@@ -354,7 +369,7 @@
         (first,) = plan_starts(cell)
         confirm_starts(cell, [first])
         end_run(cell, first, RunEnd.FAILED, "old")
-        (second,) = plan_starts(cell)
+        (second,) = plan_starts(cell, 1_000)
         confirm_starts(cell, [second])
         row = replace(running_row(second), checkpoint="new")
         again = [EndedRow(1, first.name, first.attempt, RunEnd.FAILED, "old")]
@@ -374,7 +389,7 @@
         self.assertEqual({run.name for run in take_stops(cell)}, {run.name for run in others})
         for run in others:
             end_run(cell, run, RunEnd.STOPPED)
-        self.assertEqual([run.attempt for run in plan_starts(cell)], [2, 2, 2])
+        self.assertEqual([run.attempt for run in plan_starts(cell, 1_000)], [2, 2, 2])
 
 
 class QuarantineTest(unittest.TestCase):
