Check registry entries before anything is converted

Cause: labels nested 1,000 deep raise RecursionError in the codec, a port above 65,535 raises OverflowError in create_connection; neither was expected, and a leader term that fails steps down. The next one read the same entry, or the same address from cell/workers. A start in the far future under the id of a worker made its own entries look older. An unreadable entry is logged once a revision. Conclusion: an entry either names a worker that can be called, or none.

--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -39,6 +39,9 @@
 CHECK_INTERVAL_S = 0.1
 # Registry entries that lapsed in a store outage are back within about 2 s of its end.
 REGISTRY_GRACE_MS = 2_300
+# An entry that names a start this much later than now is not its worker's; clocks may be seconds
+# apart.
+MAX_BORN_AHEAD_MS = 3_600_000
 # Part of the greatest age of a capacity that an entry is taken to have as a takeover reads it.
 TAKEOVER_AGE_SHARE = 0.5
 
@@ -122,10 +125,10 @@
         now_ms = self._clock.now_ms()
         registered_ms = now_ms - int(TAKEOVER_AGE_SHARE * self._cell.max_capacity_age_ms)
         for item in registry:
-            info = self._codec.decode_worker(item.key, item.value)
+            info = self._decode(item)
             if info is not None:
                 self._cell.update_worker(info, now_ms).registered_ms = registered_ms
-                self._applied[item.key] = (info.id, item.revision)
+            self._applied[item.key] = (None if info is None else info.id, item.revision)
         lapse_ms = now_ms + lapse_after_ms(RUN_LEASE_MS)
         # A predecessor that may be alive keeps granting leases this much longer in a store outage.
         if not self._leader_lease.predecessor_is_dead:
@@ -308,18 +311,27 @@
         :param registered_ms: time at which it was current
         """
         worker_id, revision = self._applied.get(item.key, (None, ABSENT))
-        if worker_id is not None and revision >= item.revision:
-            worker = self._cell.workers.get(worker_id)
-            if worker is not None and worker.is_listed:
+        if revision >= item.revision:
+            worker = None if worker_id is None else self._cell.workers.get(worker_id)
+            if worker_id is None or (worker is not None and worker.is_listed):
                 return worker_id
         worker_id = self._apply_entry(item, registered_ms)
         self._applied[item.key] = (worker_id, item.revision)
         return worker_id
 
-    def _apply_entry(self, item: Item, registered_ms: int) -> WorkerId | None:
+    def _decode(self, item: Item) -> WorkerInfo | None:
+        """Return the worker of a registry entry, ``None`` if the entry names none."""
         info = self._codec.decode_worker(item.key, item.value)
         if info is None:
-            _log.warning("registry entry unreadable", key=item.key)
+            _log.warning("registry entry unreadable", key=item.key, revision=item.revision)
+        elif info.born_ms > self._clock.wall_ms() + MAX_BORN_AHEAD_MS:
+            _log.warning("registry entry of the future", key=item.key, born_ms=info.born_ms)
+            return None
+        return info
+
+    def _apply_entry(self, item: Item, registered_ms: int) -> WorkerId | None:
+        info = self._decode(item)
+        if info is None:
             return None
         known = self._cell.workers.get(info.id)
         if known is None or known.info != info:
--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -152,7 +152,8 @@
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
             )
-        except (TimeoutError, OSError, ValueError) as exc:
+        except (TimeoutError, OSError, OverflowError, ValueError) as exc:
+            # The last two are raised for a port out of range and for a malformed address.
             raise PeerUnreachableError(f"{address}: {type(exc).__name__}") from exc
         link = _Link(Connection(reader, writer))
         link.conn.send(Envelope(0, "hello", self._hello))
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -5,7 +5,7 @@
 import unittest
 from contextlib import suppress
 
-from lagoonshelf_platform.http_client import HttpClient, NoResponseError
+from lagoonshelf_platform.http_client import HttpClient, NoResponseError, NotSentError
 
 PIECE = b"x" * 100
 PIECES = 10
@@ -120,3 +120,13 @@
         count = len(self.conns)
         self.assertEqual(await self._call(), 200)
         self.assertEqual(len(self.conns), count)
+
+
+class AddressTest(unittest.IsolatedAsyncioTestCase):
+    """Addresses to which there is no connection."""
+
+    async def test_a_malformed_address_is_not_reachable(self) -> None:
+        """Guards against an error that ends the caller instead of its call."""
+        for address in ("127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.1:x", "127.0.0.1", "\0:80"):
+            with self.subTest(address), self.assertRaises(NotSentError):
+                await HttpClient().call(address, "GET", "/", timeout_ms=100)
--- a/tests/server/test_peers.py
+++ b/tests/server/test_peers.py
@@ -242,6 +242,12 @@
         with self.assertRaises(PeerUnreachableError):
             await self.good.call(f"{HOST}:{port}", "ack", Ack(1), 5)
 
+    async def test_a_malformed_address_is_not_reachable(self) -> None:
+        """Guards against an error that ends the caller's loop instead of its call."""
+        for address in (f"{HOST}:65536", f"{HOST}:x", HOST):
+            with self.subTest(address), self.assertRaises(PeerUnreachableError):
+                await self.good.call(address, "ack", Ack(1), 5)
+
     async def test_too_many_messages_at_once_are_refused(self) -> None:
         """Guards against memory exhaustion by unanswered messages of one member."""
         with patch.object(peers, "MAX_IN_FLIGHT", 0):
