--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -8,10 +8,15 @@
 
 from lagoonshelf_platform.http_client import HttpClient, NoResponseError
 from lagoonshelf_platform.workers import PlatformWorkers
-from lagoonshelf_server.jobs.ports import NoAnswerError
+from lagoonshelf_server.jobs.ports import NoAnswerError, StartOutcome, StartRequest
 from tests.platform.standin.http import Request, Response, StubServer
 from tests.support.jobs import worker_info
 
+# As deep as the encoder of the stand-in allows.
+NESTED: list = []
+for _ in range(200):
+    NESTED = [NESTED]
+
 
 class MalformedListsTest(unittest.IsolatedAsyncioTestCase):
     """An executor whose lists of runs cannot be decoded."""
@@ -42,12 +47,41 @@
             {"finished": [[1, None, 1, "done", ""]]},
             {"finished": [[1, "a.0.0.0", 1, "vanished", ""]]},
             {"born": "yesterday"},
+            {"born": 2**64 - 1},
+            {"running": [["a.0.0.0", 2.0**70, "", 10]]},
+            {"running": [["a.0.0.0", 1, "", 2**64 - 1]]},
+            {"running": [[NESTED, 1, "", 10]]},
+            {"finished": [[1e300, "a.0.0.0", 1, "done", ""]]},
+            {"finished": [[1, "a.0.0.0", -1, "done", ""]]},
+            {"finished": [[1, "a.0.0.0", 1, ["done"], ""]]},
+            {"finished": [[1, "a.0.0.0", 1, "done", NESTED]]},
         ):
             fields.clear()
             fields.update(malformed)
             with self.assertRaises(NoAnswerError, msg=str(malformed)):
                 await workers.list_runs(info, 1, 0, None, 0, 500)
 
+    async def test_a_clock_that_cannot_be_sent_back_is_ignored(self) -> None:
+        """Guards against a lease beyond 64 bits, which ended the term when it was encoded."""
+        clock: list = []
+
+        async def handle(request: Request) -> Response:
+            status = 200 if request.path.endswith("hold") else 409
+            body = {"clock_ms": clock[0], "reason": NESTED, "running": [], "finished": []}
+            return Response(status, body)
+
+        server = StubServer(handle)
+        await server.listen()
+        self.addAsyncCleanup(server.close)
+        workers = PlatformWorkers(HttpClient())
+        info = worker_info(0, address=server.address)
+        for value in (1e300, 2**64 - 1, -5, "x", NESTED):
+            clock[:] = [value]
+            listing = await workers.list_runs(info, 1, 0, None, 0, 500)
+            self.assertEqual(listing.worker_clock_ms, 0)
+            reply = await workers.start(info, StartRequest("a.0.0.0", 1, "", 5, 1, "", ""), 500)
+            self.assertEqual((reply.outcome, reply.worker_clock_ms), (StartOutcome.INVALID, 0))
+
 
 class LateLoopTest(unittest.IsolatedAsyncioTestCase):
     """A process whose event loop is late, and a server in a thread of its own."""
