--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -20,8 +20,8 @@
 UNAVAILABLE = 503
 
 
-class OldConfigTest(unittest.IsolatedAsyncioTestCase):
-    """A process that has known a configuration for some time."""
+class IngressTestCase(unittest.IsolatedAsyncioTestCase):
+    """A process with a configuration and a store."""
 
     async def asyncSetUp(self) -> None:
         self.clock = PausableClock()
@@ -40,6 +40,10 @@
         data = b"" if body is None else orjson.dumps(body)
         return await self.ingress.handle(HttpRequest(method, path, headers, data))
 
+
+class OldConfigTest(IngressTestCase):
+    """A process that has known a configuration for some time."""
+
     async def _statuses(self) -> list[int]:
         job = {"spec": "x", "phases": [STEP]}
         responses = [
@@ -65,3 +69,36 @@
         self.clock.skipped_ms = MAX_AGE_MS
         response = await self._request("GET", f"/batch/{JOB_ID}")
         self.assertEqual(response.headers["Retry-After"], "1")
+
+
+class MalformedJobTest(IngressTestCase):
+    """Jobs that cannot be stored."""
+
+    async def test_each_malformed_job_is_refused_with_the_reason(self) -> None:
+        """Guards against an internal error for a job that no retry can make acceptable."""
+        nested: list = []
+        for _ in range(200):
+            nested = [nested]
+        jobs = [
+            {"spec": "x", "phases": [{**STEP, name: value}]}
+            for name in ("count", "cpu", "mem_mb", "gpu", "estimate_ms", "anti_affinity")
+            for value in (1e300, 2.0**70, -1, "x", nested)
+        ]
+        jobs += [
+            {"spec": "x", "phases": [STEP], name: value}
+            for name in ("repeats", "start_at_ms", "interval_ms")
+            for value in (1e300, 2.0**70, -1, "x", nested)
+        ]
+        jobs += [{"spec": nested, "phases": [STEP]}, {"spec": "x", "phases": nested}, [], None, 5]
+        for job in jobs:
+            with self.subTest(str(job)[:80]):
+                response = await self._request("POST", f"/batch/{JOB_ID}", body=job)
+                self.assertEqual(response.status, 400)
+                self.assertIn("error", orjson.loads(response.body))
+        deep = (
+            b'{"spec":"x","phases":[{"count":1,"constraints":' + b"[" * 900 + b"]" * 900 + b"}]}"
+        )
+        headers = {b"host": b"h", b"authorization": b"Token key"}
+        request = HttpRequest("POST", f"/batch/{JOB_ID}", headers, deep)
+        self.assertEqual((await self.ingress.handle(request)).status, 400)
+        self.assertEqual(self.store.commits, 0)
