Tests: share the registry entry, and add a start in the far future

Cause: test_registry repeated the entry of test_codec, and no case reached the check of the fleet for a start in the future, as the decoder refuses 2^64 - 1 before. Conclusion: no test is weakened, one is added.

--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -11,6 +11,7 @@
 from lagoonshelf_platform.workers import PlatformWorkers
 from lagoonshelf_server.jobs.leader import Leader
 from lagoonshelf_server.jobs.ports import Listing
+from tests.platform.entries import ENTRY
 from tests.support.job_fakes import FakeWorkers, eventually
 from tests.support.jobs import POOL, make_job, make_step, worker_info
 from tests.support.terms import WORKERS, TermTestCase
@@ -20,27 +21,9 @@
 WATCH_STARTED_S = 0.1
 
 
-def entry(**fields: object) -> dict[str, object]:
-    """Return the fields of a registry entry."""
-    values = {
-        "service": POOL,
-        "addr": "127.0.0.1:9",
-        "zone": "lima-surco",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "capacity": {"cpu": 64_000, "mem_mb": 131_072, "gpu": 0},
-        "labels": ["a", "r1"],
-        "seq": 4,
-        "born": 1_000,
-    }
-    return {**values, **fields}
-
-
 def encode(**fields: object) -> bytes:
-    """Return an entry; the text ``DEEP`` stands for a deeply nested list."""
-    data = orjson.dumps(entry(**fields))
+    """Return the entry of a worker; the text ``DEEP`` stands for a deeply nested list."""
+    data = orjson.dumps({**ENTRY, "service": POOL, "state": "ready", "born": 1_000, **fields})
     return data.replace(b'"DEEP"', b"[" * DEPTH + b"]" * DEPTH)
 
 
@@ -56,8 +39,9 @@
     "capacity beyond 64 bits": encode(capacity={"cpu": 1, "mem_mb": 1, "gpu": 2.0**70}),
     "negative capacity": encode(capacity={"cpu": -64_000, "mem_mb": 1, "gpu": 0}),
     "large start time": encode(born=2**64 - 1),
+    "start in the far future": encode(born=2**52),
     "large remaining time": encode(state="draining", remaining_ms=1e300),
-    "number beyond a double": encode().replace(b"131072", b"1e999"),
+    "number beyond a double": encode().replace(b"32768", b"1e999"),
     "port out of range": encode(addr="127.0.0.1:65536"),
     "port of many digits": encode(addr="127.0.0.1:" + "9" * 5_000),
     "port 0": encode(addr="127.0.0.1:0"),
