--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -9,6 +9,7 @@
 from lagoonshelf_platform.codec import REGISTRY_PREFIX, PlatformCodec
 from lagoonshelf_platform.http_client import HttpClient
 from lagoonshelf_platform.workers import PlatformWorkers
+from lagoonshelf_server.jobs.keys import USED_WORKERS
 from lagoonshelf_server.jobs.leader import Leader
 from lagoonshelf_server.jobs.ports import Listing
 from tests.platform.entries import ENTRY
@@ -118,6 +119,14 @@
             self._register(key, encode())
         await self._check_leads(await self._term("m1"))
 
+    async def test_an_odd_address_that_was_recorded_does_not_end_a_term(self) -> None:
+        """Guards against terms that end after the odd entry is gone, by the record of it."""
+        row = ["odd", "127.0.0.1:65536", 1_000]
+        self.store.put(USED_WORKERS, orjson.dumps([row]))
+        leader = await self._term("m1")
+        await asyncio.sleep(WATCH_STARTED_S)
+        await self._check_leads(leader)
+
     async def test_an_odd_entry_under_the_id_of_a_worker_is_forgotten(self) -> None:
         """Guards against a worker that is never used again once another writer has replaced it."""
         leader = await self._term("m1")
