Use the fencing token of the own term for writes and calls

Cause: writes, starts, stops and lists carried LeaderLease.revision, the last known revision of the lease key. In a deposed leader that is its successor's, and until its tasks are cancelled its writes passed under the successor's token. A final state that is written between the successor's readings of jobs and of progress deletes the progress, and the job starts anew. Change: LeaderLease.token is the revision that this process wrote last, and is used for every write and call. Tests, failing before: DeposedLeaderTest.test_it_writes_nothing_under_the_token_of_its_successor, .test_workers_refuse_its_calls.

--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -84,7 +84,7 @@
                 run.attempt,
                 command.payload,
                 lease_end_ms,
-                self._leader_lease.revision,
+                self._leader_lease.token,
                 command.checkpoint,
                 permit,
             )
@@ -115,7 +115,7 @@
                     worker.info,
                     run.name,
                     run.attempt,
-                    self._leader_lease.revision,
+                    self._leader_lease.token,
                     COMMAND_TIMEOUT_MS,
                 )
             except (WorkerUnreachableError, NoAnswerError) as exc:
@@ -143,7 +143,7 @@
                 run.name,
                 run.attempt,
                 command.percent,
-                self._leader_lease.revision,
+                self._leader_lease.token,
                 COMMAND_TIMEOUT_MS,
             )
         except (WorkerUnreachableError, NoAnswerError) as exc:
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -198,7 +198,7 @@
             if rows != self._used:
                 value = orjson.dumps([row.fields() for row in rows.values()])
                 result = await self._store.commit(
-                    {LEADER_KEY: self._leader_lease.revision}, [Put(USED_WORKERS, value)]
+                    {LEADER_KEY: self._leader_lease.token}, [Put(USED_WORKERS, value)]
                 )
                 if not isinstance(result, Committed):
                     raise StoreUnavailableError("list of used workers not written")
--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -74,7 +74,12 @@
 
 
 class LeaderLease:
-    """Watches the leader lease, claims it when it is free, and renews it while held."""
+    """Watches the leader lease, claims it when it is free, and renews it while held.
+
+    ``token`` is the revision of the key as this process last wrote it, and so the fencing token of
+    its terms. Writes and calls carry it, and not ``revision``: that is its successor's as soon as
+    a deposed leader knows of the successor.
+    """
 
     def __init__(self, store: Store, clock: Clock, member: MemberId, address: str) -> None:
         """Set up as a follower.
@@ -87,6 +92,7 @@
         self._address = address
         self._lease: StoreLease | None = None
         self._term = ABSENT
+        self.token = ABSENT
         self._absent_since_ms: int | None = None
         self.record: LeaderRecord | None = None
         self.is_loaded = False
@@ -104,7 +110,7 @@
 
     @property
     def revision(self) -> StoreRevision:
-        """Return the revision of the lease key, which is the leader's fencing token."""
+        """Return the last known revision of the lease key, whoever wrote it."""
         return self.record.revision if self.record is not None else ABSENT
 
     def may_dispatch(self) -> bool:
@@ -214,6 +220,7 @@
             _log.warning("leader lease not offered", reason=str(exc))
             return
         if isinstance(result, Committed) and self.is_held:
+            self.token = result.revision
             self.record = LeaderRecord(
                 result.revision, self.member, self._address, is_offered=True
             )
@@ -282,6 +289,7 @@
         self._absent_since_ms = None
         self.leader_status = LeaderStatus.UNKNOWN
         if fields["member"] == self.member and self.is_held:
+            self.token = item.revision
             self.record = LeaderRecord(item.revision, self.member, self._address)
         else:
             self.step_down(f"held by {fields['member']}")
@@ -336,7 +344,7 @@
             return
         was_held = self.is_held
         self._lease = lease
-        self._term = result.revision
+        self._term = self.token = result.revision
         self.renewed_ms = sent_ms
         self._absent_since_ms = None
         self.record = LeaderRecord(result.revision, self.member, self._address)
--- a/packages/server/lagoonshelf_server/jobs/maintenance.py
+++ b/packages/server/lagoonshelf_server/jobs/maintenance.py
@@ -99,7 +99,7 @@
         ):
             return
         outcome = await self._machines.begin_maintenance(
-            machine, wave.spec.number, self._leader_lease.member, self._leader_lease.revision
+            machine, wave.spec.number, self._leader_lease.member, self._leader_lease.token
         )
         _log.info(
             "machine maintenance requested",
@@ -119,6 +119,6 @@
             return
         value = self._codec.encode_wave_status(number, is_complete=is_complete)
         put = Put(self._codec.wave_status_key(number), value)
-        if await self._store.commit({LEADER_KEY: self._leader_lease.revision}, [put]) is not None:
+        if await self._store.commit({LEADER_KEY: self._leader_lease.token}, [put]) is not None:
             self._reported[number] = is_complete
             _log.info("maintenance wave status written", wave=number, complete=is_complete)
--- a/packages/server/lagoonshelf_server/jobs/progress_writer.py
+++ b/packages/server/lagoonshelf_server/jobs/progress_writer.py
@@ -203,9 +203,7 @@
         """Delete records that are no longer needed; return whether this process still leads."""
         for start in range(0, len(keys), MAX_ENTRIES - 1):
             some = keys[start : start + MAX_ENTRIES - 1]
-            result = await self._store.commit(
-                {LEADER_KEY: self._leader_lease.revision}, deletes=some
-            )
+            result = await self._store.commit({LEADER_KEY: self._leader_lease.token}, deletes=some)
             if not isinstance(result, Committed):
                 return False
         return True
@@ -247,7 +245,7 @@
 
     async def _write(self, writes: list[_Write]) -> bool:
         """Write in one transaction; return whether it is durable."""
-        conditions: dict[str, int] = {LEADER_KEY: self._leader_lease.revision}
+        conditions: dict[str, int] = {LEADER_KEY: self._leader_lease.token}
         for write in writes:
             conditions.update(write.conditions)
         puts = [write.put for write in writes]
@@ -284,7 +282,7 @@
         """
         found = {item.key: item for item in conflict.items}
         leader_item = found.get(LEADER_KEY)
-        if leader_item is None or leader_item.revision != self._leader_lease.revision:
+        if leader_item is None or leader_item.revision != self._leader_lease.token:
             if leader_item is not None:
                 self._leader_lease.observe_revision(leader_item.revision)
             return False
--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -118,7 +118,7 @@
         lease_end_ms = None if self.failures else self.lease_end_ms()
         return await self._port.list_runs(
             self._worker.info,
-            self._leader_lease.revision,
+            self._leader_lease.token,
             self._acked_end,
             lease_end_ms,
             wait_ms,
--- a/tests/server/jobs/test_fleet.py
+++ b/tests/server/jobs/test_fleet.py
@@ -4,8 +4,15 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
-from lagoonshelf_core.jobs.progress import JobState
-from lagoonshelf_server.jobs.keys import ENDED_PREFIX, PROGRESS_PREFIX
+from lagoonshelf_core.jobs.progress import Job, JobState
+from lagoonshelf_server.jobs.keys import (
+    ENDED_PREFIX,
+    PROGRESS_PREFIX,
+    USED_WORKERS,
+    ended_key,
+    job_key,
+)
+from lagoonshelf_server.jobs.leader import Leader
 from lagoonshelf_server.jobs.ports import (
     Committed,
     Conflict,
@@ -116,3 +123,48 @@
         history = successor.cell.jobs[spec.id].find_task(0, 0, 0).crash_history
         self.assertIsNotNone(history)
         self.assertEqual(history.crashes + history.losses, 1)
+
+
+class DeposedLeaderTest(TermTestCase):
+    """A leader that knows its successor, in the moment before its tasks have ended."""
+
+    async def _depose(self) -> tuple[Leader, Leader, Job]:
+        """Return a deposed leader, its successor, and a job of both."""
+        first = await self._term("m1")
+        spec = make_job(make_step(2))
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 2)
+        second = await self._term("m2")
+        await eventually(lambda: spec.id in second.cell.jobs)
+        await first.lease._refresh()
+        self.assertEqual(first.lease.revision, second.lease.revision)
+        return first, second, first.cell.jobs[spec.id]
+
+    async def test_it_writes_nothing_under_the_token_of_its_successor(self) -> None:
+        """Guards against records that change while, or after, the successor reads them.
+
+        It wrote the end of a job after the successor had read the job, and before it read the
+        progress, so that the whole job ran again (review/1 on seed 5).
+        """
+        first, second, job = await self._depose()
+        before = dict(self.store.items)
+        first.cell.cancel(job.id, 0)
+        first.progress_writer.add({job})
+        writing = asyncio.ensure_future(first.progress_writer.run())
+        first.cell.update_worker(worker_info(WORKERS), 0)
+        with self.assertRaises(StoreUnavailableError):
+            await first._fleet.write_used()
+        self.assertFalse(await first.progress_writer.delete([job_key(job.id)]))
+        await asyncio.sleep(0.2)
+        writing.cancel()
+        self.assertEqual(self.store.items[job_key(job.id)], before[job_key(job.id)])
+        self.assertEqual(self.store.items[USED_WORKERS], before[USED_WORKERS])
+        self.assertNotIn(ended_key(job.id), self.store.items)
+        self.assertTrue(second.lease.is_held)
+
+    async def test_workers_refuse_its_calls(self) -> None:
+        """Guards against calls that a worker takes for those of the successor."""
+        first, second, _ = await self._depose()
+        await eventually(lambda: all(w.token == second.lease.revision for w in self._entries()))
+        session = next(iter(first._fleet.sessions.values()))
+        self.assertTrue((await session._list()).is_fenced)
