Read progress before jobs in a takeover

Change: progress is read first. A job that ends in between is then missing; one that is accepted in between has no progress yet.

--- a/packages/server/lagoonshelf_server/jobs/takeover.py
+++ b/packages/server/lagoonshelf_server/jobs/takeover.py
@@ -91,9 +91,11 @@
     """
     registry = await PrefixReader(store, registry_prefix).read()
     used_workers = await _read(store, USED_WORKERS)
+    # Progress goes before jobs: a job whose records are deleted between the two readings is then
+    # missing, instead of looking like one that has not started.
+    progress = await PrefixReader(store, PROGRESS_PREFIX).read()
     submissions = PrefixReader(store, SUBMISSION_PREFIX)
     stored = await submissions.read()
-    progress = await PrefixReader(store, PROGRESS_PREFIX).read()
     jobs: dict[JobId, JobSpec] = {}
     cancelled: dict[JobId, str] = {}
     for number, item in enumerate(stored):
--- a/tests/server/jobs/test_takeover.py
+++ b/tests/server/jobs/test_takeover.py
@@ -11,6 +11,7 @@
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
 from lagoonshelf_server.jobs.keys import (
+    PROGRESS_PREFIX,
     SUBMISSION_PREFIX,
     cancel_key,
     ended_key,
@@ -19,7 +20,7 @@
 )
 from lagoonshelf_server.jobs.leader import Leader, Ports
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
-from lagoonshelf_server.jobs.ports import Page, StoreRevision, StoreUnavailableError
+from lagoonshelf_server.jobs.ports import Page, Put, StoreRevision, StoreUnavailableError
 from lagoonshelf_server.jobs.takeover import PrefixReader
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, eventually
 from tests.support.jobs import config, make_job, worker_info
@@ -140,6 +141,33 @@
         self.assertIs(await api.cancel(spec.id, 1_000), WriteOutcome.STORED)
         self.assertNotIn(cancel_key(spec.id), self.store.items)
 
+    async def test_a_job_that_ends_between_two_readings_is_not_run_again(self) -> None:
+        """Guards against a job that looks new, as its progress is deleted after it was read.
+
+        Tasks ran again whose ends their workers no longer listed (review/1 on seed 5).
+        """
+        job = Job(make_job(), 0)
+        job.state = JobState.RUNNING
+        self._store(job.spec)
+        self.store.put(progress_key(job.id), encode_progress(job))
+        original, has_ended = self.store.read_page, False
+
+        async def read_page(prefix: str, after: str, *, stale: bool = False) -> Page:
+            nonlocal has_ended
+            page = await original(prefix, after, stale=stale)
+            if prefix in (SUBMISSION_PREFIX, PROGRESS_PREFIX) and not has_ended:
+                has_ended = True
+                put = Put(ended_key(job.id), encode_end(job))
+                self.store._apply({}, [put], [job_key(job.id), progress_key(job.id)])
+            return page
+
+        self.store.read_page = read_page
+        leader = await self._start_term()
+        await eventually(lambda: leader.is_ready)
+        await asyncio.sleep(0.2)
+        self.assertTrue(has_ended)
+        self.assertEqual(self.workers.started, [])
+
     async def test_remains_of_late_writes_are_deleted(self) -> None:
         """Guards against an unanswered write that leaves a record behind for ever.
 
