--- a/tests/server/jobs/test_fleet.py
+++ b/tests/server/jobs/test_fleet.py
@@ -143,8 +143,8 @@
     async def test_it_writes_nothing_under_the_token_of_its_successor(self) -> None:
         """Guards against records that change while, or after, the successor reads them.
 
-        It wrote the end of a job after the successor had read the job, and before it read the
-        progress, so that the whole job ran again (review/1 on seed 5).
+        An end of a job that is written after the successor has read the job, and before it reads
+        the progress, lets tasks run again that are done; suspected of review/1 on seed 5.
         """
         first, second, job = await self._depose()
         before = dict(self.store.items)
--- a/tests/server/jobs/test_takeover.py
+++ b/tests/server/jobs/test_takeover.py
@@ -144,7 +144,8 @@
     async def test_a_job_that_ends_between_two_readings_is_not_run_again(self) -> None:
         """Guards against a job that looks new, as its progress is deleted after it was read.
 
-        Tasks ran again whose ends their workers no longer listed (review/1 on seed 5).
+        Tasks whose ends their workers no longer list would run again; suspected of review/1 on
+        seed 5.
         """
         job = Job(make_job(), 0)
         job.state = JobState.RUNNING
