Log how old the leader's knowledge of cancellations is at a start

Change: revision and age of the submissions in the lines of starts, cancellations and takeovers, and in a histogram; lines for announcements that were given up, failed watches and readings after a loss of history. No decision changes.

--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -17,6 +17,9 @@
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
 
+# Log message of the tasks of a step that start in a pass.
+TASKS_PLACED = "tasks placed"
+
 
 def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> None:
     """Run a scheduling pass; add commands to the cell for the tasks that start now.
@@ -163,7 +166,7 @@
     }
     if step.has_suspects:
         fields["isolated"] = [task.index for task, _ in placed if task.is_suspect]
-    cell.notes.append(("tasks placed", fields))
+    cell.notes.append((TASKS_PLACED, fields))
 
 
 def _place_tasks(
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -44,6 +44,11 @@
     "Time since the configuration by which a request was answered had been confirmed.",
     buckets=BUCKETS_MS,
 )
+submissions_use_age_ms = Histogram(
+    "lagoonshelf_submissions_use_age_ms",
+    "Time since the jobs and cancellations by which tasks are started had been confirmed.",
+    buckets=BUCKETS_MS,
+)
 config_watch_failures = Counter(
     "lagoonshelf_config_watch_failures_total", "Watches of the configuration that failed."
 )
--- a/packages/server/lagoonshelf_server/jobs/job_watcher.py
+++ b/packages/server/lagoonshelf_server/jobs/job_watcher.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure
 
+from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job
 from lagoonshelf_server.jobs.keys import CANCEL_PREFIX, JOB_PREFIX, SUBMISSION_PREFIX
 from lagoonshelf_server.jobs.ports import (
@@ -31,6 +32,7 @@
     def __init__(
         self,
         store: Store,
+        clock: Clock,
         accept: Callable[[JobSpec, StoreRevision], object],
         cancel: Callable[[JobId], None],
     ) -> None:
@@ -41,36 +43,58 @@
         :param cancel: called with the id of each cancelled job
         """
         self._store = store
+        self._clock = clock
         self._accept = accept
         self._cancel = cancel
         self.revision = StoreRevision(0)
+        self._confirmed_ms = 0
+
+    def age_ms(self) -> int:
+        """Return how long ago everything that was stored is known to have been passed on."""
+        return self._clock.now_ms() - self._confirmed_ms
+
+    def record_reading(self, revision: StoreRevision, sent_ms: int) -> None:
+        """Record that everything up to a revision has been passed on.
+
+        :param sent_ms: when it was requested; the response may have waited here for any time
+        """
+        self.revision = max(self.revision, revision)
+        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
 
     async def watch(self) -> None:
         """Watch from ``revision`` on until cancelled."""
         while True:
+            sent_ms = self._clock.now_ms()
             try:
                 changes, revision = await self._store.watch(
                     SUBMISSION_PREFIX, self.revision, WATCH_MS
                 )
-                self.revision = revision
                 for change in changes:
                     if change.item is not None:
                         self.apply_item(change.item)
+                self.record_reading(revision, sent_ms)
                 await asyncio.sleep(WATCH_PAUSE_S)
             except HistoryLostError:
                 await self._reread()
-            except (StoreUnavailableError, StoreUncertainError):
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                self._log_failure("submissions not watched", exc)
                 await asyncio.sleep(RETRY_S)
 
     async def _reread(self) -> None:
+        sent_ms = self._clock.now_ms()
         try:
             items, revision = await self._store.read_all(SUBMISSION_PREFIX)
-        except (StoreUnavailableError, StoreUncertainError):
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            self._log_failure("submissions not read", exc)
             await asyncio.sleep(RETRY_S)
             return
-        self.revision = revision
         for item in items:
             self.apply_item(item)
+        self.record_reading(StoreRevision(revision), sent_ms)
+        _log.info("submissions read again", items=len(items), revision=revision)
+
+    def _log_failure(self, message: str, exc: Exception) -> None:
+        _log.info(message, revision=self.revision, age_ms=self.age_ms(), reason=str(exc))
 
     def apply_item(self, item: Item) -> None:
         """Pass on a stored job or cancellation."""
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -7,7 +7,7 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import Command, PaceRun, RequestAdvice, StartRun, StopRun
-from lagoonshelf_core.jobs.planning import plan, summary
+from lagoonshelf_core.jobs.planning import TASKS_PLACED, plan, summary
 from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_core.jobs.supervision import supervise
@@ -77,7 +77,7 @@
         self.cell.on_give_up = lambda: job_metrics.given_up_tasks.inc({})
         self.progress_writer = ProgressWriter(self._store, leader_lease)
         self.advice_router = AdviceRouter(self.cell, clock, self.request_pass)
-        self._job_watcher = JobWatcher(self._store, self.accept, self.cancel)
+        self._job_watcher = JobWatcher(self._store, clock, self.accept, self.cancel)
         hooks = FleetHooks(
             self._spawn, self._after_report, self.request_pass, self._record_changes
         )
@@ -108,7 +108,7 @@
 
     async def _lead(self) -> None:
         started_ms = self._clock.now_ms()
-        state = await read_cell_state(self._store, self._codec.registry_prefix)
+        state = await read_cell_state(self._store, self._codec.registry_prefix, self._clock)
         await self._restore(state)
         self.is_ready = True
         self._leader_lease.record_takeover()
@@ -119,6 +119,7 @@
             live=len(self.cell.live_jobs),
             workers=len(self.cell.workers),
             took_ms=self._clock.now_ms() - started_ms,
+            **self._submission_fields(),
         )
         self._spawn(self.progress_writer.run())
         self._spawn(self._job_watcher.watch())
@@ -153,8 +154,10 @@
     def cancel(self, job: JobId) -> None:
         """Cancel a job whose cancellation is stored."""
         if self.cell.cancel(job, self._clock.wall_ms()):
-            _log.info("job cancelled", request=job)
+            _log.info("job cancelled", request=job, **self._submission_fields())
             self.request_pass()
+        elif job not in self.cell.jobs:
+            _log.info("unknown job cancelled", request=job, **self._submission_fields())
 
     def state(self, job_id: JobId) -> JobState | None:
         """Return the durable state of a job, which a successor would return as well."""
@@ -170,7 +173,8 @@
         return self.is_ready and self._leader_lease.may_dispatch()
 
     async def _restore(self, state: CellState) -> None:
-        self._loaded_revision = self._job_watcher.revision = state.revision
+        self._loaded_revision = state.revision
+        self._job_watcher.record_reading(state.revision, state.requested_ms)
         lapse_ms = self._fleet.restore(state.registry, state.used_workers)
         now_ms = self._clock.now_ms()
         for number, spec in enumerate(state.jobs):
@@ -222,14 +226,22 @@
         self._record_changes(is_urgent=bool(starting))
         starts = [command for command in commands if isinstance(command, StartRun)]
         if starts:
+            job_metrics.submissions_use_age_ms.observe({}, self._job_watcher.age_ms())
             self._spawn(self._start(starts, self.progress_writer.mark()))
         for command in commands:
             if not isinstance(command, StartRun):
                 self._spawn(self._execute(command))
         notes, cell.notes = cell.notes, []
         for message, fields in notes:
+            if message == TASKS_PLACED:
+                fields.update(self._submission_fields())
             _log.info(message, seat=self._leader_lease.revision, **fields)
 
+    def _submission_fields(self) -> dict[str, int]:
+        """Return how much of the stored jobs and cancellations is known, for the log."""
+        watcher = self._job_watcher
+        return {"submissions": watcher.revision, "submissions_age_ms": watcher.age_ms()}
+
     def _is_config_valid(self) -> bool:
         """Return whether limits and queues are certainly those in force.
 
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -252,6 +252,7 @@
                     "accepted job not announced to the leader", request=job, reason=str(exc)
                 )
             await asyncio.sleep(RETRY_S)
+        _log.info("job not announced", request=job, attempts=ANNOUNCE_ATTEMPTS)
 
     async def _announce_cancel(self, job: JobId) -> None:
         for _ in range(ANNOUNCE_ATTEMPTS):
@@ -268,6 +269,7 @@
                     "cancellation not announced to the leader", request=job, reason=str(exc)
                 )
             await asyncio.sleep(RETRY_S)
+        _log.info("cancellation not announced", request=job, attempts=ANNOUNCE_ATTEMPTS)
 
     async def _state(self, job: JobId) -> JobState | None:
         leader = self._leader
--- a/packages/server/lagoonshelf_server/jobs/takeover.py
+++ b/packages/server/lagoonshelf_server/jobs/takeover.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_server.jobs.job_watcher import read_cancel, read_job
 from lagoonshelf_server.jobs.keys import (
@@ -34,10 +35,12 @@
     """State of the cell in the store.
 
     :param revision: revision of the store when the reading of the jobs began
+    :param requested_ms: clock time at which it was requested
     :param orphans: keys of progress records and cancellations whose jobs have ended
     """
 
     revision: StoreRevision
+    requested_ms: int
     jobs: tuple[JobSpec, ...]
     progress: dict[JobId, Item]
     cancelled: tuple[JobId, ...]
@@ -53,17 +56,20 @@
     and however slow the link.
     """
 
-    def __init__(self, store: Store, prefix: str) -> None:
+    def __init__(self, store: Store, prefix: str, clock: Clock) -> None:
         """Set up without reading."""
         self._store = store
+        self._clock = clock
         self._prefix = prefix
         self.items: list[Item] = []
         self.revision = ABSENT
+        self.requested_ms = 0
 
     async def read(self) -> list[Item]:
-        """Return all items; ``revision`` is that of the first page."""
+        """Return all items; ``revision`` and ``requested_ms`` are those of the first page."""
         after = ""
         while True:
+            sent_ms = self._clock.now_ms()
             try:
                 page = await self._store.read_page(self._prefix, after)
             except (StoreUnavailableError, StoreUncertainError) as exc:
@@ -76,25 +82,25 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             if not after:
-                self.revision = page.revision
+                self.revision, self.requested_ms = page.revision, sent_ms
             self.items += page.items
             if not page.has_more:
                 return self.items
             after = page.items[-1].key
 
 
-async def read_cell_state(store: Store, registry_prefix: str) -> CellState:
+async def read_cell_state(store: Store, registry_prefix: str, clock: Clock) -> CellState:
     """Read the state of the cell, however long it takes.
 
     The prefixes are read one after the other, which leaves room on a small link for the renewal of
     the leader lease.
     """
-    registry = await PrefixReader(store, registry_prefix).read()
+    registry = await PrefixReader(store, registry_prefix, clock).read()
     used_workers = await _read(store, USED_WORKERS)
     # Progress goes before jobs: a job whose records are deleted between the two readings is then
     # missing, instead of looking like one that has not started.
-    progress = await PrefixReader(store, PROGRESS_PREFIX).read()
-    submissions = PrefixReader(store, SUBMISSION_PREFIX)
+    progress = await PrefixReader(store, PROGRESS_PREFIX, clock).read()
+    submissions = PrefixReader(store, SUBMISSION_PREFIX, clock)
     stored = await submissions.read()
     jobs: dict[JobId, JobSpec] = {}
     cancelled: dict[JobId, str] = {}
@@ -114,6 +120,7 @@
     orphans += [key for job, key in cancelled.items() if job_key(job) not in stored_keys]
     return CellState(
         submissions.revision,
+        submissions.requested_ms,
         tuple(jobs.values()),
         records,
         tuple(job for job in cancelled if job in jobs),
--- a/tests/server/jobs/test_takeover.py
+++ b/tests/server/jobs/test_takeover.py
@@ -83,7 +83,7 @@
         for _ in range(45):
             self._store(make_job())
         self._fail_pages(lambda call: call % 2 == 0)
-        reader = PrefixReader(self.store, SUBMISSION_PREFIX)
+        reader = PrefixReader(self.store, SUBMISSION_PREFIX, self.clock)
         items = await reader.read()
         self.assertEqual(len({item.key for item in items}), 45)
         self.assertEqual(self.store.pages_read, 5)
