Tests: starts of cancelled jobs, which fail on the present code

Cause: the three hypotheses of the incident. A leader starts tasks by a reading of the store of any age; it drops a cancellation of a job that it does not know yet, in a takeover and after a loss of history too; a job is stored after DELETE found none. Which of them the users saw is not shown by this.

--- /dev/null
+++ b/tests/server/jobs/test_job_watcher.py
@@ -0,0 +1,178 @@
+"""Tests of what a leader knows of jobs and cancellations when it starts tasks."""
+
+import asyncio
+from collections.abc import Sequence
+from unittest.mock import patch
+
+from lagoonshelf_core.jobs.progress import JobState
+from lagoonshelf_server.jobs import job_watcher
+from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
+from lagoonshelf_server.jobs.keys import SUBMISSION_PREFIX, USED_WORKERS, cancel_key, job_key
+from lagoonshelf_server.jobs.leader import Leader
+from lagoonshelf_server.jobs.ports import (
+    Change,
+    Committed,
+    Conflict,
+    Put,
+    StoreRevision,
+    StoreUnavailableError,
+)
+from tests.support.job_fakes import PausableClock, eventually
+from tests.support.jobs import make_job, make_step
+from tests.support.terms import TermTestCase
+
+# `cancel_ms` of the platform's sites: nothing of a job is started later than this after its
+# cancellation was acknowledged.
+CANCEL_MS = 3_000
+# Longer than a pass takes to start what it may.
+PASS_S = 0.3
+
+
+class CancellationTest(TermTestCase):
+    """Terms on a store whose watch of jobs and cancellations may be silent or fail."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.clock = PausableClock()
+        self.workers.clock = self.store.clock = self.clock
+        self.is_silent = self.is_failing = False
+        self._watch = self.store.watch
+        self.store.watch = self._watch_unless_disturbed
+
+    async def _watch_unless_disturbed(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> tuple[list[Change], StoreRevision]:
+        while prefix == SUBMISSION_PREFIX and self.is_silent:
+            await asyncio.sleep(0.01)
+        if prefix == SUBMISSION_PREFIX and self.is_failing:
+            await asyncio.sleep(0.01)
+            raise StoreUnavailableError("watch: status 503")
+        return await self._watch(prefix, after, wait_ms)
+
+    async def test_a_job_cancelled_during_a_takeover_is_not_started_later(self) -> None:
+        """Guards against starts by a reading of the store that was made long before.
+
+        The cancellation was stored after the takeover had read the jobs, and the first answer of
+        the watch is late.
+        """
+        spec = make_job(make_step(2))
+        self._store(spec)
+        commit = self.store.commit
+
+        async def slow_commit(
+            conditions: dict, puts: Sequence[Put] = (), deletes: Sequence[str] = (), **limits: int
+        ) -> Committed | Conflict | None:
+            if any(put.key == USED_WORKERS for put in puts):
+                self.store.put(cancel_key(spec.id), b"{}")
+                self.clock.skipped_ms += CANCEL_MS
+            return await commit(conditions, puts, deletes, **limits)
+
+        self.store.commit = slow_commit
+        self.is_silent = True
+        leader = await self._term("m1")
+        await self._run_passes(leader)
+        self.assertEqual(self.workers.started, [])
+        self.is_silent = False
+        await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
+        self.assertEqual(self.workers.started, [])
+
+    async def test_nothing_is_started_while_cancellations_may_be_unknown(self) -> None:
+        """Guards against starts of a leader that has heard nothing of the store for long."""
+        leader = await self._term("m1")
+        self.is_silent = True
+        await asyncio.sleep(PASS_S)
+        spec, other = make_job(), make_job()
+        self._store(spec)
+        self._store(other)
+        self.store.put(cancel_key(spec.id), b"{}")
+        self.clock.skipped_ms += CANCEL_MS
+        for job in (spec, other):
+            self._announce(leader, job.id)
+        await self._run_passes(leader)
+        self.assertEqual(self.workers.started, [])
+        self.is_silent = False
+        await eventually(lambda: self._starts_of(other) == 1)
+        await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
+        self.assertEqual(self._starts_of(spec), 0)
+
+    async def test_a_cancellation_that_is_announced_before_its_job_is_kept(self) -> None:
+        """Guards against a leader that confirms a cancellation and then starts the job."""
+        leader = await self._term("m1")
+        self.is_silent = True
+        spec = make_job()
+        self._store(spec)
+        self.store.put(cancel_key(spec.id), b"{}")
+        leader.cancel(spec.id)
+        self._announce(leader, spec.id)
+        await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
+        self.assertEqual(self.workers.started, [])
+
+    async def test_a_cancellation_that_is_announced_during_a_takeover_is_kept(self) -> None:
+        """Guards against a takeover that loses what it is told before it is complete."""
+        spec = make_job()
+        self._store(spec)
+        self.is_silent = True
+        restore = Leader._restore
+
+        async def restore_later(leader: Leader, state: object) -> None:
+            self.store.put(cancel_key(spec.id), b"{}")
+            leader.cancel(spec.id)
+            await restore(leader, state)
+
+        with patch.object(Leader, "_restore", restore_later):
+            leader = await self._term("m1")
+        await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
+        self.assertEqual(self.workers.started, [])
+
+    async def test_a_cancelled_job_is_not_started_after_a_loss_of_history(self) -> None:
+        """Guards against a reading that meets the cancellation before its job.
+
+        The store lists keys in their order, in which cancellations come first.
+        """
+        with patch.object(job_watcher, "WATCH_PAUSE_S", 0.01):
+            leader = await self._term("m1")
+            self.is_failing = True
+            await asyncio.sleep(0.1)
+            spec = make_job()
+            self._store(spec)
+            self.store.put(cancel_key(spec.id), b"{}")
+            self.store.compact()
+            self.is_failing = False
+            await eventually(lambda: spec.id in leader.cell.jobs)
+            await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
+        self.assertEqual(self.workers.started, [])
+
+    async def test_a_job_that_is_stored_after_its_cancellation_is_not_started(self) -> None:
+        """Guards against a job that runs although its client was told that there is none.
+
+        The write of the job was under way, and took effect after the answer to DELETE.
+        """
+        leader = await self._term("m1")
+        early, late = make_job(), make_job()
+        for spec in (early, late):
+            self.assertIs(await self._api().cancel(spec.id, 1_000), WriteOutcome.UNKNOWN_JOB)
+        self._store(early)
+        await eventually(lambda: leader.state(early.id) is JobState.CANCELLED)
+        self._store(late)
+        second = await self._term("m2")
+        await eventually(lambda: second.state(late.id) is JobState.CANCELLED)
+        self.assertEqual(self.workers.started, [])
+
+    async def _run_passes(self, leader: Leader) -> None:
+        """Let a leader that has renewed its lease and read the configuration start what it may."""
+        await eventually(leader.may_answer)
+        await eventually(leader.config_view.is_fresh)
+        leader.request_pass()
+        await asyncio.sleep(PASS_S)
+
+    def _announce(self, leader: Leader, job: str) -> None:
+        """Announce a stored job as the process that stored it does."""
+        item = self.store.items[job_key(job)]
+        leader.accept(job_watcher.read_job(item), item.created)
+
+    def _api(self) -> JobApi:
+        async def unreachable(*args: object) -> None:
+            raise ConnectionError("no leader")
+
+        client = LeaderClient(unreachable, unreachable, unreachable, unreachable)
+        return JobApi(self.store, self.clock, client)
