Keep cancellations of jobs that the leader does not know yet

Callers saw tasks of a job run after its cancelling had been acknowledged. Cause: a leader dropped a cancellation whose job it did not know, and confirmed it: an announcement that overtook that of its job, one during a takeover (which was refused, and given up after 0.4 s), and the reading after a loss of history, in which cancellations come before jobs. A question of a client for the state then made the job known, and it ran. Change: cancellations of unknown jobs are kept for 150 s and applied when the job becomes known, whatever the order; a leader takes them in its takeover too. Conclusion: the order in which a leader learns of things no longer decides whether a cancelled job runs.

--- /dev/null
+++ b/packages/core/lagoonshelf_core/jobs/early_cancellations.py
@@ -0,0 +1,30 @@
+"""Cancellations of jobs that are not known yet."""
+
+from lagoonshelf_core.jobs.spec import JobId
+
+# As long as the state of an ended job; no write of a job is under way for that long.
+EARLY_CANCELLATION_MS = 150_000
+
+
+class EarlyCancellations:
+    """Remembers cancellations until their jobs become known, or for a limited time."""
+
+    def __init__(self) -> None:
+        """Set up without cancellations."""
+        self._added_ms: dict[JobId, int] = {}
+
+    def add(self, job: JobId, now_ms: int) -> None:
+        """Remember the cancellation of a job."""
+        self._added_ms.setdefault(job, now_ms)
+
+    def take(self, job: JobId) -> bool:
+        """Forget the cancellation of a job; return whether there was one."""
+        return self._added_ms.pop(job, None) is not None
+
+    def take_expired(self, now_ms: int) -> list[JobId]:
+        """Forget the cancellations that have been kept long enough and return their jobs."""
+        limit_ms = now_ms - EARLY_CANCELLATION_MS
+        expired = [job for job, added_ms in self._added_ms.items() if added_ms <= limit_ms]
+        for job in expired:
+            del self._added_ms[job]
+        return expired
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -7,6 +7,7 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import Command, PaceRun, RequestAdvice, StartRun, StopRun
+from lagoonshelf_core.jobs.early_cancellations import EarlyCancellations
 from lagoonshelf_core.jobs.planning import TASKS_PLACED, plan, summary
 from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
@@ -41,6 +42,7 @@
 RECORD_TIMEOUT_S = 0.15
 OUTAGE_RECORD_TIMEOUT_S = 0.02
 REPORT_INTERVAL_S = 1.0
+CANCELLATION_CHECK_INTERVAL_S = 10.0
 
 _log = logger("holder")
 
@@ -89,6 +91,7 @@
         self.dispatcher = Dispatcher(
             self.cell, ports.workers, leader_lease, clock, sessions, self.request_pass
         )
+        self._early_cancellations = EarlyCancellations()
         self._loaded_revision = ABSENT
         self.is_ready = False
 
@@ -128,6 +131,7 @@
             self._store, self.progress_writer, self._clock, self._forget_ended_job
         )
         self._spawn(retention.run(state.orphans))
+        self._spawn(self._expire_cancellations())
         self._spawn(self._report())
         if self._machines is not None:
             args = (self.cell, self._store, self._machines, self._codec)
@@ -148,17 +152,26 @@
             _log.info("ended job reported again", request=spec.id, created=created)
             return None
         job = self.cell.accept(spec, self._clock.now_ms())
+        self._cancel_if_announced(spec.id)
         self.request_pass()
         return job
 
     def cancel(self, job: JobId) -> None:
-        """Cancel a job whose cancellation is stored."""
+        """Cancel a job whose cancellation is stored, or later if the job is not known yet.
+
+        Announcements, pages and changes of the store arrive in any order.
+        """
         if self.cell.cancel(job, self._clock.wall_ms()):
             _log.info("job cancelled", request=job, **self._submission_fields())
             self.request_pass()
         elif job not in self.cell.jobs:
+            self._early_cancellations.add(job, self._clock.now_ms())
             _log.info("unknown job cancelled", request=job, **self._submission_fields())
 
+    def _cancel_if_announced(self, job: JobId) -> None:
+        if self._early_cancellations.take(job):
+            self.cancel(job)
+
     def state(self, job_id: JobId) -> JobState | None:
         """Return the durable state of a job, which a successor would return as well."""
         if job_id not in self.cell.jobs:
@@ -183,6 +196,8 @@
             self._restore_job(spec, state.progress.get(spec.id), now_ms)
         for job in state.cancelled:
             self.cancel(job)
+        for spec in state.jobs:
+            self._cancel_if_announced(spec.id)
         self._fleet.add_unverified_runs(lapse_ms)
         await self._fleet.write_used()
 
@@ -318,6 +333,11 @@
             job_metrics.live_jobs.set({}, len(self.cell.live_jobs))
             _log.info("cell", **fields)
 
+    async def _expire_cancellations(self) -> None:
+        while True:
+            await asyncio.sleep(CANCELLATION_CHECK_INTERVAL_S)
+            self._early_cancellations.take_expired(self._clock.now_ms())
+
     def _forget_ended_job(self, job: JobId) -> None:
         self.progress_writer.forget(job)
         self.cell.remove_job(job)
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -257,7 +257,7 @@
     async def _announce_cancel(self, job: JobId) -> None:
         for _ in range(ANNOUNCE_ATTEMPTS):
             leader = self._leader
-            if leader is not None and leader.is_ready:
+            if leader is not None:
                 leader.cancel(job)
                 return
             try:
@@ -346,6 +346,10 @@
         if kind in ("relayJob", "relayCancel"):
             return "relayed", await self._on_relay(body)
         leader = self._leader
+        if leader is not None and kind == "jobCancelled":
+            # Also in a takeover, which may have read the cancellations already.
+            leader.cancel(JobId(body.job))
+            return "ack", Ack(ResultCode.DONE.number, "")
         if leader is None or not leader.is_ready:
             raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "this process holds no cell"))
         if kind == "jobStateAsk":
@@ -355,8 +359,6 @@
             return "jobState", JobStateReply(True, "" if state is None else state.value)
         if kind == "jobAccepted":
             _accept_record(leader, body)
-        elif kind == "jobCancelled":
-            leader.cancel(JobId(body.job))
         else:
             raise LagoonshelfError(Fault(ResultCode.PROTOCOL, f"unexpected message {kind}"))
         return "ack", Ack(ResultCode.DONE.number, "")
--- /dev/null
+++ b/tests/core/jobs/test_early_cancellations.py
@@ -0,0 +1,31 @@
+"""Tests of the cancellations of jobs that are not known yet."""
+
+import unittest
+
+from lagoonshelf_core.jobs.early_cancellations import EARLY_CANCELLATION_MS, EarlyCancellations
+from lagoonshelf_core.jobs.spec import JobId
+
+JOB, OTHER = JobId("1"), JobId("2")
+
+
+class EarlyCancellationsTest(unittest.TestCase):
+    """Two cancelled jobs."""
+
+    def test_a_cancellation_is_applied_once(self) -> None:
+        """Guards against cancellations that are kept for jobs that have become known."""
+        cancellations = EarlyCancellations()
+        cancellations.add(JOB, 0)
+        self.assertFalse(cancellations.take(OTHER))
+        self.assertTrue(cancellations.take(JOB))
+        self.assertFalse(cancellations.take(JOB))
+
+    def test_cancellations_expire(self) -> None:
+        """Guards against a leader that grows with the cancellations of jobs that never come."""
+        cancellations = EarlyCancellations()
+        cancellations.add(JOB, 0)
+        cancellations.add(OTHER, 1)
+        cancellations.add(JOB, 2)
+        self.assertEqual(cancellations.take_expired(EARLY_CANCELLATION_MS - 1), [])
+        self.assertEqual(cancellations.take_expired(EARLY_CANCELLATION_MS), [JOB])
+        self.assertFalse(cancellations.take(JOB))
+        self.assertTrue(cancellations.take(OTHER))
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -5,8 +5,9 @@
 from dataclasses import replace
 from unittest.mock import patch
 
+from lagoonshelf_core.errors import ResultCode
 from lagoonshelf_core.ids import FailureDomain, MemberId
-from lagoonshelf_core.jobs.spec import encode_job
+from lagoonshelf_core.jobs.spec import JobId, encode_job
 from lagoonshelf_server.jobs import node as node_module
 from lagoonshelf_server.jobs.heartbeats import NodeSettings
 from lagoonshelf_server.jobs.job_api import WriteOutcome
@@ -14,7 +15,15 @@
 from lagoonshelf_server.jobs.leader_lease import LeaderRecord, LeaderStatus
 from lagoonshelf_server.jobs.node import Node
 from lagoonshelf_server.jobs.ports import StoreRevision
-from lagoonshelf_server.messages import Body, JobRecord, PeerState, Pulse, PulseReply, QueueCount
+from lagoonshelf_server.messages import (
+    Body,
+    JobRecord,
+    JobRef,
+    PeerState,
+    Pulse,
+    PulseReply,
+    QueueCount,
+)
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, PausableClock
 from tests.support.jobs import config, make_job
 
@@ -214,6 +223,14 @@
         # Reports of members are used for 1 s.
         self.assertLessEqual(reply.interval_ms, 800)
 
+    async def test_a_leader_in_its_takeover_confirms_a_cancellation(self) -> None:
+        """Guards against a cancellation that is refused until its announcement is given up."""
+        leader = self.node._leader = _LeaderStub()
+        kind, body = await self.node._handle(MemberId("m2"), "jobCancelled", JobRef("1"))
+        self.assertEqual((kind, body.code), ("ack", ResultCode.DONE.number))
+        await self.node._announce_cancel(JobId("2"))
+        self.assertEqual(leader.cancelled, ["1", "2"])
+
     async def test_a_store_outage_needs_the_reports_of_others(self) -> None:
         """Guards against taking a network partition for a store outage."""
         self.store.is_down = True
@@ -236,6 +253,13 @@
 
     is_ready = False
 
+    def __init__(self) -> None:
+        self.cancelled: list[JobId] = []
+
+    def cancel(self, job: JobId) -> None:
+        """Record the cancellation."""
+        self.cancelled.append(job)
+
     @staticmethod
     def may_answer() -> bool:
         """Return that it may not."""
