Start nothing by a knowledge of cancellations that may be too old

Callers saw tasks of a job start more than 3 s after its cancelling had been acknowledged. Cause: nothing bound how old a leader's knowledge of cancellations may be at a start. A takeover starts tasks by its reading of the store before the watch has answered; a watch whose connection went silent tells nothing for 5.8 s; a start waits for its record for any time. Change: the age counts from the request of the reading, or of the last watch that returned. Beyond `bounds.cancel_ms` less the longest timeout of a start command nothing is placed, and no start is sent. From half of that age on the leader asks with a watch that returns at once. In an outage starts go on once the store has answered no member for 0.7 s: none can store a cancellation then. A slow store, or one that loses answers, is not such an outage. New tests fail without the poll and without the check before a start is sent. Not shown: that this is what the users saw.

--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -55,6 +55,7 @@
         self._clock = clock
         self._sessions = sessions
         self._on_change = on_change
+        self.may_start: Callable[[], bool] = lambda: True
 
     async def start(self, command: StartRun) -> None:
         """Start a run; repeat an unanswered command, then cancel it with a stop."""
@@ -199,6 +200,8 @@
 
     def _find_obstacle(self, worker: Worker) -> str:
         """Return why a worker may not be given a start that was planned for it, "" if it may."""
+        if not self.may_start():
+            return "its job may have been cancelled"
         if worker.is_overfull:
             return "its worker has shrunk"
         if not self._cell.may_use_capacity(worker, self._clock.now_ms()):
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -14,7 +14,7 @@
 )
 from lagoonshelf_server.jobs.job_api import JobApi
 from lagoonshelf_server.jobs.lag import LoopLag
-from lagoonshelf_server.jobs.leader import Leader
+from lagoonshelf_server.jobs.leader import DEFAULT_CANCEL_MS, Leader
 from lagoonshelf_server.jobs.leader_lease import LeaderLease, LeaderRecord, LeaderStatus
 from lagoonshelf_server.jobs.ports import Store, StoreRevision
 from lagoonshelf_server.messages import PeerState, Pulse, PulseReply, QueueCount
@@ -64,6 +64,7 @@
     :param cores_milli: cores of this host, in thousandths
     :param config_max_age_ms: time after which a change of the configuration has to be in force
     :param capacity_max_age_ms: age from which a worker is not filled by the capacity it reported
+    :param cancel_ms: time after which nothing of a cancelled job is started
     """
 
     member: MemberId
@@ -73,6 +74,7 @@
     cores_milli: int = LEADER_CORES_MILLI
     config_max_age_ms: int = DEFAULT_MAX_AGE_MS
     capacity_max_age_ms: int = DEFAULT_CAPACITY_MAX_AGE_MS
+    cancel_ms: int = DEFAULT_CANCEL_MS
 
     @property
     def address(self) -> str:
@@ -242,6 +244,19 @@
         is_unverifiable = not recent_reports and (is_new or bool(self._troubled))
         return self._is_store_troubled() and all(recent_reports) and not is_unverifiable
 
+    def is_store_down_for_all(self) -> bool:
+        """Return whether the store has answered no member for a while, so that none can write.
+
+        A slow store, or one that loses some answers, is troubled but not down.
+        """
+        if self._store_silence_ms() <= STORE_SILENT_MS or not self.is_store_troubled_for_all():
+            return False
+        now_ms = self._clock.now_ms()
+        return all(
+            now_ms - heartbeat_ms + state.store_age_ms > STORE_SILENT_MS
+            for state, heartbeat_ms in self._members.values()
+        )
+
     def _store_silence_ms(self) -> int:
         """Return the time since the store's last answer to this process."""
         age_ms = self._clock.now_ms() - self._store.last_answer_ms()
--- a/packages/server/lagoonshelf_server/jobs/job_watcher.py
+++ b/packages/server/lagoonshelf_server/jobs/job_watcher.py
@@ -22,6 +22,9 @@
 RETRY_S = 0.1
 # Accepting processes announce the jobs they store, so the watch only has to find missed ones.
 WATCH_PAUSE_S = 0.4
+# A watch that returns at once, to learn whether one that waits has missed something.
+POLL_MS = 1
+POLL_CHECK_S = 0.05
 
 _log = logger("intake")
 
@@ -64,21 +67,38 @@
     async def watch(self) -> None:
         """Watch from ``revision`` on until cancelled."""
         while True:
-            sent_ms = self._clock.now_ms()
-            try:
-                changes, revision = await self._store.watch(
-                    SUBMISSION_PREFIX, self.revision, WATCH_MS
-                )
-                for change in changes:
-                    if change.item is not None:
-                        self.apply_item(change.item)
-                self.record_reading(revision, sent_ms)
+            if await self._apply_changes(WATCH_MS):
                 await asyncio.sleep(WATCH_PAUSE_S)
-            except HistoryLostError:
-                await self._reread()
-            except (StoreUnavailableError, StoreUncertainError) as exc:
-                self._log_failure("submissions not watched", exc)
-                await asyncio.sleep(RETRY_S)
+
+    async def poll(self, max_age_ms: int) -> None:
+        """Ask for changes whenever the watch has not returned for a while, until cancelled.
+
+        A watch without changes waits, and one whose connection was lost without an error too.
+
+        :param max_age_ms: age of what is known from which to ask
+        """
+        while True:
+            await asyncio.sleep(POLL_CHECK_S)
+            if self.age_ms() >= max_age_ms:
+                await self._apply_changes(POLL_MS)
+
+    async def _apply_changes(self, wait_ms: int) -> bool:
+        """Pass on the changes since ``revision``; return whether the store returned them."""
+        sent_ms = self._clock.now_ms()
+        try:
+            changes, revision = await self._store.watch(SUBMISSION_PREFIX, self.revision, wait_ms)
+        except HistoryLostError:
+            await self._reread()
+            return False
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            self._log_failure("submissions not watched", exc)
+            await asyncio.sleep(RETRY_S)
+            return False
+        for change in changes:
+            if change.item is not None:
+                self.apply_item(change.item)
+        self.record_reading(revision, sent_ms)
+        return True
 
     async def _reread(self) -> None:
         sent_ms = self._clock.now_ms()
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -16,7 +16,7 @@
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.advice_router import AdviceRouter
 from lagoonshelf_server.jobs.config_view import ConfigView
-from lagoonshelf_server.jobs.dispatcher import Dispatcher
+from lagoonshelf_server.jobs.dispatcher import START_TIMEOUTS_MS, Dispatcher
 from lagoonshelf_server.jobs.fleet import Fleet, FleetHooks, FleetPorts
 from lagoonshelf_server.jobs.job_watcher import JobWatcher
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
@@ -43,6 +43,8 @@
 OUTAGE_RECORD_TIMEOUT_S = 0.02
 REPORT_INTERVAL_S = 1.0
 CANCELLATION_CHECK_INTERVAL_S = 10.0
+# Time after which nothing of a cancelled job is started, where the platform sets none.
+DEFAULT_CANCEL_MS = 3_000
 
 _log = logger("holder")
 
@@ -65,6 +67,8 @@
     ) -> None:
         """Set up without starting; ``run`` runs the term."""
         self.is_store_troubled: Callable[[], bool] = lambda: False
+        self.is_store_down: Callable[[], bool] = lambda: False
+        self.cancel_ms = DEFAULT_CANCEL_MS
         self._store = ports.store
         self._codec = ports.codec
         self._machines = ports.machines
@@ -92,6 +96,8 @@
             self.cell, ports.workers, leader_lease, clock, sessions, self.request_pass
         )
         self._early_cancellations = EarlyCancellations()
+        self._is_behind = False
+        self.dispatcher.may_start = self._knows_cancellations
         self._loaded_revision = ABSENT
         self.is_ready = False
 
@@ -126,6 +132,7 @@
         )
         self._spawn(self.progress_writer.run())
         self._spawn(self._job_watcher.watch())
+        self._spawn(self._job_watcher.poll(self._max_submissions_age_ms() // 2))
         self._fleet.start()
         retention = JobRetention(
             self._store, self.progress_writer, self._clock, self._forget_ended_job
@@ -234,7 +241,8 @@
         cell.is_recording = not self.is_store_troubled()
         if self._leader_lease.may_dispatch() and self._is_config_valid():
             supervise(cell, now_ms)
-            plan(cell, now_ms, self._clock.wall_ms(), self.advice_router.budget_ms())
+            if self._knows_cancellations():
+                plan(cell, now_ms, self._clock.wall_ms(), self.advice_router.budget_ms())
         commands, cell.commands = cell.commands, []
         starting = {c.run.task.job for c in commands if isinstance(c, StartRun)}
         cell.changed_jobs.update(starting)
@@ -264,6 +272,24 @@
         """
         return self._config.is_fresh() or self.is_store_troubled()
 
+    def _knows_cancellations(self) -> bool:
+        """Return whether the cancellations that count at the moment of a start are known here.
+
+        In an outage that all members see nobody can store one.
+        """
+        is_recent = self._job_watcher.age_ms() < self._max_submissions_age_ms()
+        if not is_recent and not self._is_behind:
+            _log.warning("cancellations may be unknown", **self._submission_fields())
+        self._is_behind = not is_recent
+        return is_recent or self.is_store_down()
+
+    def _max_submissions_age_ms(self) -> int:
+        """Return the age up to which starts may go by the known cancellations.
+
+        A start may reach its worker as late as its command times out.
+        """
+        return max(self.cancel_ms // 2, self.cancel_ms - max(START_TIMEOUTS_MS))
+
     def _after_report(self) -> None:
         self._record_changes()
         self.request_pass()
--- a/tests/server/jobs/test_job_watcher.py
+++ b/tests/server/jobs/test_job_watcher.py
@@ -7,7 +7,13 @@
 from lagoonshelf_core.jobs.progress import JobState
 from lagoonshelf_server.jobs import job_watcher
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
-from lagoonshelf_server.jobs.keys import SUBMISSION_PREFIX, USED_WORKERS, cancel_key, job_key
+from lagoonshelf_server.jobs.keys import (
+    PROGRESS_PREFIX,
+    SUBMISSION_PREFIX,
+    USED_WORKERS,
+    cancel_key,
+    job_key,
+)
 from lagoonshelf_server.jobs.leader import Leader
 from lagoonshelf_server.jobs.ports import (
     Change,
@@ -26,6 +32,8 @@
 CANCEL_MS = 3_000
 # Longer than a pass takes to start what it may.
 PASS_S = 0.3
+# Renewals of the leader lease while time passes, each well before the lease ends.
+RENEWALS = 6
 
 
 class CancellationTest(TermTestCase):
@@ -35,14 +43,16 @@
         await super().asyncSetUp()
         self.clock = PausableClock()
         self.workers.clock = self.store.clock = self.clock
-        self.is_silent = self.is_failing = False
+        self.is_silent = self.is_failing = self.is_waiting_silent = False
         self._watch = self.store.watch
         self.store.watch = self._watch_unless_disturbed
 
     async def _watch_unless_disturbed(
         self, prefix: str, after: int, wait_ms: int
     ) -> tuple[list[Change], StoreRevision]:
-        while prefix == SUBMISSION_PREFIX and self.is_silent:
+        while prefix == SUBMISSION_PREFIX and (
+            self.is_silent or (self.is_waiting_silent and wait_ms > job_watcher.POLL_MS)
+        ):
             await asyncio.sleep(0.01)
         if prefix == SUBMISSION_PREFIX and self.is_failing:
             await asyncio.sleep(0.01)
@@ -95,6 +105,42 @@
         await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
         self.assertEqual(self._starts_of(spec), 0)
 
+    async def test_a_silent_watch_does_not_keep_work_from_being_started(self) -> None:
+        """Guards against a leader that waits for a watch whose connection was lost."""
+        leader = await self._term("m1")
+        self.is_waiting_silent = True
+        await asyncio.sleep(PASS_S)
+        spec = make_job()
+        self._store(spec)
+        self.clock.skipped_ms += CANCEL_MS
+        await self._run_passes(leader)
+        self.assertEqual(self._starts_of(spec), 1)
+
+    async def test_a_start_that_waited_is_not_sent_to_a_job_that_may_be_cancelled(self) -> None:
+        """Guards against a start that waits for its record while its job is cancelled."""
+        leader = await self._term("m1")
+        commit, is_held = self.store.commit, True
+
+        async def hold_progress(
+            conditions: dict, puts: Sequence[Put] = (), deletes: Sequence[str] = (), **limits: int
+        ) -> Committed | Conflict | None:
+            while is_held and any(put.key.startswith(PROGRESS_PREFIX) for put in puts):
+                await asyncio.sleep(0.01)
+            return await commit(conditions, puts, deletes, **limits)
+
+        self.store.commit = hold_progress
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: any(worker.runs for worker in leader.cell.workers.values()))
+        self.is_silent = True
+        self.store.put(cancel_key(spec.id), b"{}")
+        for _ in range(RENEWALS):
+            self.clock.skipped_ms += CANCEL_MS // RENEWALS
+            await eventually(lambda: leader.lease.renewed_ms >= self.clock.now_ms() - 100)
+        is_held = False
+        await self._run_passes(leader)
+        self.assertEqual(self.workers.started, [])
+
     async def test_a_cancellation_that_is_announced_before_its_job_is_kept(self) -> None:
         """Guards against a leader that confirms a cancellation and then starts the job."""
         leader = await self._term("m1")
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -247,6 +247,20 @@
         self.node.heartbeats._troubled = {MemberId("m2"): (True, now_ms - 5_000)}
         self.assertFalse(self.node.heartbeats.is_store_troubled_for_all())
 
+    async def test_a_store_that_answers_any_member_is_not_down(self) -> None:
+        """Guards against starts of cancelled jobs while a troubled store still takes writes."""
+        heartbeats, now_ms = self.node.heartbeats, self.clock.now_ms()
+        self.store.is_down = True
+        self.store._answered_ms = now_ms - 2_000
+        heartbeats._troubled[MemberId("m2")] = (True, now_ms)
+        heartbeats._members[MemberId("m2")] = (PeerState("a:2", 100), now_ms)
+        self.assertTrue(heartbeats.is_store_troubled_for_all())
+        self.assertFalse(heartbeats.is_store_down_for_all())
+        heartbeats._members[MemberId("m2")] = (PeerState("a:2", 1_500), now_ms)
+        self.assertTrue(heartbeats.is_store_down_for_all())
+        self.store._answered_ms = now_ms
+        self.assertFalse(heartbeats.is_store_down_for_all())
+
 
 class _LeaderStub:
     """A leader that has not read its jobs."""
