Record a cancellation also when its job is not stored yet

Callers were told by DELETE that there is no such job (410), and the job ran afterwards. Cause: the write of a job may be under way while DELETE looks for it: an answer that was lost, a relay, a paused process, a retry. Nothing remembered the cancelling, and the write took effect. Change: DELETE of a job that is neither stored nor ended records the cancellation before it answers, on condition that the job is still not stored; without that record the answer is 503 or 504. A job that comes later is accepted and cancelled at once. Conclusion: an answer 410 now stays true. Each DELETE of an unknown id costs a write.

--- a/packages/core/lagoonshelf_core/jobs/early_cancellations.py
+++ b/packages/core/lagoonshelf_core/jobs/early_cancellations.py
@@ -1,5 +1,7 @@
 """Cancellations of jobs that are not known yet."""
 
+import orjson
+
 from lagoonshelf_core.jobs.spec import JobId
 
 # As long as the state of an ended job; no write of a job is under way for that long.
@@ -28,3 +30,19 @@
         for job in expired:
             del self._added_ms[job]
         return expired
+
+
+def encode_cancellation(now_wall_ms: int) -> bytes:
+    """Return the durable record of a cancellation."""
+    return orjson.dumps({"at_ms": now_wall_ms})
+
+
+def is_cancellation_expired(data: bytes, now_wall_ms: int) -> bool:
+    """Return whether the record of a cancellation is no longer needed while its job is unknown.
+
+    An unreadable record, or one of an earlier version, which has no time, is not needed.
+    """
+    try:
+        return now_wall_ms - int(orjson.loads(data)["at_ms"]) >= EARLY_CANCELLATION_MS
+    except (KeyError, TypeError, ValueError):
+        return True
--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -8,6 +8,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import QueueId
+from lagoonshelf_core.jobs.early_cancellations import encode_cancellation
 from lagoonshelf_core.jobs.job_records import decode_state
 from lagoonshelf_core.jobs.progress import FINAL_STATES, JobState
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, encode_job
@@ -100,18 +101,30 @@
         return JobWrite(outcome)
 
     async def write_cancel(self, job: JobId, deadline_ms: int) -> WriteOutcome:
-        """Store the cancellation of a stored job; a job that has ended needs none."""
-        try:
-            stored = await self._store.read(job_key(job))
-            if stored is None:
-                ended = await self._store.read(ended_key(job))
-                return WriteOutcome.UNKNOWN_JOB if ended is None else WriteOutcome.STORED
-        except (StoreUnavailableError, StoreUncertainError):
-            return WriteOutcome.UNAVAILABLE
-        key = cancel_key(job)
-        conditions = {job_key(job): stored.revision, key: ABSENT}
-        outcome, _ = await self._create(conditions, key, b"{}", deadline_ms)
-        return outcome
+        """Store the cancellation of a job; a job that has ended needs none.
+
+        A job that is not stored may be about to be, so its cancellation is stored too: "unknown
+        job" then means that it never runs.
+        """
+        key, value = cancel_key(job), encode_cancellation(self._clock.wall_ms())
+        while True:
+            try:
+                stored = await self._store.read(job_key(job))
+                ended = await self._store.read(ended_key(job)) if stored is None else None
+            except (StoreUnavailableError, StoreUncertainError):
+                return WriteOutcome.UNAVAILABLE
+            if ended is not None:
+                return WriteOutcome.STORED
+            revision = ABSENT if stored is None else stored.revision
+            conditions = {job_key(job): revision, ended_key(job): ABSENT, key: ABSENT}
+            outcome, result = await self._create(conditions, key, value, deadline_ms)
+            if outcome is not WriteOutcome.STORED:
+                return outcome
+            found = {item.key for item in result.items} if isinstance(result, Conflict) else {key}
+            # Otherwise the job has been stored, or has ended, since it was read.
+            if key in found:
+                is_known = stored is not None or job_key(job) in found
+                return outcome if is_known else WriteOutcome.UNKNOWN_JOB
 
     async def _create(
         self, conditions: dict[str, StoreRevision], key: str, value: bytes, deadline_ms: int
@@ -203,7 +216,7 @@
     async def store_cancel(self, job: JobId, deadline_ms: int) -> WriteOutcome:
         """Store a cancellation, here or for another member, and report it to the leader."""
         outcome = await self._writer.write_cancel(job, deadline_ms)
-        if outcome is WriteOutcome.STORED:
+        if outcome in (WriteOutcome.STORED, WriteOutcome.UNKNOWN_JOB):
             self._spawn(self._leader.announce_cancel(job))
         return outcome
 
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -135,7 +135,7 @@
         self._spawn(self._job_watcher.poll(self._max_submissions_age_ms() // 2))
         self._fleet.start()
         retention = JobRetention(
-            self._store, self.progress_writer, self._clock, self._forget_ended_job
+            self._store, self.progress_writer, self._clock, self.cell.jobs, self._forget_ended_job
         )
         self._spawn(retention.run(state.orphans))
         self._spawn(self._expire_cancellations())
--- a/packages/server/lagoonshelf_server/jobs/retention.py
+++ b/packages/server/lagoonshelf_server/jobs/retention.py
@@ -1,13 +1,21 @@
 """Deletion of records that are no longer needed: ended jobs, and remains of interrupted writes."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Container
 
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.jobs.early_cancellations import is_cancellation_expired
 from lagoonshelf_core.jobs.job_records import decode_end_ms
 from lagoonshelf_core.jobs.spec import JobId
-from lagoonshelf_server.jobs.keys import ENDED_PREFIX
-from lagoonshelf_server.jobs.ports import Item, Store, StoreUnavailableError, StoreUncertainError
+from lagoonshelf_server.jobs.job_watcher import read_cancel
+from lagoonshelf_server.jobs.keys import CANCEL_PREFIX, ENDED_PREFIX
+from lagoonshelf_server.jobs.ports import (
+    Item,
+    Page,
+    Store,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
 from lagoonshelf_server.jobs.progress_writer import ProgressWriter
 from lagoonshelf_server.logs import logger
 
@@ -28,15 +36,18 @@
         store: Store,
         progress_writer: ProgressWriter,
         clock: Clock,
+        known_jobs: Container[JobId],
         on_removed: Callable[[JobId], None],
     ) -> None:
         """Set up.
 
+        :param known_jobs: jobs whose cancellations are still needed
         :param on_removed: called with each job whose record was deleted
         """
         self._store = store
         self._progress_writer = progress_writer
         self._clock = clock
+        self._known_jobs = known_jobs
         self._on_removed = on_removed
 
     async def run(self, orphans: tuple[str, ...]) -> None:
@@ -48,20 +59,37 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             try:
-                await self._sweep()
+                await self._sweep_ended_jobs()
+                await self._sweep_cancellations()
             except (StoreUnavailableError, StoreUncertainError) as exc:
                 _log.info("ended jobs not swept", reason=str(exc))
 
-    async def _sweep(self) -> None:
-        after, has_more = "", True
-        while has_more:
-            page = await self._store.read_page(ENDED_PREFIX, after, stale=True)
-            has_more = page.has_more
-            after = page.items[-1].key if page.items else after
+    async def _sweep_ended_jobs(self) -> None:
+        async for page in self._read_pages(ENDED_PREFIX):
             old = [item.key for item in page.items if self._is_old(item)]
             if await self._progress_writer.delete(old):
                 for key in old:
                     self._on_removed(JobId(key.removeprefix(ENDED_PREFIX)))
+
+    async def _sweep_cancellations(self) -> None:
+        """Delete the cancellations of jobs that were never stored."""
+        async for page in self._read_pages(CANCEL_PREFIX):
+            now_ms = self._clock.wall_ms()
+            old = [
+                item.key
+                for item in page.items
+                if read_cancel(item) not in self._known_jobs
+                and is_cancellation_expired(item.value, now_ms)
+            ]
+            await self._progress_writer.delete(old)
+
+    async def _read_pages(self, prefix: str) -> AsyncIterator[Page]:
+        after, has_more = "", True
+        while has_more:
+            page = await self._store.read_page(prefix, after, stale=True)
+            yield page
+            has_more = page.has_more
+            after = page.items[-1].key if page.items else after
             await asyncio.sleep(PAGE_PAUSE_S)
 
     def _is_old(self, item: Item) -> bool:
--- a/packages/server/lagoonshelf_server/jobs/takeover.py
+++ b/packages/server/lagoonshelf_server/jobs/takeover.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.jobs.early_cancellations import is_cancellation_expired
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_server.jobs.job_watcher import read_cancel, read_job
 from lagoonshelf_server.jobs.keys import (
@@ -36,7 +37,8 @@
 
     :param revision: revision of the store when the reading of the jobs began
     :param requested_ms: clock time at which it was requested
-    :param orphans: keys of progress records and cancellations whose jobs have ended
+    :param cancelled: cancelled jobs, also some that are not stored
+    :param orphans: keys of progress records and cancellations that are no longer needed
     """
 
     revision: StoreRevision
@@ -103,7 +105,7 @@
     submissions = PrefixReader(store, SUBMISSION_PREFIX, clock)
     stored = await submissions.read()
     jobs: dict[JobId, JobSpec] = {}
-    cancelled: dict[JobId, str] = {}
+    cancelled: dict[JobId, Item] = {}
     for number, item in enumerate(stored):
         if number % ITEMS_PER_TURN == 0:
             await asyncio.sleep(0)
@@ -112,18 +114,24 @@
             jobs[spec.id] = spec
         cancelled_job = read_cancel(item)
         if cancelled_job is not None:
-            cancelled[cancelled_job] = item.key
+            cancelled[cancelled_job] = item
     records = {JobId(item.key.removeprefix(PROGRESS_PREFIX)): item for item in progress}
     # A job whose record cannot be decoded keeps its other records.
     stored_keys = {item.key for item in stored}
     orphans = [item.key for job, item in records.items() if job_key(job) not in stored_keys]
-    orphans += [key for job, key in cancelled.items() if job_key(job) not in stored_keys]
+    # A job whose cancellation is not old may still be stored.
+    expired = {
+        job
+        for job, item in cancelled.items()
+        if job_key(job) not in stored_keys and is_cancellation_expired(item.value, clock.wall_ms())
+    }
+    orphans += [cancelled[job].key for job in expired]
     return CellState(
         submissions.revision,
         submissions.requested_ms,
         tuple(jobs.values()),
         records,
-        tuple(job for job in cancelled if job in jobs),
+        tuple(job for job in cancelled if job not in expired),
         tuple(orphans),
         tuple(registry),
         used_workers,
--- a/tests/core/jobs/test_early_cancellations.py
+++ b/tests/core/jobs/test_early_cancellations.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from lagoonshelf_core.jobs.early_cancellations import EARLY_CANCELLATION_MS, EarlyCancellations
+from lagoonshelf_core.jobs.early_cancellations import (
+    EARLY_CANCELLATION_MS,
+    EarlyCancellations,
+    encode_cancellation,
+    is_cancellation_expired,
+)
 from lagoonshelf_core.jobs.spec import JobId
 
 JOB, OTHER = JobId("1"), JobId("2")
@@ -29,3 +34,11 @@
         self.assertEqual(cancellations.take_expired(EARLY_CANCELLATION_MS), [JOB])
         self.assertFalse(cancellations.take(JOB))
         self.assertTrue(cancellations.take(OTHER))
+
+    def test_records_expire(self) -> None:
+        """Guards against records that stay for ever, or that go while their job may still come."""
+        record = encode_cancellation(1_000)
+        self.assertFalse(is_cancellation_expired(record, 999 + EARLY_CANCELLATION_MS))
+        self.assertTrue(is_cancellation_expired(record, 1_000 + EARLY_CANCELLATION_MS))
+        for unreadable in (b"{}", b"", b"[]", b'{"at_ms":null}'):
+            self.assertTrue(is_cancellation_expired(unreadable, 0), unreadable)
--- a/tests/server/jobs/test_job_api.py
+++ b/tests/server/jobs/test_job_api.py
@@ -7,8 +7,14 @@
 from lagoonshelf_core.jobs.progress import Job, JobState
 from lagoonshelf_core.jobs.spec import encode_job
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
-from lagoonshelf_server.jobs.keys import cancel_key, job_key, progress_key
-from lagoonshelf_server.jobs.ports import StoreUnavailableError, StoreUncertainError
+from lagoonshelf_server.jobs.keys import (
+    ENDED_PREFIX,
+    cancel_key,
+    ended_key,
+    job_key,
+    progress_key,
+)
+from lagoonshelf_server.jobs.ports import Item, StoreUnavailableError, StoreUncertainError
 from tests.support.job_fakes import FakeStore
 from tests.support.jobs import make_job
 
@@ -123,6 +129,35 @@
         """Guards against a cancellation that is not durable or that names an unknown job."""
         spec = make_job()
         self.assertIs(await self.api.cancel(spec.id, 1_000), WriteOutcome.UNKNOWN_JOB)
+        self.assertIn(cancel_key(spec.id), self.store.items)
         await self.api.submit(spec, 1_000)
         self.assertIs(await self.api.cancel(spec.id, 1_000), WriteOutcome.STORED)
         self.assertIn(cancel_key(spec.id), self.store.items)
+
+    async def test_a_job_that_is_stored_meanwhile_is_cancelled(self) -> None:
+        """Guards against "unknown job" for a job that is stored while it is looked for."""
+        spec = make_job()
+        read = self.store.read
+
+        async def read_then_store(key: str) -> Item | None:
+            found = await read(key)
+            if key == ended_key(spec.id):
+                self.store.put(job_key(spec.id), encode_job(spec))
+                self.store.read = read
+            return found
+
+        self.store.read = read_then_store
+        self.assertIs(await self.api.cancel(spec.id, 1_000), WriteOutcome.STORED)
+        self.assertIn(cancel_key(spec.id), self.store.items)
+
+    async def test_a_job_is_not_unknown_before_that_is_durable(self) -> None:
+        """Guards against "unknown job" while the write of the job may still take effect."""
+        read = self.store.read
+
+        async def read_then_fail(key: str) -> Item | None:
+            found = await read(key)
+            self.store.is_down = key.startswith(ENDED_PREFIX)
+            return found
+
+        self.store.read = read_then_fail
+        self.assertIs(await self.api.cancel(make_job().id, 400), WriteOutcome.UNAVAILABLE)
--- a/tests/server/jobs/test_takeover.py
+++ b/tests/server/jobs/test_takeover.py
@@ -5,6 +5,10 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
+from lagoonshelf_core.jobs.early_cancellations import (
+    EARLY_CANCELLATION_MS,
+    encode_cancellation,
+)
 from lagoonshelf_core.jobs.job_records import encode_end, encode_progress
 from lagoonshelf_core.jobs.progress import Job, JobState
 from lagoonshelf_core.jobs.spec import JobSpec, encode_job
@@ -21,9 +25,10 @@
 from lagoonshelf_server.jobs.leader import Leader, Ports
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.ports import Page, Put, StoreRevision, StoreUnavailableError
+from lagoonshelf_server.jobs.retention import JobRetention
 from lagoonshelf_server.jobs.takeover import PrefixReader
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, eventually
-from tests.support.jobs import config, make_job, worker_info
+from tests.support.jobs import config, make_job, make_step, worker_info
 
 
 class TakeoverTest(unittest.IsolatedAsyncioTestCase):
@@ -183,6 +188,30 @@
         await eventually(lambda: progress_key(spec.id) not in self.store.items)
         await eventually(lambda: cancel_key(spec.id) not in self.store.items)
 
+    async def test_cancellations_of_jobs_that_never_come_are_deleted(self) -> None:
+        """Guards against records that stay for ever, and against deleting them too early.
+
+        A client may cancel a job whose write is still under way.
+        """
+        now_ms = self.clock.wall_ms()
+        old, young = make_job(), make_job()
+        old_record = encode_cancellation(now_ms - EARLY_CANCELLATION_MS)
+        self.store.put(cancel_key(old.id), old_record)
+        self.store.put(cancel_key(young.id), encode_cancellation(now_ms))
+        leader = await self._start_term()
+        await eventually(lambda: cancel_key(old.id) not in self.store.items)
+        self.assertIn(cancel_key(young.id), self.store.items)
+        known = make_job(make_step(40))
+        self._store(known)
+        await eventually(lambda: known.id in leader.cell.jobs)
+        for spec in (old, known):
+            self.store.put(cancel_key(spec.id), old_record)
+        writer, jobs = leader.progress_writer, leader.cell.jobs
+        retention = JobRetention(self.store, writer, self.clock, jobs, lambda job: None)
+        await retention._sweep_cancellations()
+        self.assertNotIn(cancel_key(old.id), self.store.items)
+        self.assertIn(cancel_key(young.id), self.store.items)
+
     async def test_the_progress_of_an_unreadable_job_is_kept(self) -> None:
         """Guards against losing which tasks have run when a job's record cannot be decoded.
 
