Announce a cancellation until a leader confirms it

Cause: an announcement was given up after four attempts, 0.4 s where connections are refused or the leader is in its takeover. In an outage a leader starts work for up to 6.5 s and learns of cancellations that were stored just before by announcements alone. Change: it is repeated, with pauses up to 0.8 s, for as long as a leader may work without the store. Evidence: the new test of test_node fails without the change (4 of 8 announcements).

--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -22,7 +22,7 @@
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
 from lagoonshelf_server.jobs.keys import SECRET
 from lagoonshelf_server.jobs.leader import Leader, Ports
-from lagoonshelf_server.jobs.leader_lease import LeaderLease
+from lagoonshelf_server.jobs.leader_lease import MAX_OUTAGE_MS, LeaderLease
 from lagoonshelf_server.jobs.ports import (
     ABSENT,
     AdvicePort,
@@ -59,6 +59,8 @@
 CONFIG_COPY_TIMEOUT_S = 0.4
 ANNOUNCE_TIMEOUT_S = 0.5
 ANNOUNCE_ATTEMPTS = 4
+# Pauses between the announcements of a cancellation grow up to this.
+MAX_ANNOUNCE_PAUSE_S = 0.8
 RELAY_TIMEOUT_S = 1.5
 RELAY_WRITE_MS = 1_200
 ADVICE_TIMEOUT_S = 2.8
@@ -257,7 +259,12 @@
         _log.info("job not announced", request=job, attempts=ANNOUNCE_ATTEMPTS)
 
     async def _announce_cancel(self, job: JobId) -> None:
-        for _ in range(ANNOUNCE_ATTEMPTS):
+        """Announce a cancellation until a leader confirms it.
+
+        A leader that works without the store learns of it in no other way.
+        """
+        deadline_ms, pause_s = self._clock.now_ms() + MAX_OUTAGE_MS, RETRY_S
+        while self._clock.now_ms() < deadline_ms:
             leader = self._leader
             if leader is not None:
                 leader.cancel(job)
@@ -270,8 +277,9 @@
                 _log.debug(
                     "cancellation not announced to the leader", request=job, reason=str(exc)
                 )
-            await asyncio.sleep(RETRY_S)
-        _log.info("cancellation not announced", request=job, attempts=ANNOUNCE_ATTEMPTS)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_ANNOUNCE_PAUSE_S)
+        _log.info("cancellation not announced", request=job, tried_ms=MAX_OUTAGE_MS)
 
     async def _state(self, job: JobId) -> JobState | None:
         leader = self._leader
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -16,6 +16,7 @@
 from lagoonshelf_server.jobs.node import Node
 from lagoonshelf_server.jobs.ports import StoreRevision
 from lagoonshelf_server.messages import (
+    Ack,
     Body,
     JobRecord,
     JobRef,
@@ -231,6 +232,25 @@
         await self.node._announce_cancel(JobId("2"))
         self.assertEqual(leader.cancelled, ["1", "2"])
 
+    async def test_a_cancellation_is_announced_until_it_is_confirmed(self) -> None:
+        """Guards against a leader that works without the store and starts a cancelled job."""
+        calls: list[str] = []
+        is_answering = True
+
+        async def call(kind: str, body: Body, timeout_s: float) -> Body:
+            calls.append(kind)
+            self.clock.skipped_ms += 500
+            if is_answering and len(calls) == 8:
+                return Ack(ResultCode.DONE.number, "")
+            raise ConnectionError("no answer")
+
+        self.node._call_leader = call
+        with patch.object(node_module, "RETRY_S", 0.001):
+            await self.node._announce_cancel(JobId("1"))
+            self.assertEqual(calls, ["jobCancelled"] * 8)
+            is_answering = False
+            await asyncio.wait_for(self.node._announce_cancel(JobId("1")), 3.0)
+
     async def test_a_store_outage_needs_the_reports_of_others(self) -> None:
         """Guards against taking a network partition for a store outage."""
         self.store.is_down = True
