Soak: cancel jobs promptly, and look for starts long after it

A leader started tasks more than cancel_ms after the cancelling of their job had been acknowledged; the soak cancelled one job in ten after up to 1 s, sent each DELETE once and ignored its answer, so it could not see this. Change: clients that cancel 0.05 to 0.4 s after the acceptance or before the POST is answered, through any process and until it is acknowledged; series of overlapping faults of the store and its leader (answers lost with their connections silent from then on, slow for seconds, history dropped, leader killed or paused for 2 to 4 s); check late_starts. All draw from generators of their own. A start is judged if its leader and the store were undisturbed for TOUCH_MS before it; the others are printed as information. A start that a fault held up at the executor counts from its sending at the latest. A 410 acknowledges only if a POST had been sent before; no POST is sent again once a DELETE has been acknowledged.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
-from time import monotonic
+from time import gmtime, monotonic, strftime
 
 import fire
 
@@ -18,22 +18,26 @@
     STORED,
     UNCERTAIN,
     QueueAnswer,
+    StartAfterCancel,
     incorrect_responses,
+    late_starts,
     needless_crashes,
     outdated_answers,
     overcommitted,
     overlapping_runs,
     repeated_completions,
+    starts_after_cancel,
     unfounded_failures,
 )
 from tests.platform.standin.clients import (
     ClientJob,
     KeepAliveClient,
+    cancel,
     poll_state,
-    request,
     submit,
 )
 from tests.platform.standin.cluster import (
+    CANCEL_MS,
     CONFIG_APPLY_MS,
     GRACE_S,
     HEARTBEAT_MS,
@@ -56,6 +60,14 @@
 STOP_TIMEOUT_S = GRACE_S + 1.0
 # Share of the seeds with one of the later faults.
 LATER_FAULTS_SHARE = 0.4
+# Jobs that are cancelled soon after their acceptance or before it, and until when.
+PROMPT_CANCELS_PER_S = 5.0
+PROMPT_CANCELS_UNTIL_S = 12.0
+CANCEL_ATTEMPTS = 8
+# Share of the seeds with series of faults of the store and its leader.
+FAULT_SERIES_SHARE = 0.6
+# The store answers within this time when it is slow.
+SLOW_STORE_S = 0.4
 NARROW_LINK_BYTES_PER_S = 50_000
 LOG_DIR = Path("target/soak")
 
@@ -67,11 +79,14 @@
         """Initialize the random generator and the cluster."""
         self.seed = seed
         self.rng = Random(seed)
+        # A generator of its own leaves the other faults of a seed as they were.
+        self.series_rng = Random(f"series of faults of seed {seed}")
         self.cluster = Cluster(processes, executors, seed)
         self.cap_cpu = self.rng.choice((0, 0, 24_000))
         self.jobs: list[ClientJob] = []
         self.answers: list[QueueAnswer] = []
         self.violations: list[str] = []
+        self.starts_after_cancel: list[StartAfterCancel] = []
         self.fault_log: list[str] = []
         self._tasks: set[asyncio.Task] = set()
         self._started_s = 0.0
@@ -83,11 +98,16 @@
             self.cluster.configure(self.cap_cpu)
             await asyncio.sleep(1.2)
             self._started_s = monotonic()
+            self.fault_log.append(f"0 s is {strftime('%H:%M:%S', gmtime())} in the logs")
             for process in self.cluster.processes:
                 self._spawn(self._query_queues(process, Random(f"{process.name} {self.seed}")))
             self._spawn(self._change_queues(Random(f"queues of seed {self.seed}")))
             await asyncio.gather(
-                self._submit_jobs(), self._inject_faults(), self._disturb_capacity()
+                self._submit_jobs(),
+                self._inject_faults(),
+                self._disturb_capacity(),
+                self._cancel_jobs_promptly(Random(f"prompt cancellations of seed {self.seed}")),
+                self._inject_fault_series(),
             )
             await asyncio.gather(*self._tasks)
             await self._clear_faults()
@@ -107,18 +127,40 @@
             self.violations += needless_crashes(self.cluster.crashed_by)
             self.violations += unfounded_failures(self.jobs, history, QUEUES["batch"][1])
             self.violations += incorrect_responses(self.jobs, history)
+            disturbances = self.cluster.disturbances()
+            starts = self.starts_after_cancel = starts_after_cancel(
+                self.jobs, history, disturbances
+            )
+            self.violations += late_starts(starts, CANCEL_MS / 1000, TOUCH_MS / 1000)
             changes = self.cluster.config_changes
             self.violations += outdated_answers(self.answers, changes, CONFIG_APPLY_MS / 1000)
             return self.violations
         finally:
             for task in self._tasks:
                 task.cancel()
-            if self.violations:
+            late = self.late_starts()
+            if self.violations or late:
                 LOG_DIR.mkdir(parents=True, exist_ok=True)
-                text = "\n".join([*self.fault_log, *self.violations, self.cluster.logs()])
+                rows = [*self.fault_log, *self.violations, *late, *self._calls_of_late_jobs()]
+                text = "\n".join([*rows, self.cluster.logs()])
                 (LOG_DIR / f"seed-{self.seed}.log").write_text(text)
             await self.cluster.close()
 
+    def late_starts(self) -> list[str]:
+        """Return the jobs started late after a cancellation, by leaders in touch or not."""
+        return late_starts(self.starts_after_cancel, CANCEL_MS / 1000, 0.0)
+
+    def _calls_of_late_jobs(self) -> list[str]:
+        """Return the submissions and cancellations of the jobs that were started late."""
+        text = "\n".join(self.late_starts())
+        return [
+            f"{job.id}: {call} {sent_s - self._started_s:.3f} to {end_s - self._started_s:.3f} s: "
+            f"{status}"
+            for job in self.jobs
+            if job.id in text
+            for call, sent_s, end_s, status in job.calls
+        ]
+
     def _spawn(self, coro: Awaitable[None]) -> None:
         self._tasks.add(asyncio.ensure_future(coro))
 
@@ -137,8 +179,8 @@
             self.jobs.append(job)
             self._spawn(self._run_client(job, Random(self.rng.random())))
 
-    def _new_job(self, rng: Random) -> ClientJob:
-        tasks, run_ms = rng.randrange(1, 6), rng.randrange(50, 1_500)
+    def _new_job(self, rng: Random, max_tasks: int = 5) -> ClientJob:
+        tasks, run_ms = rng.randrange(1, max_tasks + 1), rng.randrange(50, 1_500)
         cpu = rng.randrange(1_000, 9_000)
         step = {"count": tasks, "cpu": cpu, "mem_mb": 100, "estimate_ms": run_ms}
         queue = rng.choice(("urgent", "batch", "batch", "advised"))
@@ -155,11 +197,48 @@
         if job.accepted_s and rng.random() < 0.1:
             await asyncio.sleep(rng.uniform(0, 1))
             job.cancelled_s = self._now_s()
-            await request(rng.choice(processes).address, "DELETE", f"/{job.queue}/{job.id}")
+            await cancel(rng.choice(processes).address, job)
+        await self._poll_states(job, rng)
+
+    async def _poll_states(self, job: ClientJob, rng: Random) -> None:
         for _ in range(3):
             await asyncio.sleep(rng.uniform(0.2, 1.5))
             if job.accepted_s:
-                await poll_state(rng.choice(processes).address, job)
+                await poll_state(rng.choice(self.cluster.processes).address, job)
+
+    async def _cancel_jobs_promptly(self, rng: Random) -> None:
+        while self._now_s() < PROMPT_CANCELS_UNTIL_S:
+            await asyncio.sleep(rng.expovariate(PROMPT_CANCELS_PER_S))
+            # Tasks of wide jobs wait for room, and start late if nothing stops them.
+            job = self._new_job(rng, rng.choice((5, 40)))
+            self.jobs.append(job)
+            self._spawn(self._run_hasty_client(job, Random(rng.random())))
+
+    async def _run_hasty_client(self, job: ClientJob, rng: Random) -> None:
+        """Submit a job and cancel it soon, sometimes before the submission is answered."""
+        submission = asyncio.ensure_future(self._submit_persistently(job, Random(rng.random())))
+        if rng.random() < 0.7:
+            await submission
+        await asyncio.sleep(rng.uniform(0.05, 0.4))
+        if submission.done() and not job.accepted_s:
+            return
+        job.cancelled_s = self._now_s()
+        for _ in range(CANCEL_ATTEMPTS):
+            await cancel(rng.choice(self.cluster.processes).address, job)
+            if job.cancel_status:
+                break
+            await asyncio.sleep(rng.uniform(0.1, 0.5))
+        await submission
+        await self._poll_states(job, rng)
+
+    async def _submit_persistently(self, job: ClientJob, rng: Random) -> None:
+        """Submit a job until it is answered or its cancellation is acknowledged."""
+        await submit(rng.choice(self.cluster.processes).address, job, self._now_s())
+        while job.statuses[-1] in UNCERTAIN:
+            await asyncio.sleep(rng.uniform(0, 0.5))
+            if job.cancel_status:
+                return
+            await submit(rng.choice(self.cluster.processes).address, job, self._now_s())
 
     async def _change_queues(self, rng: Random) -> None:
         """Replace the queue that exists beside the others, again and again."""
@@ -216,6 +295,25 @@
             fault = rng.choice((self._kill_all_again, self._narrow_store_links))
             self._spawn(self._inject_fault(fault, rng.uniform(0.3, 4.0)))
 
+    async def _inject_fault_series(self) -> None:
+        """Let faults of the store and of its leader overlap, with calm between the series."""
+        rng = self.series_rng
+        if rng.random() >= FAULT_SERIES_SHARE:
+            return
+        faults = (
+            self._lose_store_answers,
+            self._lose_store_answers,
+            self._slow_store_for_long,
+            self._compact_history,
+            self._kill_leader,
+            self._pause_leader,
+        )
+        while self._now_s() < LOAD_S:
+            for fault in rng.sample(faults, 3):
+                self._spawn(self._inject_fault(fault, rng.uniform(0.2, 2.0)))
+                await asyncio.sleep(rng.uniform(0, 1.2))
+            await asyncio.sleep(rng.uniform(0.5, 4.0))
+
     async def _disturb_capacity(self) -> None:
         """Submit tasks that crash their executors, and let executors shrink and grow.
 
@@ -258,6 +356,44 @@
         if not process.is_running:
             await process.start()
 
+    def _leader_process(self) -> Process:
+        """Return the process that holds the leader lease, or any if none does."""
+        followers = self.cluster.processes
+        if "cell/holder" in self.cluster.store.entries:
+            followers = self.cluster.followers()
+        leaders = [process for process in self.cluster.processes if process not in followers]
+        return self.series_rng.choice(leaders or followers)
+
+    async def _kill_leader(self, duration_s: float) -> None:
+        await self._kill_process(self._leader_process(), duration_s)
+
+    async def _pause_leader(self, duration_s: float) -> None:
+        process = self._leader_process()
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(2.0 + duration_s)
+        process.signal(signal.SIGCONT)
+
+    async def _lose_store_answers(self, duration_s: float) -> None:
+        """Lose answers of the store to the leader or to all; their connections stay silent.
+
+        Afterwards the store may have dropped its history.
+        """
+        processes = self.series_rng.choice(
+            ([self._leader_process()], self.cluster.processes, self.cluster.processes)
+        )
+        for process in processes:
+            process.store_proxy.mode = ProxyMode.NO_RESPONSES
+        await asyncio.sleep(duration_s)
+        for process in processes:
+            process.store_proxy.mode = ProxyMode.OPEN
+        if self.series_rng.random() < 0.5:
+            self.cluster.store.compact_history()
+
+    async def _slow_store_for_long(self, duration_s: float) -> None:
+        self.cluster.store.delay_s = SLOW_STORE_S
+        await asyncio.sleep(2.0 + 2 * duration_s)
+        self.cluster.store.delay_s = CALL_DELAY_S
+
     async def _kill_all(self, duration_s: float) -> None:
         processes = self.cluster.processes
         await asyncio.gather(
@@ -320,10 +456,10 @@
     async def _silence_connections(self, duration_s: float) -> None:
         """Silence the open connections to the store, of one process and then of all."""
         first = Random(self.seed).choice(self.cluster.processes)
-        first.store_proxy.silence_connections()
+        first.silence_store_connections()
         await asyncio.sleep(duration_s)
         for process in self.cluster.processes:
-            process.store_proxy.silence_connections()
+            process.silence_store_connections()
 
     async def _turn_one_away(self, duration_s: float) -> None:
         """Reset the store connections of one process for longer than a change may take."""
@@ -391,7 +527,9 @@
                 for job in self.jobs
                 if job.accepted_s and (not job.states or job.states[-1] not in FINAL)
             ]
-            uncertain_jobs = [job for job in self.jobs if job.statuses[-1] in UNCERTAIN]
+            uncertain_jobs = [
+                job for job in self.jobs if job.statuses[-1] in UNCERTAIN and not job.cancel_status
+            ]
             if not open_jobs and not uncertain_jobs:
                 return
             for job in uncertain_jobs:
@@ -415,14 +553,20 @@
         soak_run = SoakRun(seed, processes)
         violations = asyncio.run(soak_run.run())
         accepted = sum(STORED in job.statuses for job in soak_run.jobs)
+        cancelled = sum(bool(job.cancel_status) for job in soak_run.jobs)
+        last_s = max((start.after_s for start in soak_run.starts_after_cancel), default=0.0)
         print(
             f"seed {seed}: {len(soak_run.jobs)} jobs, {accepted} accepted, "
             f"{len(soak_run.cluster.history)} runs, {len(soak_run.fault_log)} faults, "
+            f"{cancelled} cancelled, {len(soak_run.late_starts())} of them started late, in touch "
+            f"or not, last start {last_s:.2f} s after, "
             f"{'FAILED' if violations else 'passed'}",
             flush=True,
         )
         for line in violations:
             print(f"  {line}", flush=True)
+        for line in soak_run.late_starts():
+            print(f"  in touch or not: {line}", flush=True)
         runs, failed, seed = runs + 1, failed + bool(violations), seed + 1
     print(f"{runs} seeds, {failed} failed")
     sys.exit(1 if failed else 0)
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -130,6 +130,69 @@
     return max(before + [cpu for at_s, cpu in changes if from_s < at_s <= until_s])
 
 
+@dataclass(frozen=True, slots=True)
+class StartAfterCancel:
+    """A start of a job whose cancellation had been acknowledged.
+
+    :param status: status with which the DELETE was answered
+    :param after_s: time between that answer and the sending of the start
+    :param calm_s: time for which neither the leader that sent it nor the store had been disturbed
+    """
+
+    run: RunRecord
+    status: int
+    after_s: float
+    calm_s: float
+
+    def __str__(self) -> str:
+        """Return a line for the log."""
+        return (
+            f"{self.run.task} attempt {self.run.attempt} by leader {self.run.fencing_token} "
+            f"{self.after_s:.2f} s after a DELETE was answered {self.status}, "
+            f"{self.calm_s:.2f} s after the last disturbance"
+        )
+
+
+def starts_after_cancel(
+    jobs: Iterable[ClientJob],
+    history: Iterable[RunRecord],
+    disturbances: Mapping[int, list[float]],
+) -> list[StartAfterCancel]:
+    """Return the starts of jobs whose cancellation had been acknowledged, however soon.
+
+    A start that a fault held up counts from when it was sent.
+
+    :param disturbances: by fencing token, in order, when its leader or the store was disturbed
+    """
+    cancelled = {job.id: job for job in jobs if job.cancel_status}
+    starts = []
+    for record in history:
+        job = cancelled.get(record.task.partition(".")[0])
+        sent_s = record.started_s - record.late_s
+        if job is None or sent_s <= job.cancel_acknowledged_s:
+            continue
+        before = [at_s for at_s in disturbances.get(record.fencing_token, ()) if at_s <= sent_s]
+        calm_s = sent_s - before[-1] if before else sent_s
+        after_s = sent_s - job.cancel_acknowledged_s
+        starts.append(StartAfterCancel(record, job.cancel_status, after_s, calm_s))
+    return starts
+
+
+def late_starts(starts: Iterable[StartAfterCancel], cancel_s: float, touch_s: float) -> list[str]:
+    """Return the jobs that were started too late after their cancellation, by leaders in touch.
+
+    :param touch_s: time without disturbance after which a leader is in touch
+    """
+    late: dict[str, list[StartAfterCancel]] = {}
+    for start in starts:
+        if start.after_s > cancel_s and start.calm_s >= touch_s:
+            late.setdefault(start.run.task.partition(".")[0], []).append(start)
+    return [
+        f"started after its cancellation: {len(rows)} tasks, first {rows[0]}"
+        for rows in late.values()
+    ]
+
+
 def needless_crashes(crashed_by: Iterable[tuple[str, int]]) -> list[str]:
     """Return the tasks that were started too often after they had crashed executors."""
     counts = Counter(task for task, _ in crashed_by)
--- a/tests/platform/standin/clients.py
+++ b/tests/platform/standin/clients.py
@@ -1,7 +1,9 @@
 """Clients of the server processes, which record the responses."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from time import monotonic
 
 import orjson
 
@@ -9,6 +11,7 @@
 
 RESPONSE_TIMEOUT_S = 3.0
 NO_RESPONSE = 0
+UNKNOWN_JOB = 410
 
 
 @dataclass(slots=True)
@@ -16,6 +19,10 @@
     """A job as observed by its clients.
 
     :param accepted_s: time of the first submission that returned 200, 0 for none
+    :param is_submitted: a submission has been sent, whether it was answered or not
+    :param cancel_status: status of the first answer that acknowledged its cancellation
+    :param cancel_acknowledged_s: time of that answer, by the clock of the executors
+    :param calls: submissions and cancellations with sending, end and status, in order of ends
     :param statuses: status of each submission; 0 for no response
     :param states: all returned states, in order
     """
@@ -26,9 +33,17 @@
     body: dict
     accepted_s: float = 0.0
     cancelled_s: float = 0.0
+    is_submitted: bool = False
+    cancel_status: int = NO_RESPONSE
+    cancel_acknowledged_s: float = 0.0
+    calls: list[tuple[str, float, float, int]] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
     states: list[str] = field(default_factory=list)
 
+    def record_submission(self) -> None:
+        """Record that a submission has been sent."""
+        self.is_submitted = True
+
 
 class KeepAliveClient:
     """Client that sends all requests to one process on one connection while it is open."""
@@ -39,6 +54,7 @@
         self._port = int(port)
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        self.on_sent: Callable[[], None] = lambda: None
 
     async def request(
         self, method: str, path: str, body: object = None, timeout_s: float = RESPONSE_TIMEOUT_S
@@ -57,6 +73,7 @@
                         self._host, self._port
                     )
                 self._writer.write(head.encode() + data)
+                self.on_sent()
                 return await self._read_response()
         except (OSError, TimeoutError, EOFError, asyncio.IncompleteReadError):
             self.close()
@@ -95,13 +112,31 @@
 
 async def submit(address: str, job: ClientJob, now_s: float) -> int:
     """Submit a job and record the response status."""
-    status, _ = await request(address, "POST", f"/{job.queue}/{job.id}", job.body)
+    sent_s = monotonic()
+    client = KeepAliveClient(address)
+    client.on_sent = job.record_submission
+    status, _ = await client.request("POST", f"/{job.queue}/{job.id}", job.body)
+    client.close()
+    job.calls.append((f"POST {address}", sent_s, monotonic(), status))
     job.statuses.append(status)
     if status == 200 and not job.accepted_s:
         job.accepted_s = now_s
     return status
 
 
+async def cancel(address: str, job: ClientJob) -> None:
+    """Request the cancellation of a job and record the response.
+
+    An answer that the job is unknown counts if the job had been submitted before.
+    """
+    was_submitted, sent_s = job.is_submitted, monotonic()
+    status, _ = await request(address, "DELETE", f"/{job.queue}/{job.id}")
+    job.calls.append((f"DELETE {address}", sent_s, monotonic(), status))
+    is_acknowledged = 200 <= status < 300 or (status == UNKNOWN_JOB and was_submitted)
+    if is_acknowledged and not job.cancel_status:
+        job.cancel_status, job.cancel_acknowledged_s = status, monotonic()
+
+
 async def poll_state(address: str, job: ClientJob) -> str:
     """Request and record the state of a job; return "" if there was none."""
     status, fields = await request(address, "GET", f"/{job.queue}/{job.id}")
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -14,9 +14,9 @@
 import orjson
 
 from tests.platform.standin.executors import RunRecord, StubExecutor
-from tests.platform.standin.http import Proxy, Request, Response, StubServer
+from tests.platform.standin.http import Proxy, ProxyMode, Request, Response, StubServer
 from tests.platform.standin.ports import free_ports
-from tests.platform.standin.store import StubStore
+from tests.platform.standin.store import CALL_DELAY_S, StubStore
 
 ROOT = Path(__file__).parent.parent.parent.parent
 HOST = "desk.example"
@@ -26,6 +26,10 @@
 # A start may go by the former capacity of an executor for the sum of these.
 TOUCH_MS = 1_000
 HEARTBEAT_MS = 1_000
+# From the sites' pages.
+CANCEL_MS = 3_000
+# Interval at which the state of the faults is recorded.
+FAULT_POLL_S = 0.02
 READY_TIMEOUT_S = 20.0
 # From <linux/prctl.h>.
 PR_SET_PDEATHSIG = 1
@@ -95,6 +99,15 @@
         self._ready_address = f"127.0.0.1:{ready}"
         self._first_port = first
         self.is_paused = False
+        # Moments at which it, or its link to the store, was disturbed.
+        self.disturbed_at_s: list[float] = []
+
+    @property
+    def is_disturbed(self) -> bool:
+        """Return whether a fault holds for the program or its link to the store."""
+        proxy = self.store_proxy
+        is_link_sound = proxy.mode is ProxyMode.OPEN and not proxy.bytes_per_s
+        return not self.is_running or self.is_paused or not is_link_sound
 
     @property
     def is_running(self) -> bool:
@@ -134,12 +147,19 @@
         )
         log.close()
         self.is_paused = False
+        self.disturbed_at_s.append(monotonic())
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the program."""
         if self.is_running:
             self._popen.send_signal(number)
             self.is_paused = number == signal.SIGSTOP
+            self.disturbed_at_s.append(monotonic())
+
+    def silence_store_connections(self) -> None:
+        """Silence the open connections to the store; new ones work."""
+        self.store_proxy.silence_connections()
+        self.disturbed_at_s.append(monotonic())
 
     async def kill(self) -> None:
         """Kill the program and wait until it has exited."""
@@ -190,6 +210,7 @@
         self._process_count = processes
         self.processes: list[Process] = []
         self._background_tasks: list[asyncio.Task] = []
+        self._store_disturbed_at_s: list[float] = []
         self.version = 1
         self.config_changes: list[ConfigChange] = []
 
@@ -208,6 +229,7 @@
         ]
         for process in self.processes:
             await process.start()
+        self._background_tasks.append(asyncio.ensure_future(self._watch_faults()))
         deadline_s = asyncio.get_running_loop().time() + READY_TIMEOUT_S
         while not all([await process.is_ready() for process in self.processes]):
             if asyncio.get_running_loop().time() > deadline_s:
@@ -233,6 +255,25 @@
             for executor in self.executors
         }
 
+    async def _watch_faults(self) -> None:
+        """Record when the store and the processes are disturbed, until cancelled."""
+        while True:
+            now_s = monotonic()
+            if self.store.delay_s > CALL_DELAY_S:
+                self._store_disturbed_at_s.append(now_s)
+            for process in self.processes:
+                if process.is_disturbed:
+                    process.disturbed_at_s.append(now_s)
+            await asyncio.sleep(FAULT_POLL_S)
+
+    def disturbances(self) -> dict[int, list[float]]:
+        """Return by fencing token when its leader, its link or the store was disturbed."""
+        names = {process.name: process.disturbed_at_s for process in self.processes}
+        return {
+            token: sorted(names.get(value["member"], []) + self._store_disturbed_at_s)
+            for token, value in self.store.values("cell/holder").items()
+        }
+
     def followers(self) -> list[Process]:
         """Return the processes that do not hold the leader lease."""
         leader = self.store.read("cell/holder")["member"]
--- a/tests/platform/standin/executors.py
+++ b/tests/platform/standin/executors.py
@@ -24,6 +24,8 @@
     """A run as observed by its executor; ``ended_s`` is 0 while it runs.
 
     :param is_end_lost: the executor restarted or was disconnected before its end was acknowledged
+    :param fencing_token: token of the leader that started it
+    :param late_s: time for which an injected fault held up the start
     """
 
     task: str
@@ -34,6 +36,8 @@
     ended_s: float = 0.0
     end: str = ""
     is_end_lost: bool = False
+    fencing_token: int = 0
+    late_s: float = 0.0
 
 
 class StubExecutor:
@@ -221,7 +225,14 @@
         if body["deadline_ms"] <= self._clock_ms():
             return Response(409, {"reason": "late", **clock})
         run_ms, cpu, *options = body["spec"].split()
-        record = RunRecord(*key, self.name, int(cpu), self._now())
+        record = RunRecord(
+            *key,
+            self.name,
+            int(cpu),
+            self._now(),
+            fencing_token=body["fencing_token"],
+            late_s=self.proxy.delay_s,
+        )
         self._history.append(record)
         if CRASHES in options and body["task"].endswith(".0"):
             task = asyncio.ensure_future(self._crash_by(record))
--- a/tests/platform/standin/http.py
+++ b/tests/platform/standin/http.py
@@ -175,6 +175,8 @@
                 if self.mode is ProxyMode.BLACKHOLE or writer in self._silent:
                     continue
                 if self.mode is ProxyMode.NO_RESPONSES and is_response:
+                    # A connection on which a response is lost returns nothing further.
+                    self._silent.add(writer)
                     continue
                 self.response_bytes += len(data) if is_response else 0
                 writer.write(data)
--- a/tests/platform/standin/store.py
+++ b/tests/platform/standin/store.py
@@ -47,6 +47,14 @@
         """Return the decoded value of a key."""
         return orjson.loads(b64decode(self.entries[key].value))
 
+    def values(self, key: str) -> dict[int, dict]:
+        """Return all values that a key has had, by revision."""
+        return {
+            revision: orjson.loads(b64decode(event["value"]))
+            for revision, changed, event in self._events
+            if changed == key and "value" in event
+        }
+
     def delete(self, key: str) -> None:
         """Delete a key at the current revision."""
         if self.entries.pop(key, None) is not None:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -7,11 +7,13 @@
 from tests.platform.soak_checks import (
     QueueAnswer,
     incorrect_responses,
+    late_starts,
     needless_crashes,
     outdated_answers,
     overcommitted,
     overlapping_runs,
     repeated_completions,
+    starts_after_cancel,
     unfounded_failures,
 )
 from tests.platform.standin.clients import ClientJob
@@ -42,6 +44,8 @@
         ended_s,
         values["end"],
         bool(values.get("is_end_lost")),
+        values.get("fencing_token", 0),
+        values.get("late_s", 0.0),
     )
 
 
@@ -143,6 +147,34 @@
             answer = QueueAnswer("m0", queue, status, sent_s, sent_s + 0.3)
             self.assertEqual(len(outdated_answers([answer], changes, 2.0)), expected, answer)
 
+    def test_late_starts(self) -> None:
+        """A late start after a cancellation is reported if its leader was in touch."""
+        for started_s, late_s, status, disturbed_s, expected in (
+            (5.2, 0.0, 200, 1.0, 1),
+            (5.2, 0.0, 410, 1.0, 1),
+            (4.9, 0.0, 200, 1.0, 0),
+            (5.2, 0.3, 200, 1.0, 0),
+            (5.4, 0.3, 200, 1.0, 1),
+            (5.2, 0.0, 200, 4.3, 0),
+            (5.2, 0.0, 200, 4.1, 1),
+            (5.2, 0.0, 200, 5.5, 1),
+            (1.0, 0.0, 200, 0.0, 0),
+            (5.2, 0.0, 0, 1.0, 0),
+        ):
+            run = record(1, started_s, 9.0, fencing_token=7, late_s=late_s)
+            client_job = job(cancel_status=status, cancel_acknowledged_s=2.0)
+            starts = starts_after_cancel([client_job], [run], {7: [0.0, disturbed_s], 6: [5.0]})
+            self.assertEqual(len(late_starts(starts, 3.0, 1.0)), expected, run)
+
+    def test_starts_by_leaders_out_of_touch(self) -> None:
+        """Each start after a cancellation is known, also if none of them is a violation."""
+        client_job = job(cancel_status=200, cancel_acknowledged_s=2.0)
+        run = record(1, 6.0, 9.0, fencing_token=7)
+        (start,) = starts_after_cancel([client_job], [run], {7: [5.5]})
+        self.assertEqual((start.after_s, start.calm_s), (4.0, 0.5))
+        self.assertEqual(late_starts([start], 3.0, 1.0), [])
+        self.assertEqual(len(late_starts([start], 3.0, 0.0)), 1)
+
     def test_refusal_after_an_uncertain_response(self) -> None:
         """The first submission may have been stored, so a later run is no violation."""
         client_job = job(accepted_s=0.0, statuses=[504, 503], states=[])
