Stand-in: two test processes never share a range of ports

Cause: ranges are chosen by process id modulo 100, and nothing kept two processes from the same one. Change: each test process locks its range until it exits. Result: two processes with the same id modulo 100 get different ranges. Conclusion: no fault of the product; several test runs on one machine no longer disturb each other.

--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -1,7 +1,12 @@
 """Allocation of free ports on loopback."""
 
+import fcntl
 import os
 import socket
+import tempfile
+from functools import cache
+from pathlib import Path
+from typing import IO
 
 # Below the ephemeral port range, so that no outgoing connection takes the port of a process that
 # is down for a moment.
@@ -16,7 +21,8 @@
 def free_ports(count: int) -> list[int]:
     """Return consecutive free ports."""
     global _next_offset
-    first_port = FIRST_PORT + os.getpid() % RANGES * PORTS_PER_RANGE
+    number, _ = _lock_range()
+    first_port = FIRST_PORT + number * PORTS_PER_RANGE
     for _ in range(PORTS_PER_RANGE):
         if _next_offset % PORTS_PER_RANGE + count > PORTS_PER_RANGE:
             _next_offset = 0
@@ -27,6 +33,22 @@
     raise OSError("no free ports")
 
 
+@cache
+def _lock_range() -> tuple[int, IO[bytes]]:
+    """Return a range that no other process uses, and its lock, held until this process exits."""
+    for attempt in range(RANGES):
+        number = (os.getpid() + attempt) % RANGES
+        path = Path(tempfile.gettempdir()) / f"lagoonshelf-test-ports-{number}.lock"
+        lock = path.open("ab")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+        else:
+            return number, lock
+    raise OSError("all ranges of ports are in use")
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as sock:
         try:
