Start nothing by an old configuration while the store still answers some member

An old configuration counted as in force whenever the store was troubled for all members, which a slow store is too, although the operator's writes then take effect; and its age was checked in a pass only, not before a start that had waited for its record. Evidence: test_a_leader_starts_nothing_by_an_old_configuration is stricter (a store that is troubled, but not down, is no outage) and a new test of a start that waited; both failed before. 61 tests of the modules that use it pass. Conclusion: both kinds of knowledge by which a leader starts tasks have the same bound now.

--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -201,7 +201,7 @@
     def _find_obstacle(self, worker: Worker) -> str:
         """Return why a worker may not be given a start that was planned for it, "" if it may."""
         if not self.may_start():
-            return "its job may have been cancelled"
+            return "the configuration or the cancellations may have changed"
         if worker.is_overfull:
             return "its worker has shrunk"
         if not self._cell.may_use_capacity(worker, self._clock.now_ms()):
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -97,7 +97,7 @@
         )
         self._early_cancellations = EarlyCancellations()
         self._is_behind = False
-        self.dispatcher.may_start = self._knows_cancellations
+        self.dispatcher.may_start = self._may_start
         self._loaded_revision = ABSENT
         self.is_ready = False
 
@@ -270,7 +270,11 @@
 
         In an outage that all members see, nobody can change them.
         """
-        return self._config.is_fresh() or self.is_store_troubled()
+        return self._config.is_fresh() or self.is_store_down()
+
+    def _may_start(self) -> bool:
+        """Return whether a start that was planned some time ago may be sent now."""
+        return self._is_config_valid() and self._knows_cancellations()
 
     def _knows_cancellations(self) -> bool:
         """Return whether the cancellations that count at the moment of a start are known here.
--- a/tests/server/jobs/test_job_watcher.py
+++ b/tests/server/jobs/test_job_watcher.py
@@ -1,7 +1,7 @@
 """Tests of what a leader knows of jobs and cancellations when it starts tasks."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from unittest.mock import patch
 
 from lagoonshelf_core.jobs.progress import JobState
@@ -119,16 +119,7 @@
     async def test_a_start_that_waited_is_not_sent_to_a_job_that_may_be_cancelled(self) -> None:
         """Guards against a start that waits for its record while its job is cancelled."""
         leader = await self._term("m1")
-        commit, is_held = self.store.commit, True
-
-        async def hold_progress(
-            conditions: dict, puts: Sequence[Put] = (), deletes: Sequence[str] = (), **limits: int
-        ) -> Committed | Conflict | None:
-            while is_held and any(put.key.startswith(PROGRESS_PREFIX) for put in puts):
-                await asyncio.sleep(0.01)
-            return await commit(conditions, puts, deletes, **limits)
-
-        self.store.commit = hold_progress
+        release = self._hold_records()
         spec = make_job()
         self._store(spec)
         await eventually(lambda: any(worker.runs for worker in leader.cell.workers.values()))
@@ -137,10 +128,22 @@
         for _ in range(RENEWALS):
             self.clock.skipped_ms += CANCEL_MS // RENEWALS
             await eventually(lambda: leader.lease.renewed_ms >= self.clock.now_ms() - 100)
-        is_held = False
+        release()
         await self._run_passes(leader)
         self.assertEqual(self.workers.started, [])
 
+    async def test_a_start_that_waited_is_not_sent_by_an_old_configuration(self) -> None:
+        """Guards against a start that waits for its record while a limit is lowered."""
+        leader = await self._term("m1")
+        release = self._hold_records()
+        self._store(make_job())
+        await eventually(lambda: any(worker.runs for worker in leader.cell.workers.values()))
+        self.config_poll.cancel()
+        leader.config_view.confirmed_ms -= 60_000
+        release()
+        await asyncio.sleep(PASS_S)
+        self.assertEqual(self.workers.started, [])
+
     async def test_a_cancellation_that_is_announced_before_its_job_is_kept(self) -> None:
         """Guards against a leader that confirms a cancellation and then starts the job."""
         leader = await self._term("m1")
@@ -204,6 +207,24 @@
         await eventually(lambda: second.state(late.id) is JobState.CANCELLED)
         self.assertEqual(self.workers.started, [])
 
+    def _hold_records(self) -> Callable[[], None]:
+        """Keep progress from being recorded until the returned function is called."""
+        commit, is_held = self.store.commit, True
+
+        async def hold_progress(
+            conditions: dict, puts: Sequence[Put] = (), deletes: Sequence[str] = (), **limits: int
+        ) -> Committed | Conflict | None:
+            while is_held and any(put.key.startswith(PROGRESS_PREFIX) for put in puts):
+                await asyncio.sleep(0.01)
+            return await commit(conditions, puts, deletes, **limits)
+
+        def release() -> None:
+            nonlocal is_held
+            is_held = False
+
+        self.store.commit = hold_progress
+        return release
+
     async def _run_passes(self, leader: Leader) -> None:
         """Let a leader that has renewed its lease and read the configuration start what it may."""
         await eventually(leader.may_answer)
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -34,7 +34,8 @@
         """Guards against starts above a limit that has been lowered.
 
         The leader renews its lease, but cannot read the configuration. In an outage that all
-        members see it goes on, since nobody can change the configuration then.
+        members see it goes on, since nobody can change the configuration then; a store that is
+        slow for all is no such outage.
         """
         leader = await self._term("m1")
         self.config_poll.cancel()
@@ -46,6 +47,10 @@
         self.assertEqual(self.workers.started, [])
         leader.is_store_troubled = lambda: True
         leader.request_pass()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.workers.started, [])
+        leader.is_store_down = lambda: True
+        leader.request_pass()
         await eventually(lambda: len(self.workers.started) == 2)
 
     async def test_a_lost_history_is_not_asked_for_again_and_again(self) -> None:
