Tests: faults that the review of the cancellations found

Cause: an announcement that was paused restarts a forgotten job; the leader's memory of an early cancellation ends before its record does, and a second DELETE renews neither; a member out of reach counts as one without the store. Conclusion: no product code changed. Three of the five need 150 s between DELETE and the job, one a pause of that length.

--- a/tests/server/jobs/test_job_watcher.py
+++ b/tests/server/jobs/test_job_watcher.py
@@ -4,14 +4,18 @@
 from collections.abc import Callable, Sequence
 from unittest.mock import patch
 
+from lagoonshelf_core.jobs.early_cancellations import EARLY_CANCELLATION_MS
 from lagoonshelf_core.jobs.progress import JobState
+from lagoonshelf_core.jobs.spec import JobSpec
 from lagoonshelf_server.jobs import job_watcher
+from lagoonshelf_server.jobs import leader as leader_module
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
 from lagoonshelf_server.jobs.keys import (
     PROGRESS_PREFIX,
     SUBMISSION_PREFIX,
     USED_WORKERS,
     cancel_key,
+    ended_key,
     job_key,
 )
 from lagoonshelf_server.jobs.leader import Leader
@@ -44,6 +48,9 @@
         self.clock = PausableClock()
         self.workers.clock = self.store.clock = self.clock
         self.is_silent = self.is_failing = self.is_waiting_silent = False
+        often = patch.object(leader_module, "CANCELLATION_CHECK_INTERVAL_S", 0.05)
+        often.start()
+        self.addCleanup(often.stop)
         self._watch = self.store.watch
         self.store.watch = self._watch_unless_disturbed
 
@@ -225,6 +232,73 @@
         self.store.commit = hold_progress
         return release
 
+    async def test_a_cancelled_job_that_was_forgotten_is_not_started_again(self) -> None:
+        """Guards against a process that was paused between storing a job and announcing it.
+
+        Meanwhile the job was cancelled, ended, and its records were swept.
+        """
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        record = self.store.items[job_key(spec.id)]
+        self.store.put(cancel_key(spec.id), b"{}")
+        await eventually(lambda: ended_key(spec.id) in self.store.items)
+        started = self._starts_of(spec)
+        leader._forget_ended_job(spec.id)
+        self.store._delete(ended_key(spec.id))
+        leader.accept(job_watcher.read_job(record), record.created)
+        await self._run_passes(leader)
+        self.assertEqual(self._starts_of(spec), started)
+
+    async def test_a_job_that_is_cancelled_again_is_not_started(self) -> None:
+        """Guards against a second answer "unknown job" that holds only as long as the first."""
+        leader = await self._term("m1")
+        spec = make_job()
+        await self._cancel_unknown(leader, spec)
+        self.clock.skipped_ms += EARLY_CANCELLATION_MS - 1_000
+        self.assertIs(await self._api().cancel(spec.id, 1_000), WriteOutcome.UNKNOWN_JOB)
+        leader.cancel(spec.id)
+        self.clock.skipped_ms += 2_000
+        await asyncio.sleep(PASS_S)
+        self._store(spec)
+        await eventually(lambda: spec.id in leader.cell.jobs)
+        await self._run_passes(leader)
+        self.assertEqual(self._starts_of(spec), 0)
+
+    async def test_a_successor_does_not_cancel_a_job_that_runs(self) -> None:
+        """Guards against a leader that forgets a cancellation before its record is deleted.
+
+        A job is handed in later than 150 s after the cancellation and before the next sweep.
+        """
+        leader = await self._term("m1")
+        spec = make_job()
+        await self._cancel_unknown(leader, spec)
+        self.clock.skipped_ms += EARLY_CANCELLATION_MS
+        await asyncio.sleep(PASS_S)
+        self._store(spec)
+        await eventually(lambda: leader.state(spec.id) in (JobState.RUNNING, JobState.CANCELLED))
+        state = leader.state(spec.id)
+        second = await self._term("m2")
+        await asyncio.sleep(PASS_S)
+        self.assertIs(second.state(spec.id), state)
+
+    async def test_an_acknowledged_cancellation_does_not_depend_on_its_announcement(self) -> None:
+        """Guards against an acknowledgement by a record that the leader has seen and forgotten."""
+        leader = await self._term("m1")
+        spec = make_job()
+        await self._cancel_unknown(leader, spec)
+        self.clock.skipped_ms += EARLY_CANCELLATION_MS
+        await asyncio.sleep(PASS_S)
+        self._store(spec)
+        await eventually(lambda: spec.id in leader.cell.jobs)
+        self.assertIs(await self._api().cancel(spec.id, 1_000), WriteOutcome.STORED)
+        await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
+
+    async def _cancel_unknown(self, leader: Leader, spec: JobSpec) -> None:
+        """Cancel a job that is not stored, and wait until the leader knows of it."""
+        self.assertIs(await self._api().cancel(spec.id, 1_000), WriteOutcome.UNKNOWN_JOB)
+        await eventually(lambda: spec.id in leader._early_cancellations._added_ms)
+
     async def _run_passes(self, leader: Leader) -> None:
         """Let a leader that has renewed its lease and read the configuration start what it may."""
         await eventually(leader.may_answer)
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -281,6 +281,21 @@
         self.store._answered_ms = now_ms
         self.assertFalse(heartbeats.is_store_down_for_all())
 
+    async def test_a_store_that_answers_a_member_out_of_reach_is_not_down(self) -> None:
+        """Guards against starts of jobs that a member cancels whose link to the leader is cut.
+
+        Its last heartbeat, 1.2 s ago, said that the store answers it.
+        """
+        heartbeats, now_ms = self.node.heartbeats, self.clock.now_ms()
+        self.store.is_down = True
+        self.store._answered_ms = now_ms - 2_000
+        heartbeats._troubled[MemberId("m2")] = (True, now_ms)
+        heartbeats._members[MemberId("m2")] = (PeerState("a:2", 1_500), now_ms)
+        self.assertTrue(heartbeats.is_store_down_for_all())
+        heartbeats._troubled[MemberId("m3")] = (False, now_ms - 1_200)
+        heartbeats._members[MemberId("m3")] = (PeerState("a:3", 10), now_ms - 1_200)
+        self.assertFalse(heartbeats.is_store_down_for_all())
+
 
 class _LeaderStub:
     """A leader that has not read its jobs."""
