--- a/packages/core/lagoonshelf_core/jobs/early_cancellations.py
+++ b/packages/core/lagoonshelf_core/jobs/early_cancellations.py
@@ -6,6 +6,9 @@
 
 # As long as the state of an ended job; no write of a job is under way for that long.
 EARLY_CANCELLATION_MS = 150_000
+# A leader remembers a cancellation for longer than its record is kept, or a successor would know
+# of one that it has forgotten.
+MEMORY_MS = 2 * EARLY_CANCELLATION_MS
 
 
 class EarlyCancellations:
@@ -17,7 +20,7 @@
 
     def add(self, job: JobId, now_ms: int) -> None:
         """Remember the cancellation of a job."""
-        self._added_ms.setdefault(job, now_ms)
+        self._added_ms[job] = now_ms
 
     def take(self, job: JobId) -> bool:
         """Forget the cancellation of a job; return whether there was one."""
@@ -25,7 +28,7 @@
 
     def take_expired(self, now_ms: int) -> list[JobId]:
         """Forget the cancellations that have been kept long enough and return their jobs."""
-        limit_ms = now_ms - EARLY_CANCELLATION_MS
+        limit_ms = now_ms - MEMORY_MS
         expired = [job for job, added_ms in self._added_ms.items() if added_ms <= limit_ms]
         for job in expired:
             del self._added_ms[job]
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -45,6 +45,8 @@
 STORE_TROUBLE_MS = 1_000
 # Reports of members about the store are ignored when older than this.
 MEMBER_TIMEOUT_MS = 1_000
+# A member that was not heard for this long is taken to have left.
+MAX_UNHEARD_MS = 10_000
 # The leader of 176 workers uses about one core. A host with less delays its claim, and offers the
 # lease to a host that has at least this much and LARGER_HOST_FACTOR times its own cores.
 LEADER_CORES_MILLI = 1_000
@@ -247,14 +249,16 @@
     def is_store_down_for_all(self) -> bool:
         """Return whether the store has answered no member for a while, so that none can write.
 
-        A slow store, or one that loses some answers, is troubled but not down.
+        A slow store, or one that loses some answers, is troubled but not down. A member that is
+        not heard any more may still reach the store if it did when it was heard last.
         """
         if self._store_silence_ms() <= STORE_SILENT_MS or not self.is_store_troubled_for_all():
             return False
-        now_ms = self._clock.now_ms()
+        limit_ms = self._clock.now_ms() - MAX_UNHEARD_MS
         return all(
-            now_ms - heartbeat_ms + state.store_age_ms > STORE_SILENT_MS
+            state.store_age_ms > STORE_SILENT_MS
             for state, heartbeat_ms in self._members.values()
+            if heartbeat_ms > limit_ms
         )
 
     def _store_silence_ms(self) -> int:
--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -107,6 +107,7 @@
         job" then means that it never runs.
         """
         key, value = cancel_key(job), encode_cancellation(self._clock.wall_ms())
+        known_record = ABSENT
         while True:
             try:
                 stored = await self._store.read(job_key(job))
@@ -116,15 +117,18 @@
             if ended is not None:
                 return WriteOutcome.STORED
             revision = ABSENT if stored is None else stored.revision
-            conditions = {job_key(job): revision, ended_key(job): ABSENT, key: ABSENT}
+            conditions = {job_key(job): revision, ended_key(job): ABSENT, key: known_record}
             outcome, result = await self._create(conditions, key, value, deadline_ms)
             if outcome is not WriteOutcome.STORED:
                 return outcome
-            found = {item.key for item in result.items} if isinstance(result, Conflict) else {key}
-            # Otherwise the job has been stored, or has ended, since it was read.
-            if key in found:
-                is_known = stored is not None or job_key(job) in found
-                return outcome if is_known else WriteOutcome.UNKNOWN_JOB
+            if isinstance(result, Committed):
+                return WriteOutcome.UNKNOWN_JOB if stored is None else outcome
+            found = {item.key: item for item in result.items}
+            if key in found and job_key(job) in found:
+                return outcome
+            # The job has been stored or has ended since it was read, or its cancellation was
+            # recorded before, and is to be kept for as long from now on.
+            known_record = found[key].revision if key in found else ABSENT
 
     async def _create(
         self, conditions: dict[str, StoreRevision], key: str, value: bytes, deadline_ms: int
--- a/packages/server/lagoonshelf_server/jobs/job_watcher.py
+++ b/packages/server/lagoonshelf_server/jobs/job_watcher.py
@@ -83,7 +83,8 @@
         """
         while True:
             await asyncio.sleep(POLL_CHECK_S)
-            if self.age_ms() >= max_age_ms:
+            # While the store fails, the watch asks as often.
+            if self.age_ms() >= max_age_ms and not self._store.is_failing():
                 await self._apply_changes(POLL_MS)
 
     async def _apply_changes(self, wait_ms: int) -> bool:
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -22,7 +22,6 @@
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.maintenance import Maintenance
 from lagoonshelf_server.jobs.ports import (
-    ABSENT,
     Item,
     MachinePort,
     PlatformCodec,
@@ -98,7 +97,6 @@
         self._early_cancellations = EarlyCancellations()
         self._is_behind = False
         self.dispatcher.may_start = self._may_start
-        self._loaded_revision = ABSENT
         self.is_ready = False
 
     async def run(self) -> None:
@@ -134,9 +132,9 @@
         self._spawn(self._job_watcher.watch())
         self._spawn(self._job_watcher.poll(self._max_submissions_age_ms() // 2))
         self._fleet.start()
-        retention = JobRetention(
-            self._store, self.progress_writer, self._clock, self.cell.jobs, self._forget_ended_job
-        )
+        retention = JobRetention(self._store, self.progress_writer, self._clock, self.cell.jobs)
+        retention.on_ended_job_removed = self._forget_ended_job
+        retention.on_cancellation_removed = self._early_cancellations.take
         self._spawn(retention.run(state.orphans))
         self._spawn(self._expire_cancellations())
         self._spawn(self._report())
@@ -154,8 +152,8 @@
 
         :param created: revision at which its record was stored
         """
-        if spec.id not in self.cell.jobs and created <= self._loaded_revision:
-            # The takeover found no record of it any more, and only ended jobs lose theirs.
+        if spec.id not in self.cell.jobs and created <= self._job_watcher.revision:
+            # It is in no record any more, or was known here before; only ended jobs go.
             _log.info("ended job reported again", request=spec.id, created=created)
             return None
         job = self.cell.accept(spec, self._clock.now_ms())
@@ -193,7 +191,6 @@
         return self.is_ready and self._leader_lease.may_dispatch()
 
     async def _restore(self, state: CellState) -> None:
-        self._loaded_revision = state.revision
         self._job_watcher.record_reading(state.revision, state.requested_ms)
         lapse_ms = self._fleet.restore(state.registry, state.used_workers)
         now_ms = self._clock.now_ms()
--- a/packages/server/lagoonshelf_server/jobs/retention.py
+++ b/packages/server/lagoonshelf_server/jobs/retention.py
@@ -37,18 +37,17 @@
         progress_writer: ProgressWriter,
         clock: Clock,
         known_jobs: Container[JobId],
-        on_removed: Callable[[JobId], None],
     ) -> None:
         """Set up.
 
         :param known_jobs: jobs whose cancellations are still needed
-        :param on_removed: called with each job whose record was deleted
         """
         self._store = store
         self._progress_writer = progress_writer
         self._clock = clock
         self._known_jobs = known_jobs
-        self._on_removed = on_removed
+        self.on_ended_job_removed: Callable[[JobId], object] = lambda job: None
+        self.on_cancellation_removed: Callable[[JobId], object] = lambda job: None
 
     async def run(self, orphans: tuple[str, ...]) -> None:
         """Delete some orphaned records, then sweep until cancelled."""
@@ -69,7 +68,7 @@
             old = [item.key for item in page.items if self._is_old(item)]
             if await self._progress_writer.delete(old):
                 for key in old:
-                    self._on_removed(JobId(key.removeprefix(ENDED_PREFIX)))
+                    self.on_ended_job_removed(JobId(key.removeprefix(ENDED_PREFIX)))
 
     async def _sweep_cancellations(self) -> None:
         """Delete the cancellations of jobs that were never stored."""
@@ -81,7 +80,9 @@
                 if read_cancel(item) not in self._known_jobs
                 and is_cancellation_expired(item.value, now_ms)
             ]
-            await self._progress_writer.delete(old)
+            if await self._progress_writer.delete(old):
+                for key in old:
+                    self.on_cancellation_removed(JobId(key.removeprefix(CANCEL_PREFIX)))
 
     async def _read_pages(self, prefix: str) -> AsyncIterator[Page]:
         after, has_more = "", True
--- a/tests/core/jobs/test_early_cancellations.py
+++ b/tests/core/jobs/test_early_cancellations.py
@@ -4,6 +4,7 @@
 
 from lagoonshelf_core.jobs.early_cancellations import (
     EARLY_CANCELLATION_MS,
+    MEMORY_MS,
     EarlyCancellations,
     encode_cancellation,
     is_cancellation_expired,
@@ -29,12 +30,19 @@
         cancellations = EarlyCancellations()
         cancellations.add(JOB, 0)
         cancellations.add(OTHER, 1)
-        cancellations.add(JOB, 2)
-        self.assertEqual(cancellations.take_expired(EARLY_CANCELLATION_MS - 1), [])
-        self.assertEqual(cancellations.take_expired(EARLY_CANCELLATION_MS), [JOB])
+        self.assertEqual(cancellations.take_expired(MEMORY_MS - 1), [])
+        self.assertEqual(cancellations.take_expired(MEMORY_MS), [JOB])
         self.assertFalse(cancellations.take(JOB))
         self.assertTrue(cancellations.take(OTHER))
 
+    def test_a_cancellation_that_is_repeated_is_kept_for_longer(self) -> None:
+        """Guards against a second acknowledgement that holds only as long as the first."""
+        cancellations = EarlyCancellations()
+        cancellations.add(JOB, 0)
+        cancellations.add(JOB, 2)
+        self.assertEqual(cancellations.take_expired(MEMORY_MS + 1), [])
+        self.assertEqual(cancellations.take_expired(MEMORY_MS + 2), [JOB])
+
     def test_records_expire(self) -> None:
         """Guards against records that stay for ever, or that go while their job may still come."""
         record = encode_cancellation(1_000)
--- a/tests/server/jobs/test_job_watcher.py
+++ b/tests/server/jobs/test_job_watcher.py
@@ -9,6 +9,7 @@
 from lagoonshelf_core.jobs.spec import JobSpec
 from lagoonshelf_server.jobs import job_watcher
 from lagoonshelf_server.jobs import leader as leader_module
+from lagoonshelf_server.jobs.dispatcher import START_TIMEOUTS_MS
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
 from lagoonshelf_server.jobs.keys import (
     PROGRESS_PREFIX,
@@ -94,7 +95,11 @@
         self.assertEqual(self.workers.started, [])
 
     async def test_nothing_is_started_while_cancellations_may_be_unknown(self) -> None:
-        """Guards against starts of a leader that has heard nothing of the store for long."""
+        """Guards against starts of a leader that has heard nothing of the store for long.
+
+        A start may be under way for as long as its command may take. Nobody can cancel a job in an
+        outage that all members see; a store that is slow for all is no such outage.
+        """
         leader = await self._term("m1")
         self.is_silent = True
         await asyncio.sleep(PASS_S)
@@ -102,15 +107,25 @@
         self._store(spec)
         self._store(other)
         self.store.put(cancel_key(spec.id), b"{}")
-        self.clock.skipped_ms += CANCEL_MS
+        self.clock.skipped_ms += CANCEL_MS - max(START_TIMEOUTS_MS)
         for job in (spec, other):
             self._announce(leader, job.id)
+        leader.is_store_troubled = lambda: True
         await self._run_passes(leader)
         self.assertEqual(self.workers.started, [])
         self.is_silent = False
         await eventually(lambda: self._starts_of(other) == 1)
         await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
         self.assertEqual(self._starts_of(spec), 0)
+        self.is_silent = True
+        await asyncio.sleep(PASS_S)
+        leader.is_store_down = lambda: True
+        self.clock.skipped_ms += CANCEL_MS
+        third = make_job()
+        self._store(third)
+        self._announce(leader, third.id)
+        await self._run_passes(leader)
+        self.assertEqual(self._starts_of(third), 1)
 
     async def test_a_silent_watch_does_not_keep_work_from_being_started(self) -> None:
         """Guards against a leader that waits for a watch whose connection was lost."""
@@ -204,14 +219,16 @@
         The write of the job was under way, and took effect after the answer to DELETE.
         """
         leader = await self._term("m1")
-        early, late = make_job(), make_job()
-        for spec in (early, late):
+        early, late, last = make_job(), make_job(), make_job()
+        for spec in (early, late, last):
             self.assertIs(await self._api().cancel(spec.id, 1_000), WriteOutcome.UNKNOWN_JOB)
         self._store(early)
         await eventually(lambda: leader.state(early.id) is JobState.CANCELLED)
         self._store(late)
         second = await self._term("m2")
         await eventually(lambda: second.state(late.id) is JobState.CANCELLED)
+        self._store(last)
+        await eventually(lambda: second.state(last.id) is JobState.CANCELLED)
         self.assertEqual(self.workers.started, [])
 
     def _hold_records(self) -> Callable[[], None]:
--- a/tests/server/jobs/test_takeover.py
+++ b/tests/server/jobs/test_takeover.py
@@ -28,7 +28,7 @@
 from lagoonshelf_server.jobs.retention import JobRetention
 from lagoonshelf_server.jobs.takeover import PrefixReader
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, eventually
-from tests.support.jobs import config, make_job, make_step, worker_info
+from tests.support.jobs import config, make_job, worker_info
 
 
 class TakeoverTest(unittest.IsolatedAsyncioTestCase):
@@ -201,16 +201,15 @@
         leader = await self._start_term()
         await eventually(lambda: cancel_key(old.id) not in self.store.items)
         self.assertIn(cancel_key(young.id), self.store.items)
-        known = make_job(make_step(40))
-        self._store(known)
-        await eventually(lambda: known.id in leader.cell.jobs)
+        known = make_job()
         for spec in (old, known):
             self.store.put(cancel_key(spec.id), old_record)
-        writer, jobs = leader.progress_writer, leader.cell.jobs
-        retention = JobRetention(self.store, writer, self.clock, jobs, lambda job: None)
+        writer, jobs = leader.progress_writer, {known.id}
+        retention = JobRetention(self.store, writer, self.clock, jobs)
         await retention._sweep_cancellations()
         self.assertNotIn(cancel_key(old.id), self.store.items)
         self.assertIn(cancel_key(young.id), self.store.items)
+        self.assertIn(cancel_key(known.id), self.store.items)
 
     async def test_the_progress_of_an_unreadable_job_is_kept(self) -> None:
         """Guards against losing which tasks have run when a job's record cannot be decoded.
