Test: a start that waits for its record goes to a worker that drains

Cause: Dispatcher._find_obstacle checks a worker's size and the age of its capacity again before it sends a start, but not whether the worker has been heard to drain since it was chosen. A start waits for its record without a limit while the store turns away the writes of the leader, so that it may be sent later than drain_ms after the draining (rule DRAIN).

--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -265,6 +265,31 @@
         on_chosen = [task for name, task, _ in self.workers.started if name == chosen.id]
         self.assertLessEqual(len(on_chosen), 2)
 
+    async def test_a_start_on_its_way_is_withdrawn_when_its_worker_drains(self) -> None:
+        """Guards against starts on a worker that was heard to be draining after it was chosen.
+
+        The start waits for its record, which may take longer than a draining may stay unheeded.
+        """
+        leader = await self._term("m1")
+        original, held = self.store.commit, asyncio.Event()
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            await held.wait()
+            return await original(*args, **kwargs)
+
+        self.store.commit = commit
+        spec = make_job(make_step(2))
+        leader.accept(spec, StoreRevision(self.store.revision + 1))
+        await eventually(lambda: any(w.runs for w in leader.cell.workers.values()))
+        chosen = next(w for w in leader.cell.workers.values() if w.runs)
+        draining = replace(chosen.info, is_draining=True)
+        self.codec.infos[b"draining"] = draining
+        self.store.put(f"workers/{chosen.id}", b"draining")
+        await eventually(lambda: chosen.info == draining)
+        held.set()
+        await eventually(lambda: self._starts_of(spec) == 2)
+        self.assertNotIn(chosen.id, {name for name, _, _ in self.workers.started})
+
     async def test_a_start_is_not_sent_with_a_permit_that_has_expired(self) -> None:
         """Guards against refused starts whose record, or turn, came too late for their permit."""
         leader = await self._term("m1")
