Test: a late record of used workers replaces a newer one

Cause: the record of workers that may have runs (cell/workers) is written under the condition of the leader lease only. The store may carry out a write without an answer seconds later if its condition still holds, and it does as long as the term lasts, while a retry with more workers has been confirmed and work was started there.

--- a/tests/server/jobs/test_fleet.py
+++ b/tests/server/jobs/test_fleet.py
@@ -18,6 +18,7 @@
     Conflict,
     Put,
     StoreUnavailableError,
+    StoreUncertainError,
 )
 from tests.support.job_fakes import eventually
 from tests.support.jobs import make_job, make_step, worker_info
@@ -124,6 +125,51 @@
         self.assertIsNotNone(history)
         self.assertEqual(history.crashes + history.losses, 1)
 
+    async def test_a_late_record_of_used_workers_does_not_replace_a_newer_one(self) -> None:
+        """Guards against a successor that does not know of a worker with runs.
+
+        The store may carry out a write without an answer seconds later if its condition still
+        holds, and the leader lease still does.
+        """
+        leader = await self._term("m1")
+        original, late = self.store.commit, []
+
+        async def commit(
+            conditions: Mapping[str, int], puts: Sequence[Put] = (), *args: object, **kw: object
+        ) -> Committed | Conflict | None:
+            if not late and any(put.key == USED_WORKERS for put in puts):
+                late.append((conditions, puts))
+                raise StoreUncertainError("no answer")
+            return await original(conditions, puts, *args, **kw)
+
+        self.store.commit = commit
+        for number in (WORKERS, WORKERS + 1):
+            info = worker_info(number)
+            self.codec.infos[info.id.encode()] = info
+            self.workers.add(info)
+            self.store.put(f"workers/{info.id}", info.id.encode())
+            await eventually(lambda: late)
+        await eventually(lambda: len(leader._fleet._used) == WORKERS + 2)
+        before = self.store.items[USED_WORKERS].value
+        self.store._apply(*late[0], ())
+        self.assertEqual(self.store.items[USED_WORKERS].value, before)
+        # The leader goes on writing the record after its own late write.
+        left = worker_info(0).id
+        self.store._delete(f"workers/{left}")
+        await eventually(lambda: left not in leader._fleet._used, timeout_s=5.0)
+
+    async def test_a_late_record_of_used_workers_is_followed_by_the_newer_one(self) -> None:
+        """Guards against a leader that no longer records its workers after an unanswered write."""
+        leader = await self._term("m1")
+        self.store.lose_answers = 1
+        info = worker_info(WORKERS)
+        self.codec.infos[info.id.encode()] = info
+        self.workers.add(info)
+        self.store.put(f"workers/{info.id}", info.id.encode())
+        await eventually(lambda: info.id in leader._fleet._used)
+        self.assertIn(info.id.encode(), self.store.items[USED_WORKERS].value)
+        self.assertTrue(leader.lease.is_held)
+
 
 class DeposedLeaderTest(TermTestCase):
     """A leader that knows its successor, in the moment before its tasks have ended."""
