Write the record of used workers on condition of its own revision

Change: the revision that the takeover read, or that was written last, is a condition of the next write, as for progress records; a conflict under the own lease shows the revision of an own late write and is followed by another attempt. After a write without an answer the record is written again even if the workers are what they were, as the store may hold the other list.

--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -99,6 +99,9 @@
         self._store_failed_ms = 0
         self._registry_read_ms = 0
         self._used: dict[WorkerId, _UsedWorker] = {}
+        self._used_revision = ABSENT
+        # The last write of the record had no answer, so that it may differ from ``_used``.
+        self._is_used_uncertain = False
         # Next rows, None for none, of recorded workers that are lost or have left, with the mark
         # of the progress that has to be durable before.
         self._replaced: dict[WorkerId, tuple[_UsedWorker | None, int]] = {}
@@ -129,6 +132,7 @@
             if info is not None:
                 self._cell.update_worker(info, now_ms).registered_ms = registered_ms
             self._applied[item.key] = (None if info is None else info.id, item.revision)
+        self._used_revision = ABSENT if used is None else used.revision
         lapse_ms = now_ms + lapse_after_ms(RUN_LEASE_MS)
         # A predecessor that may be alive keeps granting leases this much longer in a store outage.
         if not self._leader_lease.predecessor_is_dead:
@@ -195,14 +199,8 @@
         """Record which workers may have runs, before they are used."""
         async with self._used_lock:
             rows = self._next_rows()
-            if rows != self._used:
-                value = orjson.dumps([row.fields() for row in rows.values()])
-                result = await self._store.commit(
-                    {LEADER_KEY: self._leader_lease.token}, [Put(USED_WORKERS, value)]
-                )
-                if not isinstance(result, Committed):
-                    raise StoreUnavailableError("list of used workers not written")
-                self._used = rows
+            if rows != self._used or self._is_used_uncertain:
+                await self._store_used(rows)
         for worker in self._cell.workers.values():
             row = self._used.get(worker.id)
             if row is None or row.born_ms != worker.info.born_ms:
@@ -211,6 +209,27 @@
             if worker.id not in self._session_tasks:
                 self._open_session(worker)
 
+    async def _store_used(self, rows: "dict[WorkerId, _UsedWorker]") -> None:
+        """Replace the record of used workers.
+
+        An earlier write without an answer may take effect at any time of the term. The condition
+        on the record's revision keeps it from replacing a newer one.
+        """
+        put = Put(USED_WORKERS, orjson.dumps([row.fields() for row in rows.values()]))
+        self._is_used_uncertain = True
+        while True:
+            token = self._leader_lease.token
+            conditions = {LEADER_KEY: token, USED_WORKERS: self._used_revision}
+            result = await self._store.commit(conditions, [put])
+            if isinstance(result, Committed):
+                break
+            found = {item.key: item.revision for item in result.items} if result else {}
+            if found.get(LEADER_KEY) != token:
+                raise StoreUnavailableError("list of used workers not written")
+            self._used_revision = found.get(USED_WORKERS, ABSENT)
+        self._used_revision, self._used = result.revision, rows
+        self._is_used_uncertain = False
+
     def _next_rows(self) -> "dict[WorkerId, _UsedWorker]":
         """Return the rows to record now.
 
