Test: what the registry's watch reads first is dropped

Cause: Fleet._watch_registry reads the registry for the revision to watch from, and drops the entries. So a draining may be unheeded for longer than drain_ms (rule DRAIN). The same after a loss of history.

--- a/tests/server/jobs/test_fleet.py
+++ b/tests/server/jobs/test_fleet.py
@@ -16,6 +16,7 @@
 from lagoonshelf_server.jobs.ports import (
     Committed,
     Conflict,
+    Page,
     Put,
     StoreUnavailableError,
     StoreUncertainError,
@@ -171,6 +172,35 @@
         self.assertTrue(leader.lease.is_held)
 
 
+class RegistryTest(TermTestCase):
+    """What a leader knows of the registry, and how old that is when it is used."""
+
+    def _drain(self, name: str) -> None:
+        info = next(i for i in map(worker_info, range(WORKERS)) if i.id == name)
+        self.codec.infos[b"draining"] = replace(info, is_draining=True)
+        self.store.put(f"workers/{name}", b"draining")
+
+    async def test_a_change_after_the_reading_of_a_takeover_is_heard_at_once(self) -> None:
+        """Guards against the first reading of a watch whose entries are dropped.
+
+        A draining that is stored while a takeover reads on was heard a second after the takeover.
+        """
+        original, is_changed = self.store.read_page, False
+
+        async def read_page(prefix: str, after: str, *, stale: bool = False) -> Page:
+            nonlocal is_changed
+            page = await original(prefix, after, stale=stale)
+            if prefix == PROGRESS_PREFIX and not is_changed:
+                is_changed = True
+                self._drain("w000")
+            return page
+
+        self.store.read_page = read_page
+        leader = await self._term("m1")
+        worker = leader.cell.workers["w000"]
+        await eventually(lambda: worker.info.is_draining, timeout_s=0.3)
+
+
 class DeposedLeaderTest(TermTestCase):
     """A leader that knows its successor, in the moment before its tasks have ended."""
 
