Apply the reading from which the registry's watch begins

Change: the entries of that reading are applied like those of the periodic one. It isn't a stale copy any more, which may be seconds old and so tells nothing new: one reading a term at the full price instead of a tenth.

--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -275,12 +275,13 @@
     async def _watch_registry(self) -> None:
         revision = 0
         prefix = self._codec.registry_prefix
-        is_history_lost = False
         while True:
+            sent_ms = self._clock.now_ms()
             try:
                 if not revision:
                     # A stale copy may be older than the history that is left.
-                    _, revision = await self._store.read_all(prefix, stale=not is_history_lost)
+                    items, revision = await self._store.read_all(prefix)
+                    self._apply_registry(items, sent_ms)
                 changes, revision = await self._store.watch(prefix, revision, WATCH_MS)
                 now_ms = self._clock.now_ms()
                 for change in changes:
@@ -288,7 +289,7 @@
                         self._apply_if_changed(change.item, now_ms)
                 await self.write_used()
             except HistoryLostError:
-                revision, is_history_lost = 0, True
+                revision = 0
             except (StoreUnavailableError, StoreUncertainError):
                 await asyncio.sleep(RETRY_S)
 
