Test: nothing bounds the age of the registry at a start

Cause: whether a worker is draining is known from its entry alone. max_capacity_age_ms bounds the age of the entry by 4,500 ms where it is set, and the takeover dates entries by its end, though the registry is what it reads first. So with a silent watch (5.8 s) and readings that fail or hang, or after a takeover that took long, a leader that renews its lease starts tasks on a worker for up to 4.5 s after its draining was stored, where drain_ms is 2,000 (rule DRAIN).

--- a/tests/server/jobs/test_fleet.py
+++ b/tests/server/jobs/test_fleet.py
@@ -18,6 +18,7 @@
     Conflict,
     Page,
     Put,
+    StoreRevision,
     StoreUnavailableError,
     StoreUncertainError,
 )
@@ -180,6 +181,100 @@
         self.codec.infos[b"draining"] = replace(info, is_draining=True)
         self.store.put(f"workers/{name}", b"draining")
 
+    def _cut_registry(self) -> None:
+        """Let the registry be silent: its watch hears nothing, and its readings fail."""
+        watch, read_all = self.store.watch, self.store.read_all
+
+        async def watch_others(prefix: str, *args: object) -> object:
+            if prefix == self.codec.registry_prefix:
+                await asyncio.sleep(60)
+            return await watch(prefix, *args)
+
+        async def read_others(prefix: str, *, stale: bool = False) -> object:
+            if prefix == self.codec.registry_prefix:
+                raise StoreUnavailableError("no response in 1200 ms")
+            return await read_all(prefix, stale=stale)
+
+        self.store.watch, self.store.read_all = watch_others, read_others
+
+    async def test_nothing_is_started_by_an_old_registry(self) -> None:
+        """Guards against starts on workers whose draining is not heard in time.
+
+        The watch is silent and readings fail, and nothing else told how old the entries are. In an
+        outage that all members see the leader goes on, as no worker can report a draining then.
+        """
+        self._cut_registry()
+        leader = await self._term("m1")
+        leader.cell.max_registry_age_ms = 300
+        for number in range(WORKERS):
+            self._drain(worker_info(number).id)
+        await asyncio.sleep(0.4)
+        spec = make_job(make_step(2))
+        leader.accept(spec, StoreRevision(self.store.revision + 1))
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.workers.started, [])
+        leader.is_store_troubled = lambda: True
+        leader.request_pass()
+        await eventually(lambda: len(self.workers.started) == 2)
+
+    async def test_a_start_that_waits_is_not_sent_by_an_old_registry(self) -> None:
+        """Guards against starts that were planned in time and are sent too late."""
+        self._cut_registry()
+        leader = await self._term("m1")
+        leader.cell.max_registry_age_ms = 300
+        held, original = asyncio.Event(), self.store.commit
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            await held.wait()
+            return await original(*args, **kwargs)
+
+        self.store.commit = commit
+        leader.accept(make_job(make_step(2)), StoreRevision(self.store.revision + 1))
+        await eventually(lambda: any(w.runs for w in leader.cell.workers.values()))
+        await asyncio.sleep(0.4)
+        held.set()
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.workers.started, [])
+
+    async def test_the_registry_is_as_old_as_its_reading_after_a_long_takeover(self) -> None:
+        """Guards against entries and capacities dated by the end of a takeover.
+
+        The registry is what a takeover reads first, and the rest may take any time.
+        """
+        self._cut_registry()
+        original = self.store.read_page
+
+        async def read_page(prefix: str, after: str, *, stale: bool = False) -> Page:
+            if prefix == PROGRESS_PREFIX:
+                await asyncio.sleep(0.5)
+            return await original(prefix, after, stale=stale)
+
+        self.store.read_page = read_page
+        leader = await self._term("m1")
+        leader.cell.max_registry_age_ms = 400
+        leader.accept(make_job(make_step(2)), StoreRevision(self.store.revision + 1))
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.workers.started, [])
+        now_ms = self.clock.now_ms()
+        for worker in leader.cell.workers.values():
+            self.assertGreaterEqual(now_ms - worker.registered_ms, 800)
+
+    async def test_a_silent_watch_alone_stops_no_starts(self) -> None:
+        """Guards against a cell that stands still though the registry is read each second."""
+        watch = self.store.watch
+
+        async def watch_others(prefix: str, *args: object) -> object:
+            if prefix == self.codec.registry_prefix:
+                await asyncio.sleep(60)
+            return await watch(prefix, *args)
+
+        self.store.watch = watch_others
+        leader = await self._term("m1")
+        leader.cell.max_registry_age_ms = 2_000
+        await asyncio.sleep(2.5)
+        leader.accept(make_job(make_step(2)), StoreRevision(self.store.revision + 1))
+        await eventually(lambda: len(self.workers.started) == 2, timeout_s=0.3)
+
     async def test_a_change_after_the_reading_of_a_takeover_is_heard_at_once(self) -> None:
         """Guards against the first reading of a watch whose entries are dropped.
 
