--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -84,6 +84,10 @@
         self.is_recording = True
         # Age from which the capacity of a worker may be outdated, 0 for none.
         self.max_capacity_age_ms = 0
+        # Time at which the workers known here were those in the registry, and the age from which
+        # one may have reported since that it is draining, 0 for none.
+        self.registry_ms = 0
+        self.max_registry_age_ms = 0
         self.losses: deque[LossRecord] = deque(maxlen=MAX_LOSS_RECORDS)
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
@@ -218,6 +222,15 @@
             return True
         return now_ms - worker.registered_ms <= self.max_capacity_age_ms
 
+    def may_use_registry(self, now_ms: int) -> bool:
+        """Return whether it is recent enough what is known of the registry.
+
+        In an outage that all members see, no worker can report that it is draining.
+        """
+        if not self.max_registry_age_ms or not self.is_recording:
+            return True
+        return now_ms - self.registry_ms <= self.max_registry_age_ms
+
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -27,7 +27,8 @@
     if not cell.open_steps:
         return
     state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
-    for worker in cell.workers.values():
+    workers = cell.workers.values() if cell.may_use_registry(now_ms) else ()
+    for worker in workers:
         if not worker.is_usable or cell.health.is_quarantined(worker.id, now_ms):
             continue
         if cell.may_use_capacity(worker, now_ms):
@@ -62,6 +63,7 @@
         "quarantined": sum(cell.health.is_quarantined(w.id, now_ms) for w in usable),
         "on_probe": sum(cell.health.is_on_probe(w.id, now_ms) for w in usable),
         "outdated": sum(not cell.may_use_capacity(w, now_ms) for w in usable),
+        "registry_age_ms": now_ms - cell.registry_ms,
         "blocking": sum(worker.blocks_inherited for worker in cell.workers.values()),
         "runs": sum(len(worker.runs) for worker in cell.workers.values()),
         "cpu_milli": sum(worker.info.capacity.cpu_milli for worker in usable),
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -201,6 +201,8 @@
         """Return why a worker may not be given a start that was planned for it, "" if it may."""
         if worker.info.is_draining:
             return "its worker is draining"
+        if not self._cell.may_use_registry(self._clock.now_ms()):
+            return "its worker may be draining"
         if worker.is_overfull:
             return "its worker has shrunk"
         if not self._cell.may_use_capacity(worker, self._clock.now_ms()):
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -35,6 +35,8 @@
 
 WATCH_MS = 5_000
 READ_INTERVAL_S = 1.0
+# Pause after a reading that failed: without one, and without the watch, nothing is started.
+READ_RETRY_S = 0.3
 RETRY_S = 0.1
 CHECK_INTERVAL_S = 0.1
 # Registry entries that lapsed in a store outage are back within about 2 s of its end.
@@ -123,10 +125,14 @@
         ):
             self._hooks.spawn(coro)
 
-    def restore(self, registry: Sequence[Item], used: Item | None) -> int:
-        """Add known workers; return when leases that a predecessor granted have lapsed."""
+    def restore(self, registry: Sequence[Item], used: Item | None, read_ms: int) -> int:
+        """Add known workers; return when leases that a predecessor granted have lapsed.
+
+        :param read_ms: when the registry was requested
+        """
         now_ms = self._clock.now_ms()
-        registered_ms = now_ms - int(TAKEOVER_AGE_SHARE * self._cell.max_capacity_age_ms)
+        self._registry_read_ms = self._cell.registry_ms = read_ms
+        registered_ms = read_ms - int(TAKEOVER_AGE_SHARE * self._cell.max_capacity_age_ms)
         for item in registry:
             info = self._decode(item)
             if info is not None:
@@ -276,17 +282,19 @@
         revision = 0
         prefix = self._codec.registry_prefix
         while True:
-            sent_ms = self._clock.now_ms()
             try:
+                sent_ms = self._clock.now_ms()
                 if not revision:
                     # A stale copy may be older than the history that is left.
                     items, revision = await self._store.read_all(prefix)
                     self._apply_registry(items, sent_ms)
+                    sent_ms = self._clock.now_ms()
                 changes, revision = await self._store.watch(prefix, revision, WATCH_MS)
                 now_ms = self._clock.now_ms()
                 for change in changes:
                     if change.item is not None:
                         self._apply_if_changed(change.item, now_ms)
+                self._record_registry_age(sent_ms)
                 await self.write_used()
             except HistoryLostError:
                 revision = 0
@@ -295,8 +303,10 @@
 
     async def _read_registry(self) -> None:
         """Read the whole registry periodically, as a watch may be broken without an error."""
+        interval_s = READ_INTERVAL_S
         while True:
-            await asyncio.sleep(READ_INTERVAL_S)
+            await asyncio.sleep(interval_s)
+            interval_s = READ_INTERVAL_S
             sent_ms = self._clock.now_ms()
             try:
                 items, _ = await self._store.read_all(self._codec.registry_prefix)
@@ -304,6 +314,7 @@
                 await self.write_used()
             except (StoreUnavailableError, StoreUncertainError) as exc:
                 _log.info("registry not read", reason=str(exc))
+                interval_s = READ_RETRY_S
                 self._store_failed_ms = self._clock.now_ms()
 
     def _apply_registry(self, items: list[Item], sent_ms: int) -> None:
@@ -312,6 +323,7 @@
         :param sent_ms: when they were requested
         """
         now_ms = self._clock.now_ms()
+        self._record_registry_age(sent_ms)
         # An entry that the watch has missed may have been written since the previous read.
         registered_ms = min(sent_ms, self._registry_read_ms or sent_ms)
         self._registry_read_ms = sent_ms
@@ -325,6 +337,13 @@
                 worker.is_listed = False
                 _log.info("worker removed from the registry", worker=worker.id)
 
+    def _record_registry_age(self, at_ms: int) -> None:
+        """Record that all entries are known that the store held at a time.
+
+        An answer may have waited here for any time, so it is as old as its request.
+        """
+        self._cell.registry_ms = max(self._cell.registry_ms, at_ms)
+
     def _apply_if_changed(self, item: Item, registered_ms: int) -> WorkerId | None:
         """Apply an entry unless it was applied before.
 
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -31,6 +31,7 @@
 HEARTBEAT_TIMEOUT_S = 0.5
 # Three intervals of the workers' reports, after which a silent worker leaves the registry.
 DEFAULT_CAPACITY_MAX_AGE_MS = 4_500
+DEFAULT_REGISTRY_MAX_AGE_MS = 2_000
 # Consecutive refused connections after which the leader's process is considered dead.
 DEAD_AFTER_REFUSALS = 2
 NO_REPLY_RETRY_S = 0.05
@@ -64,6 +65,8 @@
     :param cores_milli: cores of this host, in thousandths
     :param config_max_age_ms: time after which a change of the configuration has to be in force
     :param capacity_max_age_ms: age from which a worker is not filled by the capacity it reported
+    :param registry_max_age_ms: time after which a worker that reported that it is draining gets
+        nothing more to start
     """
 
     member: MemberId
@@ -73,6 +76,7 @@
     cores_milli: int = LEADER_CORES_MILLI
     config_max_age_ms: int = DEFAULT_MAX_AGE_MS
     capacity_max_age_ms: int = DEFAULT_CAPACITY_MAX_AGE_MS
+    registry_max_age_ms: int = DEFAULT_REGISTRY_MAX_AGE_MS
 
     @property
     def address(self) -> str:
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -109,7 +109,7 @@
     async def _lead(self) -> None:
         started_ms = self._clock.now_ms()
         state = await read_cell_state(self._store, self._codec.registry_prefix)
-        await self._restore(state)
+        await self._restore(state, started_ms)
         self.is_ready = True
         self._leader_lease.record_takeover()
         _log.info(
@@ -169,9 +169,9 @@
         """
         return self.is_ready and self._leader_lease.may_dispatch()
 
-    async def _restore(self, state: CellState) -> None:
+    async def _restore(self, state: CellState, read_ms: int) -> None:
         self._loaded_revision = self._job_watcher.revision = state.revision
-        lapse_ms = self._fleet.restore(state.registry, state.used_workers)
+        lapse_ms = self._fleet.restore(state.registry, state.used_workers, read_ms)
         now_ms = self._clock.now_ms()
         for number, spec in enumerate(state.jobs):
             if number % ITEMS_PER_TURN == 0:
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -200,6 +200,7 @@
             await self.leader_lease.acquired.wait()
             leader = Leader(self._ports, self.leader_lease, self.config, self._clock)
             leader.cell.max_capacity_age_ms = self._cfg.capacity_max_age_ms
+            leader.cell.max_registry_age_ms = self._cfg.registry_max_age_ms
             leader.is_store_troubled = self.heartbeats.is_store_troubled_for_all
             leader.advice_router.record_heartbeat(self._cfg.member, self._request_advice)
             self._leader = leader
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -15,7 +15,7 @@
 from lagoonshelf_server.jobs.node import Node
 from lagoonshelf_server.jobs.ports import StoreRevision
 from lagoonshelf_server.messages import Body, JobRecord, PeerState, Pulse, PulseReply, QueueCount
-from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, PausableClock
+from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, PausableClock, eventually
 from tests.support.jobs import config, make_job
 
 
@@ -39,6 +39,20 @@
         )
         self.assertEqual(self.node.pending("q"), 7)
 
+    async def test_a_term_is_bound_by_the_ages_of_the_settings(self) -> None:
+        """Guards against a leader that goes by workers and capacities of any age."""
+        self.node.leader_lease.record = None
+        await self.node.leader_lease._refresh()
+        await self.node.leader_lease._try_claim()
+        term = asyncio.ensure_future(self.node._lead())
+        self.addCleanup(term.cancel)
+        await eventually(lambda: self.node._leader is not None)
+        cell, cfg = self.node._leader.cell, self.node._cfg
+        self.assertEqual(cell.max_registry_age_ms, cfg.registry_max_age_ms)
+        self.assertEqual(cell.max_capacity_age_ms, cfg.capacity_max_age_ms)
+        self.assertGreater(cell.max_registry_age_ms, 0)
+        self.node.leader_lease.step_down("end of the test")
+
     async def test_outdated_counts_are_not_returned(self) -> None:
         """Guards against returning counts that are older than 2 s."""
         full = PulseReply(True, 5, 0, (QueueCount("q", 7),), is_ready=True)
