Test: a leader that was cut off renews the leases of its workers without end

Cause: a successor starts the tasks of a worker that it can't reach once the leases of the worker have lapsed, and takes it that a predecessor renews them for MAX_OUTAGE_MS (6.5 s) at most after its own lease (Fleet.restore). That bound is kept for starts only (may_dispatch): a session renews as long as nothing has told the process that it was replaced. So a leader that is cut off from the store and the members together with workers for over 13.6 s lets them run what the successor starts again (rule TWICE).

--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -11,8 +11,8 @@
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient
 from lagoonshelf_server.jobs.keys import cancel_key, progress_key
 from lagoonshelf_server.jobs.leader import Leader
-from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS
-from lagoonshelf_server.jobs.ports import Item, StoreRevision
+from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS, MAX_OUTAGE_MS
+from lagoonshelf_server.jobs.ports import Item, Listing, StoreRevision
 from tests.support.job_fakes import eventually
 from tests.support.jobs import ADVISED, config, make_job, make_step, worker_info
 from tests.support.terms import WORKERS, TermTestCase
@@ -198,6 +198,33 @@
         self.assertEqual(self._starts_of(running), 1, "its lease has not lapsed")
         await eventually(lambda: self._starts_of(waiting) == 1, 10.0)
 
+    async def test_a_leader_that_was_cut_off_lets_the_leases_of_its_workers_lapse(self) -> None:
+        """Guards against runs that last beyond the time after which a successor starts them again.
+
+        The leader is cut off from the store and from all members, and still reaches a worker which
+        the successor does not reach. In an outage that all members see nobody can succeed it.
+        """
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        renewals: list[int | None] = []
+        original = self.workers.list_runs
+
+        async def list_runs(*args: object) -> Listing:
+            renewals.append(args[3])
+            return await original(*args)
+
+        self.workers.list_runs = list_runs
+        self.store.is_down = True
+        leader.lease.renewed_ms -= MAX_OUTAGE_MS
+        await asyncio.sleep(0.2)
+        renewals.clear()
+        await eventually(lambda: len(renewals) >= 3)
+        self.assertEqual({end for end in renewals if end is not None}, set())
+        leader.lease.is_outage = lambda: True
+        await eventually(lambda: any(end is not None for end in renewals))
+
     async def test_a_state_is_returned_only_once_it_is_durable(self) -> None:
         """Guards against states that go back when a successor takes over (soak seed 118)."""
         leader = await self._term("m1")
