Stop renewing the leases of runs when the own lease is too old

Change: beyond MAX_OUTAGE_MS without a renewal of the leader lease a session lists runs without renewing their leases, except in an outage that all members see, as before. Not mended: a leader that is cut off together with another member takes that for an outage of the store, and goes on renewing.

--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -124,6 +124,14 @@
             return False
         return age_ms < LEASE_TTL_MS or self.is_outage()
 
+    def may_renew_runs(self) -> bool:
+        """Return whether this process may renew the leases of runs.
+
+        A successor relies on it that a process which it cannot reach stops, see ``Fleet.restore``.
+        """
+        age_ms = self._clock.now_ms() - self.renewed_ms
+        return self.is_held and (age_ms < MAX_OUTAGE_MS or self.is_outage())
+
     async def watch(self) -> None:
         """Keep the lease record up to date; run for the life of the process."""
         while True:
--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -115,7 +115,8 @@
             wait_ms = SHARED_LONG_POLL_MS if is_shared else LONG_POLL_MS
         # An unanswered renewal may have taken effect, so repeated renewals would postpone the
         # expiry of a lost worker's lease forever.
-        lease_end_ms = None if self.failures else self.lease_end_ms()
+        may_renew = not self.failures and self._leader_lease.may_renew_runs()
+        lease_end_ms = self.lease_end_ms() if may_renew else None
         return await self._port.list_runs(
             self._worker.info,
             self._leader_lease.token,
