Test: a wave waits for ever for machines that an earlier leader had maintained

Cause: a new leader begins a wave anew and requests each maintenance again. Wave takes a machine for done once it has another worker than when its draining began, which is read once. So machines that were done before the change of the leader stay "down", and when max_down of them do, no other machine of the wave is maintained (duties missed, status "running").

--- a/tests/core/jobs/test_waves.py
+++ b/tests/core/jobs/test_waves.py
@@ -45,6 +45,16 @@
         self.wave.advance({}, set(), 0)
         self.assertTrue(self.wave.is_complete)
 
+    def test_a_machine_that_was_maintained_in_an_earlier_term_does_not_stop_the_wave(self) -> None:
+        """Guards against a wave that waits for ever for a new worker on machines that are done.
+
+        A new leader requests their maintenance again; the platform accepts it and does nothing.
+        """
+        for name in self.wave.advance(self.views, set(), 0):
+            self.wave.maintenance_started(name, 0)
+        self.assertEqual(self.wave.advance(self.views, set(), 1_000), [], "the list may be late")
+        self.assertEqual(len(self.wave.advance(self.views, set(), 10_000)), 2)
+
     def test_random_waves_end_in_time_within_max_down(self) -> None:
         """Random waves on simulated machines end in time with at most max_down machines down."""
         for seed in range(30):
