Count a machine as maintained that stays up after its request was accepted

Change: a machine whose maintenance was accepted, and which is still listed as up after the time of a maintenance and a margin, is done, whichever worker it has: an accepted request takes it down at once unless it was done before.

--- a/packages/core/lagoonshelf_core/jobs/waves.py
+++ b/packages/core/lagoonshelf_core/jobs/waves.py
@@ -103,7 +103,7 @@
         :param busy: workers with runs
         """
         for name, entry in self.machines.items():
-            self._update_machine(entry, views.get(name))
+            self._update_machine(entry, views.get(name), now_ms)
         self._start_draining(views, now_ms)
         return [
             name
@@ -121,11 +121,15 @@
         entry.phase = MachinePhase.DOWN
         entry.phase_since_ms = now_ms
 
-    def _update_machine(self, entry: _MachineState, view: MachineView | None) -> None:
-        is_gone = view is None
-        is_down = entry.phase is MachinePhase.DOWN
-        if is_gone or (is_down and view.is_up and view.worker != entry.old_worker):
+    def _update_machine(self, entry: _MachineState, view: MachineView | None, now_ms: int) -> None:
+        if view is None:
             entry.phase = MachinePhase.DONE
+        elif entry.phase is MachinePhase.DOWN and view.is_up:
+            # A machine that an earlier leader had maintained keeps its worker.
+            down_ms = now_ms - entry.phase_since_ms
+            is_overdue = down_ms >= self.maintenance_ms + ROUND_MARGIN_MS
+            if is_overdue or view.worker != entry.old_worker:
+                entry.phase = MachinePhase.DONE
 
     def _start_draining(self, views: dict[MachineId, MachineView], now_ms: int) -> None:
         active = sum(
