Look for new maintenance waves while others are running

Change: the requested waves are read each second, as while none is running, from a stale copy as before. A reading that fails stops no wave that is known.

--- a/packages/server/lagoonshelf_server/jobs/maintenance.py
+++ b/packages/server/lagoonshelf_server/jobs/maintenance.py
@@ -54,16 +54,27 @@
 
     async def run(self) -> None:
         """Poll for waves and run them until cancelled."""
+        read_at_s = 0.0
+        loop = asyncio.get_running_loop()
         while True:
+            if loop.time() >= read_at_s:
+                read_at_s = loop.time() + POLL_INTERVAL_S
+                await self._find_waves()
             try:
-                await self._load_waves()
-                while any(not self._reported.get(number) for number in self._waves):
+                if any(not self._reported.get(number) for number in self._waves):
                     await self._advance()
                     await asyncio.sleep(ADVANCE_INTERVAL_S)
+                    continue
             except (StoreUnavailableError, StoreUncertainError, NoAnswerError) as exc:
                 _log.info("maintenance is waiting", reason=str(exc))
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def _find_waves(self) -> None:
+        try:
+            await self._load_waves()
+        except (StoreUnavailableError, StoreUncertainError) as exc:
+            _log.info("maintenance waves not read", reason=str(exc))
+
     async def _load_waves(self) -> None:
         items, _ = await self._store.read_all(self._codec.wave_prefix, stale=True)
         for item in items:
