Count the machines of a wave that an earlier leader has taken down

Change: the list of machines tells which are in maintenance, and these count against the cap of their wave whoever requested it. A machine that is down for another cause doesn't, as it may stay so.

--- a/packages/core/lagoonshelf_core/jobs/waves.py
+++ b/packages/core/lagoonshelf_core/jobs/waves.py
@@ -34,11 +34,13 @@
     """A machine as the platform lists it.
 
     :param worker: worker on the machine, or None while there is none
+    :param is_maintained: its maintenance is under way
     """
 
     id: MachineId
     is_up: bool
     worker: WorkerId | None
+    is_maintained: bool = False
 
 
 class MachinePhase(Enum):
@@ -132,9 +134,11 @@
                 entry.phase = MachinePhase.DONE
 
     def _start_draining(self, views: dict[MachineId, MachineView], now_ms: int) -> None:
+        # An earlier leader may have requested the maintenance of a machine that is pending here.
         active = sum(
             entry.phase in (MachinePhase.DRAINING, MachinePhase.DOWN)
-            for entry in self.machines.values()
+            or (name in views and views[name].is_maintained)
+            for name, entry in self.machines.items()
         )
         for name, entry in self.machines.items():
             if active >= self.spec.max_down:
