Test: a wave knows the worker of a machine from the beginning of its draining only

Cause: Wave reads the worker on a machine once, when its draining begins. If that worker restarts under another id meanwhile, the new one gets work, and as the old one has none, the machine is taken down at once with all that the new one runs (work thrown away).

--- a/tests/core/jobs/test_waves.py
+++ b/tests/core/jobs/test_waves.py
@@ -55,6 +55,19 @@
         self.assertEqual(self.wave.advance(self.views, set(), 1_000), [], "the list may be late")
         self.assertEqual(len(self.wave.advance(self.views, set(), 10_000)), 2)
 
+    def test_a_worker_that_joins_while_its_machine_drains_is_drained_too(self) -> None:
+        """Guards against work that is started on, and ended with, a machine that drains.
+
+        The worker of the machine may restart under another id meanwhile.
+        """
+        busy = {"w-m0", "w-m1", "w-new"}
+        self.assertEqual(self.wave.advance(self.views, busy, 0), [])
+        self.views["m0"] = MachineView("m0", True, "w-new")
+        self.assertEqual(self.wave.advance(self.views, busy, 100), [])
+        self.assertEqual(self.wave.draining_workers(), {"w-new", "w-m1"})
+        busy.remove("w-m0")
+        self.assertEqual(self.wave.advance(self.views, busy, 200), [])
+
     def test_random_waves_end_in_time_within_max_down(self) -> None:
         """Random waves on simulated machines end in time with at most max_down machines down."""
         for seed in range(30):
