--- a/packages/core/lagoonshelf_core/jobs/waves.py
+++ b/packages/core/lagoonshelf_core/jobs/waves.py
@@ -126,6 +126,8 @@
     def _update_machine(self, entry: _MachineState, view: MachineView | None, now_ms: int) -> None:
         if view is None:
             entry.phase = MachinePhase.DONE
+        elif entry.phase is MachinePhase.DRAINING:
+            entry.old_worker = view.worker
         elif entry.phase is MachinePhase.DOWN and view.is_up:
             # A machine that an earlier leader had maintained keeps its worker.
             down_ms = now_ms - entry.phase_since_ms
