Test: a restarted worker gets the acknowledgements of its former incarnation

Cause: a session sends the number of the last end that it has acknowledged with each call, and learns from the answer only that the worker has restarted under its id and counts anew.

--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -401,6 +401,28 @@
         self.workers.workers[self.workers.started[0][0]].is_replaced = True
         await eventually(lambda: len(self.workers.started) == 2, 1.5)
 
+    async def test_a_restarted_worker_keeps_the_ends_that_nobody_has_read(self) -> None:
+        """Guards against tasks that are done and run again.
+
+        A worker that restarted under its id counts its ends anew. Those numbered up to the last
+        one that was acknowledged to its former incarnation were forgotten with the first call.
+        """
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        self.workers.end_all()
+        name = self.workers.started[0][0]
+        await eventually(lambda: self.workers.workers[name].acked_end == 1)
+        self.workers.workers[name].is_silent = True
+        session = leader._fleet.sessions[name]
+        await eventually(lambda: session.failures)
+        info = leader.cell.workers[name].info
+        restarted = self.workers.add(replace(info, born_ms=info.born_ms + 1_000))
+        await eventually(lambda: restarted.token)
+        await asyncio.sleep(0.1)
+        self.assertEqual(restarted.acked_end, 0)
+
     async def test_a_suspect_is_started_once_by_a_call(self) -> None:
         """Guards against a start call that is repeated at the next incarnation of a worker.
 
