Acknowledge no end to a worker that may have restarted

Change: after a call that failed, ends are acknowledged again only once an answer has shown that the worker is the same. A crash breaks the call that waits at the worker. Not mended: a worker that restarts between two calls, of which neither fails.

--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -117,10 +117,12 @@
         # expiry of a lost worker's lease forever.
         may_renew = not self.failures and self._leader_lease.may_renew_runs()
         lease_end_ms = self.lease_end_ms() if may_renew else None
+        # After a call that failed, another incarnation may answer, which counts its ends anew.
+        acked_end = 0 if self.failures else self._acked_end
         return await self._port.list_runs(
             self._worker.info,
             self._leader_lease.token,
-            self._acked_end,
+            acked_end,
             lease_end_ms,
             wait_ms,
             wait_ms + ANSWER_SLACK_MS,
