Test: times of a scheduled job are skipped after a change of the leader

Cause: Cell.open_due_occurrences takes the number of occurrences that exist here for the number of the next one.

--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -271,6 +271,24 @@
         self.assertEqual(restarted.task.failures, 1)
         self.assertEqual(restarted.task.checkpoint, "abc")
 
+    def test_occurrences_without_progress_are_not_skipped(self) -> None:
+        """Guards against times of a scheduled job that never run after a change of the leader.
+
+        A later one has run and is in the record, an earlier one waits and is not (review/5).
+        """
+        predecessor = make_cell(1)
+        spec = make_job(occurrences=3, first_due_ms=1_000, interval_ms=500)
+        accepted = accept_job(predecessor, spec)
+        runs = plan_starts(predecessor, 2_000)
+        self.assertEqual(len(runs), 3)
+        confirm_starts(predecessor, runs)
+        for run in runs:
+            end_run(predecessor, run, RunEnd.STOPPED if run is runs[0] else RunEnd.DONE)
+        accepted.steps[(0, 0)].tasks[0].counted_attempts.clear()
+        cell = make_cell(1)
+        cell.restore(spec, encode_progress(accepted), 0)
+        self.assertEqual([run.name for run in plan_starts(cell, 2_000)], [runs[0].name])
+
     def test_recorded_runs_of_a_lost_worker_count_as_running(self) -> None:
         """Unverified runs must block only their own tasks, until the lease has lapsed."""
         cell = make_cell(1)
