Look at each occurrence of a scheduled job after a takeover

Change: a leader counts the occurrences that it has looked at, from the first on, whichever exist by the record.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -184,12 +184,12 @@
             spec = job.spec
             if not spec.occurrences:
                 continue
-            opened = len(job.steps) // len(spec.steps)
-            while opened < spec.occurrences:
-                if now_wall_ms < spec.first_due_ms + opened * spec.interval_ms:
+            # After a takeover a later one may exist, by the record or a list, and this one not.
+            while job.next_occurrence < spec.occurrences:
+                if now_wall_ms < spec.first_due_ms + job.next_occurrence * spec.interval_ms:
                     break
-                job.occurrence_steps(Occurrence(opened))
-                opened += 1
+                job.occurrence_steps(Occurrence(job.next_occurrence))
+                job.next_occurrence += 1
                 self.update_open_steps(job)
 
     # Workers
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -219,6 +219,7 @@
     :param is_inherited: accepted before this process became the leader
     :param is_excess: submitted beyond the rate of its team
     :param attempt_floor: first attempts of tasks are numbered above it
+    :param next_occurrence: number of the occurrence that this leader looks at next
     :param failure: why the job failed, for its operator
     :param critical_path_ms: estimated run time of the longest chain of dependent steps
     """
@@ -232,6 +233,7 @@
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     has_started: bool = False
     attempt_floor: int = 0
+    next_occurrence: int = 0
     failure: str = ""
     critical_path_ms: float = field(init=False)
 
