Let fillers work again when the services have left their worker

Change: the paces of fillers are supervised on all workers; without a service there is no tail, and the pace rises to the full one. A filler at full pace gets no command.

--- a/packages/core/lagoonshelf_core/jobs/supervision.py
+++ b/packages/core/lagoonshelf_core/jobs/supervision.py
@@ -38,7 +38,7 @@
         for run in list(worker.runs.values()):
             if run.phase is RunPhase.RUNNING and run.task is not None:
                 _check_run(cell, worker, run, now_ms)
-        if worker.services and worker.fillers:
+        if worker.fillers:
             _pace_fillers(cell, worker, now_ms)
 
 
@@ -108,7 +108,10 @@
 
 
 def _pace_fillers(cell: Cell, worker: Worker, now_ms: int) -> None:
-    """Slow the fillers of a worker when a service's tail latency approaches its target."""
+    """Slow the fillers of a worker when a service's tail latency approaches its target.
+
+    Without services on the worker their pace rises again.
+    """
     worst_share = 0.0
     for run in worker.runs.values():
         target_ms = run.task.step.spec.target_tail_ms if run.task is not None else 0
