Test: a new leader takes the pace of a filler for the full one

Cause: the pace of a run isn't reported and not recorded. A run that a new leader adopts counts as at full speed, so that a filler that the predecessor has slowed stays slow where the tail is good, and one that it has suspended looks stalled, which stops it and counts against its worker.

--- a/tests/core/jobs/test_supervision.py
+++ b/tests/core/jobs/test_supervision.py
@@ -96,3 +96,17 @@
             for pace in self._paces(self.cell, at_ms)
         ]
         self.assertEqual(paces[-1:], [(filler.name, 100)])
+
+    def test_a_pace_of_an_earlier_leader_does_not_last(self) -> None:
+        """Guards against a filler that stays slow after a change of the leader.
+
+        The pace is not reported, and the successor took it for the full one.
+        """
+        cell = make_cell(1)
+        for spec in (self.service, self.filler):
+            cell.restore(spec, None, 0)
+        self._report(cell, 10.0, 1_000)
+        name = self.runs[self.filler.id].name
+        self.assertEqual(self._paces(cell, 2_000), [(name, 100)])
+        self._report(cell, 10.0, 3_000)
+        self.assertEqual(self._paces(cell, 3_000), [])
