Command the pace of fillers that a new leader adopts

Change: an adopted filler counts as slowed a little, so that the next supervision commands a pace by the tail that it hears, and as not stalled until then. Where the tail lies between the two thresholds the pace stays what it was.

--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -15,6 +15,8 @@
 SETTLE_MS = 500
 # A task of a service reports this progress once it serves, after a short startup.
 FULL_PERCENT = 100
+# An earlier leader may have set any pace. From one that is not full a command follows, either way.
+UNKNOWN_PACE_PERCENT = 80
 
 
 class JobState(Enum):
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -5,7 +5,14 @@
 
 from lagoonshelf_core.ids import TaskId
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunEnd, RunPhase, Task
+from lagoonshelf_core.jobs.progress import (
+    FULL_PERCENT,
+    UNKNOWN_PACE_PERCENT,
+    Run,
+    RunEnd,
+    RunPhase,
+    Task,
+)
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import ZERO_RESOURCES
 
@@ -125,6 +132,8 @@
         confirmed_ms=now_ms,
         progressed_ms=now_ms,
     )
+    if run.is_filler:
+        run.pace_percent = UNKNOWN_PACE_PERCENT
     cell.allocate(worker, run)
     if task is None:
         cell.stop_run(run, "its task is not known")
