--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -14,7 +14,7 @@
 from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS, MAX_OUTAGE_MS
 from lagoonshelf_server.jobs.ports import Item, Listing, StoreRevision
 from tests.support.job_fakes import eventually
-from tests.support.jobs import ADVISED, config, make_job, make_step, worker_info
+from tests.support.jobs import ADVISED, SMALL, config, make_job, make_step, worker_info
 from tests.support.terms import WORKERS, TermTestCase
 
 
@@ -317,6 +317,47 @@
         await eventually(lambda: self._starts_of(spec) == 2)
         self.assertNotIn(chosen.id, {name for name, _, _ in self.workers.started})
 
+    async def _plan_held_starts(self, leader: Leader) -> tuple[JobSpec, asyncio.Event]:
+        """Return a job whose three starts wait for their record, and what lets them go."""
+        original, held = self.store.commit, asyncio.Event()
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            await held.wait()
+            return await original(*args, **kwargs)
+
+        self.store.commit = commit
+        spec = make_job(make_step(3))
+        leader.accept(spec, StoreRevision(self.store.revision + 1))
+        workers = leader.cell.workers.values()
+        await eventually(lambda: sum(len(w.runs) for w in workers) == 3)
+        return spec, held
+
+    async def test_a_start_on_its_way_is_withdrawn_when_the_limit_is_lowered(self) -> None:
+        """Guards against starts beyond a limit that is in force since they were planned."""
+        leader = await self._term("m1")
+        spec, held = await self._plan_held_starts(leader)
+        leader.config_view.current = config(SMALL)
+        leader.request_pass()
+        await eventually(lambda: leader.cell.cfg is leader.config_view.current)
+        held.set()
+        await eventually(lambda: self._starts_of(spec) == 1)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self._starts_of(spec), 1)
+        self.workers.end_all()
+        await eventually(lambda: self._starts_of(spec) == 2)
+
+    async def test_a_start_on_its_way_waits_for_a_configuration_that_is_too_old(self) -> None:
+        """Guards against starts that were planned by a limit which may have been lowered since."""
+        leader = await self._term("m1")
+        spec, held = await self._plan_held_starts(leader)
+        self.config_poll.cancel()
+        leader.config_view.confirmed_ms -= 60_000
+        held.set()
+        await asyncio.sleep(0.3)
+        self.assertEqual(self._starts_of(spec), 0)
+        leader.config_view.confirmed_ms = self.clock.now_ms()
+        await eventually(lambda: self._starts_of(spec) == 3)
+
     async def test_a_start_is_not_sent_with_a_permit_that_has_expired(self) -> None:
         """Guards against refused starts whose record, or turn, came too late for their permit."""
         leader = await self._term("m1")
