Check the configuration and the limit again when a start is sent

Change: a start that its team's present limit no longer has room for, or that would go by a configuration that is too old, is withdrawn and planned again, like one whose worker has shrunk. Runs that are being stopped count, as in planning.

--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -10,6 +10,7 @@
 from lagoonshelf_core.jobs.permits import SEND_MARGIN_MS
 from lagoonshelf_core.jobs.progress import ATTEMPTS_SKIPPED, Run, RunPhase
 from lagoonshelf_core.jobs.workers import Worker
+from lagoonshelf_core.resources import ZERO_RESOURCES
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.ports import (
@@ -55,6 +56,7 @@
         self._clock = clock
         self._sessions = sessions
         self._on_change = on_change
+        self.is_config_valid: Callable[[], bool] = lambda: True
 
     async def start(self, command: StartRun) -> None:
         """Start a run; repeat an unanswered command, then cancel it with a stop."""
@@ -71,7 +73,7 @@
             if run.phase is not RunPhase.STARTING:
                 return
             permit = self._find_permit(command)
-            reason = self._find_obstacle(worker)
+            reason = self._find_obstacle(run, worker)
             if command.permit and not permit:
                 reason = "its permit has expired"
             if reason and not is_uncertain:
@@ -197,8 +199,15 @@
             return newer
         return command.permit
 
-    def _find_obstacle(self, worker: Worker) -> str:
-        """Return why a worker may not be given a start that was planned for it, "" if it may."""
+    def _find_obstacle(self, run: Run, worker: Worker) -> str:
+        """Return why a worker may not be given a start that was planned for it, "" if it may.
+
+        The start may have waited for its record, or for a turn of a late process, for any time.
+        """
+        if not self.is_config_valid():
+            return "the configuration may be outdated"
+        if run.team is not None and not self._cell.is_within_limit(run.team, ZERO_RESOURCES):
+            return "the limit of its team was lowered"
         if worker.info.is_draining:
             return "its worker is draining"
         if not self._cell.may_use_registry(self._clock.now_ms()):
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -89,6 +89,7 @@
         self.dispatcher = Dispatcher(
             self.cell, ports.workers, leader_lease, clock, sessions, self.request_pass
         )
+        self.dispatcher.is_config_valid = self._is_config_valid
         self._loaded_revision = ABSENT
         self.is_ready = False
 
