--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -8,7 +8,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import PaceRun, StartRun, StopRun
 from lagoonshelf_core.jobs.permits import SEND_MARGIN_MS
-from lagoonshelf_core.jobs.progress import ATTEMPTS_SKIPPED, Run, RunPhase
+from lagoonshelf_core.jobs.progress import ATTEMPTS_SKIPPED, UNKNOWN_PACE_PERCENT, Run, RunPhase
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import ZERO_RESOURCES
 from lagoonshelf_server.jobs import job_metrics
@@ -150,7 +150,7 @@
             )
         except (WorkerUnreachableError, NoAnswerError) as exc:
             self._cell.note("pace not answered", run, reason=str(exc))
-            run.paced_at_ms = 0
+            run.pace_percent, run.paced_at_ms = UNKNOWN_PACE_PERCENT, 0
 
     def _is_current(self, run: Run) -> bool:
         worker = self._cell.workers.get(run.worker)
