--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -82,8 +82,14 @@
         self.recorded_runs: list[RecordedRun] = []
         # Whether starts are recorded before they are sent; not in an outage of the store.
         self.is_recording = True
+        # Whether the store answers no member, so that nothing in it changes.
+        self.is_store_down = False
         # Age from which the capacity of a worker may be outdated, 0 for none.
         self.max_capacity_age_ms = 0
+        # Time at which the workers known here were those in the registry, and the age from which
+        # one may have reported since that it is draining, 0 for none.
+        self.registry_ms = 0
+        self.max_registry_age_ms = 0
         self.losses: deque[LossRecord] = deque(maxlen=MAX_LOSS_RECORDS)
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
@@ -180,12 +186,12 @@
             spec = job.spec
             if not spec.occurrences:
                 continue
-            opened = len(job.steps) // len(spec.steps)
-            while opened < spec.occurrences:
-                if now_wall_ms < spec.first_due_ms + opened * spec.interval_ms:
+            # After a takeover a later one may exist, by the record or a list, and this one not.
+            while job.next_occurrence < spec.occurrences:
+                if now_wall_ms < spec.first_due_ms + job.next_occurrence * spec.interval_ms:
                     break
-                job.occurrence_steps(Occurrence(opened))
-                opened += 1
+                job.occurrence_steps(Occurrence(job.next_occurrence))
+                job.next_occurrence += 1
                 self.update_open_steps(job)
 
     # Workers
@@ -218,6 +224,15 @@
             return True
         return now_ms - worker.registered_ms <= self.max_capacity_age_ms
 
+    def may_use_registry(self, now_ms: int) -> bool:
+        """Return whether it is recent enough what is known of the registry.
+
+        In an outage that all members see, no worker can report that it is draining.
+        """
+        if not self.max_registry_age_ms or self.is_store_down:
+            return True
+        return now_ms - self.registry_ms <= self.max_registry_age_ms
+
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -15,6 +15,8 @@
 SETTLE_MS = 500
 # A task of a service reports this progress once it serves, after a short startup.
 FULL_PERCENT = 100
+# An earlier leader may have set any pace. From one that is not full a command follows, either way.
+UNKNOWN_PACE_PERCENT = 80
 
 
 class JobState(Enum):
@@ -219,6 +221,7 @@
     :param is_inherited: accepted before this process became the leader
     :param is_excess: submitted beyond the rate of its team
     :param attempt_floor: first attempts of tasks are numbered above it
+    :param next_occurrence: number of the occurrence that this leader looks at next
     :param failure: why the job failed, for its operator
     :param critical_path_ms: estimated run time of the longest chain of dependent steps
     """
@@ -232,6 +235,7 @@
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     has_started: bool = False
     attempt_floor: int = 0
+    next_occurrence: int = 0
     failure: str = ""
     critical_path_ms: float = field(init=False)
 
--- a/packages/core/lagoonshelf_core/jobs/waves.py
+++ b/packages/core/lagoonshelf_core/jobs/waves.py
@@ -34,11 +34,13 @@
     """A machine as the platform lists it.
 
     :param worker: worker on the machine, or None while there is none
+    :param is_maintained: its maintenance is under way
     """
 
     id: MachineId
     is_up: bool
     worker: WorkerId | None
+    is_maintained: bool = False
 
 
 class MachinePhase(Enum):
@@ -103,7 +105,7 @@
         :param busy: workers with runs
         """
         for name, entry in self.machines.items():
-            self._update_machine(entry, views.get(name))
+            self._update_machine(entry, views.get(name), now_ms)
         self._start_draining(views, now_ms)
         return [
             name
@@ -121,16 +123,24 @@
         entry.phase = MachinePhase.DOWN
         entry.phase_since_ms = now_ms
 
-    def _update_machine(self, entry: _MachineState, view: MachineView | None) -> None:
-        is_gone = view is None
-        is_down = entry.phase is MachinePhase.DOWN
-        if is_gone or (is_down and view.is_up and view.worker != entry.old_worker):
+    def _update_machine(self, entry: _MachineState, view: MachineView | None, now_ms: int) -> None:
+        if view is None:
             entry.phase = MachinePhase.DONE
+        elif entry.phase is MachinePhase.DRAINING:
+            entry.old_worker = view.worker
+        elif entry.phase is MachinePhase.DOWN and view.is_up:
+            # A machine that an earlier leader had maintained keeps its worker.
+            down_ms = now_ms - entry.phase_since_ms
+            is_overdue = down_ms >= self.maintenance_ms + ROUND_MARGIN_MS
+            if is_overdue or view.worker != entry.old_worker:
+                entry.phase = MachinePhase.DONE
 
     def _start_draining(self, views: dict[MachineId, MachineView], now_ms: int) -> None:
+        # An earlier leader may have requested the maintenance of a machine that is pending here.
         active = sum(
             entry.phase in (MachinePhase.DRAINING, MachinePhase.DOWN)
-            for entry in self.machines.values()
+            or (name in views and views[name].is_maintained)
+            for name, entry in self.machines.items()
         )
         for name, entry in self.machines.items():
             if active >= self.spec.max_down:
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -8,8 +8,9 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import PaceRun, StartRun, StopRun
 from lagoonshelf_core.jobs.permits import SEND_MARGIN_MS
-from lagoonshelf_core.jobs.progress import ATTEMPTS_SKIPPED, Run, RunPhase
+from lagoonshelf_core.jobs.progress import ATTEMPTS_SKIPPED, UNKNOWN_PACE_PERCENT, Run, RunPhase
 from lagoonshelf_core.jobs.workers import Worker
+from lagoonshelf_core.resources import ZERO_RESOURCES
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.ports import (
@@ -72,7 +73,7 @@
             if run.phase is not RunPhase.STARTING:
                 return
             permit = self._find_permit(command)
-            reason = self._find_obstacle(worker)
+            reason = self._find_obstacle(run, worker)
             if command.permit and not permit:
                 reason = "its permit has expired"
             if reason and not is_uncertain:
@@ -149,7 +150,7 @@
             )
         except (WorkerUnreachableError, NoAnswerError) as exc:
             self._cell.note("pace not answered", run, reason=str(exc))
-            run.paced_at_ms = 0
+            run.pace_percent, run.paced_at_ms = UNKNOWN_PACE_PERCENT, 0
 
     def _is_current(self, run: Run) -> bool:
         worker = self._cell.workers.get(run.worker)
@@ -198,10 +199,19 @@
             return newer
         return command.permit
 
-    def _find_obstacle(self, worker: Worker) -> str:
-        """Return why a worker may not be given a start that was planned for it, "" if it may."""
+    def _find_obstacle(self, run: Run, worker: Worker) -> str:
+        """Return why a worker may not be given a start that was planned for it, "" if it may.
+
+        The start may have waited for its record, or for a turn of a late process, for any time.
+        """
         if not self.may_start():
             return "the configuration or the cancellations may have changed"
+        if run.team is not None and not self._cell.is_within_limit(run.team, ZERO_RESOURCES):
+            return "the limit of its team was lowered"
+        if worker.info.is_draining:
+            return "its worker is draining"
+        if not self._cell.may_use_registry(self._clock.now_ms()):
+            return "its worker may be draining"
         if worker.is_overfull:
             return "its worker has shrunk"
         if not self._cell.may_use_capacity(worker, self._clock.now_ms()):
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -35,6 +35,8 @@
 
 WATCH_MS = 5_000
 READ_INTERVAL_S = 1.0
+# Pause after a reading that failed: without one, and without the watch, nothing is started.
+READ_RETRY_S = 0.3
 RETRY_S = 0.1
 CHECK_INTERVAL_S = 0.1
 # Registry entries that lapsed in a store outage are back within about 2 s of its end.
@@ -99,6 +101,9 @@
         self._store_failed_ms = 0
         self._registry_read_ms = 0
         self._used: dict[WorkerId, _UsedWorker] = {}
+        self._used_revision = ABSENT
+        # The last write of the record had no answer, so that it may differ from ``_used``.
+        self._is_used_uncertain = False
         # Next rows, None for none, of recorded workers that are lost or have left, with the mark
         # of the progress that has to be durable before.
         self._replaced: dict[WorkerId, tuple[_UsedWorker | None, int]] = {}
@@ -120,15 +125,20 @@
         ):
             self._hooks.spawn(coro)
 
-    def restore(self, registry: Sequence[Item], used: Item | None) -> int:
-        """Add known workers; return when leases that a predecessor granted have lapsed."""
+    def restore(self, registry: Sequence[Item], used: Item | None, read_ms: int) -> int:
+        """Add known workers; return when leases that a predecessor granted have lapsed.
+
+        :param read_ms: when the registry was requested
+        """
         now_ms = self._clock.now_ms()
-        registered_ms = now_ms - int(TAKEOVER_AGE_SHARE * self._cell.max_capacity_age_ms)
+        self._registry_read_ms = self._cell.registry_ms = read_ms
+        registered_ms = read_ms - int(TAKEOVER_AGE_SHARE * self._cell.max_capacity_age_ms)
         for item in registry:
             info = self._decode(item)
             if info is not None:
                 self._cell.update_worker(info, now_ms).registered_ms = registered_ms
             self._applied[item.key] = (None if info is None else info.id, item.revision)
+        self._used_revision = ABSENT if used is None else used.revision
         lapse_ms = now_ms + lapse_after_ms(RUN_LEASE_MS)
         # A predecessor that may be alive keeps granting leases this much longer in a store outage.
         if not self._leader_lease.predecessor_is_dead:
@@ -195,14 +205,8 @@
         """Record which workers may have runs, before they are used."""
         async with self._used_lock:
             rows = self._next_rows()
-            if rows != self._used:
-                value = orjson.dumps([row.fields() for row in rows.values()])
-                result = await self._store.commit(
-                    {LEADER_KEY: self._leader_lease.token}, [Put(USED_WORKERS, value)]
-                )
-                if not isinstance(result, Committed):
-                    raise StoreUnavailableError("list of used workers not written")
-                self._used = rows
+            if rows != self._used or self._is_used_uncertain:
+                await self._store_used(rows)
         for worker in self._cell.workers.values():
             row = self._used.get(worker.id)
             if row is None or row.born_ms != worker.info.born_ms:
@@ -211,6 +215,27 @@
             if worker.id not in self._session_tasks:
                 self._open_session(worker)
 
+    async def _store_used(self, rows: "dict[WorkerId, _UsedWorker]") -> None:
+        """Replace the record of used workers.
+
+        An earlier write without an answer may take effect at any time of the term. The condition
+        on the record's revision keeps it from replacing a newer one.
+        """
+        put = Put(USED_WORKERS, orjson.dumps([row.fields() for row in rows.values()]))
+        self._is_used_uncertain = True
+        while True:
+            token = self._leader_lease.token
+            conditions = {LEADER_KEY: token, USED_WORKERS: self._used_revision}
+            result = await self._store.commit(conditions, [put])
+            if isinstance(result, Committed):
+                break
+            found = {item.key: item.revision for item in result.items} if result else {}
+            if found.get(LEADER_KEY) != token:
+                raise StoreUnavailableError("list of used workers not written")
+            self._used_revision = found.get(USED_WORKERS, ABSENT)
+        self._used_revision, self._used = result.revision, rows
+        self._is_used_uncertain = False
+
     def _next_rows(self) -> "dict[WorkerId, _UsedWorker]":
         """Return the rows to record now.
 
@@ -256,27 +281,32 @@
     async def _watch_registry(self) -> None:
         revision = 0
         prefix = self._codec.registry_prefix
-        is_history_lost = False
         while True:
             try:
+                sent_ms = self._clock.now_ms()
                 if not revision:
                     # A stale copy may be older than the history that is left.
-                    _, revision = await self._store.read_all(prefix, stale=not is_history_lost)
+                    items, revision = await self._store.read_all(prefix)
+                    self._apply_registry(items, sent_ms)
+                    sent_ms = self._clock.now_ms()
                 changes, revision = await self._store.watch(prefix, revision, WATCH_MS)
                 now_ms = self._clock.now_ms()
                 for change in changes:
                     if change.item is not None:
                         self._apply_if_changed(change.item, now_ms)
+                self._record_registry_age(sent_ms)
                 await self.write_used()
             except HistoryLostError:
-                revision, is_history_lost = 0, True
+                revision = 0
             except (StoreUnavailableError, StoreUncertainError):
                 await asyncio.sleep(RETRY_S)
 
     async def _read_registry(self) -> None:
         """Read the whole registry periodically, as a watch may be broken without an error."""
+        interval_s = READ_INTERVAL_S
         while True:
-            await asyncio.sleep(READ_INTERVAL_S)
+            await asyncio.sleep(interval_s)
+            interval_s = READ_INTERVAL_S
             sent_ms = self._clock.now_ms()
             try:
                 items, _ = await self._store.read_all(self._codec.registry_prefix)
@@ -284,6 +314,7 @@
                 await self.write_used()
             except (StoreUnavailableError, StoreUncertainError) as exc:
                 _log.info("registry not read", reason=str(exc))
+                interval_s = READ_RETRY_S
                 self._store_failed_ms = self._clock.now_ms()
 
     def _apply_registry(self, items: list[Item], sent_ms: int) -> None:
@@ -292,6 +323,7 @@
         :param sent_ms: when they were requested
         """
         now_ms = self._clock.now_ms()
+        self._record_registry_age(sent_ms)
         # An entry that the watch has missed may have been written since the previous read.
         registered_ms = min(sent_ms, self._registry_read_ms or sent_ms)
         self._registry_read_ms = sent_ms
@@ -305,6 +337,13 @@
                 worker.is_listed = False
                 _log.info("worker removed from the registry", worker=worker.id)
 
+    def _record_registry_age(self, at_ms: int) -> None:
+        """Record that all entries are known that the store held at a time.
+
+        An answer may have waited here for any time, so it is as old as its request.
+        """
+        self._cell.registry_ms = max(self._cell.registry_ms, at_ms)
+
     def _apply_if_changed(self, item: Item, registered_ms: int) -> WorkerId | None:
         """Apply an entry unless it was applied before.
 
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -116,7 +116,7 @@
     async def _lead(self) -> None:
         started_ms = self._clock.now_ms()
         state = await read_cell_state(self._store, self._codec.registry_prefix, self._clock)
-        await self._restore(state)
+        await self._restore(state, started_ms)
         self.is_ready = True
         self._leader_lease.record_takeover()
         _log.info(
@@ -190,9 +190,9 @@
         """
         return self.is_ready and self._leader_lease.may_dispatch()
 
-    async def _restore(self, state: CellState) -> None:
+    async def _restore(self, state: CellState, read_ms: int) -> None:
         self._job_watcher.record_reading(state.revision, state.requested_ms)
-        lapse_ms = self._fleet.restore(state.registry, state.used_workers)
+        lapse_ms = self._fleet.restore(state.registry, state.used_workers, read_ms)
         now_ms = self._clock.now_ms()
         for number, spec in enumerate(state.jobs):
             if number % ITEMS_PER_TURN == 0:
@@ -236,6 +236,7 @@
         cell, now_ms = self.cell, self._clock.now_ms()
         cell.cfg = self._config.current
         cell.is_recording = not self.is_store_troubled()
+        cell.is_store_down = self.is_store_down()
         if self._leader_lease.may_dispatch() and self._is_config_valid():
             supervise(cell, now_ms)
             if self._knows_cancellations():
--- a/tests/server/jobs/test_job_watcher.py
+++ b/tests/server/jobs/test_job_watcher.py
@@ -185,10 +185,10 @@
         self.is_silent = True
         restore = Leader._restore
 
-        async def restore_later(leader: Leader, state: object) -> None:
+        async def restore_later(leader: Leader, *args: object) -> None:
             self.store.put(cancel_key(spec.id), b"{}")
             leader.cancel(spec.id)
-            await restore(leader, state)
+            await restore(leader, *args)
 
         with patch.object(Leader, "_restore", restore_later):
             leader = await self._term("m1")
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -11,10 +11,10 @@
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient
 from lagoonshelf_server.jobs.keys import cancel_key, progress_key
 from lagoonshelf_server.jobs.leader import Leader
-from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS
-from lagoonshelf_server.jobs.ports import Item, StoreRevision
+from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS, MAX_OUTAGE_MS
+from lagoonshelf_server.jobs.ports import Item, Listing, StoreRevision
 from tests.support.job_fakes import eventually
-from tests.support.jobs import ADVISED, config, make_job, make_step, worker_info
+from tests.support.jobs import ADVISED, SMALL, config, make_job, make_step, worker_info
 from tests.support.terms import WORKERS, TermTestCase
 
 
@@ -203,6 +203,33 @@
         self.assertEqual(self._starts_of(running), 1, "its lease has not lapsed")
         await eventually(lambda: self._starts_of(waiting) == 1, 10.0)
 
+    async def test_a_leader_that_was_cut_off_lets_the_leases_of_its_workers_lapse(self) -> None:
+        """Guards against runs that last beyond the time after which a successor starts them again.
+
+        The leader is cut off from the store and from all members, and still reaches a worker which
+        the successor does not reach. In an outage that all members see nobody can succeed it.
+        """
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        renewals: list[int | None] = []
+        original = self.workers.list_runs
+
+        async def list_runs(*args: object) -> Listing:
+            renewals.append(args[3])
+            return await original(*args)
+
+        self.workers.list_runs = list_runs
+        self.store.is_down = True
+        leader.lease.renewed_ms -= MAX_OUTAGE_MS
+        await asyncio.sleep(0.2)
+        renewals.clear()
+        await eventually(lambda: len(renewals) >= 3)
+        self.assertEqual({end for end in renewals if end is not None}, set())
+        leader.lease.is_outage = lambda: True
+        await eventually(lambda: any(end is not None for end in renewals))
+
     async def test_a_state_is_returned_only_once_it_is_durable(self) -> None:
         """Guards against states that go back when a successor takes over (soak seed 118)."""
         leader = await self._term("m1")
@@ -270,6 +297,72 @@
         on_chosen = [task for name, task, _ in self.workers.started if name == chosen.id]
         self.assertLessEqual(len(on_chosen), 2)
 
+    async def test_a_start_on_its_way_is_withdrawn_when_its_worker_drains(self) -> None:
+        """Guards against starts on a worker that was heard to be draining after it was chosen.
+
+        The start waits for its record, which may take longer than a draining may stay unheeded.
+        """
+        leader = await self._term("m1")
+        original, held = self.store.commit, asyncio.Event()
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            await held.wait()
+            return await original(*args, **kwargs)
+
+        self.store.commit = commit
+        spec = make_job(make_step(2))
+        leader.accept(spec, StoreRevision(self.store.revision + 1))
+        await eventually(lambda: any(w.runs for w in leader.cell.workers.values()))
+        chosen = next(w for w in leader.cell.workers.values() if w.runs)
+        draining = replace(chosen.info, is_draining=True)
+        self.codec.infos[b"draining"] = draining
+        self.store.put(f"workers/{chosen.id}", b"draining")
+        await eventually(lambda: chosen.info == draining)
+        held.set()
+        await eventually(lambda: self._starts_of(spec) == 2)
+        self.assertNotIn(chosen.id, {name for name, _, _ in self.workers.started})
+
+    async def _plan_held_starts(self, leader: Leader) -> tuple[JobSpec, asyncio.Event]:
+        """Return a job whose three starts wait for their record, and what lets them go."""
+        original, held = self.store.commit, asyncio.Event()
+
+        async def commit(*args: object, **kwargs: object) -> object:
+            await held.wait()
+            return await original(*args, **kwargs)
+
+        self.store.commit = commit
+        spec = make_job(make_step(3))
+        leader.accept(spec, StoreRevision(self.store.revision + 1))
+        workers = leader.cell.workers.values()
+        await eventually(lambda: sum(len(w.runs) for w in workers) == 3)
+        return spec, held
+
+    async def test_a_start_on_its_way_is_withdrawn_when_the_limit_is_lowered(self) -> None:
+        """Guards against starts beyond a limit that is in force since they were planned."""
+        leader = await self._term("m1")
+        spec, held = await self._plan_held_starts(leader)
+        leader.config_view.current = config(SMALL)
+        leader.request_pass()
+        await eventually(lambda: leader.cell.cfg is leader.config_view.current)
+        held.set()
+        await eventually(lambda: self._starts_of(spec) == 1)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self._starts_of(spec), 1)
+        self.workers.end_all()
+        await eventually(lambda: self._starts_of(spec) == 2)
+
+    async def test_a_start_on_its_way_waits_for_a_configuration_that_is_too_old(self) -> None:
+        """Guards against starts that were planned by a limit which may have been lowered since."""
+        leader = await self._term("m1")
+        spec, held = await self._plan_held_starts(leader)
+        self.config_poll.cancel()
+        leader.config_view.confirmed_ms -= 60_000
+        held.set()
+        await asyncio.sleep(0.3)
+        self.assertEqual(self._starts_of(spec), 0)
+        leader.config_view.confirmed_ms = self.clock.now_ms()
+        await eventually(lambda: self._starts_of(spec) == 3)
+
     async def test_a_start_is_not_sent_with_a_permit_that_has_expired(self) -> None:
         """Guards against refused starts whose record, or turn, came too late for their permit."""
         leader = await self._term("m1")
@@ -354,6 +447,28 @@
         self.workers.workers[self.workers.started[0][0]].is_replaced = True
         await eventually(lambda: len(self.workers.started) == 2, 1.5)
 
+    async def test_a_restarted_worker_keeps_the_ends_that_nobody_has_read(self) -> None:
+        """Guards against tasks that are done and run again.
+
+        A worker that restarted under its id counts its ends anew. Those numbered up to the last
+        one that was acknowledged to its former incarnation were forgotten with the first call.
+        """
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        self.workers.end_all()
+        name = self.workers.started[0][0]
+        await eventually(lambda: self.workers.workers[name].acked_end == 1)
+        self.workers.workers[name].is_silent = True
+        session = leader._fleet.sessions[name]
+        await eventually(lambda: session.failures)
+        info = leader.cell.workers[name].info
+        restarted = self.workers.add(replace(info, born_ms=info.born_ms + 1_000))
+        await eventually(lambda: restarted.token)
+        await asyncio.sleep(0.1)
+        self.assertEqual(restarted.acked_end, 0)
+
     async def test_a_suspect_is_started_once_by_a_call(self) -> None:
         """Guards against a start call that is repeated at the next incarnation of a worker.
 
