Repeat a stop that a worker refuses

Cause: any answer to a stop other than that of a newer leader counted as done, the 503 of an unhealthy worker too. Change: a stop is repeated, with the pauses of an unanswered one, until the worker has accepted it or the run has ended. Conclusion: an acknowledged cancellation ends its runs also at workers that are unhealthy for a while.

--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -107,9 +107,9 @@
             self._on_change()
 
     async def stop(self, command: StopRun) -> None:
-        """Stop a run; repeat until the worker has answered or the run has ended."""
+        """Stop a run; repeat until the worker has accepted it or the run has ended."""
         run = command.run
-        unanswered = 0
+        failures = 0
         while self._is_current(run):
             worker = self._cell.workers[run.worker]
             try:
@@ -121,17 +121,21 @@
                     COMMAND_TIMEOUT_MS,
                 )
             except (WorkerUnreachableError, NoAnswerError) as exc:
-                unanswered += 1
-                if unanswered == 1:
-                    self._cell.note("stop not answered", run, reason=str(exc))
-                await asyncio.sleep(min(RETRY_S * unanswered, MAX_STOP_RETRY_S))
-                continue
-            if answer.outcome is StopOutcome.FENCED:
-                self._leader_lease.step_down(f"fenced at worker {run.worker}")
-                return
+                failure, reason = "stop not answered", str(exc)
+            else:
+                if answer.outcome is StopOutcome.FENCED:
+                    self._leader_lease.step_down(f"fenced at worker {run.worker}")
+                    return
+                if answer.outcome is StopOutcome.DONE:
+                    break
+                failure, reason = "stop refused", answer.outcome.value
+            failures += 1
+            if failures == 1:
+                self._cell.note(failure, run, reason=reason)
+            await asyncio.sleep(min(RETRY_S * failures, MAX_STOP_RETRY_S))
+        if self._is_current(run):
             # A run that never started has no end; the next list without it frees its allocation.
             run.confirmed_ms = run.confirmed_ms or self._clock.now_ms()
-            return
 
     async def pace(self, command: PaceRun) -> None:
         """Set the share of full speed of a run; a scheduling pass repeats a lost command."""
--- a/tests/server/jobs/test_leader.py
+++ b/tests/server/jobs/test_leader.py
@@ -12,7 +12,7 @@
 from lagoonshelf_server.jobs.keys import cancel_key, progress_key
 from lagoonshelf_server.jobs.leader import Leader
 from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS, MAX_OUTAGE_MS
-from lagoonshelf_server.jobs.ports import Item, Listing, StoreRevision
+from lagoonshelf_server.jobs.ports import Item, Listing, StopOutcome, StoreRevision, WorkerReply
 from tests.support.job_fakes import eventually
 from tests.support.jobs import ADVISED, SMALL, config, make_job, make_step, worker_info
 from tests.support.terms import WORKERS, TermTestCase
@@ -548,6 +548,26 @@
         await eventually(lambda: not any(w.running for w in self._entries()))
         await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
 
+    async def test_a_stop_that_is_refused_is_repeated(self) -> None:
+        """Guards against a cancelled task that runs on as its worker was unhealthy once."""
+        leader = await self._term("m1")
+        spec = make_job()
+        self._store(spec)
+        await eventually(lambda: len(self.workers.started) == 1)
+        stop, refusals = self.workers.stop, 2
+
+        async def refuse_first(*args: object) -> WorkerReply:
+            nonlocal refusals
+            refusals -= 1
+            if refusals >= 0:
+                return WorkerReply(StopOutcome.REFUSED, self.clock.now_ms())
+            return await stop(*args)
+
+        self.workers.stop = refuse_first
+        self.store.put(cancel_key(spec.id), b"{}")
+        await eventually(lambda: not any(w.running for w in self._entries()))
+        await eventually(lambda: leader.state(spec.id) is JobState.CANCELLED)
+
     async def test_a_stop_that_is_not_answered_is_logged_once(self) -> None:
         """Guards against logs full of stops that a crashed worker does not answer."""
         leader = await self._term("m1")
