Soak: trouble the store while a leader takes over

Cause: a cancellation that is written after a new leader has read the jobs reaches it only by an announcement, which is given up after four attempts, or by the watch, whose first answer the store may lose; the faults hit that moment rarely. Change: a fault kills the leader while the store is slow, and loses answers to the new one or to all during or after its reading.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -68,6 +68,7 @@
 FAULT_SERIES_SHARE = 0.6
 # The store answers within this time when it is slow.
 SLOW_STORE_S = 0.4
+TAKEOVER_TIMEOUT_S = 4.0
 NARROW_LINK_BYTES_PER_S = 50_000
 LOG_DIR = Path("target/soak")
 
@@ -307,6 +308,8 @@
             self._compact_history,
             self._kill_leader,
             self._pause_leader,
+            self._trouble_takeover,
+            self._trouble_takeover,
         )
         while self._now_s() < LOAD_S:
             for fault in rng.sample(faults, 3):
@@ -394,6 +397,20 @@
         await asyncio.sleep(2.0 + 2 * duration_s)
         self.cluster.store.delay_s = CALL_DELAY_S
 
+    async def _trouble_takeover(self, duration_s: float) -> None:
+        """Kill the leader while the store is slow, and lose answers during the takeover."""
+        self.cluster.store.delay_s = SLOW_STORE_S
+        former = self._leader_process()
+        await former.kill()
+        deadline_s = monotonic() + TAKEOVER_TIMEOUT_S
+        while self._leader_process() is former and monotonic() < deadline_s:
+            await asyncio.sleep(0.05)
+        # The reading of the cell's state takes about five calls.
+        await asyncio.sleep(self.series_rng.uniform(0, 7) * SLOW_STORE_S)
+        await self._lose_store_answers(duration_s / 2)
+        self.cluster.store.delay_s = CALL_DELAY_S
+        await self._kill_process(former, 0.0)
+
     async def _kill_all(self, duration_s: float) -> None:
         processes = self.cluster.processes
         await asyncio.gather(
