Soak: submissions that arrive again after a cancellation, and one program per process

Cause: a submission may arrive again seconds after it was answered, and tells the leader of the job, but no client of the soak sent one after a cancellation. Change: half of the clients submit again 1 to 6 s after a 2xx to their DELETE; Process.start does nothing while the program runs.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -230,6 +230,10 @@
                 break
             await asyncio.sleep(rng.uniform(0.1, 0.5))
         await submission
+        if job.cancel_status == STORED and rng.random() < 0.5:
+            # Submissions may arrive again seconds after they were answered.
+            await asyncio.sleep(rng.uniform(1.0, 6.0))
+            await submit(rng.choice(self.cluster.processes).address, job, self._now_s())
         await self._poll_states(job, rng)
 
     async def _submit_persistently(self, job: ClientJob, rng: Random) -> None:
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -99,6 +99,7 @@
         self._ready_address = f"127.0.0.1:{ready}"
         self._first_port = first
         self.is_paused = False
+        self._start_lock = asyncio.Lock()
         # Moments at which it, or its link to the store, was disturbed.
         self.disturbed_at_s: list[float] = []
 
@@ -115,7 +116,13 @@
         return self._popen is not None and self._popen.returncode is None
 
     async def start(self) -> None:
-        """Start the program with its own settings file."""
+        """Start the program with its own settings file unless it runs."""
+        # Of two faults that start it again at the same moment, one has nothing left to do.
+        async with self._start_lock:
+            if not self.is_running:
+                await self._start()
+
+    async def _start(self) -> None:
         if not self.store_proxy.address:
             await self.store_proxy.listen()
         settings = {
