Do not refuse a cancellation that an unanswered write has recorded

Cause: DELETE of a job that is not stored renews a record that is there. If the store goes away in between, the answer was 503, which says that nothing was done. Change: the outcome is uncertain then (504). Conclusion: found in reading the whole change once more.

--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -109,16 +109,19 @@
         key, value = cancel_key(job), encode_cancellation(self._clock.wall_ms())
         known_record = ABSENT
         while True:
+            failure = WriteOutcome.UNCERTAIN if known_record else WriteOutcome.UNAVAILABLE
             try:
                 stored = await self._store.read(job_key(job))
                 ended = await self._store.read(ended_key(job)) if stored is None else None
             except (StoreUnavailableError, StoreUncertainError):
-                return WriteOutcome.UNAVAILABLE
+                return failure
             if ended is not None:
                 return WriteOutcome.STORED
             revision = ABSENT if stored is None else stored.revision
             conditions = {job_key(job): revision, ended_key(job): ABSENT, key: known_record}
             outcome, result = await self._create(conditions, key, value, deadline_ms)
+            if outcome is WriteOutcome.UNAVAILABLE:
+                return failure
             if outcome is not WriteOutcome.STORED:
                 return outcome
             if isinstance(result, Committed):
--- a/tests/server/jobs/test_job_api.py
+++ b/tests/server/jobs/test_job_api.py
@@ -150,6 +150,24 @@
         self.assertIs(await self.api.cancel(spec.id, 1_000), WriteOutcome.STORED)
         self.assertIn(cancel_key(spec.id), self.store.items)
 
+    async def test_a_cancellation_that_is_recorded_is_not_refused(self) -> None:
+        """Guards against "nothing was done" after an unanswered write that took effect.
+
+        The store goes away before the record can be renewed.
+        """
+        spec = make_job()
+        self.store.lose_answers = 1
+        read = self.store.read
+
+        async def read_then_fail(key: str) -> Item | None:
+            found = await read(key)
+            self.store.is_down = self.store.commits > 0 and key.startswith(ENDED_PREFIX)
+            return found
+
+        self.store.read = read_then_fail
+        self.assertIs(await self.api.cancel(spec.id, 1_500), WriteOutcome.UNCERTAIN)
+        self.assertIn(cancel_key(spec.id), self.store.items)
+
     async def test_a_job_is_not_unknown_before_that_is_durable(self) -> None:
         """Guards against "unknown job" while the write of the job may still take effect."""
         read = self.store.read
