--- a/packages/core/lagoonshelf_core/jobs/early_cancellations.py
+++ b/packages/core/lagoonshelf_core/jobs/early_cancellations.py
@@ -4,7 +4,7 @@
 
 from lagoonshelf_core.jobs.spec import JobId
 
-# As long as the state of an ended job; no write of a job is under way for that long.
+# As long as the state of an ended job is kept; a write of a job is rarely under way for longer.
 EARLY_CANCELLATION_MS = 150_000
 # A leader remembers a cancellation for longer than its record is kept, or a successor would know
 # of one that it has forgotten.
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -285,7 +285,7 @@
             try:
                 sent_ms = self._clock.now_ms()
                 if not revision:
-                    # A stale copy may be older than the history that is left.
+                    # Not a stale copy, which may be older than the history that is left.
                     items, revision = await self._store.read_all(prefix)
                     self._apply_registry(items, sent_ms)
                     sent_ms = self._clock.now_ms()
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -153,7 +153,7 @@
         :param created: revision at which its record was stored
         """
         if spec.id not in self.cell.jobs and created <= self._job_watcher.revision:
-            # It is in no record any more, or was known here before; only ended jobs go.
+            # All jobs up to this revision have been known here, and only ended ones are removed.
             _log.info("ended job reported again", request=spec.id, created=created)
             return None
         job = self.cell.accept(spec, self._clock.now_ms())
