--- a/review/lib2/cell.py
+++ b/review/lib2/cell.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).parent.parent.parent
 HOST = "desk.example"
 READY_TIMEOUT_S = 20.0
+CASE_TIMEOUT_S = 105
 NO_ANSWER = 0
 # The bounds of the site file andinas-ajuste.toml, as far as its settings have them.
 BOUNDS = {
@@ -299,7 +300,7 @@
         cell = Cell(folder / "record.txt")
         try:
             await cell.start()
-            async with asyncio.timeout(105):
+            async with asyncio.timeout(CASE_TIMEOUT_S):
                 held = await case(cell, with_trouble)
             cell.record(f"the rule {'held' if held else 'was broken'}")
             return held
--- a/review/lib2/executor.py
+++ b/review/lib2/executor.py
@@ -54,7 +54,8 @@
         """Return its progress."""
         if "startup_ms" in self.behaviour:
             return 100 if self.is_at_work(now_s) else 0
-        return min(99, int(100 * (now_s - self.started_s) * 1000 / self.behaviour["run_ms"]))
+        length_ms = self.behaviour.get("run_ms") or 1_000
+        return min(99, int(100 * (now_s - self.started_s) * 1000 / length_ms))
 
 
 @dataclass(slots=True)
@@ -106,6 +107,7 @@
         self._seq = 0
         self._tasks: list[asyncio.Task] = []
         self.life: Life | None = None
+        self.is_silent = False
         self.crashes: list[tuple[float, str]] = []
 
     @property
@@ -161,6 +163,21 @@
             await asyncio.sleep(down_s)
             await self.start()
 
+    def lose(self, cause: str) -> None:
+        """Be lost for good: nothing runs any more, and no call is answered."""
+        life, self.is_silent = self.life, True
+        self.crashes.append((_now(), cause))
+        self._record(f"{life.id} is lost for good")
+        for run in list(life.running.values()):
+            self._cancel_timer(run)
+            run.ended_s, run.end = _now(), "lost"
+        life.running.clear()
+        for task in self._tasks:
+            task.cancel()
+        asyncio.get_running_loop().call_later(
+            ENTRY_LIFE_S, self._store.delete, f"servers/{life.id}"
+        )
+
     async def maintain(self, down_s: float, wave: int) -> None:
         """Go down for an upkeep and join again with a new life."""
         self._record(f"{self.machine} begins its upkeep, wave {wave}")
@@ -205,6 +222,8 @@
         return int((_now() - life.started_s) * 1000) + life.clock_offset_ms
 
     async def _handle(self, request: Request) -> Response:
+        if self.is_silent:
+            await asyncio.sleep(3_600)
         life = self.life
         if life is None or request.headers.get("lagoonshelf-expected-instance") != life.id:
             return Response(421)
@@ -297,6 +316,8 @@
                     await life.changed.wait()
             except TimeoutError:
                 break
+        if self.is_silent:
+            await asyncio.sleep(3_600)
         now_s = _now()
         running = [
             [run.task, run.attempt, "", run.percent(now_s), 0] for run in life.running.values()
