--- a/review/lib2/executor.py
+++ b/review/lib2/executor.py
@@ -97,7 +97,6 @@
         self.number = number
         self.machine = f"m-{number}"
         self.state = "up"
-        self.orders: list[tuple[float, str, str]] = []
         self._store = store
         self._runs = runs
         self._record = record
@@ -107,7 +106,6 @@
         self._seq = 0
         self._tasks: list[asyncio.Task] = []
         self.life: Life | None = None
-        self.is_silent = False
         self.crashes: list[tuple[float, str]] = []
 
     @property
@@ -163,21 +161,6 @@
             await asyncio.sleep(down_s)
             await self.start()
 
-    def lose(self, cause: str) -> None:
-        """Be lost for good: nothing runs any more, and no call is answered."""
-        life, self.is_silent = self.life, True
-        self.crashes.append((_now(), cause))
-        self._record(f"{life.id} is lost for good")
-        for run in list(life.running.values()):
-            self._cancel_timer(run)
-            run.ended_s, run.end = _now(), "lost"
-        life.running.clear()
-        for task in self._tasks:
-            task.cancel()
-        asyncio.get_running_loop().call_later(
-            ENTRY_LIFE_S, self._store.delete, f"servers/{life.id}"
-        )
-
     async def maintain(self, down_s: float, wave: int) -> None:
         """Go down for an upkeep and join again with a new life."""
         self._record(f"{self.machine} begins its upkeep, wave {wave}")
@@ -222,8 +205,6 @@
         return int((_now() - life.started_s) * 1000) + life.clock_offset_ms
 
     async def _handle(self, request: Request) -> Response:
-        if self.is_silent:
-            await asyncio.sleep(3_600)
         life = self.life
         if life is None or request.headers.get("lagoonshelf-expected-instance") != life.id:
             return Response(421)
@@ -281,7 +262,6 @@
             return
         run.is_stopping = True
         self._record(f"{life.id} is told to stop {task} attempt {attempt}")
-        self.orders.append((_now(), "stop", task))
         self._cancel_timer(run)
         asyncio.get_running_loop().call_later(STOP_S, self._finish, life, run, "stopped")
 
@@ -316,8 +296,6 @@
                     await life.changed.wait()
             except TimeoutError:
                 break
-        if self.is_silent:
-            await asyncio.sleep(3_600)
         now_s = _now()
         running = [
             [run.task, run.attempt, "", run.percent(now_s), 0] for run in life.running.values()
