--- a/review/lib2/cell.py
+++ b/review/lib2/cell.py
@@ -297,6 +297,9 @@
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> bool:
+        # All processes are ended also when the time of the script is over.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         cell = Cell(folder / "record.txt")
         try:
             await cell.start()
@@ -309,7 +312,7 @@
 
     try:
         held = asyncio.run(run())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         print(f"could not run: {exc!r}", file=sys.stderr)
         sys.exit(EXIT_NOT_RUN)
     print("rule held" if held else "RULE BROKEN")
