Scheduled jobs: the cost of an event does not grow with past occurrences

Cause: Cell.update_open_steps went through all steps of all occurrences, and all their tasks, for each due occurrence and each end. A takeover cost the square of the occurrences, on the loop that renews the leader lease.

Change: steps count their waiting, running and done tasks, jobs their failures and runs, as they change; an event updates one step, the end of a step those of its occurrence. Done occurrences are dropped and kept as ranges, in memory and in the record. A pass creates at most 500 tasks of due occurrences.

Conclusion: the cost depends on what is open, not on what was done.

--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -90,7 +90,7 @@
         state.by_free_cpu[queue.pool] = by_free_cpu
     label, size = step.spec.label, allocation_of(step.spec.size, step.spec.is_filler)
     share = cell.permits.allowed_share(queue.id)
-    waiting = len(step.waiting_tasks)
+    waiting = len(step.waiting)
     max_per_worker = step.spec.max_per_worker or waiting
     expected_slots = 0.0
     selected: list[WorkerId] = []
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -52,6 +52,10 @@
 SERVICE_RESTART_DELAY_MS = 500
 SHORT_SERVICE_RUN_MS = 10_000
 
+# Tasks of due occurrences that one scheduling pass creates; it ends within a small part of the
+# leader lease's TTL.
+MAX_NEW_TASKS_PER_PASS = 500
+
 # Losses of workers that are remembered.
 MAX_LOSS_RECORDS = 500
 
@@ -110,8 +114,7 @@
         self.jobs[spec.id] = job
         self.live_jobs[spec.id] = job
         if not spec.occurrences:
-            job.occurrence_steps(Occurrence(0))
-            self.update_open_steps(job)
+            self._open_occurrence(job, Occurrence(0))
         return job
 
     def restore(self, spec: JobSpec, progress: bytes | None, now_ms: int) -> Job:
@@ -125,8 +128,8 @@
             self.recorded_runs += restore_progress(job, progress)
         if job.is_final:
             self._close(job)
-        else:
-            self.update_open_steps(job)
+        for step in job.steps.values():
+            self.update_open_step(step)
         return job
 
     def cancel(self, job_id: JobId, now_wall_ms: int) -> bool:
@@ -171,28 +174,39 @@
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
 
-    def update_open_steps(self, job: Job) -> None:
-        """Update which steps of a job have tasks that can start."""
-        for step in job.steps.values():
-            is_open = not job.is_final and job.is_ready(step)
-            if is_open and any(task.is_waiting for task in step.tasks):
-                self.open_steps.add(step)
-            else:
-                self.open_steps.discard(step)
-
-    def open_due_occurrences(self, now_wall_ms: int) -> None:
-        """Create the steps of the occurrences that are due."""
+    def update_open_step(self, step: StepRun) -> None:
+        """Update whether a step has tasks that can start."""
+        job = step.job
+        if step.waiting and not job.is_final and job.is_ready(step):
+            self.open_steps.add(step)
+        else:
+            self.open_steps.discard(step)
+
+    def _open_occurrence(self, job: Job, occurrence: Occurrence) -> None:
+        for step in job.occurrence_steps(occurrence):
+            self.update_open_step(step)
+
+    def open_due_occurrences(self, now_wall_ms: int) -> bool:
+        """Create the steps of the occurrences that are due; return whether some are left.
+
+        A job may be handed in, or taken over, with thousands that are due.
+        """
+        new_tasks = 0
         for job in self.live_jobs.values():
             spec = job.spec
-            if not spec.occurrences:
-                continue
             # After a takeover a later one may exist, by the record or a list, and this one not.
             while job.next_occurrence < spec.occurrences:
                 if now_wall_ms < spec.first_due_ms + job.next_occurrence * spec.interval_ms:
                     break
-                job.occurrence_steps(Occurrence(job.next_occurrence))
+                if job.next_occurrence in job.done_occurrences:
+                    job.next_occurrence = job.done_occurrences.next_absent(job.next_occurrence)
+                    continue
+                if new_tasks >= MAX_NEW_TASKS_PER_PASS:
+                    return True
+                self._open_occurrence(job, Occurrence(job.next_occurrence))
                 job.next_occurrence += 1
-                self.update_open_steps(job)
+                new_tasks += sum(step.count for step in spec.steps)
+        return False
 
     # Workers
 
@@ -280,7 +294,7 @@
             is_service=spec.is_service,
             progressed_ms=now_ms,
         )
-        task.run = run
+        task.assign(run)
         task.attempt = attempt
         self.allocate(worker, run)
         self.health.started(worker.id, TaskId(task.job.id))
@@ -313,8 +327,8 @@
         self._release(run)
         self.health.dropped(run.worker, TaskId(run.name.partition(".")[0]))
         if run.task is not None and run.task.run is run:
-            run.task.run = None
-            self.update_open_steps(run.task.job)
+            run.task.assign(None)
+            self.update_open_step(run.task.step)
 
     def stop_run(self, run: Run, reason: str) -> None:
         """Add a command to stop a run; its resources stay allocated until its end is reported."""
@@ -338,7 +352,8 @@
         else:
             self.health.dropped(run.worker, job_id)
         if task.run is run:
-            task.run = None
+            task.assign(None)
+            self.update_open_step(task.step)
         is_short = now_ms - run.started_ms < SHORT_SERVICE_RUN_MS
         if run.is_service and is_short and end in (RunEnd.DONE, RunEnd.FAILED):
             task.restart_ms = now_ms + SERVICE_RESTART_DELAY_MS
@@ -347,16 +362,11 @@
     def count_end(self, task: Task, attempt: int, end: RunEnd, checkpoint: str) -> None:
         """Count the end of an attempt once for its task, gang and job."""
         step, job = task.step, task.job
-        if attempt in task.counted_attempts:
+        if task.is_done or attempt in task.counted_attempts:
             return
-        if step.spec.is_service:
-            # It may end any number of times, and nothing depends on the number of its ends.
-            if attempt < max(task.counted_attempts, default=0):
-                return
-            task.counted_attempts = {attempt}
-        else:
-            task.counted_attempts.add(attempt)
-        task.attempt = max(task.attempt, attempt)
+        if step.spec.is_service and attempt < max(task.counted_attempts, default=0):
+            return
+        task.count_attempt(attempt)
         if checkpoint:
             task.checkpoint = checkpoint
         # A task of a service is never done: however its run ends, it starts again.
@@ -364,8 +374,7 @@
         if is_done:
             self._mark_done(task, attempt)
         elif end is RunEnd.FAILED:
-            task.failures += 1
-            step.failed_attempts.add(attempt)
+            task.count_failure(attempt)
         if step.spec.is_gang and not is_done and end in _GANG_ENDS:
             self.stop_gang_attempt(step, attempt)
         self.changed_jobs.add(job)
@@ -375,44 +384,40 @@
         """Mark a task as done; one done member completes all tasks of its gang."""
         members = task.step.tasks if task.step.spec.is_gang else [task]
         for member in members:
-            member.is_done = True
-            member.checkpoint = ""
+            member.mark_done()
             run = member.run
             if run is not None and run.attempt != attempt:
                 self.stop_run(run, "another run of the task is done")
+        if task.step.is_done:
+            self._close_step(task.step)
+
+    def _close_step(self, step: StepRun) -> None:
+        """Open the steps that waited for a step, or close its occurrence."""
+        closed = step.job.close_occurrence(step.occurrence)
+        for done in closed:
+            self.open_steps.discard(done)
+            self.permits.remove(done.name)
+        if not closed:
+            self._open_occurrence(step.job, step.occurrence)
 
     def stop_gang_attempt(self, step: StepRun, attempt: int) -> None:
         """Stop the remaining runs of a gang's attempt; their workers may not know of its end."""
-        for member in step.tasks:
-            run = member.run
-            if run is not None and run.attempt == attempt:
-                self.stop_run(run, "another member of its gang ended")
+        for member in step.running.values():
+            if member.run.attempt == attempt:
+                self.stop_run(member.run, "another member of its gang ended")
 
     def update_job_state(self, job: Job) -> None:
         """Update the state of a job after one of its runs was adopted or ended."""
         if job.is_final:
             return
         queue = self.queue_of(job)
-        if queue is not None and self._has_failed(job, queue.max_failures):
+        if queue is not None and job.failure_counts.reaches(queue.max_failures):
             self.fail_job(job, f"a task or gang has failed {queue.max_failures} times")
         elif job.is_complete():
             self._finish(job, JobState.COMPLETE, 0)
-        else:
-            if job.has_started and job.state is JobState.QUEUED:
-                job.state = JobState.RUNNING
-                self.changed_jobs.add(job)
-            self.update_open_steps(job)
-
-    def _has_failed(self, job: Job, max_failures: int) -> bool:
-        for step in job.steps.values():
-            if step.spec.is_service:
-                continue
-            if step.spec.is_gang:
-                if len(step.failed_attempts) >= max_failures and not step.is_done:
-                    return True
-            elif any(t.failures >= max_failures and not t.is_done for t in step.tasks):
-                return True
-        return False
+        elif job.has_started and job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+            self.changed_jobs.add(job)
 
     def _finish(self, job: Job, state: JobState, now_wall_ms: int) -> None:
         job.state = state
@@ -420,13 +425,13 @@
         self._close(job)
         self.changed_jobs.add(job)
         for step in job.steps.values():
-            for task in step.tasks:
-                if task.run is not None and not task.is_done:
+            for task in step.running.values():
+                if not task.is_done:
                     self.stop_run(task.run, f"job is {state.value}")
 
     def _close(self, job: Job) -> None:
         self.live_jobs.pop(job.id, None)
-        self.update_open_steps(job)
+        self.open_steps.difference_update(job.steps.values())
         for step in job.steps.values():
             self.permits.remove(step.name)
 
@@ -446,8 +451,8 @@
             self.changed_jobs.add(run.task.job)
         if run.is_duplicate and run.task is not None:
             run.is_duplicate = False
-            run.task.duplicate_runs -= 1
-            self.update_open_steps(run.task.job)
+            run.task.remove_duplicate()
+            self.update_open_step(run.task.step)
         if run.team is not None:
             self.team_allocations[run.team] = self.team_allocations[run.team] - run.size
 
--- a/packages/core/lagoonshelf_core/jobs/crashes.py
+++ b/packages/core/lagoonshelf_core/jobs/crashes.py
@@ -105,15 +105,15 @@
     """
     task = run.task
     if worker.alive_ms(run) >= CLEARED_MS:
-        task.crash_history = None
+        task.set_crash_history(None)
         return
-    history = task.crash_history = task.crash_history or CrashHistory()
+    history = task.crash_history or CrashHistory()
     if is_crash:
         history.crashes += 1
         history.early_crashes += not worker.has_settled(run)
     else:
         history.losses += 1
-    task.step.has_suspects = task.step.has_suspects or task.is_suspect
+    task.set_crash_history(history)
 
 
 def _is_given_up(history: CrashHistory, other_suspects: set[Task]) -> bool:
--- a/packages/core/lagoonshelf_core/jobs/gang_placement.py
+++ b/packages/core/lagoonshelf_core/jobs/gang_placement.py
@@ -36,7 +36,7 @@
 
     :param workers: workers that the gang may start on now
     """
-    if not all(task.is_waiting for task in step.tasks):
+    if not step.is_all_waiting:
         return []
     if step.has_suspects and not cell.is_recording:
         return []
@@ -65,7 +65,7 @@
         if not is_outdated and not is_overdue and state.has_all_held(step, pool):
             return
         state.release(step)
-    if now_ms < step.next_hold_ms or not all(task.is_waiting for task in step.tasks):
+    if now_ms < step.next_hold_ms or not step.is_all_waiting:
         return
     step.next_hold_ms = now_ms + HOLD_RETRY_MS
     held = state.count_held(band)
--- a/packages/core/lagoonshelf_core/jobs/isolation.py
+++ b/packages/core/lagoonshelf_core/jobs/isolation.py
@@ -38,7 +38,7 @@
     if not cell.is_recording:
         # A successor that does not know of the start could not count its crash.
         return
-    suspects = [task for task in step.waiting_tasks if task.is_suspect]
+    suspects = [task for task in step.waiting.values() if task.is_suspect]
     fitting = [worker for worker in workers if _fits(cell, state, step, worker, band)]
     best = _best_workers(cell, state, step, fitting, len(suspects))
     for task, worker in zip(suspects, best, strict=False):
@@ -94,7 +94,10 @@
         return False
     if spec.max_per_worker:
         runs = worker.runs.values()
-        if sum(run.task in step.tasks for run in runs) >= spec.max_per_worker:
+        if (
+            sum(run.task is not None and run.task.step is step for run in runs)
+            >= spec.max_per_worker
+        ):
             return False
     return not state.is_held_from(worker, step, band) and cell.health.may_start(
         worker.id, True, state.now_ms
--- a/packages/core/lagoonshelf_core/jobs/job_records.py
+++ b/packages/core/lagoonshelf_core/jobs/job_records.py
@@ -1,10 +1,12 @@
 """Durable records of the progress and the end of a job."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import orjson
 
 from lagoonshelf_core.ids import WorkerId
+from lagoonshelf_core.jobs.index_ranges import IndexRanges
 from lagoonshelf_core.jobs.progress import CrashHistory, Job, JobState, StepRun
 from lagoonshelf_core.jobs.spec import Occurrence
 
@@ -12,34 +14,31 @@
 def encode_progress(job: Job) -> bytes:
     """Return the durable record of a job's progress.
 
-    Each step has a row for each task with a counted end, [index, done, failures, counted attempts,
-    checkpoint], and one for each current run, [index, attempt, worker]. Tasks that ran on lost
-    workers have a row in "crashes", [index, crashes, early crashes, losses].
+    Each step has a row of its failed attempts, a row for each task with a counted end that is not
+    done, [index, 0, failures, counted attempts, checkpoint], one for each current run, [index,
+    attempt, worker], and the ranges of the tasks that are done. Tasks that ran on lost workers
+    have a row in "crashes", [index, crashes, early crashes, losses]. "done" has the ranges of the
+    occurrences that are done. Ranges keep the record small, however many tasks are done.
     """
     steps, crashes = {}, {}
     for (occurrence, index), step in job.steps.items():
         rows = [
-            [
-                task.index,
-                int(task.is_done),
-                task.failures,
-                sorted(task.counted_attempts),
-                task.checkpoint,
-            ]
-            for task in step.tasks
-            if task.is_done or task.counted_attempts
+            [task.index, 0, task.failures, sorted(task.counted_attempts), task.checkpoint]
+            for task in step.eventful.values()
+            if task.counted_attempts
         ]
         runs = [
             [task.index, task.run.attempt, task.run.worker]
-            for task in step.tasks
-            if task.run is not None and not job.is_final
+            for task in step.running.values()
+            if not job.is_final
         ]
-        if rows or runs:
-            steps[f"{occurrence}.{index}"] = [sorted(step.failed_attempts), rows, runs]
+        if rows or runs or step.done:
+            failed_attempts = sorted(step.failed_attempts)
+            steps[f"{occurrence}.{index}"] = [failed_attempts, rows, runs, step.done.rows()]
         histories = [
             [task.index, history.crashes, history.early_crashes, history.losses]
-            for task in step.tasks
-            if (history := task.crash_history) is not None and not task.is_done
+            for task in step.eventful.values()
+            if (history := task.crash_history) is not None
         ]
         if histories:
             crashes[f"{occurrence}.{index}"] = histories
@@ -49,6 +48,8 @@
         "started": job.has_started,
         "steps": steps,
     }
+    if job.spec.occurrences:
+        record["done"] = job.done_occurrences.rows()
     if crashes:
         record["crashes"] = crashes
     if job.failure:
@@ -99,29 +100,56 @@
     job.ended_wall_ms = raw["ended_ms"]
     job.has_started = raw["started"]
     job.failure = raw.get("failure", "")
+    job.done_occurrences = IndexRanges(raw.get("done", ()))
     recorded = []
+    for key, row in raw["steps"].items():
+        step = _find_step(job, key)
+        recorded += _restore_step(step, *row)
     for key, histories in raw.get("crashes", {}).items():
         step = _find_step(job, key)
         for task_index, *counts in histories:
-            task = step.tasks[task_index]
-            task.crash_history = CrashHistory(*counts)
-            step.has_suspects = step.has_suspects or task.is_suspect
-    for key, (failed_attempts, rows, runs) in raw["steps"].items():
-        step = _find_step(job, key)
-        step.failed_attempts = set(failed_attempts)
-        for task_index, is_done, failures, counted_attempts, checkpoint in rows:
-            task = step.tasks[task_index]
-            # Earlier versions recorded a service's task as done when its run had ended so.
-            task.is_done = bool(is_done) and not step.spec.is_service
-            task.failures = failures
-            task.counted_attempts = set(counted_attempts)
-            task.attempt = max(counted_attempts, default=0) + job.attempt_floor
-            task.checkpoint = checkpoint
-        for task_index, attempt, worker in runs:
-            recorded.append(RecordedRun(step.tasks[task_index].name, attempt, WorkerId(worker)))
+            step.tasks[task_index].set_crash_history(CrashHistory(*counts))
+    for occurrence in {step.occurrence for step in job.steps.values() if step.is_done}:
+        job.close_occurrence(occurrence)
     return recorded
 
 
+def _restore_step(
+    step: StepRun,
+    failed_attempts: list[int],
+    rows: list,
+    runs: list,
+    done: Iterable[tuple[int, int]] = (),
+) -> list[RecordedRun]:
+    """Apply the row of a step and return its recorded runs.
+
+    :param done: ranges of the done tasks; earlier versions had rows for these tasks instead
+    """
+    spec, counts = step.spec, step.job.failure_counts
+    for task_index, is_done, failures, counted_attempts, checkpoint in rows:
+        task = step.tasks[task_index]
+        for attempt in counted_attempts:
+            task.count_attempt(attempt)
+        task.attempt = max(counted_attempts, default=0) + step.job.attempt_floor
+        task.checkpoint = checkpoint
+        task.failures = failures
+        if not spec.is_gang and not spec.is_service:
+            counts.replace(0, failures)
+        # Earlier versions recorded a service's task as done when its run had ended so.
+        if is_done and not spec.is_service:
+            task.mark_done()
+    step.failed_attempts = set(failed_attempts)
+    if spec.is_gang and not step.is_done:
+        counts.replace(0, len(failed_attempts))
+    for first, last in done:
+        for task in step.tasks[first : last + 1]:
+            task.mark_done()
+    return [
+        RecordedRun(step.tasks[task_index].name, attempt, WorkerId(worker))
+        for task_index, attempt, worker in runs
+    ]
+
+
 def _find_step(job: Job, key: str) -> StepRun:
     """Return the step with a key in a durable record, "occurrence.index"."""
     occurrence, index = (int(part) for part in key.split("."))
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -21,14 +21,16 @@
 TASKS_PLACED = "tasks placed"
 
 
-def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> None:
+def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> bool:
     """Run a scheduling pass; add commands to the cell for the tasks that start now.
 
+    Return whether another pass is needed for work that this one has left.
+
     :param advice_budget_ms: time of the placement policy that advice requests may use
     """
-    cell.open_due_occurrences(now_wall_ms)
+    has_more = cell.open_due_occurrences(now_wall_ms)
     if not cell.open_steps:
-        return
+        return has_more
     state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
     workers = cell.workers.values() if cell.may_use_registry(now_ms) else ()
     for worker in workers:
@@ -47,7 +49,9 @@
     for (band, _), _, step, queue in ranked:
         if step.job.is_inherited and has_unread:
             continue
-        _plan_step(cell, state, step, queue, Band(band))
+        if not state.is_stuck(step):
+            _plan_step(cell, state, step, queue, Band(band))
+    return has_more
 
 
 def summary(cell: Cell, now_ms: int) -> dict[str, object]:
@@ -98,26 +102,40 @@
     else:
         startable_milli = state.startable_milli(step, queue.pool, band)
         placed = _place_tasks(cell, state, step, workers, band, startable_milli)
-    gang_attempt = max(task.attempt for task in step.tasks) + 1
-    checkpoint = max(task.checkpoint for task in step.tasks)
+    _start_all(cell, state, step, placed, permits)
+    if step.has_suspects and not spec.is_gang:
+        placed += _start_suspects(cell, state, step, queue, workers, permits, band)
+    if placed:
+        _note_placement(cell, state, step, placed)
+        cell.update_open_step(step)
+    elif queue.advice is None:
+        state.note_stuck(step)
+
+
+def _start_all(
+    cell: Cell,
+    state: SchedulingPass,
+    step: StepRun,
+    placed: list[tuple[Task, Worker]],
+    permits: dict[WorkerId, str] | None,
+) -> None:
+    """Start tasks of a step; the members of a gang have the same attempt and checkpoint."""
+    if step.spec.is_gang and placed:
+        gang_attempt = max(task.attempt for task in step.tasks) + 1
+        gang_checkpoint = max(task.checkpoint for task in step.tasks)
     for task, worker in placed:
         permit = "" if permits is None else permits[worker.id]
         if step.spec.is_gang:
-            _start(cell, state, task, worker, gang_attempt, checkpoint, permit)
+            _start(cell, state, task, worker, gang_attempt, gang_checkpoint, permit)
         else:
             _start(cell, state, task, worker, task.attempt + 1, task.checkpoint, permit)
-    if step.has_suspects and not spec.is_gang:
-        placed += _start_suspects(cell, state, step, queue, workers, permits, band)
-    if placed:
-        _note_placement(cell, state, step, placed)
-        cell.update_open_steps(step.job)
 
 
 def _awaits_restart(step: StepRun, now_ms: int) -> bool:
     """Return whether a service's tasks have ended shortly after their start just now."""
     if not step.spec.is_service:
         return False
-    delayed = [task.restart_ms > now_ms for task in step.waiting_tasks]
+    delayed = (task.restart_ms > now_ms for task in step.waiting.values())
     return any(delayed) if step.spec.is_gang else all(delayed)
 
 
@@ -188,7 +206,7 @@
     if size.cpu_milli > startable_milli:
         return []
     failed_workers = cell.health.failed_workers(TaskId(step.job.id))
-    on_worker = _count_by_worker(step)
+    on_worker = _count_by_worker(step) if spec.max_per_worker else {}
     planned: dict[WorkerId, Resources] = {}
 
     def evaluate(worker: Worker) -> tuple | None:
@@ -213,7 +231,7 @@
     heapify(candidates)
     placed: list[tuple[Task, Worker]] = []
     planned_total = ZERO_RESOURCES
-    for task in step.waiting_tasks:
+    for task in step.waiting.values():
         if task.is_suspect or task.restart_ms > state.now_ms:
             continue
         startable_milli -= size.cpu_milli
@@ -236,9 +254,8 @@
 
 def _count_by_worker(step: StepRun) -> dict[WorkerId, int]:
     counts: dict[WorkerId, int] = {}
-    for task in step.tasks:
-        if task.run is not None:
-            counts[task.run.worker] = counts.get(task.run.worker, 0) + 1
+    for task in step.running.values():
+        counts[task.run.worker] = counts.get(task.run.worker, 0) + 1
     return counts
 
 
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -1,9 +1,11 @@
 """Progress of a job: its tasks and their runs."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
 from lagoonshelf_core.ids import TeamId, WorkerId
+from lagoonshelf_core.jobs.index_ranges import IndexRanges
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence, StepIndex, StepSpec
 from lagoonshelf_core.resources import Resources
 
@@ -116,6 +118,8 @@
 class Task:
     """A task of a step.
 
+    ``is_done``, ``run`` and all else that its step counts are changed by its methods only.
+
     :param run: current run of the task
     :param attempt: number of the last start
     :param counted_attempts: attempts whose end has been counted; the ends of one task arrive from
@@ -153,12 +157,107 @@
         """Return whether the task is not done and has no run on any worker."""
         return not self.is_done and self.run is None and not self.duplicate_runs
 
+    def assign(self, run: Run | None) -> None:
+        """Set the current run, ``None`` for no run."""
+        self.job.run_count += (run is not None) - (self.run is not None)
+        self.run = run
+        if run is None:
+            self.step.running.pop(self.index, None)
+        else:
+            self.step.running[self.index] = self
+        self._update_waiting()
+
+    def add_duplicate(self) -> None:
+        """Count a run beside the current one."""
+        self.job.run_count += 1
+        self.duplicate_runs += 1
+        self._update_waiting()
+
+    def remove_duplicate(self) -> None:
+        """Count the end of a run beside the current one."""
+        self.job.run_count -= 1
+        self.duplicate_runs -= 1
+        self._update_waiting()
+
+    def mark_done(self) -> None:
+        """Record that the task is done."""
+        if self.is_done:
+            return
+        step, counts = self.step, self.job.failure_counts
+        self.is_done = True
+        self.checkpoint = ""
+        step.done.add(self.index)
+        step.eventful.pop(self.index, None)
+        if not step.spec.is_gang:
+            counts.replace(self.failures, 0)
+        elif step.is_done:
+            counts.replace(len(step.failed_attempts), 0)
+        self._update_waiting()
+
+    def count_attempt(self, attempt: int) -> None:
+        """Record that the end of an attempt has been counted."""
+        if self.step.spec.is_service:
+            # It may end any number of times, and nothing depends on the number of its ends.
+            self.counted_attempts = {attempt}
+        else:
+            self.counted_attempts.add(attempt)
+        self.attempt = max(self.attempt, attempt)
+        self.step.eventful[self.index] = self
+
+    def count_failure(self, attempt: int) -> None:
+        """Record that an attempt has failed."""
+        step, counts = self.step, self.job.failure_counts
+        self.failures += 1
+        if step.spec.is_gang:
+            known = len(step.failed_attempts)
+            step.failed_attempts.add(attempt)
+            counts.replace(known, len(step.failed_attempts))
+        else:
+            step.failed_attempts.add(attempt)
+            if not step.spec.is_service:
+                counts.replace(self.failures - 1, self.failures)
+
+    def set_crash_history(self, history: CrashHistory | None) -> None:
+        """Set the workers that were lost while they ran the task."""
+        self.crash_history = history
+        self.step.eventful[self.index] = self
+        self.step.has_suspects = self.step.has_suspects or self.is_suspect
+
+    def _update_waiting(self) -> None:
+        if self.is_waiting:
+            self.step.waiting[self.index] = self
+        else:
+            self.step.waiting.pop(self.index, None)
+
     @property
     def is_suspect(self) -> bool:
         """Return whether the task may be what crashes its workers."""
         return self.crash_history is not None and self.crash_history.early_crashes > 0
 
 
+class FailureCounts:
+    """Numbers of failures of a job's tasks and gangs that are not done."""
+
+    def __init__(self) -> None:
+        """Create without failures."""
+        self._counts: Counter[int] = Counter()
+
+    def replace(self, old: int, new: int) -> None:
+        """Count a task or gang with a new number of failures, 0 for one that is done."""
+        if old == new:
+            return
+        if new:
+            self._counts[new] += 1
+        if old:
+            self._counts[old] -= 1
+            if not self._counts[old]:
+                del self._counts[old]
+
+    def reaches(self, max_failures: int) -> bool:
+        """Return whether a task or gang has failed at least this often."""
+        return any(count >= max_failures for count in self._counts)
+
+
 @dataclass(frozen=True, slots=True)
 class GangHold:
     """Workers that are held for a waiting gang.
@@ -178,39 +277,56 @@
 class StepRun:
     """One step of one occurrence of a job.
 
+    The tasks by their state let an event of one task cost the same however many the step has.
+
+    :param has_tasks: it has its tasks; a step of an occurrence that is done needs none
+    :param waiting: tasks that are neither done nor running, by index
+    :param running: tasks with a current run, by index
+    :param eventful: tasks that are not done and of which more is recorded than their current run
+    :param done: indices of the tasks that are done
     :param failed_attempts: attempts in which at least one task failed
     :param has_suspects: some of its tasks may be what crashes their workers
     :param hold: workers that are held for the step, a gang that waits for capacity
     :param next_hold_ms: when workers may be chosen again after there were none
-    :param remaining_ms: estimated time from its start to the end of its dependent steps
     """
 
     job: "Job"
     occurrence: Occurrence
     index: StepIndex
     spec: StepSpec
-    tasks: list[Task] = field(default_factory=list)
+    has_tasks: bool = True
+    tasks: list[Task] = field(init=False)
+    waiting: dict[int, Task] = field(init=False)
+    running: dict[int, Task] = field(default_factory=dict)
+    eventful: dict[int, Task] = field(default_factory=dict)
+    done: IndexRanges = field(default_factory=IndexRanges)
     failed_attempts: set[int] = field(default_factory=set)
     has_suspects: bool = False
     hold: GangHold | None = None
     next_hold_ms: int = 0
     name: str = field(init=False)
-    remaining_ms: float = field(init=False)
 
     def __post_init__(self) -> None:
-        """Build the name of the step, unique in the cell, and compute what does not change."""
+        """Build the name of the step, unique in the cell, and its tasks."""
         self.name = f"{self.job.id}.{self.occurrence}.{self.index}"
-        self.remaining_ms = remaining_ms(self.job.spec, self.index)
+        count = self.spec.count if self.has_tasks else 0
+        self.tasks = [Task(self, index, attempt=self.job.attempt_floor) for index in range(count)]
+        self.waiting = dict(enumerate(self.tasks))
 
     @property
     def is_done(self) -> bool:
         """Return whether all tasks are done."""
-        return all(task.is_done for task in self.tasks)
+        return len(self.done) == self.spec.count
+
+    @property
+    def is_all_waiting(self) -> bool:
+        """Return whether all tasks are neither done nor running."""
+        return len(self.waiting) == len(self.tasks)
 
     @property
-    def waiting_tasks(self) -> list[Task]:
-        """Return the tasks that are neither done nor running."""
-        return [task for task in self.tasks if task.is_waiting]
+    def remaining_ms(self) -> float:
+        """Return the estimated time from its start to the end of its dependent steps."""
+        return self.job.remaining_ms[self.index]
 
 
 @dataclass(slots=True, eq=False)
@@ -220,10 +336,14 @@
     :param received_ms: clock time at which this process received the job
     :param is_inherited: accepted before this process became the leader
     :param is_excess: submitted beyond the rate of its team
+    :param steps: steps by occurrence and index; none of occurrences that are done
+    :param done_occurrences: occurrences of which all steps are done
+    :param run_count: runs of its tasks that have not ended, also of those that are done
     :param attempt_floor: first attempts of tasks are numbered above it
     :param next_occurrence: number of the occurrence that this leader looks at next
     :param failure: why the job failed, for its operator
     :param critical_path_ms: estimated run time of the longest chain of dependent steps
+    :param remaining_ms: estimated time from the start of each step to the end of those after it
     """
 
     spec: JobSpec
@@ -233,15 +353,22 @@
     is_excess: bool = False
     ended_wall_ms: int = 0
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
+    done_occurrences: IndexRanges = field(default_factory=IndexRanges)
+    failure_counts: FailureCounts = field(default_factory=FailureCounts)
+    run_count: int = 0
     has_started: bool = False
     attempt_floor: int = 0
     next_occurrence: int = 0
     failure: str = ""
     critical_path_ms: float = field(init=False)
+    remaining_ms: list[float] = field(init=False)
 
     def __post_init__(self) -> None:
-        """Compute the critical path once, because each scheduling pass needs it."""
+        """Compute the estimates once, because each scheduling pass needs them."""
         self.critical_path_ms = critical_path_ms(self.spec)
+        self.remaining_ms = [
+            remaining_ms(self.spec, StepIndex(index)) for index in range(len(self.spec.steps))
+        ]
 
     @property
     def id(self) -> JobId:
@@ -256,20 +383,13 @@
     @property
     def has_runs(self) -> bool:
         """Return whether any of its tasks has a run that has not ended."""
-        return any(
-            task.run is not None or task.duplicate_runs
-            for step in self.steps.values()
-            for task in step.tasks
-        )
+        return self.run_count > 0
 
     def occurrence_steps(self, occurrence: Occurrence) -> list[StepRun]:
-        """Return the steps of an occurrence, and create them on first use."""
+        """Return the steps of an occurrence that is not done, and create them on first use."""
         if (occurrence, 0) not in self.steps:
             for index, spec in enumerate(self.spec.steps):
                 step = StepRun(self, occurrence, StepIndex(index), spec)
-                step.tasks = [
-                    Task(step, number, attempt=self.attempt_floor) for number in range(spec.count)
-                ]
                 self.steps[(occurrence, index)] = step
         return [self.steps[(occurrence, index)] for index in range(len(self.spec.steps))]
 
@@ -279,20 +399,35 @@
             return None
         if not 0 <= step < len(self.spec.steps):
             return None
-        tasks = self.occurrence_steps(Occurrence(occurrence))[step].tasks
-        return tasks[index] if 0 <= index < len(tasks) else None
+        spec = self.spec.steps[step]
+        if not 0 <= index < spec.count:
+            return None
+        if occurrence in self.done_occurrences and (occurrence, 0) not in self.steps:
+            done = StepRun(self, Occurrence(occurrence), StepIndex(step), spec, has_tasks=False)
+            return Task(done, index, is_done=True)
+        return self.occurrence_steps(Occurrence(occurrence))[step].tasks[index]
 
     def is_ready(self, step: StepRun) -> bool:
         """Return whether all steps that a step depends on are done."""
         return all(self.steps[(step.occurrence, before)].is_done for before in step.spec.after)
 
+    def close_occurrence(self, occurrence: Occurrence) -> list[StepRun]:
+        """Record an occurrence as done if all its steps are; return its steps in that case.
+
+        Those of a scheduled job are dropped, which may have thousands of occurrences.
+        """
+        steps = self.occurrence_steps(occurrence)
+        if not all(step.is_done for step in steps):
+            return []
+        self.done_occurrences.add(occurrence)
+        if self.spec.occurrences:
+            for step in steps:
+                del self.steps[(occurrence, step.index)]
+        return steps
+
     def is_complete(self) -> bool:
         """Return whether every task of every occurrence is done; never for a job with services."""
-        if any(step.is_service for step in self.spec.steps):
-            return False
-        if len(self.steps) < len(self.spec.steps) * max(1, self.spec.occurrences):
-            return False
-        return all(step_run.is_done for step_run in self.steps.values())
+        return len(self.done_occurrences) == max(1, self.spec.occurrences)
 
 
 def critical_path_ms(spec: JobSpec) -> float:
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -7,6 +7,7 @@
 from lagoonshelf_core.jobs.capacity import startable_milli
 from lagoonshelf_core.jobs.progress import GangHold, StepRun
 from lagoonshelf_core.jobs.ranking import Band
+from lagoonshelf_core.jobs.spec import JobId, StepIndex
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 from lagoonshelf_core.resources import ZERO_RESOURCES
 
@@ -33,6 +34,7 @@
     :param holders: gang that each held worker is held for
     :param quieted_pools: pools of which a worker is kept for a suspected task
     :param advice_budget_ms: time of the placement policy that requests may still use
+    :param stuck_steps: job and index of the steps of occurrences of which no task could start
     """
 
     now_ms: int
@@ -45,6 +47,7 @@
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
     quieted_pools: set[str] = field(default_factory=set)
     advice_budget_ms: float = 0.0
+    stuck_steps: set[tuple[JobId, StepIndex]] = field(default_factory=set)
 
     def add_usable(self, worker: Worker) -> None:
         """Add a worker that may get tasks."""
@@ -56,6 +59,17 @@
         # A worker that has shrunk may use more than it has, which is no load of the others.
         load.used_milli += min(worker.used.cpu_milli, capacity_milli)
 
+    def note_stuck(self, step: StepRun) -> None:
+        """Record that no task of a step could start."""
+        spec = step.spec
+        is_special = spec.max_per_worker or spec.is_service or step.has_suspects
+        if step.job.spec.occurrences and not is_special:
+            self.stuck_steps.add((step.job.id, step.index))
+
+    def is_stuck(self, step: StepRun) -> bool:
+        """Return whether the same step of another occurrence could not start either."""
+        return bool(self.stuck_steps) and (step.job.id, step.index) in self.stuck_steps
+
     def close(self, worker: Worker) -> None:
         """Give no more tasks to a worker in this pass."""
         self.usable[worker.info.pool].pop(worker.id, None)
--- a/packages/core/lagoonshelf_core/jobs/supervision.py
+++ b/packages/core/lagoonshelf_core/jobs/supervision.py
@@ -104,7 +104,9 @@
 
 
 def _is_gang_running(step: StepRun) -> bool:
-    return all(task.run is not None and task.run.phase is RunPhase.RUNNING for task in step.tasks)
+    return len(step.running) == len(step.tasks) and all(
+        task.run.phase is RunPhase.RUNNING for task in step.running.values()
+    )
 
 
 def _pace_fillers(cell: Cell, worker: Worker, now_ms: int) -> None:
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -110,7 +110,7 @@
         cell.end_run(run, row.end, row.checkpoint, now_ms)
         return
     task = cell.find_task(row.name)
-    if task is not None and row.attempt not in task.counted_attempts:
+    if task is not None:
         cell.count_end(task, row.attempt, row.end, row.checkpoint)
 
 
@@ -144,9 +144,10 @@
         _mark_duplicate(run)
         cell.stop_run(run, "its task does not need it")
         return run
-    task.run = run
+    task.assign(run)
     task.attempt = max(task.attempt, row.attempt)
     task.job.has_started = True
+    cell.update_open_step(task.step)
     cell.health.started(worker.id, TaskId(task.job.id))
     cell.update_job_state(task.job)
     cell.note("run adopted", run)
@@ -164,7 +165,7 @@
     if task.step.spec.is_gang:
         return
     cell.note("run superseded", run, by_attempt=found.attempt, found_at=found.worker)
-    task.run = None
+    task.assign(None)
     _mark_duplicate(run)
     cell.stop_run(run, "a later run was found")
 
@@ -173,7 +174,7 @@
     """Mark a run as not the current one of its task; the task waits for it to end."""
     if run.task is not None and not run.is_duplicate:
         run.is_duplicate = True
-        run.task.duplicate_runs += 1
+        run.task.add_duplicate()
 
 
 def _is_current_attempt(run: Run) -> bool:
@@ -181,8 +182,9 @@
     task = run.task
     if task is None or not task.step.spec.is_gang:
         return True
-    attempts = [other.run.attempt for other in task.step.tasks if other.run is not None]
-    return all(attempt == run.attempt for attempt in attempts)
+    # All current runs of a gang have the same attempt, so any one of them tells.
+    other = next(iter(task.step.running.values()), None)
+    return other is None or other.run.attempt == run.attempt
 
 
 def _note_done(cell: Cell, worker: Worker, step: str, names: list[str]) -> None:
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -240,7 +240,9 @@
         if self._leader_lease.may_dispatch() and self._is_config_valid():
             supervise(cell, now_ms)
             if self._knows_cancellations():
-                plan(cell, now_ms, self._clock.wall_ms(), self.advice_router.budget_ms())
+                budget_ms = self.advice_router.budget_ms()
+                if plan(cell, now_ms, self._clock.wall_ms(), budget_ms):
+                    self.request_pass()
         commands, cell.commands = cell.commands, []
         starting = {c.run.task.job for c in commands if isinstance(c, StartRun)}
         cell.changed_jobs.update(starting)
--- a/tests/core/jobs/test_placement.py
+++ b/tests/core/jobs/test_placement.py
@@ -27,7 +27,7 @@
     spec, placed = step.spec, []
     planned: dict[str, Resources] = {}
     counts: dict[str, int] = {}
-    for task in step.waiting_tasks:
+    for task in step.waiting.values():
         scores = []
         for worker in cell.workers.values():
             if spec.max_per_worker and counts.get(worker.id, 0) >= spec.max_per_worker:
--- a/tests/server/jobs/test_progress_writer.py
+++ b/tests/server/jobs/test_progress_writer.py
@@ -199,12 +199,13 @@
         self.store.put(job_key(spec.id), encode_job(spec))
         changed = Job(spec, 0, state=JobState.CANCELLED)
         (task,) = changed.occurrence_steps(Occurrence(0))[0].tasks
-        task.run = Run(task.name, 1, WorkerId("w1"), SMALL, TEAM, task, RunPhase.STOPPING, 0)
+        run = Run(task.name, 1, WorkerId("w1"), SMALL, TEAM, task, RunPhase.STOPPING, 0)
+        task.assign(run)
         self.writer.add({changed})
         self.assertTrue(await self.writer.wait_durable(self.writer.mark(), 2.0))
         self.assertIs(self.writer.durable_states[changed.id], JobState.CANCELLED)
         self.assertIn(job_key(spec.id), self.store.items)
-        task.run = None
+        task.assign(None)
         self.writer.add({changed})
         self.assertTrue(await self.writer.wait_durable(self.writer.mark(), 2.0))
         self.assertNotIn(job_key(spec.id), self.store.items)
