Workers: a cut list of ended runs is no proof that a run is lost

Cause: a worker lists 500 ended runs at a time, and in an outage more of them gather, as they are acknowledged only when they are durable. A run that was neither running nor among the first 500 was taken to be lost.

Change: the client of the workers marks a list of 500 ends as one that may be cut. A run that it does not have stays, and has not stalled; a worker that may have runs of a former leader without a record stays unread until a complete list, so that the first list after a takeover frees nothing either.

Conclusion: only a complete list ends a run that it does not have.

--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -52,10 +52,13 @@
     ended: Iterable[EndedRow],
     requested_ms: int,
     now_ms: int,
+    *,
+    may_be_cut: bool = False,
 ) -> None:
     """Apply a worker's report of its runs.
 
     :param requested_ms: clock time at which the report was requested
+    :param may_be_cut: further runs may have ended, so that one that is not listed is not lost
     """
     worker.reported_ms = now_ms
     done: dict[str, list[str]] = {}
@@ -69,8 +72,12 @@
     for row in running:
         listed.add((row.name, row.attempt))
         _apply_running(cell, worker, row, now_ms)
-    for key, run in list(worker.runs.items()):
-        if key not in listed and run.confirmed_ms and run.confirmed_ms < requested_ms:
+    absent = [run for key, run in worker.runs.items() if key not in listed]
+    for run in absent:
+        if may_be_cut:
+            # It may have ended; without progress it would be taken to have stalled.
+            run.progressed_ms = now_ms
+        elif run.confirmed_ms and run.confirmed_ms < requested_ms:
             cell.note("run missing", run, reason="not listed by its worker")
             cell.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
 
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -203,6 +203,7 @@
 
     :param is_fenced: the worker has seen a higher fencing token; the lists are empty
     :param born_ms: incarnation of the worker, 0 if not reported
+    :param may_be_cut: further runs may have ended, which are listed once these are acknowledged
     """
 
     worker_clock_ms: int
@@ -210,6 +211,7 @@
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
     is_fenced: bool = False
+    may_be_cut: bool = False
 
 
 class WorkerPort(Protocol):
--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -154,9 +154,20 @@
         if self.failures or is_new:
             _log.info("worker reachable", worker=worker.id, runs=len(listing.running))
         self.failures = 0
-        apply_report(self._cell, worker, listing.running, listing.ended, sent_ms, now_ms)
+        apply_report(
+            self._cell,
+            worker,
+            listing.running,
+            listing.ended,
+            sent_ms,
+            now_ms,
+            may_be_cut=listing.may_be_cut,
+        )
         worker.is_read = True
-        worker.blocks_inherited = False
+        if not listing.may_be_cut:
+            worker.blocks_inherited = False
+        elif is_new:
+            _log.info("list of ended runs is cut", worker=worker.id, ended=len(listing.ended))
         self._on_report()
         if is_new:
             self._on_reachability()
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -18,6 +18,27 @@
     NESTED = [NESTED]
 
 
+class CutListsTest(unittest.IsolatedAsyncioTestCase):
+    """An executor that lists 500 of its ends at a time."""
+
+    async def test_a_list_that_may_be_cut_says_so(self) -> None:
+        """Guards against a run whose end is in the rest of the list and is taken to be lost."""
+        count = 0
+
+        async def handle(request: Request) -> Response:
+            ended = [[n, f"a.0.0.{n}", 1, "done", ""] for n in range(1, count + 1)]
+            return Response(200, {"clock_ms": 5, "born": 1, "running": [], "finished": ended})
+
+        server = StubServer(handle)
+        await server.listen()
+        self.addAsyncCleanup(server.close)
+        workers = PlatformWorkers(HttpClient())
+        info = worker_info(0, address=server.address)
+        for count, may_be_cut in ((0, False), (499, False), (500, True)):  # noqa: B007
+            listing = await workers.list_runs(info, 1, 0, None, 0, 500)
+            self.assertEqual((len(listing.ended), listing.may_be_cut), (count, may_be_cut))
+
+
 class MalformedListsTest(unittest.IsolatedAsyncioTestCase):
     """An executor whose lists of runs cannot be decoded."""
 
--- a/tests/server/jobs/test_fleet.py
+++ b/tests/server/jobs/test_fleet.py
@@ -6,7 +6,6 @@
 
 from lagoonshelf_core.jobs.progress import Job, JobState
 from lagoonshelf_server.jobs.keys import (
-    ENDED_PREFIX,
     PROGRESS_PREFIX,
     USED_WORKERS,
     ended_key,
@@ -30,26 +29,6 @@
 class UsedWorkersTest(TermTestCase):
     """The record of workers that may have runs, over changes of the leader."""
 
-    def _fail_progress_writes(self) -> None:
-        """Let the store turn away the progress of jobs, and take all else."""
-        original = self.store.commit
-
-        async def commit(
-            conditions: Mapping[str, int],
-            puts: Sequence[Put] = (),
-            deletes: Sequence[str] = (),
-            *,
-            timeout_ms: int | None = None,
-        ) -> Committed | Conflict | None:
-            if any(put.key.startswith((PROGRESS_PREFIX, ENDED_PREFIX)) for put in puts):
-                raise StoreUnavailableError("turned away")
-            return await original(conditions, puts, deletes, timeout_ms=timeout_ms)
-
-        self.store.commit = commit
-
-    def _restore_progress_writes(self) -> None:
-        del self.store.commit
-
     def _lose_entries(self) -> None:
         """Remove all registry entries, as their leases ran out in an outage of the store."""
         for number in range(WORKERS):
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -209,6 +209,7 @@
         self.clock = clock
         self.workers: dict[str, FakeWorker] = {}
         self.started: list[tuple[str, str, int]] = []
+        self.max_listed_ends = 500
 
     def add(self, info: WorkerInfo) -> FakeWorker:
         worker = self.workers[info.id] = FakeWorker(info.born_ms)
@@ -291,7 +292,9 @@
         while not entry.ended and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(0.002)
         running = tuple(RunningRow(name, run, "", 50, 0.0) for name, run in entry.running)
-        return Listing(self.clock.now_ms(), entry.born_ms, running, tuple(entry.ended))
+        ended = tuple(entry.ended[: self.max_listed_ends])
+        may_be_cut = len(ended) == self.max_listed_ends
+        return Listing(self.clock.now_ms(), entry.born_ms, running, ended, may_be_cut=may_be_cut)
 
     def forget(self, worker: WorkerInfo) -> None:
         """Do nothing, as there are no connections."""
--- a/tests/support/terms.py
+++ b/tests/support/terms.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Mapping, Sequence
 from unittest.mock import patch
 
 from lagoonshelf_core.clock import Clock
@@ -9,9 +10,10 @@
 from lagoonshelf_core.jobs.spec import JobSpec, encode_job
 from lagoonshelf_server.jobs import worker_session
 from lagoonshelf_server.jobs.config_view import ConfigView
-from lagoonshelf_server.jobs.keys import LEADER_KEY, job_key
+from lagoonshelf_server.jobs.keys import ENDED_PREFIX, LEADER_KEY, PROGRESS_PREFIX, job_key
 from lagoonshelf_server.jobs.leader import Leader, Ports
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
+from lagoonshelf_server.jobs.ports import Committed, Conflict, Put, StoreUnavailableError
 from tests.support.job_fakes import FakeCodec, FakeStore, FakeWorkers, eventually
 from tests.support.jobs import config, worker_info
 
@@ -68,3 +70,23 @@
 
     def _entries(self) -> list:
         return list(self.workers.workers.values())
+
+    def _fail_progress_writes(self) -> None:
+        """Let the store turn away the progress of jobs, and take all else."""
+        original = self.store.commit
+
+        async def commit(
+            conditions: Mapping[str, int],
+            puts: Sequence[Put] = (),
+            deletes: Sequence[str] = (),
+            *,
+            timeout_ms: int | None = None,
+        ) -> Committed | Conflict | None:
+            if any(put.key.startswith((PROGRESS_PREFIX, ENDED_PREFIX)) for put in puts):
+                raise StoreUnavailableError("turned away")
+            return await original(conditions, puts, deletes, timeout_ms=timeout_ms)
+
+        self.store.commit = commit
+
+    def _restore_progress_writes(self) -> None:
+        del self.store.commit
