Wide jobs: no event costs more with the tasks of its job, and none holds the loop

Cause: a pass started all tasks of a step and sent all commands at once, 500 connections to each worker. Each end and each adopted run went through all tasks of the job. All this ran on the loop that renews the leader lease, here and at each successor.

Change: on top of the counts per step, a pass starts at most 100 tasks; commands and log entries are queued and handled a few in each turn of the loop; a worker gets at most 16 commands at a time; a takeover adds recorded runs in parts. The loss of a worker compares jobs, not pairs of runs.

Conclusion: the lease is renewed whatever is started, taken over or cancelled.

--- a/bench/cell_simulation.py
+++ b/bench/cell_simulation.py
@@ -210,8 +210,11 @@
         supervise(self.cell, now_ms)
         # 700 ms is the limit of the advice router, ``MAX_BACKLOG_MS``.
         budget_ms = sum(max(0.0, 700.0 + now_ms - free) for free in self._member_free_ms)
-        plan(self.cell, now_ms, now_ms, budget_ms)
+        has_more = plan(self.cell, now_ms, now_ms, budget_ms)
         self.result.decision_cpu_s += process_time() - started_s
+        if has_more:
+            self._pass_ms = now_ms + PASS_DELAY_MS
+            self._schedule(self._pass_ms, self._run_pass)
         commands, self.cell.commands = self.cell.commands, []
         self.cell.notes.clear()
         self.cell.changed_jobs.clear()
--- a/packages/core/lagoonshelf_core/jobs/crashes.py
+++ b/packages/core/lagoonshelf_core/jobs/crashes.py
@@ -6,7 +6,7 @@
 """
 
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.progress import CrashHistory, Run, Task
+from lagoonshelf_core.jobs.progress import CrashHistory, Job, Run, Task
 from lagoonshelf_core.jobs.workers import LossRecord, Worker, WorkerLoss
 
 # A task is given up after this many crashes of workers, or lost workers, also where none of them
@@ -74,22 +74,34 @@
 
     :param is_crash: the worker certainly crashed, and does not do so all the time
     """
-    unsettled = [run for run in runs if not worker.has_settled(run)]
+    unsettled_jobs = {run.task.job for run in runs if not worker.has_settled(run)}
     former_suspects = {run.task for run in runs if run.task.is_suspect}
+    suspect_jobs = {
+        run.task.job for run in runs if run.task in former_suspects and not worker.has_settled(run)
+    }
     for run in runs:
         task = run.task
         _count_loss(worker, run, is_crash=is_crash and _was_running(run))
         cell.changed_jobs.add(task.job)
         if task.job.is_final or task.crash_history is None:
             continue
-        others = {other.task for other in unsettled if other.task.job is not task.job}
-        is_alone = task in former_suspects and not others and not is_rack_failure
-        is_early_crash = is_crash and _was_running(run) and run in unsettled
+        is_alone = (
+            task in former_suspects
+            and not _has_other(unsettled_jobs, task.job)
+            and not is_rack_failure
+        )
+        is_early_crash = is_crash and _was_running(run) and not worker.has_settled(run)
         is_proven = is_alone and is_early_crash
-        if is_proven or _is_given_up(task.crash_history, others & former_suspects):
+        has_other_suspects = _has_other(suspect_jobs, task.job)
+        if is_proven or _is_given_up(task.crash_history, has_other_suspects=has_other_suspects):
             _give_up(cell, worker, task)
 
 
+def _has_other(jobs: set[Job], job: Job) -> bool:
+    """Return whether a set has another job than this one."""
+    return len(jobs) > (job in jobs)
+
+
 def _was_running(run: Run) -> bool:
     """Return whether a run was certainly in progress when its worker was lost.
 
@@ -116,11 +128,11 @@
     task.set_crash_history(history)
 
 
-def _is_given_up(history: CrashHistory, other_suspects: set[Task]) -> bool:
+def _is_given_up(history: CrashHistory, *, has_other_suspects: bool) -> bool:
     """Return whether a task is given up although it was not alone on its workers."""
     if history.crashes >= MAX_CRASHES or history.crashes + history.losses >= MAX_LOSSES:
         return True
-    return history.early_crashes >= MAX_SHARED_CRASHES and not other_suspects
+    return history.early_crashes >= MAX_SHARED_CRASHES and not has_other_suspects
 
 
 def _give_up(cell: Cell, worker: Worker, task: Task) -> None:
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -12,7 +12,7 @@
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
 from lagoonshelf_core.jobs.isolation import place_suspects
 from lagoonshelf_core.jobs.progress import StepRun, Task
-from lagoonshelf_core.jobs.ranking import Band, rank
+from lagoonshelf_core.jobs.ranking import Band, Rank, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
@@ -32,26 +32,39 @@
     if not cell.open_steps:
         return has_more
     state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
-    workers = cell.workers.values() if cell.may_use_registry(now_ms) else ()
-    for worker in workers:
-        if not worker.is_usable or cell.health.is_quarantined(worker.id, now_ms):
+    _add_usable_workers(cell, state)
+    ranked = _rank_open_steps(cell, now_ms)
+    state.register_holds(step for _, step, _ in ranked)
+    has_unread = any(worker.blocks_inherited for worker in cell.workers.values())
+    for (band, _), step, queue in ranked:
+        if step.job.is_inherited and has_unread:
+            continue
+        if state.starts_left <= 0:
+            return True
+        if not state.is_stuck(step):
+            _plan_step(cell, state, step, queue, Band(band))
+    return has_more or state.starts_left <= 0
+
+
+def _add_usable_workers(cell: Cell, state: SchedulingPass) -> None:
+    if not cell.may_use_registry(state.now_ms):
+        return
+    for worker in cell.workers.values():
+        if not worker.is_usable or cell.health.is_quarantined(worker.id, state.now_ms):
             continue
-        if cell.may_use_capacity(worker, now_ms):
+        if cell.may_use_capacity(worker, state.now_ms):
             state.add_usable(worker)
+
+
+def _rank_open_steps(cell: Cell, now_ms: int) -> list[tuple[Rank, StepRun, Queue]]:
+    """Return the steps with tasks that can start and their queues, in order of priority."""
     ranked = []
     for step in cell.open_steps:
         queue = cell.queue_of(step.job)
         if queue is not None:
-            ranked.append((rank(step, queue, now_ms), step.name, step, queue))
-    ranked.sort(key=lambda row: row[:2])
-    state.register_holds(row[2] for row in ranked)
-    has_unread = any(worker.blocks_inherited for worker in cell.workers.values())
-    for (band, _), _, step, queue in ranked:
-        if step.job.is_inherited and has_unread:
-            continue
-        if not state.is_stuck(step):
-            _plan_step(cell, state, step, queue, Band(band))
-    return has_more
+            ranked.append((rank(step, queue, now_ms), step, queue))
+    ranked.sort(key=lambda row: (row[0], row[1].name))
+    return ranked
 
 
 def summary(cell: Cell, now_ms: int) -> dict[str, object]:
@@ -235,7 +248,7 @@
         if task.is_suspect or task.restart_ms > state.now_ms:
             continue
         startable_milli -= size.cpu_milli
-        if not candidates or startable_milli < 0:
+        if not candidates or startable_milli < 0 or len(placed) >= state.starts_left:
             break
         if not cell.is_within_limit(step.job.spec.team, planned_total + spec.size):
             break
@@ -286,6 +299,7 @@
     permit: str,
 ) -> None:
     run = cell.begin_run(task, worker, attempt, state.now_ms)
+    state.starts_left -= 1
     state.pools[worker.info.pool].used_milli += allocation_of(run.size, run.is_filler).cpu_milli
     expires_ms = cell.permits.expires_ms(task.step.name) if permit else 0
     cell.commands.append(StartRun(run, task.job.spec.payload, checkpoint, permit, expires_ms))
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -11,6 +11,10 @@
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 from lagoonshelf_core.resources import ZERO_RESOURCES
 
+# Starts of one scheduling pass; a wide step takes several passes, so that each ends within a small
+# part of the leader lease's TTL.
+MAX_STARTS_PER_PASS = 100
+
 
 @dataclass(slots=True)
 class PoolLoad:
@@ -34,6 +38,7 @@
     :param holders: gang that each held worker is held for
     :param quieted_pools: pools of which a worker is kept for a suspected task
     :param advice_budget_ms: time of the placement policy that requests may still use
+    :param starts_left: tasks that the pass may still start; a gang may exceed it
     :param stuck_steps: job and index of the steps of occurrences of which no task could start
     """
 
@@ -47,6 +52,7 @@
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
     quieted_pools: set[str] = field(default_factory=set)
     advice_budget_ms: float = 0.0
+    starts_left: int = MAX_STARTS_PER_PASS
     stuck_steps: set[tuple[JobId, StepIndex]] = field(default_factory=set)
 
     def add_usable(self, worker: Worker) -> None:
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -5,6 +5,7 @@
 
 from lagoonshelf_core.ids import TaskId
 from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.job_records import RecordedRun
 from lagoonshelf_core.jobs.progress import (
     FULL_PERCENT,
     UNKNOWN_PACE_PERCENT,
@@ -68,10 +69,15 @@
         _apply_end(cell, worker, row, now_ms)
     for step, names in done.items():
         _note_done(cell, worker, step, names)
-    listed = set()
+    listed, adopted = set(), []
     for row in running:
         listed.add((row.name, row.attempt))
-        _apply_running(cell, worker, row, now_ms)
+        run = worker.runs.get((row.name, row.attempt))
+        if run is None:
+            run = _adopt(cell, worker, row, now_ms)
+            adopted.append(run)
+        _apply_running(cell, row, run, now_ms)
+    _note_adopted(cell, adopted)
     absent = [run for key, run in worker.runs.items() if key not in listed]
     for run in absent:
         if may_be_cut:
@@ -82,18 +88,22 @@
             cell.end_run(run, RunEnd.LAPSED, run.checkpoint, now_ms)
 
 
-def add_unverified_run(cell: Cell, worker: Worker, name: str, attempt: int, now_ms: int) -> None:
-    """Add a recorded run that may be in progress on a worker whose runs cannot be read."""
-    row = RunningRow(name, attempt, "", 0, 0.0)
-    if (name, attempt) not in worker.runs:
-        _adopt(cell, worker, row, now_ms).is_unverified = True
-
-
-def _apply_running(cell: Cell, worker: Worker, row: RunningRow, now_ms: int) -> None:
-    run = worker.runs.get((row.name, row.attempt))
-    if run is None:
-        run = _adopt(cell, worker, row, now_ms)
-    elif run.phase is RunPhase.STARTING:
+def add_unverified_runs(
+    cell: Cell, recorded: Iterable[tuple[Worker, RecordedRun]], now_ms: int
+) -> None:
+    """Add recorded runs that may be in progress on workers whose runs cannot be read."""
+    adopted = []
+    for worker, record in recorded:
+        if (record.name, record.attempt) not in worker.runs:
+            row = RunningRow(record.name, record.attempt, "", 0, 0.0)
+            run = _adopt(cell, worker, row, now_ms)
+            run.is_unverified = True
+            adopted.append(run)
+    _note_adopted(cell, adopted)
+
+
+def _apply_running(cell: Cell, row: RunningRow, run: Run, now_ms: int) -> None:
+    if run.phase is RunPhase.STARTING:
         cell.start_confirmed(run, now_ms)
     run.is_unverified = run.is_loss_recorded = False
     run.has_started = True
@@ -157,7 +167,6 @@
     cell.update_open_step(task.step)
     cell.health.started(worker.id, TaskId(task.job.id))
     cell.update_job_state(task.job)
-    cell.note("run adopted", run)
     return run
 
 
@@ -194,6 +203,18 @@
     return other is None or other.run.attempt == run.attempt
 
 
+def _note_adopted(cell: Cell, runs: list[Run]) -> None:
+    """Add one log entry for the adopted runs of a step on a worker."""
+    groups: dict[tuple[str, str], list[tuple[int, int]]] = {}
+    for run in runs:
+        if run.task is not None and run.task.run is run:
+            group = groups.setdefault((run.worker, run.task.step.name), [])
+            group.append((run.task.index, run.attempt))
+    for (worker, step), tasks in groups.items():
+        fields = {"request": step.partition(".")[0], "step": step, "worker": worker}
+        cell.notes.append(("runs adopted", {**fields, "tasks": tasks}))
+
+
 def _note_done(cell: Cell, worker: Worker, step: str, names: list[str]) -> None:
     """Add one log entry for the tasks of a step that a report shows as done."""
     fields = {
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from weakref import WeakValueDictionary
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.ids import TaskId
+from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import PaceRun, StartRun, StopRun
 from lagoonshelf_core.jobs.permits import SEND_MARGIN_MS
@@ -29,6 +30,9 @@
 SUSPECT_START_TIMEOUTS_MS = (600,)
 COMMAND_TIMEOUT_MS = 500
 RETRY_S = 0.1
+# Calls to one worker at a time. More would each need a connection, and wait for one another at the
+# worker until they time out.
+CALLS_PER_WORKER = 16
 # Pauses between unanswered stops of a run grow up to this.
 MAX_STOP_RETRY_S = 0.5
 
@@ -56,10 +60,22 @@
         self._clock = clock
         self._sessions = sessions
         self._on_change = on_change
+        self._slots: WeakValueDictionary[WorkerId, asyncio.Semaphore] = WeakValueDictionary()
         self.may_start: Callable[[], bool] = lambda: True
 
     async def start(self, command: StartRun) -> None:
         """Start a run; repeat an unanswered command, then cancel it with a stop."""
+        async with self._slots_of(command.run.worker):
+            await self._start(command)
+
+    def _slots_of(self, worker: WorkerId) -> asyncio.Semaphore:
+        """Return what limits the calls to a worker; it exists as long as a call needs it."""
+        slots = self._slots.get(worker)
+        if slots is None:
+            slots = self._slots[worker] = asyncio.Semaphore(CALLS_PER_WORKER)
+        return slots
+
+    async def _start(self, command: StartRun) -> None:
         run = command.run
         is_uncertain = False
         # A worker that crashed is not to be crashed again by the same attempt.
@@ -113,13 +129,14 @@
         while self._is_current(run):
             worker = self._cell.workers[run.worker]
             try:
-                answer = await self._port.stop(
-                    worker.info,
-                    run.name,
-                    run.attempt,
-                    self._leader_lease.token,
-                    COMMAND_TIMEOUT_MS,
-                )
+                async with self._slots_of(run.worker):
+                    answer = await self._port.stop(
+                        worker.info,
+                        run.name,
+                        run.attempt,
+                        self._leader_lease.token,
+                        COMMAND_TIMEOUT_MS,
+                    )
             except (WorkerUnreachableError, NoAnswerError) as exc:
                 failure, reason = "stop not answered", str(exc)
             else:
@@ -212,6 +229,8 @@
             return "the configuration or the cancellations may have changed"
         if run.team is not None and not self._cell.is_within_limit(run.team, ZERO_RESOURCES):
             return "the limit of its team was lowered"
+        if not worker.is_read:
+            return "its worker does not answer"
         if worker.info.is_draining:
             return "its worker is draining"
         if not self._cell.may_use_registry(self._clock.now_ms()):
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -11,7 +11,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import PoolId
 from lagoonshelf_core.jobs.crashes import end_runs_of_lost_worker, keep_runs_of_restarted_worker
-from lagoonshelf_core.jobs.worker_reports import add_unverified_run
+from lagoonshelf_core.jobs.worker_reports import add_unverified_runs
 from lagoonshelf_core.jobs.workers import Worker, WorkerInfo, WorkerLoss, lapse_after_ms
 from lagoonshelf_core.resources import ZERO_RESOURCES
 from lagoonshelf_server.jobs.keys import LEADER_KEY, USED_WORKERS
@@ -46,6 +46,9 @@
 MAX_BORN_AHEAD_MS = 3_600_000
 # Part of the greatest age of a capacity that an entry is taken to have as a takeover reads it.
 TAKEOVER_AGE_SHARE = 0.5
+# Recorded runs that a takeover adds before other tasks of the process, such as the renewal of the
+# leader lease, get a turn.
+RUNS_PER_TURN = 500
 
 Spawn = Callable[[Coroutine], asyncio.Task]
 _log = logger("fleet")
@@ -169,9 +172,10 @@
         # A predecessor starts work without a record while the store is troubled for all members.
         worker.blocks_inherited = True
 
-    def add_unverified_runs(self, lapse_ms: int) -> None:
+    async def add_unverified_runs(self, lapse_ms: int) -> None:
         """Keep the recorded runs of unreachable workers as unverified until their lease lapses."""
         now_ms = self._clock.now_ms()
+        recorded = []
         for run in self._cell.recorded_runs:
             worker = self._cell.workers.get(run.worker)
             if worker is None:
@@ -179,8 +183,11 @@
                 _log.warning("recorded run on a worker that is not recorded", **fields)
             elif not worker.is_read:
                 worker.lapse_ms = worker.lapse_ms or lapse_ms
-                add_unverified_run(self._cell, worker, run.name, run.attempt, now_ms)
+                recorded.append((worker, run))
         self._cell.recorded_runs.clear()
+        for first in range(0, len(recorded), RUNS_PER_TURN):
+            add_unverified_runs(self._cell, recorded[first : first + RUNS_PER_TURN], now_ms)
+            await asyncio.sleep(0)
         for name in self._restarted:
             keep_runs_of_restarted_worker(self._cell, self._cell.workers[name], now_ms)
         self._restarted.clear()
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -1,8 +1,10 @@
 """One term of the cell leader: takeover, main loops, and calls from other parts."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections import deque
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
@@ -31,7 +33,7 @@
 )
 from lagoonshelf_server.jobs.progress_writer import ProgressWriter
 from lagoonshelf_server.jobs.retention import JobRetention
-from lagoonshelf_server.jobs.takeover import ITEMS_PER_TURN, CellState, read_cell_state
+from lagoonshelf_server.jobs.takeover import TASKS_PER_TURN, CellState, read_cell_state
 from lagoonshelf_server.logs import logger
 
 # Events that arrive within this time are handled by a single scheduling pass.
@@ -40,11 +42,16 @@
 # Longest wait for a start to be recorded before checking for a store outage.
 RECORD_TIMEOUT_S = 0.15
 OUTAGE_RECORD_TIMEOUT_S = 0.02
+# Commands and log entries of one turn of the event loop. A wide job has thousands at once, and the
+# renewal of the leader lease and the timeouts of calls wait for the end of the turn.
+COMMANDS_PER_TURN = 20
+NOTES_PER_TURN = 50
 REPORT_INTERVAL_S = 1.0
 CANCELLATION_CHECK_INTERVAL_S = 10.0
 # Time after which nothing of a cancelled job is started, where the platform sets none.
 DEFAULT_CANCEL_MS = 3_000
 
+_Queued = TypeVar("_Queued")
 _log = logger("holder")
 
 
@@ -76,6 +83,10 @@
         self._clock = clock
         self._pass_requested = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
+        self._outbox: deque[Command] = deque()
+        self._has_commands = asyncio.Event()
+        self._notes: deque[tuple[str, dict[str, object]]] = deque()
+        self._has_notes = asyncio.Event()
         self.cell = Cell(config.current)
         self.cell.on_end = _count_end
         self.cell.on_loss = _count_loss
@@ -109,6 +120,7 @@
             if not self.is_ready:
                 self._leader_lease.record_failed_takeover()
             self.is_ready = False
+            self._log_notes(len(self._notes))
             lost.cancel()
             for task in list(self._tasks):
                 task.cancel()
@@ -138,6 +150,8 @@
         self._spawn(retention.run(state.orphans))
         self._spawn(self._expire_cancellations())
         self._spawn(self._report())
+        self._spawn(self._send_loop())
+        self._spawn(self._log_loop())
         if self._machines is not None:
             args = (self.cell, self._store, self._machines, self._codec)
             self._spawn(Maintenance(*args, self._leader_lease, self._clock).run())
@@ -194,15 +208,18 @@
         self._job_watcher.record_reading(state.revision, state.requested_ms)
         lapse_ms = self._fleet.restore(state.registry, state.used_workers, read_ms)
         now_ms = self._clock.now_ms()
-        for number, spec in enumerate(state.jobs):
-            if number % ITEMS_PER_TURN == 0:
-                await asyncio.sleep(0)
+        tasks = 0
+        for spec in state.jobs:
             self._restore_job(spec, state.progress.get(spec.id), now_ms)
+            tasks += sum(step.count for step in spec.steps)
+            if tasks >= TASKS_PER_TURN:
+                tasks = 0
+                await asyncio.sleep(0)
         for job in state.cancelled:
             self.cancel(job)
         for spec in state.jobs:
             self._cancel_if_announced(spec.id)
-        self._fleet.add_unverified_runs(lapse_ms)
+        await self._fleet.add_unverified_runs(lapse_ms)
         await self._fleet.write_used()
 
     def _restore_job(self, spec: JobSpec, record: Item | None, now_ms: int) -> None:
@@ -251,13 +268,34 @@
         if starts:
             job_metrics.submissions_use_age_ms.observe({}, self._job_watcher.age_ms())
             self._spawn(self._start(starts, self.progress_writer.mark()))
-        for command in commands:
-            if not isinstance(command, StartRun):
-                self._spawn(self._execute(command))
+        self._send(command for command in commands if not isinstance(command, StartRun))
         notes, cell.notes = cell.notes, []
         for message, fields in notes:
             if message == TASKS_PLACED:
                 fields.update(self._submission_fields())
+            self._notes.append((message, fields))
+        if notes:
+            self._has_notes.set()
+
+    def _send(self, commands: Iterable[Command]) -> None:
+        """Queue commands for their workers."""
+        self._outbox.extend(commands)
+        self._has_commands.set()
+
+    async def _send_loop(self) -> None:
+        """Carry out the queued commands, a few in each turn of the event loop."""
+        async for _ in _turns(self._outbox, self._has_commands):
+            for _ in range(min(COMMANDS_PER_TURN, len(self._outbox))):
+                self._spawn(self._execute(self._outbox.popleft()))
+
+    async def _log_loop(self) -> None:
+        """Log the queued decisions, a few in each turn of the event loop."""
+        async for _ in _turns(self._notes, self._has_notes):
+            self._log_notes(min(NOTES_PER_TURN, len(self._notes)))
+
+    def _log_notes(self, count: int) -> None:
+        for _ in range(count):
+            message, fields = self._notes.popleft()
             _log.info(message, seat=self._leader_lease.revision, **fields)
 
     def _submission_fields(self) -> dict[str, int]:
@@ -318,6 +356,8 @@
         self.cell.changed_jobs = set()
 
     def _execute(self, command: Command) -> Coroutine:
+        if isinstance(command, StartRun):
+            return self.dispatcher.start(command)
         if isinstance(command, StopRun):
             return self.dispatcher.stop(command)
         if isinstance(command, PaceRun):
@@ -336,8 +376,7 @@
             if self.is_store_troubled():
                 commands = self._keep_unrecorded(commands)
                 break
-        for command in commands:
-            self._spawn(self.dispatcher.start(command))
+        self._send(commands)
 
     def _keep_unrecorded(self, commands: list[StartRun]) -> list[StartRun]:
         """Return the starts that are sent without a record, and withdraw the others.
@@ -389,6 +428,16 @@
             self._leader_lease.step_down("a task of the leader term failed")
 
 
+async def _turns(queue: deque[_Queued], is_filled: asyncio.Event) -> AsyncIterator[None]:
+    """Yield once in each turn of the event loop while a queue is not empty."""
+    while True:
+        await is_filled.wait()
+        is_filled.clear()
+        while queue:
+            yield
+            await asyncio.sleep(0)
+
+
 def _count_loss(loss: WorkerLoss) -> None:
     job_metrics.worker_losses.inc({"how": loss.value})
 
--- a/packages/server/lagoonshelf_server/jobs/takeover.py
+++ b/packages/server/lagoonshelf_server/jobs/takeover.py
@@ -24,9 +24,10 @@
 from lagoonshelf_server.logs import logger
 
 RETRY_S = 0.1
-# Items that are decoded before other tasks of the process, such as the renewal of the leader
-# lease, get a turn.
+# Items that are decoded, and tasks that are created, before other tasks of the process, such as
+# the renewal of the leader lease, get a turn.
 ITEMS_PER_TURN = 50
+TASKS_PER_TURN = 1_000
 
 _log = logger("takeover")
 
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -6,7 +6,6 @@
 from lagoonshelf_core.jobs.progress import JobState, RunEnd
 from lagoonshelf_core.jobs.worker_reports import (
     RunningRow,
-    add_unverified_run,
     apply_report,
 )
 from lagoonshelf_core.jobs.workers import Worker
@@ -14,6 +13,7 @@
 from tests.support.jobs import (
     TEAM,
     accept_job,
+    add_unverified_run,
     add_worker,
     confirm_starts,
     end_run,
--- a/tests/core/jobs/test_crashes.py
+++ b/tests/core/jobs/test_crashes.py
@@ -17,13 +17,14 @@
 from lagoonshelf_core.jobs.job_records import encode_end, encode_progress
 from lagoonshelf_core.jobs.progress import SETTLE_MS, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import StepSpec
-from lagoonshelf_core.jobs.worker_reports import add_unverified_run, apply_report
+from lagoonshelf_core.jobs.worker_reports import apply_report
 from lagoonshelf_core.jobs.workers import Worker, WorkerLoss
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
     HOST,
     URGENT,
     accept_job,
+    add_unverified_run,
     add_worker,
     confirm_starts,
     end_run,
--- a/tests/support/jobs.py
+++ b/tests/support/jobs.py
@@ -6,10 +6,16 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.config import AdviceTiming, CellConfig, Pool, PoolId, Queue, Team
+from lagoonshelf_core.jobs.job_records import RecordedRun
 from lagoonshelf_core.jobs.planning import plan
 from lagoonshelf_core.jobs.progress import Job, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, StepSpec
-from lagoonshelf_core.jobs.worker_reports import EndedRow, RunningRow, apply_report
+from lagoonshelf_core.jobs.worker_reports import (
+    EndedRow,
+    RunningRow,
+    add_unverified_runs,
+    apply_report,
+)
 from lagoonshelf_core.jobs.workers import Worker, WorkerInfo
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
 
@@ -125,6 +131,11 @@
     apply_report(cell, entry, others, [EndedRow(1, name, attempt, end, checkpoint)], 10, 20)
 
 
+def add_unverified_run(cell: Cell, worker: Worker, name: str, attempt: int, now_ms: int) -> None:
+    """Add one recorded run that may be in progress on a worker."""
+    add_unverified_runs(cell, [(worker, RecordedRun(name, attempt, worker.id))], now_ms)
+
+
 def running_row(run: Run) -> RunningRow:
     """Return the row of a run in its worker's report."""
     return RunningRow(run.name, run.attempt, run.checkpoint, run.progress_percent, run.load)
