Restarted workers: calls for a former incarnation are fenced, and their leases counted

Cause: a restarted worker takes calls for its former incarnation, and shortens the lease that they grant to 10 s from their arrival, after which it is not shortened any more. The leader knew of this only if the worker had runs as it restarted, its first answer replaced the bound by 6 s, and a successor did not know of the restart at all.

Change: a bound of its own per worker, which no session replaces, and a mark in the record of used workers for a successor. Calls to a new incarnation have a higher fencing token, the revision of that record, so that once its first list is answered it refuses all calls for former ones: leases, late starts, and lists that acknowledge ends by the former one's numbers. The leases of a predecessor are part of the same bound; the first answer to a successor had replaced it by 1 s.

Conclusion: only workers that restarted under their ids have longer leases.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import sys
 from importlib import import_module
 
-BENCHMARKS = ("decisions", "edges", "capacity", "state_size", "cell_cost")
+BENCHMARKS = ("decisions", "edges", "capacity", "state_size", "cell_cost", "wide_jobs")
 
 
 def main(names: list[str]) -> int:
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -22,12 +22,10 @@
 from lagoonshelf_core.jobs.rates import TeamRates
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence
 from lagoonshelf_core.jobs.workers import (
-    MAX_LEASE_MS,
     LossRecord,
     Worker,
     WorkerInfo,
     WorkerLoss,
-    lapse_after_ms,
 )
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
 
@@ -254,10 +252,7 @@
     def mark_runs_unverified(self, worker: Worker, now_ms: int) -> None:
         """Mark the runs of a worker that has restarted: the new incarnation may run some."""
         worker.is_read = False
-        if worker.runs:
-            # The end of the lease was computed on the old incarnation's clock; the new one
-            # shortens the lease to MAX_LEASE_MS.
-            worker.lapse_ms = max(worker.lapse_ms, now_ms + lapse_after_ms(MAX_LEASE_MS))
+        worker.record_restart(now_ms)
         for run in worker.runs.values():
             run.is_unverified = True
 
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -10,6 +10,8 @@
 
 # A worker shortens longer leases to this duration.
 MAX_LEASE_MS = 10_000
+# A worker may carry out a call that it has not answered up to this much later.
+MAX_CALL_DELAY_MS = 12_000
 # A worker's clock may run slow by this share.
 MAX_CLOCK_DRIFT = 0.02
 # Time that a worker takes to end the runs of an expired lease, with a margin.
@@ -70,7 +72,12 @@
     :param is_recorded: a later leader would know from the store that it may have runs
     :param reported_ms: time of its last report of runs
     :param heard_ms: time of its last answer of any kind to this leader
-    :param lapse_ms: clock time by which all its runs have ended unless their lease is renewed
+    :param lease_lapse_ms: clock time by which the leases that this leader has granted have lapsed
+    :param min_lapse_ms: clock time until which other leases may last: those of a former leader,
+        and those that calls for a former incarnation have granted
+    :param has_restarted: another incarnation was in its place before, as far as is known
+    :param min_token: lowest fencing token of calls to it; calls for a former incarnation have
+        lower ones, so that it refuses them once it has seen this one
     :param drain_end_ms: clock time until which a draining worker remains available
     :param used: sum of the allocations of its runs
     :param unknown_runs: number of its runs whose tasks, and so whose sizes, are not known
@@ -89,7 +96,10 @@
     is_recorded: bool = False
     reported_ms: int = 0
     heard_ms: int = 0
-    lapse_ms: int = 0
+    lease_lapse_ms: int = 0
+    min_lapse_ms: int = 0
+    has_restarted: bool = False
+    min_token: int = 0
     drain_end_ms: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     used: Resources = ZERO_RESOURCES
@@ -126,6 +136,35 @@
             and not self.is_full
         )
 
+    @property
+    def lapse_ms(self) -> int:
+        """Return the time by which all its runs have ended unless their lease is renewed."""
+        return max(self.lease_lapse_ms, self.min_lapse_ms)
+
+    def record_restart(self, now_ms: int) -> None:
+        """Record that another incarnation is in its place.
+
+        The new one takes calls that were meant for the old one. Their lease end is a time of the
+        old one's clock, which it shortens to the longest lease from their arrival, and it does not
+        shorten the lease any more for later calls.
+        """
+        self.has_restarted = True
+        lapse_ms = now_ms + MAX_CALL_DELAY_MS + lapse_after_ms(MAX_LEASE_MS)
+        self.min_lapse_ms = max(self.min_lapse_ms, lapse_ms)
+
+    def record_fenced(self, now_ms: int, lease_ms: int) -> None:
+        """Record that it has seen ``min_token``, and refuses calls from before.
+
+        :param lease_ms: duration of the leases that a former leader granted
+        """
+        if self.has_restarted:
+            lease_ms = MAX_LEASE_MS
+        self.min_lapse_ms = min(self.min_lapse_ms, now_ms + lapse_after_ms(lease_ms))
+
+    def token(self, leader_token: int) -> int:
+        """Return the fencing token of a call to it."""
+        return max(leader_token, self.min_token)
+
     def record_answer(self, now_ms: int) -> None:
         """Record that the worker has answered this leader."""
         self.heard_ms = now_ms
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -82,46 +82,67 @@
         is_suspect = run.task is not None and run.task.is_suspect
         for timeout_ms in SUSPECT_START_TIMEOUTS_MS if is_suspect else START_TIMEOUTS_MS:
             worker = self._cell.workers.get(run.worker)
-            session = self._sessions.get(run.worker)
-            lease_end_ms = None if session is None else session.lease_end_ms()
-            if worker is None or lease_end_ms is None or not self._leader_lease.may_dispatch():
+            if worker is None or not self._leader_lease.may_dispatch():
                 break
             if run.phase is not RunPhase.STARTING:
                 return
-            permit = self._find_permit(command)
-            reason = self._find_obstacle(run, worker)
-            if command.permit and not permit:
-                reason = "its permit has expired"
+            reason = self._find_obstacle(command, worker)
             if reason and not is_uncertain:
                 self._withdraw(run, reason)
                 return
-            if reason:
+            request = None if reason else self._start_request(command)
+            if request is None:
                 break
-            request = StartRequest(
-                run.name,
-                run.attempt,
-                command.payload,
-                lease_end_ms,
-                self._leader_lease.token,
-                command.checkpoint,
-                permit,
-            )
             try:
-                answer = await self._port.start(worker.info, request, timeout_ms)
-            except WorkerUnreachableError as exc:
-                self._cell.note("start not sent", run, reason=str(exc))
-                continue
+                answer = await self._send_start(run, worker, request, timeout_ms)
             except NoAnswerError as exc:
                 self._cell.note("start not answered", run, reason=str(exc))
                 is_uncertain = True
                 continue
-            session.record_clock(answer.worker_clock_ms)
-            self._apply_start(run, answer, is_uncertain=is_uncertain)
-            return
+            if answer is not None:
+                self._apply_start(run, answer, is_uncertain=is_uncertain)
+                return
         if run.phase is RunPhase.STARTING:
             self._cell.stop_run(run, "start not answered")
             self._on_change()
 
+    def _start_request(self, command: StartRun) -> StartRequest | None:
+        """Return a start that can be sent now, ``None`` while the worker's clock is unknown."""
+        run = command.run
+        session = self._sessions.get(run.worker)
+        lease_end_ms = None if session is None else session.lease_end_ms()
+        if lease_end_ms is None:
+            return None
+        return StartRequest(
+            run.name,
+            run.attempt,
+            command.payload,
+            lease_end_ms,
+            session.token(),
+            command.checkpoint,
+            self._find_permit(command),
+        )
+
+    async def _send_start(
+        self, run: Run, worker: Worker, request: StartRequest, timeout_ms: int
+    ) -> WorkerReply | None:
+        """Send a start; return ``None`` if it certainly had no effect and may be repeated.
+
+        :raises NoAnswerError: if it may take effect
+        """
+        session = self._sessions[run.worker]
+        try:
+            answer = await self._port.start(worker.info, request, timeout_ms)
+        except WorkerUnreachableError as exc:
+            self._cell.note("start not sent", run, reason=str(exc))
+            return None
+        if answer.outcome is StartOutcome.FENCED and request.token < self._token(worker):
+            self._cell.note("start refused", run, reason="sent to a former incarnation")
+            return None
+        if self._sessions.get(run.worker) is session:
+            session.record_clock(answer.worker_clock_ms)
+        return answer
+
     async def stop(self, command: StopRun) -> None:
         """Stop a run; repeat until the worker has accepted it or the run has ended."""
         run = command.run
@@ -130,17 +151,14 @@
             worker = self._cell.workers[run.worker]
             try:
                 async with self._slots_of(run.worker):
+                    token = self._token(worker)
                     answer = await self._port.stop(
-                        worker.info,
-                        run.name,
-                        run.attempt,
-                        self._leader_lease.token,
-                        COMMAND_TIMEOUT_MS,
+                        worker.info, run.name, run.attempt, token, COMMAND_TIMEOUT_MS
                     )
             except (WorkerUnreachableError, NoAnswerError) as exc:
                 failure, reason = "stop not answered", str(exc)
             else:
-                if answer.outcome is StopOutcome.FENCED:
+                if answer.outcome is StopOutcome.FENCED and token >= self._token(worker):
                     self._leader_lease.step_down(f"fenced at worker {run.worker}")
                     return
                 if answer.outcome is StopOutcome.DONE:
@@ -166,13 +184,16 @@
                 run.name,
                 run.attempt,
                 command.percent,
-                self._leader_lease.token,
+                self._token(worker),
                 COMMAND_TIMEOUT_MS,
             )
         except (WorkerUnreachableError, NoAnswerError) as exc:
             self._cell.note("pace not answered", run, reason=str(exc))
             run.pace_percent, run.paced_at_ms = UNKNOWN_PACE_PERCENT, 0
 
+    def _token(self, worker: Worker) -> int:
+        return worker.token(self._leader_lease.token)
+
     def _is_current(self, run: Run) -> bool:
         worker = self._cell.workers.get(run.worker)
         return (
@@ -220,11 +241,14 @@
             return newer
         return command.permit
 
-    def _find_obstacle(self, run: Run, worker: Worker) -> str:
+    def _find_obstacle(self, command: StartRun, worker: Worker) -> str:
         """Return why a worker may not be given a start that was planned for it, "" if it may.
 
         The start may have waited for its record, or for a turn of a late process, for any time.
         """
+        run = command.run
+        if command.permit and not self._find_permit(command):
+            return "its permit has expired"
         if not self.may_start():
             return "the configuration or the cancellations may have changed"
         if run.team is not None and not self._cell.is_within_limit(run.team, ZERO_RESOURCES):
--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -168,7 +168,9 @@
         if row.born_ms < worker.info.born_ms:
             self._restarted.add(worker.id)
         self._used[row.worker] = row
-        worker.lapse_ms = lapse_ms
+        worker.min_lapse_ms = lapse_ms
+        if row.is_restarted:
+            worker.record_restart(now_ms)
         # A predecessor starts work without a record while the store is troubled for all members.
         worker.blocks_inherited = True
 
@@ -182,7 +184,7 @@
                 fields = {"task": run.name, "attempt": run.attempt, "worker": run.worker}
                 _log.warning("recorded run on a worker that is not recorded", **fields)
             elif not worker.is_read:
-                worker.lapse_ms = worker.lapse_ms or lapse_ms
+                worker.lease_lapse_ms = worker.lapse_ms or lapse_ms
                 recorded.append((worker, run))
         self._cell.recorded_runs.clear()
         for first in range(0, len(recorded), RUNS_PER_TURN):
@@ -218,7 +220,11 @@
             row = self._used.get(worker.id)
             if row is None or row.born_ms != worker.info.born_ms:
                 continue
-            worker.is_recorded = True
+            if not worker.is_recorded:
+                worker.is_recorded = True
+                # Newer than the tokens of all calls to its former incarnations, and older than
+                # those of the leaders that follow.
+                worker.min_token = self._used_revision
             if worker.id not in self._session_tasks:
                 self._open_session(worker)
 
@@ -249,8 +255,9 @@
         The row of a lost incarnation stays until the progress of the jobs that ran there is
         durable: a successor reads the ends, and counts the loss, of recorded workers only.
         """
+        now_ms = self._clock.now_ms()
         rows = {
-            worker.id: _used_worker(worker)
+            worker.id: _used_worker(worker, now_ms)
             for worker in self._cell.workers.values()
             if worker.is_listed or worker.runs or worker.blocks_inherited
         }
@@ -395,7 +402,9 @@
         worker = self._cell.update_worker(info, now_ms)
         worker.registered_ms = max(worker.registered_ms, registered_ms)
         if is_restarted and info.id in self._session_tasks:
+            # Its session has the clock of the old incarnation.
             self._session_tasks.pop(info.id).cancel()
+            del self.sessions[info.id]
         self._hooks.on_change()
         return info.id
 
@@ -428,22 +437,30 @@
 
 @dataclass(frozen=True, slots=True)
 class _UsedWorker:
-    """A worker that may have runs."""
+    """A worker that may have runs.
+
+    :param is_restarted: calls for its former incarnation may have granted it longer leases
+    """
 
     worker: WorkerId
     address: str
     born_ms: int
+    is_restarted: bool = False
 
     def fields(self) -> list[object]:
         """Return the stored form."""
-        return [self.worker, self.address, self.born_ms]
+        return [self.worker, self.address, self.born_ms, int(self.is_restarted)]
 
 
-def _used_worker(worker: Worker) -> _UsedWorker:
-    return _UsedWorker(worker.id, worker.info.address, worker.info.born_ms)
+def _used_worker(worker: Worker, now_ms: int) -> _UsedWorker:
+    is_restarted = worker.has_restarted and now_ms < worker.min_lapse_ms
+    return _UsedWorker(worker.id, worker.info.address, worker.info.born_ms, is_restarted)
 
 
 def _decode_used(item: Item | None) -> list[_UsedWorker]:
     if item is None:
         return []
-    return [_UsedWorker(WorkerId(row[0]), row[1], row[2]) for row in orjson.loads(item.value)]
+    return [
+        _UsedWorker(WorkerId(worker), address, born_ms, bool(sum(flags)))
+        for worker, address, born_ms, *flags in orjson.loads(item.value)
+    ]
--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -7,7 +7,13 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.crashes import end_runs_of_lost_worker, keep_runs_of_restarted_worker
 from lagoonshelf_core.jobs.worker_reports import apply_report
-from lagoonshelf_core.jobs.workers import Worker, WorkerLoss, lapse_after_ms
+from lagoonshelf_core.jobs.workers import (
+    MAX_CALL_DELAY_MS,
+    MAX_LEASE_MS,
+    Worker,
+    WorkerLoss,
+    lapse_after_ms,
+)
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.ports import (
     Listing,
@@ -63,10 +69,17 @@
         self._on_reachability = on_reachability
         self._clock_sample: tuple[int, int] | None = None
         self._lease_end_ms = 0
+        self._granted_ms = 0
+        self._other_born_ms = 0
         self._acked_end = 0
+        self._sent_token = 0
         self.answered_ms = 0
         self.failures = 0
 
+    def token(self) -> int:
+        """Return the fencing token of calls to the worker."""
+        return self._worker.token(self._leader_lease.token)
+
     def lease_end_ms(self) -> int | None:
         """Return the end of a lease granted now, on the worker's clock, ``None`` if unknown."""
         if self._clock_sample is None:
@@ -74,7 +87,8 @@
         worker_ms, own_ms = self._clock_sample
         until = worker_ms + (self._clock.now_ms() - own_ms) + RUN_LEASE_MS
         self._lease_end_ms = max(self._lease_end_ms, until)
-        self._worker.lapse_ms = self._lapse_ms()
+        self._granted_ms = self._clock.now_ms()
+        self._worker.lease_lapse_ms = self._lapse_ms()
         return until
 
     def record_clock(self, worker_clock_ms: int) -> None:
@@ -82,7 +96,7 @@
         self._worker.record_answer(self._clock.now_ms())
         if worker_clock_ms:
             self._clock_sample = (worker_clock_ms, self._clock.now_ms())
-            self._worker.lapse_ms = self._lapse_ms()
+            self._worker.lease_lapse_ms = self._lapse_ms()
 
     async def run(self) -> None:
         """Renew the lease and track the runs until cancelled."""
@@ -99,10 +113,13 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             if listing.is_fenced:
+                if self._sent_token < self.token():
+                    continue
                 self._leader_lease.step_down(f"fenced at worker {self._worker.id}")
                 return
             if listing.born_ms and listing.born_ms != self._worker.info.born_ms:
-                self._handle_restart(listing.born_ms)
+                if listing.born_ms != self._other_born_ms:
+                    self._handle_restart(listing.born_ms)
                 await asyncio.sleep(RETRY_S)
                 continue
             self._apply_listing(listing, sent_ms)
@@ -119,9 +136,10 @@
         lease_end_ms = self.lease_end_ms() if may_renew else None
         # After a call that failed, another incarnation may answer, which counts its ends anew.
         acked_end = 0 if self.failures else self._acked_end
+        self._sent_token = self.token()
         return await self._port.list_runs(
             self._worker.info,
-            self._leader_lease.token,
+            self._sent_token,
             acked_end,
             lease_end_ms,
             wait_ms,
@@ -148,6 +166,7 @@
 
     def _apply_listing(self, listing: Listing, sent_ms: int) -> None:
         worker, now_ms = self._worker, self._clock.now_ms()
+        worker.record_fenced(now_ms, RUN_LEASE_MS)
         self.record_clock(listing.worker_clock_ms)
         self.answered_ms = now_ms
         is_new = not worker.is_read
@@ -174,10 +193,12 @@
 
     def _handle_restart(self, born_ms: int) -> None:
         """Reset the state of the old incarnation; the registry provides the new one."""
-        if self._worker.is_recorded:
-            _log.warning("worker restarted", worker=self._worker.id, born_ms=born_ms)
-        keep_runs_of_restarted_worker(self._cell, self._worker, self._clock.now_ms())
-        self._worker.is_recorded = False
+        worker, now_ms = self._worker, self._clock.now_ms()
+        self._other_born_ms = born_ms
+        keep_runs_of_restarted_worker(self._cell, worker, now_ms)
+        fields = {"born_ms": born_ms, "lapse_after_ms": worker.lapse_ms - now_ms}
+        _log.warning("worker restarted", worker=worker.id, runs=len(worker.runs), **fields)
+        worker.is_recorded = False
         self._clock_sample = None
         self._lease_end_ms = 0
         self._acked_end = 0
@@ -193,6 +214,8 @@
 
     def _lapse_ms(self) -> int:
         if self._clock_sample is None:
-            return self._worker.lapse_ms
+            return self._worker.lease_lapse_ms
         worker_ms, own_ms = self._clock_sample
-        return own_ms + lapse_after_ms(max(0, self._lease_end_ms - worker_ms))
+        lapse_ms = own_ms + lapse_after_ms(max(0, self._lease_end_ms - worker_ms))
+        # The sample may be that of a new incarnation, and the lease end a time of the old one.
+        return min(lapse_ms, self._granted_ms + MAX_CALL_DELAY_MS + lapse_after_ms(MAX_LEASE_MS))
