Workers with many runs: a long list is followed by a pause

Cause: a list costs as much as it has rows, and is repeated at each end. With thousands of runs on a worker the loop of the leader was full of lists.

Change: after a list of more than 100 rows the session pauses for 0.1 ms a row.

Conclusion: lists of ordinary workers are as frequent as before.

--- a/packages/server/lagoonshelf_server/jobs/worker_session.py
+++ b/packages/server/lagoonshelf_server/jobs/worker_session.py
@@ -34,6 +34,10 @@
 ANSWER_SLACK_MS = 400
 RETRY_S = 0.1
 GONE_RETRY_S = 1.0
+# A list costs as much as it has rows, and a worker with many runs has new ends all the time, so a
+# long list is followed by a pause.
+ROWS_WITHOUT_PAUSE = 100
+PAUSE_PER_ROW_S = 0.0001
 # Longest wait for ends to become durable before the worker is polled again.
 DURABLE_WAIT_S = 0.3
 
@@ -124,6 +128,9 @@
                 continue
             self._apply_listing(listing, sent_ms)
             await self._acknowledge_ends(listing)
+            rows = len(listing.running) + len(listing.ended)
+            if rows > ROWS_WITHOUT_PAUSE:
+                await asyncio.sleep(rows * PAUSE_PER_ROW_S)
 
     async def _list(self) -> Listing:
         wait_ms = 0
--- a/tests/server/jobs/test_wide_jobs.py
+++ b/tests/server/jobs/test_wide_jobs.py
@@ -8,7 +8,8 @@
 from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.jobs.dispatcher import CALLS_PER_WORKER
 from lagoonshelf_server.jobs.leader_lease import LEASE_TTL_MS, RENEW_INTERVAL_MS
-from lagoonshelf_server.jobs.ports import StartRequest, WorkerReply
+from lagoonshelf_server.jobs.ports import Listing, StartRequest, WorkerReply
+from lagoonshelf_server.jobs.worker_session import PAUSE_PER_ROW_S, ROWS_WITHOUT_PAUSE
 from tests.support.job_fakes import eventually
 from tests.support.jobs import URGENT, make_job, make_step
 from tests.support.terms import TermTestCase
@@ -89,3 +90,25 @@
         self._store(spec)
         await eventually(lambda: self._starts_of(spec) == 400, timeout_s=10.0)
         self.assertLessEqual(most, CALLS_PER_WORKER)
+
+    async def test_a_worker_with_many_runs_is_not_listed_at_each_end(self) -> None:
+        """Guards against a loop that is full of long lists, one for each of many ends."""
+        await self._term("m1")
+        await self._start_wide_job()
+        original, lists = self.workers.list_runs, 0
+
+        async def list_runs(info: WorkerInfo, *args: object) -> Listing:
+            nonlocal lists
+            lists += info.id == name
+            return await original(info, *args)
+
+        self.workers.list_runs = list_runs
+        loop = asyncio.get_running_loop()
+        name, entry = max(self.workers.workers.items(), key=lambda row: len(row[1].running))
+        began = loop.time()
+        while loop.time() < began + 1.0:
+            self.workers.end(name, *next(iter(entry.running)))
+            await asyncio.sleep(0.005)
+        rows = len(entry.running)
+        self.assertGreater(rows, ROWS_WITHOUT_PAUSE)
+        self.assertLessEqual(lists, 1 + (loop.time() - began) / (rows * PAUSE_PER_ROW_S))
