Scheduling passes: a backlog of one job keeps no other job waiting

Cause: in a trial with three wide jobs and three scheduled jobs with 2,000 times past, small jobs of another team waited behind 4,000 open steps: a pass ranked all of them, and the limit on its starts was used up by the first.

Once its starts are used up, a job that has started nothing in the pass may still start one task.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -8,6 +8,7 @@
 from lagoonshelf_core.jobs.commands import Command, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Queue
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
+from lagoonshelf_core.jobs.open_steps import OpenSteps
 from lagoonshelf_core.jobs.permits import Permits
 from lagoonshelf_core.jobs.progress import (
     ATTEMPTS_SKIPPED,
@@ -72,7 +73,7 @@
         self.cfg = cfg
         self.jobs: dict[JobId, Job] = {}
         self.live_jobs: dict[JobId, Job] = {}
-        self.open_steps: set[StepRun] = set()
+        self.open_steps = OpenSteps()
         self.workers: dict[WorkerId, Worker] = {}
         self.team_allocations: dict[TeamId, Resources] = {}
         self.permits = Permits()
@@ -151,7 +152,7 @@
         job = self.jobs[job_id]
         self.live_jobs.pop(job_id, None)
         self.changed_jobs.discard(job)
-        self.open_steps.difference_update(job.steps.values())
+        self.open_steps.discard_all(job.steps.values())
 
     def remove_job(self, job_id: JobId) -> None:
         """Remove a final job."""
@@ -199,6 +200,8 @@
                 if job.next_occurrence in job.done_occurrences:
                     job.next_occurrence = job.done_occurrences.next_absent(job.next_occurrence)
                     continue
+                if self.open_steps.has_enough(job):
+                    break
                 if new_tasks >= MAX_NEW_TASKS_PER_PASS:
                     return True
                 self._open_occurrence(job, Occurrence(job.next_occurrence))
@@ -426,7 +429,7 @@
 
     def _close(self, job: Job) -> None:
         self.live_jobs.pop(job.id, None)
-        self.open_steps.difference_update(job.steps.values())
+        self.open_steps.discard_all(job.steps.values())
         for step in job.steps.values():
             self.permits.remove(step.name)
 
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -39,10 +39,9 @@
     for (band, _), step, queue in ranked:
         if step.job.is_inherited and has_unread:
             continue
-        if state.starts_left <= 0:
-            return True
-        if not state.is_stuck(step):
-            _plan_step(cell, state, step, queue, Band(band))
+        if not state.may_start(step) or state.is_stuck(step):
+            continue
+        _plan_step(cell, state, step, queue, Band(band))
     return has_more or state.starts_left <= 0
 
 
@@ -59,7 +58,7 @@
 def _rank_open_steps(cell: Cell, now_ms: int) -> list[tuple[Rank, StepRun, Queue]]:
     """Return the steps with tasks that can start and their queues, in order of priority."""
     ranked = []
-    for step in cell.open_steps:
+    for step in cell.open_steps.first():
         queue = cell.queue_of(step.job)
         if queue is not None:
             ranked.append((rank(step, queue, now_ms), step, queue))
@@ -243,12 +242,13 @@
     ]
     heapify(candidates)
     placed: list[tuple[Task, Worker]] = []
+    max_starts = max(1, state.starts_left)
     planned_total = ZERO_RESOURCES
     for task in step.waiting.values():
         if task.is_suspect or task.restart_ms > state.now_ms:
             continue
         startable_milli -= size.cpu_milli
-        if not candidates or startable_milli < 0 or len(placed) >= state.starts_left:
+        if not candidates or startable_milli < 0 or len(placed) >= max_starts:
             break
         if not cell.is_within_limit(step.job.spec.team, planned_total + spec.size):
             break
@@ -299,7 +299,7 @@
     permit: str,
 ) -> None:
     run = cell.begin_run(task, worker, attempt, state.now_ms)
-    state.starts_left -= 1
+    state.count_start(task.job)
     state.pools[worker.info.pool].used_milli += allocation_of(run.size, run.is_filler).cpu_milli
     expires_ms = cell.permits.expires_ms(task.step.name) if permit else 0
     cell.commands.append(StartRun(run, task.job.spec.payload, checkpoint, permit, expires_ms))
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -5,7 +5,7 @@
 
 from lagoonshelf_core.ids import WorkerId
 from lagoonshelf_core.jobs.capacity import startable_milli
-from lagoonshelf_core.jobs.progress import GangHold, StepRun
+from lagoonshelf_core.jobs.progress import GangHold, Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobId, StepIndex
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
@@ -38,7 +38,9 @@
     :param holders: gang that each held worker is held for
     :param quieted_pools: pools of which a worker is kept for a suspected task
     :param advice_budget_ms: time of the placement policy that requests may still use
-    :param starts_left: tasks that the pass may still start; a gang may exceed it
+    :param starts_left: tasks that the pass may still start, not counting gangs and the first
+        starts of other jobs
+    :param started_jobs: jobs of which it has started tasks
     :param stuck_steps: job and index of the steps of occurrences of which no task could start
     """
 
@@ -53,6 +55,7 @@
     quieted_pools: set[str] = field(default_factory=set)
     advice_budget_ms: float = 0.0
     starts_left: int = MAX_STARTS_PER_PASS
+    started_jobs: set[JobId] = field(default_factory=set)
     stuck_steps: set[tuple[JobId, StepIndex]] = field(default_factory=set)
 
     def add_usable(self, worker: Worker) -> None:
@@ -65,6 +68,19 @@
         # A worker that has shrunk may use more than it has, which is no load of the others.
         load.used_milli += min(worker.used.cpu_milli, capacity_milli)
 
+    def may_start(self, step: StepRun) -> bool:
+        """Return whether the pass may start tasks of a step.
+
+        The tasks of a wide job, or of many, keep no job of lower priority waiting where there is
+        room for both.
+        """
+        return self.starts_left > 0 or step.job.id not in self.started_jobs
+
+    def count_start(self, job: Job) -> None:
+        """Count the start of a task."""
+        self.starts_left -= 1
+        self.started_jobs.add(job.id)
+
     def note_stuck(self, step: StepRun) -> None:
         """Record that no task of a step could start."""
         spec = step.spec
--- a/tests/core/jobs/test_scheduled_jobs.py
+++ b/tests/core/jobs/test_scheduled_jobs.py
@@ -82,6 +82,16 @@
             costs.append(count_lines(lambda c=cell, d=due: plan_starts(c, d * INTERVAL_MS)))
         self.assertLess(costs[1], 1.5 * costs[0])
 
+    def test_a_pass_costs_the_same_however_many_wait(self) -> None:
+        costs = []
+        for due in (500, 5_000):
+            cell = make_cell(1, capacity=TINY)
+            accept_job(cell, scheduled_job(due, make_step(1, TINY), make_step(1, TINY)))
+            for _ in range(20):
+                plan_starts(cell, due * INTERVAL_MS)
+            costs.append(count_lines(lambda c=cell, d=due: plan_starts(c, d * INTERVAL_MS)))
+        self.assertLess(costs[1], 1.1 * costs[0])
+
     def test_the_record_stays_small(self) -> None:
         cell = make_cell(1)
         steps = (make_step(2, TINY), make_step(4, TINY, after=(0,)))
@@ -161,9 +171,11 @@
     def test_a_step_that_cannot_start_does_not_keep_other_steps_waiting(self) -> None:
         cell = make_cell(1)
         nowhere = make_step(1, TINY, label="none")
-        job = accept_job(cell, scheduled_job(50, nowhere, make_step(1, TINY)))
-        runs = plan_starts(cell, 50 * INTERVAL_MS)
-        self.assertEqual({run.name for run in runs}, {f"{job.id}.{k}.1.0" for k in range(50)})
+        job = accept_job(cell, scheduled_job(1_000, nowhere, make_step(1, TINY)))
+        names = set()
+        while runs := plan_starts(cell, 1_000 * INTERVAL_MS):
+            names.update(run.name for run in runs)
+        self.assertEqual(names, {f"{job.id}.{k}.1.0" for k in range(1_000)})
 
     def _current(self, cell: Cell) -> list[Run]:
         return [run for worker in cell.workers.values() for run in worker.runs.values()]
--- a/tests/core/jobs/test_wide_jobs.py
+++ b/tests/core/jobs/test_wide_jobs.py
@@ -134,7 +134,15 @@
         accept_job(cell, make_job(make_step(WIDE, TINY)))
         plan_starts(cell)
         urgent = accept_job(cell, make_job(make_step(1, TINY), queue=URGENT))
-        self.assertIn(urgent, [run.task.job for run in plan_starts(cell)])
+        self.assertIn(urgent.id, [run.task.job.id for run in plan_starts(cell)])
+
+    def test_a_job_of_lower_priority_waits_for_no_wide_job(self) -> None:
+        cell = make_cell(4)
+        late = accept_job(cell, make_job(make_step(2, TINY)), -1_000_000)
+        accept_job(cell, make_job(make_step(WIDE, TINY)))
+        started = plan_starts(cell)
+        self.assertIn(late.id, [run.task.job.id for run in started])
+        self.assertLessEqual(len(started), MAX_STARTS_PER_PASS + 1)
 
     def test_a_gang_wider_than_a_pass_starts_whole(self) -> None:
         cell = make_cell(4)
