Jobs have at most 20,000 tasks, whose record the store accepts

Cause: the record of a job could grow beyond the largest value of the store, and a refused record holds up those of all jobs.

Change: such a job is refused as it is handed in. The record groups current runs by worker; records of the former form are read. A scheduled job has occurrences of at most as many tasks waiting at a time.

Conclusion: nothing limits the tasks of all jobs together yet.

--- a/packages/core/lagoonshelf_core/jobs/job_records.py
+++ b/packages/core/lagoonshelf_core/jobs/job_records.py
@@ -15,10 +15,10 @@
     """Return the durable record of a job's progress.
 
     Each step has a row of its failed attempts, a row for each task with a counted end that is not
-    done, [index, 0, failures, counted attempts, checkpoint], one for each current run, [index,
-    attempt, worker], and the ranges of the tasks that are done. Tasks that ran on lost workers
-    have a row in "crashes", [index, crashes, early crashes, losses]. "done" has the ranges of the
-    occurrences that are done. Ranges keep the record small, however many tasks are done.
+    done, [index, 0, failures, counted attempts, checkpoint], one for the current runs of a worker
+    with the same attempt, [worker, attempt, indices], and the ranges of the tasks that are done.
+    Tasks that ran on lost workers have a row in "crashes", [index, crashes, early crashes,
+    losses]. "done" has the ranges of the occurrences that are done.
     """
     steps, crashes = {}, {}
     for (occurrence, index), step in job.steps.items():
@@ -27,11 +27,7 @@
             for task in step.eventful.values()
             if task.counted_attempts
         ]
-        runs = [
-            [task.index, task.run.attempt, task.run.worker]
-            for task in step.running.values()
-            if not job.is_final
-        ]
+        runs = [] if job.is_final else _encode_runs(step)
         if rows or runs or step.done:
             failed_attempts = sorted(step.failed_attempts)
             steps[f"{occurrence}.{index}"] = [failed_attempts, rows, runs, step.done.rows()]
@@ -57,6 +53,13 @@
     return orjson.dumps(record)
 
 
+def _encode_runs(step: StepRun) -> list[list[object]]:
+    indices: dict[tuple[WorkerId, int], list[int]] = {}
+    for task in step.running.values():
+        indices.setdefault((task.run.worker, task.run.attempt), []).append(task.index)
+    return [[worker, attempt, group] for (worker, attempt), group in indices.items()]
+
+
 def encode_end(job: Job) -> bytes:
     """Return the durable record of an ended job, which replaces all its other records."""
     record: dict[str, object] = {"state": job.state.value, "ended_ms": job.ended_wall_ms}
@@ -144,9 +147,15 @@
     for first, last in done:
         for task in step.tasks[first : last + 1]:
             task.mark_done()
+    # Earlier versions had a row for each run, [index, attempt, worker].
+    groups = [
+        ([row[0]], row[1], row[2]) if isinstance(row[0], int) else (row[2], row[1], row[0])
+        for row in runs
+    ]
     return [
         RecordedRun(step.tasks[task_index].name, attempt, WorkerId(worker))
-        for task_index, attempt, worker in runs
+        for indices, attempt, worker in groups
+        for task_index in indices
     ]
 
 
--- a/packages/core/lagoonshelf_core/jobs/open_steps.py
+++ b/packages/core/lagoonshelf_core/jobs/open_steps.py
@@ -4,7 +4,7 @@
 from itertools import chain, islice
 
 from lagoonshelf_core.jobs.progress import Job, StepRun
-from lagoonshelf_core.jobs.spec import JobId, StepIndex
+from lagoonshelf_core.jobs.spec import MAX_TASKS_PER_JOB, JobId, StepIndex, StepSpec
 
 # Open occurrences of a step that one scheduling pass looks at, those that opened first. They are
 # alike, so that the others could start nothing that these cannot.
@@ -54,7 +54,12 @@
     def has_enough(self, job: Job) -> bool:
         """Return whether each step of a job that follows no other has many open occurrences."""
         return all(
-            len(self._occurrences.get((job.id, StepIndex(index)), ())) >= MAX_OPEN_OCCURRENCES
+            len(self._occurrences.get((job.id, StepIndex(index)), ())) >= _max_open(spec)
             for index, spec in enumerate(job.spec.steps)
             if not spec.after
         )
+
+
+def _max_open(spec: StepSpec) -> int:
+    """Return the open occurrences of a step from which on no further ones are created."""
+    return max(1, min(MAX_OPEN_OCCURRENCES, MAX_TASKS_PER_JOB // spec.count))
--- a/packages/core/lagoonshelf_core/jobs/spec.py
+++ b/packages/core/lagoonshelf_core/jobs/spec.py
@@ -16,6 +16,9 @@
 
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 5_000
+# Tasks of one occurrence of a job. The record of a job with more of them may exceed the largest
+# value that the platform's store accepts, 1 MiB, if all have been stopped and run again.
+MAX_TASKS_PER_JOB = 20_000
 MAX_OCCURRENCES = 10_000
 
 
@@ -85,6 +88,10 @@
         return Fault(ResultCode.BAD_REQUEST, f"a job has 1 to {MAX_STEPS} steps")
     if not 0 <= job.occurrences <= MAX_OCCURRENCES:
         return Fault(ResultCode.BAD_REQUEST, f"at most {MAX_OCCURRENCES} occurrences")
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS_PER_JOB:
+        text = f"a job has at most {MAX_TASKS_PER_JOB} tasks, not {tasks}"
+        return Fault(ResultCode.BAD_REQUEST, text)
     for index, step in enumerate(job.steps):
         if not 1 <= step.count <= MAX_TASKS_PER_STEP:
             text = f"step {index}: 1 to {MAX_TASKS_PER_STEP} tasks, not {step.count}"
--- a/tests/core/jobs/test_scheduled_jobs.py
+++ b/tests/core/jobs/test_scheduled_jobs.py
@@ -107,6 +107,13 @@
         self.assertLess(max(sizes), MAX_VALUE_BYTES / 100)
         self.assertEqual(job.steps, {})
 
+    def test_wide_occurrences_are_created_as_they_can_start(self) -> None:
+        cell = make_cell(1, capacity=TINY)
+        job = accept_job(cell, scheduled_job(1_000, make_step(5_000, TINY)))
+        for _ in range(20):
+            plan_starts(cell, 1_000 * INTERVAL_MS)
+        self.assertLessEqual(sum(len(step.tasks) for step in job.steps.values()), 20_000)
+
 
 class OccurrenceTest(unittest.TestCase):
     """Guards against occurrences that are lost or run twice now that done ones are dropped."""
--- a/tests/core/jobs/test_wide_jobs.py
+++ b/tests/core/jobs/test_wide_jobs.py
@@ -3,11 +3,16 @@
 import unittest
 from collections.abc import Callable
 
+import orjson
+
+from lagoonshelf_core.errors import ResultCode
+from lagoonshelf_core.ids import WorkerId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.crashes import end_runs_of_lost_worker
-from lagoonshelf_core.jobs.job_records import encode_progress
+from lagoonshelf_core.jobs.job_records import RecordedRun, encode_progress
 from lagoonshelf_core.jobs.progress import Run, RunEnd
 from lagoonshelf_core.jobs.scheduling_pass import MAX_STARTS_PER_PASS
+from lagoonshelf_core.jobs.spec import MAX_TASKS_PER_JOB, validate_job
 from lagoonshelf_core.jobs.workers import WorkerLoss
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
@@ -24,6 +29,8 @@
 
 TINY = Resources(1, 1, 0)
 NARROW, WIDE = 60, 5_000
+# The platform's store accepts values up to this size.
+MAX_VALUE_BYTES = 1_048_576
 
 
 def start_all(cell: Cell) -> list[Run]:
@@ -119,6 +126,43 @@
         self.assertLess(len(encode_progress(job)), 200)
 
 
+class LargestJobTest(unittest.TestCase):
+    """Guards against a job whose record the store refuses, which holds up the records of all."""
+
+    def test_its_record_fits_into_the_store(self) -> None:
+        cell = make_cell(8)
+        steps = [make_step(WIDE, TINY) for _ in range(MAX_TASKS_PER_JOB // WIDE)]
+        spec = make_job(*steps)
+        self.assertIsNone(validate_job(spec))
+        job = accept_job(cell, spec)
+        for run in start_all(cell):
+            cell.end_run(run, RunEnd.STOPPED, "00000bb87a21d94b", 10)
+        start_all(cell)
+        self.assertEqual(job.run_count, MAX_TASKS_PER_JOB)
+        record = encode_progress(job)
+        self.assertLess(len(record), MAX_VALUE_BYTES)
+        restored = make_cell(8).restore(spec, record, 0)
+        self.assertEqual(restored.find_task(0, 3, 17).counted_attempts, {1})
+
+    def test_a_larger_one_is_refused(self) -> None:
+        """Each process that led the cell ran out of memory with 64 steps of 5,000 tasks."""
+        steps = [make_step(WIDE, TINY) for _ in range(MAX_TASKS_PER_JOB // WIDE)]
+        fault = validate_job(make_job(*steps, make_step(1, TINY)))
+        self.assertIs(fault.code, ResultCode.BAD_REQUEST)
+        self.assertIn(str(MAX_TASKS_PER_JOB), fault.message)
+
+    def test_records_of_the_former_form_are_read(self) -> None:
+        spec = make_job(make_step(3, TINY))
+        steps = {"0.0": [[1], [[0, 1, 0, [1], ""], [1, 0, 1, [1], "c"]], [[1, 2, "w001"]]]}
+        record = {"state": "running", "ended_ms": 0, "started": True, "steps": steps}
+        cell = make_cell(2)
+        job = cell.restore(spec, orjson.dumps(record), 0)
+        self.assertTrue(job.find_task(0, 0, 0).is_done)
+        self.assertEqual(job.find_task(0, 0, 1).failures, 1)
+        expected = [RecordedRun(f"{spec.id}.0.0.1", 2, WorkerId("w001"))]
+        self.assertEqual(cell.recorded_runs, expected)
+
+
 class WideJobTest(unittest.TestCase):
     """Guards against a wide job that keeps the process, or other work, waiting."""
 
