Stand-in executors: a restart under the same id begins a new clock

Cause: the stand-in kept its clock over a restart, so that calls for the former incarnation granted the lease they asked for. On the platform the clock begins anew, and the lease is the longest one.

Change: the clock begins anew.

--- a/tests/platform/standin/executors.py
+++ b/tests/platform/standin/executors.py
@@ -147,7 +147,10 @@
         self.crash()
 
     def restart(self) -> None:
-        """Simulate a crash and restart under the same id, with all state lost."""
+        """Simulate a crash and restart under the same id, with all state lost and a new clock.
+
+        Calls for the former incarnation still name it, so it takes them.
+        """
         self._kill_runs("crashed")
         self._mark_ends_lost()
         self._unacknowledged.clear()
@@ -156,6 +159,7 @@
         self._fencing_token = self._last_end = 0
         self._lease_end_ms = 0.0
         self._incarnation += 1
+        self._started_s = self._now()
         self._register()
 
     def set_capacity(self, share: float) -> None:
