Read as a newcomer: plainer flags and queue type

Cause: a sum of flags and a type variable that said nothing. Change: any() and a plain deque; no behaviour changes. Figures: tests of fleet, restarts, leader and wide jobs pass.

--- a/packages/server/lagoonshelf_server/jobs/fleet.py
+++ b/packages/server/lagoonshelf_server/jobs/fleet.py
@@ -461,6 +461,6 @@
     if item is None:
         return []
     return [
-        _UsedWorker(WorkerId(worker), address, born_ms, bool(sum(flags)))
+        _UsedWorker(WorkerId(worker), address, born_ms, any(flags))
         for worker, address, born_ms, *flags in orjson.loads(item.value)
     ]
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -4,7 +4,6 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from dataclasses import dataclass
-from typing import TypeVar
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
@@ -51,7 +50,6 @@
 # Time after which nothing of a cancelled job is started, where the platform sets none.
 DEFAULT_CANCEL_MS = 3_000
 
-_Queued = TypeVar("_Queued")
 _log = logger("holder")
 
 
@@ -428,7 +426,7 @@
             self._leader_lease.step_down("a task of the leader term failed")
 
 
-async def _turns(queue: deque[_Queued], is_filled: asyncio.Event) -> AsyncIterator[None]:
+async def _turns(queue: deque, is_filled: asyncio.Event) -> AsyncIterator[None]:
     """Yield once in each turn of the event loop while a queue is not empty."""
     while True:
         await is_filled.wait()
