--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -9,6 +9,7 @@
 from lagoonshelf_core.jobs.config import CellConfig, Queue
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.open_steps import OpenSteps
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.jobs.permits import Permits
 from lagoonshelf_core.jobs.progress import (
     ATTEMPTS_SKIPPED,
@@ -65,12 +66,14 @@
     Its methods apply events; they collect changed jobs, commands and log entries for the process.
     """
 
-    def __init__(self, cfg: CellConfig) -> None:
+    def __init__(self, cfg: CellConfig, options: SchedulerOptions = DEFAULT_OPTIONS) -> None:
         """Create an empty cell.
 
         :param cfg: configuration in force
+        :param options: optional parts of the scheduler
         """
         self.cfg = cfg
+        self.options = options
         self.jobs: dict[JobId, Job] = {}
         self.live_jobs: dict[JobId, Job] = {}
         self.open_steps = OpenSteps()
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -7,6 +7,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_server.jobs.config_view import (
     DEFAULT_MAX_AGE_MS,
     MAX_REPORTED_AGE_MS,
@@ -70,6 +71,7 @@
     :param cancel_ms: time after which nothing of a cancelled job is started
     :param registry_max_age_ms: time after which a worker that reported that it is draining gets
         nothing more to start
+    :param options: optional parts of the scheduler
     """
 
     member: MemberId
@@ -81,6 +83,7 @@
     capacity_max_age_ms: int = DEFAULT_CAPACITY_MAX_AGE_MS
     cancel_ms: int = DEFAULT_CANCEL_MS
     registry_max_age_ms: int = DEFAULT_REGISTRY_MAX_AGE_MS
+    options: SchedulerOptions = DEFAULT_OPTIONS
 
     @property
     def address(self) -> str:
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -9,6 +9,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import Command, PaceRun, RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.early_cancellations import EarlyCancellations
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.jobs.planning import TASKS_PLACED, plan, summary
 from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
@@ -67,7 +68,12 @@
     """State and main loops of one leader term."""
 
     def __init__(
-        self, ports: Ports, leader_lease: LeaderLease, config: ConfigView, clock: Clock
+        self,
+        ports: Ports,
+        leader_lease: LeaderLease,
+        config: ConfigView,
+        clock: Clock,
+        options: SchedulerOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Set up without starting; ``run`` runs the term."""
         self.is_store_troubled: Callable[[], bool] = lambda: False
@@ -85,7 +91,7 @@
         self._has_commands = asyncio.Event()
         self._notes: deque[tuple[str, dict[str, object]]] = deque()
         self._has_notes = asyncio.Event()
-        self.cell = Cell(config.current)
+        self.cell = Cell(config.current, options)
         self.cell.on_end = _count_end
         self.cell.on_loss = _count_loss
         self.cell.on_give_up = lambda: job_metrics.given_up_tasks.inc({})
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -200,7 +200,9 @@
         """Run a leader term whenever the lease is acquired."""
         while True:
             await self.leader_lease.acquired.wait()
-            leader = Leader(self._ports, self.leader_lease, self.config, self._clock)
+            leader = Leader(
+                self._ports, self.leader_lease, self.config, self._clock, self._cfg.options
+            )
             leader.cell.max_capacity_age_ms = self._cfg.capacity_max_age_ms
             leader.cancel_ms = self._cfg.cancel_ms
             leader.cell.max_registry_age_ms = self._cfg.registry_max_age_ms
