Model of the speeds of workers, behind models_worker_speed

Workers differ in speed by more than a factor of two, and some become seven times slower for seconds; the leader took all of them for equal.

Reported progress and ends give a speed for each worker, relative to its pool and apart from the kinds of task. Urgent steps and long chains prefer faster workers, gangs those of one speed class, expected ends follow the model, and workers that have become slow get new tasks last; runs that may be repeated are moved from them. Off by default.

--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -126,5 +126,6 @@
     return first + [worker for worker in by_free_cpu if worker.id not in held]
 
 
-def _free_cpu_key(worker: Worker) -> tuple[int, WorkerId]:
-    return (worker.used.cpu_milli - worker.info.capacity.cpu_milli, worker.info.id)
+def _free_cpu_key(worker: Worker) -> tuple[bool, int, WorkerId]:
+    free_milli = worker.info.capacity.cpu_milli - worker.used.cpu_milli
+    return (worker.is_slow, -free_milli, worker.info.id)
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -23,6 +23,7 @@
 )
 from lagoonshelf_core.jobs.rates import TeamRates
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence
+from lagoonshelf_core.jobs.worker_speeds import WorkerSpeeds
 from lagoonshelf_core.jobs.workers import (
     LossRecord,
     Worker,
@@ -82,6 +83,7 @@
         self.permits = Permits()
         self.health = Health(WORKER_HEALTH_LIMITS)
         self.rates = TeamRates()
+        self.speeds = WorkerSpeeds() if options.models_worker_speed else None
         self.changed_jobs: set[Job] = set()
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
@@ -229,6 +231,7 @@
             self.mark_runs_unverified(worker, now_ms)
             worker.is_recorded = False
             self.health.forget_worker(info.id)
+            self._forget_speed(worker)
         if info.is_draining and not worker.info.is_draining:
             worker.drain_end_ms = now_ms + info.remaining_ms
         worker.info = info
@@ -254,6 +257,11 @@
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
+        self._forget_speed(worker)
+
+    def _forget_speed(self, worker: Worker) -> None:
+        if self.speeds is not None:
+            self.speeds.forget(worker)
 
     def mark_runs_unverified(self, worker: Worker, now_ms: int) -> None:
         """Mark the runs of a worker that has restarted: the new incarnation may run some."""
@@ -340,6 +348,8 @@
 
     def end_run(self, run: Run, end: RunEnd, checkpoint: str, now_ms: int) -> None:
         """Apply the end of a run."""
+        if run.track is not None and end is RunEnd.DONE:
+            self.speeds.observe_done(run, now_ms)
         self._release(run)
         self.on_end(run, end, now_ms)
         task = run.task
@@ -439,6 +449,8 @@
     def allocate(self, worker: Worker, run: Run) -> None:
         """Allocate the resources of a run on its worker and for its team."""
         worker.add_run(run)
+        if self.speeds is not None:
+            self.speeds.track(worker, run)
         if run.team is not None:
             used = self.team_allocations.get(run.team, ZERO_RESOURCES)
             self.team_allocations[run.team] = used + run.size
--- a/packages/core/lagoonshelf_core/jobs/gang_placement.py
+++ b/packages/core/lagoonshelf_core/jobs/gang_placement.py
@@ -7,6 +7,7 @@
 from lagoonshelf_core.jobs.progress import GangHold, Run, StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
+from lagoonshelf_core.jobs.worker_speeds import remaining_ms
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 from lagoonshelf_core.resources import ZERO_RESOURCES
 
@@ -31,10 +32,13 @@
     pool: str,
     workers: list[Worker],
     band: Band,
+    *,
+    prefers_fast: bool = False,
 ) -> list[tuple[Task, Worker]]:
     """Choose workers for all tasks of a gang, or for none of them.
 
     :param workers: workers that the gang may start on now
+    :param prefers_fast: faster workers are better for it than those of usual speed
     """
     if not step.is_all_waiting:
         return []
@@ -43,7 +47,7 @@
     size = allocation_of(step.spec.size, step.spec.is_filler)
     if size.cpu_milli * step.spec.count > state.startable_milli(step, pool, band):
         return []
-    placed = _fit_gang(cell, state, step, workers, band)
+    placed = _fit_gang(cell, state, step, workers, band, prefers_fast)
     if placed:
         state.release(step)
     return placed
@@ -111,7 +115,7 @@
         (max((count for ready_ms, count in slots if ready_ms <= at_ms), default=0), worker)
         for worker, slots in slots_by_worker.items()
     ]
-    ready.sort(key=lambda row: (-row[0], row[1].used.cpu_milli, row[1].id))
+    ready.sort(key=lambda row: (row[1].is_slow, -row[0], row[1].used.cpu_milli, row[1].id))
     held, capacity, missing = [], ZERO_RESOURCES, step.spec.count
     for count, worker in ready:
         if missing <= 0:
@@ -148,7 +152,10 @@
 
 
 def _expected_end_ms(run: Run, now_ms: int) -> int:
-    """Return when a run is expected to end, by its speed or its estimate."""
+    """Return when a run is expected to end, by the model, its speed or its estimate."""
+    left_ms = remaining_ms(run, now_ms)
+    if left_ms is not None:
+        return now_ms + max(int(left_ms), OVERDUE_RUN_MS)
     elapsed_ms, percent = run.progressed_ms - run.started_ms, run.progress_percent
     if percent >= MIN_PROGRESS_PERCENT:
         end_ms = run.started_ms + elapsed_ms * FULL_PERCENT // percent
@@ -163,12 +170,14 @@
     step: StepRun,
     workers: list[Worker],
     band: Band,
+    prefers_fast: bool,
 ) -> list[tuple[Task, Worker]]:
     """Return a worker for each gang member, or nothing when not all members fit.
 
-    The order of preference is: workers without other recent starts if the gang has suspects,
-    workers that have not failed the job, workers that are not held for another gang, workers in
-    the rack of the data, workers that fit most members, and the fullest among equal ones.
+    The order of preference is: workers that are not marked slow, workers without other recent
+    starts if the gang has suspects, workers that have not failed the job, workers that are not
+    held for another gang, workers in the rack of the data, workers of equal speed, workers that
+    fit most members, and the fullest among equal ones.
     """
     spec = step.spec
     size = allocation_of(spec.size, spec.is_filler)
@@ -188,11 +197,13 @@
         is_held = state.holders.get(worker.id, step) is not step
         is_unclear = step.has_suspects and not is_quiet(worker)
         has_failed = worker.id in failed_workers
-        key = (is_unclear, has_failed, is_held, is_other_rack, -count, free_milli, worker.id)
-        slots.append((key, worker, count))
+        drawbacks = (worker.is_slow, is_unclear, has_failed, is_held, is_other_rack)
+        slots.append(((drawbacks, -count, free_milli, worker.id), worker, count))
     slots.sort(key=lambda row: row[0])
     if spec.same_rack:
         slots = _prefer_one_rack(slots, spec.count)
+    if cell.speeds is not None:
+        slots = _prefer_equal_speeds(slots, spec.count, prefers_fast)
     placed: list[tuple[Task, Worker]] = []
     waiting = list(step.tasks)
     for _, worker, count in slots:
@@ -214,3 +225,35 @@
     if not fitting:
         return slots
     return [row for row in slots if row[1].info.rack == fitting[0]]
+
+
+def _prefer_equal_speeds(
+    slots: list[tuple[tuple, Worker, int]], needed: int, prefers_fast: bool
+) -> list[tuple[tuple, Worker, int]]:
+    """Return the slots of the narrowest range of speed classes that the whole gang fits in.
+
+    A gang is as slow as its slowest member. Only the slots without the drawbacks that the best one
+    lacks are considered; if the gang does not fit in these, all slots are returned.
+    """
+    best = [row for row in slots if row[0][0] == slots[0][0][0]]
+    counts: dict[int, int] = {}
+    for _, worker, count in best:
+        counts[worker.speed_class] = counts.get(worker.speed_class, 0) + count
+    if len(counts) <= 1:
+        return slots
+    ranges = [
+        (low, high)
+        for low in counts
+        for high in counts
+        if low <= high
+        and sum(count for name, count in counts.items() if low <= name <= high) >= needed
+    ]
+    if not ranges:
+        return slots
+
+    def key(row: tuple[int, int]) -> tuple[int, int, int]:
+        low, high = row
+        return (high - low, -low if prefers_fast else max(-low, high), low)
+
+    low, high = min(ranges, key=key)
+    return [row for row in best if low <= row[1].speed_class <= high]
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -12,7 +12,7 @@
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
 from lagoonshelf_core.jobs.isolation import place_suspects
 from lagoonshelf_core.jobs.progress import StepRun, Task
-from lagoonshelf_core.jobs.ranking import Band, Rank, rank
+from lagoonshelf_core.jobs.ranking import Band, Rank, prefers_fast, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
@@ -107,13 +107,18 @@
         may_run_on = cell.permits.allowed(step.name)
         request_advice(cell, state, step, queue, band)
     workers = _find_workers(step, usable, usable if permits is None else permits)
+    is_fast = cell.speeds is not None and prefers_fast(step, queue, state.now_ms)
     if spec.is_gang:
-        placed = place_gang(cell, state, step, queue.pool, workers, band) if workers else []
+        placed = []
+        if workers:
+            args = (cell, state, step, queue.pool, workers, band)
+            placed = place_gang(*args, prefers_fast=is_fast)
         if not placed:
             hold_workers(state, step, queue.pool, _find_workers(step, usable, may_run_on), band)
     else:
         startable_milli = state.startable_milli(step, queue.pool, band)
-        placed = _place_tasks(cell, state, step, workers, band, startable_milli)
+        args = (cell, state, step, workers, band, startable_milli)
+        placed = _place_tasks(*args, prefers_fast=is_fast)
     _start_all(cell, state, step, placed, permits)
     if step.has_suspects and not spec.is_gang:
         placed += _start_suspects(cell, state, step, queue, workers, permits, band)
@@ -208,10 +213,13 @@
     workers: list[Worker],
     band: Band,
     startable_milli: int,
+    *,
+    prefers_fast: bool = False,
 ) -> list[tuple[Task, Worker]]:
     """Choose workers for the waiting tasks of a step whose tasks are independent.
 
     :param startable_milli: CPU that the tasks may take, in thousandths
+    :param prefers_fast: faster workers are better for them than those of usual speed
     """
     spec = step.spec
     size = allocation_of(spec.size, spec.is_filler)
@@ -228,8 +236,8 @@
         free = free_capacity(worker, planned.get(worker.id, ZERO_RESOURCES))
         if not size.fits_in(free):
             return None
-        score = _score(step, worker, free, worker.id in failed_workers)
-        return (worker.id in state.holders, *score)
+        score = _score(step, worker, free, worker.id in failed_workers, prefers_fast)
+        return (worker.is_slow, worker.id in state.holders, *score)
 
     # A placement changes the score of its worker only, so the others are evaluated once.
     evaluated = ((evaluate(worker), worker) for worker in workers)
@@ -272,8 +280,14 @@
     return counts
 
 
-def _score(step: StepRun, worker: Worker, free: Resources, has_failed: bool) -> tuple:
-    """Return the score of a worker for a task of a step; the lowest is best."""
+def _score(
+    step: StepRun, worker: Worker, free: Resources, has_failed: bool, prefers_fast: bool = False
+) -> tuple:
+    """Return the score of a worker for a task of a step; the lowest is best.
+
+    Within a speed class the fullest worker is best. Tasks that need no fast worker only leave
+    those free that are faster than the mean of the pool.
+    """
     spec = step.spec
     is_other_rack = bool(spec.rack) and worker.info.rack != spec.rack
     if spec.is_service:
@@ -286,7 +300,9 @@
         )
     if spec.is_filler:
         return (has_failed, worker.services, worker.fillers, -free.cpu_milli, worker.id)
-    return (has_failed, is_other_rack, free.cpu_milli, worker.id)
+    speed_class = worker.speed_class
+    speed_rank = -speed_class if prefers_fast else max(0, speed_class)
+    return (has_failed, is_other_rack, speed_rank, free.cpu_milli, worker.id)
 
 
 def _start(
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -3,12 +3,16 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from lagoonshelf_core.ids import TeamId, WorkerId
 from lagoonshelf_core.jobs.index_ranges import IndexRanges
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence, StepIndex, StepSpec
 from lagoonshelf_core.resources import Resources
 
+if TYPE_CHECKING:
+    from lagoonshelf_core.jobs.worker_speeds import RunTrack
+
 # Attempt numbers that a new leader skips, so that it never reuses the number of a start by its
 # predecessor that it has not seen.
 ATTEMPTS_SKIPPED = 16
@@ -74,6 +78,7 @@
     :param is_loss_recorded: the loss of its worker has been recorded
     :param has_started: the worker has confirmed the start or has reported the run
     :param has_served: a run of a service that has been at work
+    :param track: its progress in the model of speeds, None when it is not followed
     """
 
     name: str
@@ -98,6 +103,7 @@
     is_loss_recorded: bool = False
     has_started: bool = False
     has_served: bool = False
+    track: "RunTrack | None" = None
 
 
 @dataclass(slots=True)
--- a/packages/core/lagoonshelf_core/jobs/ranking.py
+++ b/packages/core/lagoonshelf_core/jobs/ranking.py
@@ -56,3 +56,14 @@
     if slack < 0:
         return (Band.LATE, job.received_ms)
     return (Band.URGENT if queue.priority == 0 else Band.ON_TIME, slack)
+
+
+def prefers_fast(step: StepRun, queue: Queue, now_ms: int) -> bool:
+    """Return whether the faster workers are for a step: an urgent one, or one of a long chain.
+
+    A chain is long that takes over half of the time left for it, so that workers of half the
+    usual speed would make its job late. Late steps leave the fast workers to those in time.
+    """
+    if queue.priority == 0:
+        return True
+    return 0 <= slack_ms(step, queue, now_ms) < step.remaining_ms
--- /dev/null
+++ b/packages/core/lagoonshelf_core/jobs/slow_workers.py
@@ -0,0 +1,232 @@
+"""Workers that have become slow: marking them, and moving their runs.
+
+A marked worker gets new tasks only where no other worker has room.
+"""
+
+from collections.abc import Iterator
+
+from lagoonshelf_core.jobs.capacity import free_capacity
+from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.config import PoolId
+from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunPhase
+from lagoonshelf_core.jobs.worker_speeds import (
+    MIN_SPEED,
+    SLOW_RATIO,
+    Recent,
+    WorkerSpeed,
+    WorkerSpeeds,
+)
+from lagoonshelf_core.jobs.workers import Worker, allocation_of
+from lagoonshelf_core.resources import ZERO_RESOURCES
+
+# A marked worker whose runs progress by more than this share of what is expected is normal again.
+NORMAL_RATIO = 0.7
+# Run time without which nothing is concluded. A single run never adds up to this much, two do in
+# about a second; for a single run the second pair holds, which takes about 1.8 s.
+MIN_RUN_MS = 1_000
+MIN_SINGLE_RUN_MS = 660
+SINGLE_RUN_RATIO = 0.25
+# Largest share of a pool's workers that is marked at a time; one worker may always be, in a pool
+# of at least MIN_POOL_WORKERS.
+MAX_SLOW_SHARE = 0.1
+MIN_POOL_WORKERS = 3
+# A marked worker without observed runs shows nothing, so its mark ends after this time, which
+# doubles each time that it is marked again within SLOW_RESET_MS.
+FIRST_MARK_MS = 2_000
+MAX_MARK_MS = 16_000
+SLOW_RESET_MS = 60_000
+# Time from the mark until runs are moved; a short disturbance is over by then.
+MOVE_DELAY_MS = 500
+# Time from a stop until the next run of the task is at work.
+MOVE_COST_MS = 500
+# A run is moved if it ends after at most this share of the time that it would take otherwise.
+MAX_MOVE_SHARE = 0.6
+MIN_MOVE_GAIN_MS = 500
+
+
+def update_slow_workers(cell: Cell, now_ms: int) -> None:
+    """Mark workers that have become slow, end marks, and move runs that gain by it."""
+    speeds = cell.speeds
+    if speeds is None:
+        return
+    speeds.refresh(cell.workers.values(), now_ms)
+    for worker in list(speeds.marked.values()):
+        if not _end_mark(cell, speeds.get(worker), worker, now_ms):
+            _move_runs(cell, speeds, worker, now_ms)
+    _mark_suspects(cell, speeds, now_ms)
+
+
+def _end_mark(cell: Cell, known: WorkerSpeed, worker: Worker, now_ms: int) -> bool:
+    """Update the pace of a marked worker; return whether its mark has ended."""
+    recent = known.recent
+    has_evidence = recent.at_ms > known.marked_ms
+    if has_evidence:
+        known.pace = min(max(recent.ratio, MIN_SPEED), NORMAL_RATIO)
+    if not has_evidence or recent.ratio < NORMAL_RATIO:
+        runs = worker.runs.values()
+        if now_ms < known.marked_until_ms or any(
+            run.track and run.track.is_observed for run in runs
+        ):
+            return False
+        has_evidence = False
+    known.pace = 1.0
+    known.recent = Recent()
+    worker.is_slow = False
+    del cell.speeds.marked[worker.id]
+    fields = {"ratio": round(recent.ratio, 2)} if has_evidence else {}
+    cell.notes.append(
+        (
+            "worker no longer slow",
+            {
+                "worker": worker.id,
+                "pool": worker.info.pool,
+                "reason": "normal progress" if has_evidence else "no runs to judge by",
+                "after_ms": now_ms - known.marked_ms,
+                **fields,
+            },
+        )
+    )
+    return True
+
+
+def _mark_suspects(cell: Cell, speeds: WorkerSpeeds, now_ms: int) -> None:
+    """Mark the slowest of the workers that seem slow, as many as the share allows."""
+    suspects: list[tuple[float, float, Worker, WorkerSpeed]] = []
+    for name in speeds.take_suspects():
+        worker = cell.workers.get(name)
+        if worker is None or worker.is_slow:
+            continue
+        known = speeds.get(worker)
+        peers = _peer_ratio(speeds, known, now_ms)
+        if is_slow(known.recent, peers):
+            suspects.append((known.recent.ratio, peers, worker, known))
+    suspects.sort(key=lambda row: (row[0], row[2].id))
+    for ratio, peers, worker, known in suspects:
+        if _count_markable(cell, worker.info.pool) <= 0:
+            continue
+        _mark(worker, known, now_ms)
+        speeds.marked[worker.id] = worker
+        fields = {
+            "worker": worker.id,
+            "pool": worker.info.pool,
+            "ratio": round(ratio, 2),
+            "peers": round(peers, 2),
+            "run_ms": round(known.recent.run_ms),
+            "runs": len(worker.runs),
+            "speed": round(known.speed, 2),
+        }
+        cell.notes.append(("worker slow", fields))
+
+
+def _mark(worker: Worker, known: WorkerSpeed, now_ms: int) -> None:
+    is_first = not known.mark_ms or now_ms - known.marked_until_ms > SLOW_RESET_MS
+    known.mark_ms = FIRST_MARK_MS if is_first else min(2 * known.mark_ms, MAX_MARK_MS)
+    known.marked_ms = now_ms
+    known.marked_until_ms = now_ms + known.mark_ms
+    known.pace = max(known.recent.ratio, MIN_SPEED)
+    worker.is_slow = True
+
+
+def is_slow(recent: Recent, peers: float) -> bool:
+    """Return whether recent progress shows that a worker has become slow.
+
+    :param peers: ratio of actual to expected progress on the other workers of its pool
+    """
+    ratio = recent.ratio
+    if recent.run_ms >= MIN_RUN_MS:
+        return ratio < SLOW_RATIO * min(1.0, peers)
+    return recent.run_ms >= MIN_SINGLE_RUN_MS and ratio < SINGLE_RUN_RATIO * min(1.0, peers)
+
+
+def _peer_ratio(speeds: WorkerSpeeds, known: WorkerSpeed, now_ms: int) -> float:
+    """Return the recent ratio of the other workers of a pool, 1 when too little is known.
+
+    A pool that is slow altogether, or whose reports are late, has no slow worker.
+    """
+    pool, recent = speeds.pool_recents.get(known.pool, Recent()), known.recent
+    pool_weight, weight = pool.weight(now_ms), recent.weight(now_ms)
+    run_ms = pool.run_ms * pool_weight - recent.run_ms * weight
+    if run_ms < MIN_RUN_MS:
+        return 1.0
+    return max(0.0, pool.done_ms * pool_weight - recent.done_ms * weight) / run_ms
+
+
+def _count_markable(cell: Cell, pool: PoolId) -> int:
+    """Return how many more workers of a pool may be marked."""
+    workers = [w for w in cell.workers.values() if w.info.pool == pool and w.is_listed]
+    if len(workers) < MIN_POOL_WORKERS:
+        return 0
+    return max(1, int(MAX_SLOW_SHARE * len(workers))) - sum(w.is_slow for w in workers)
+
+
+def _move_runs(cell: Cell, speeds: WorkerSpeeds, worker: Worker, now_ms: int) -> None:
+    """Stop the runs of a slow worker that end clearly earlier elsewhere.
+
+    Their tasks start again once their ends have been reported.
+    """
+    known = speeds.get(worker)
+    if now_ms - known.marked_ms < MOVE_DELAY_MS or not worker.is_read:
+        return
+    movable = [run for run in worker.runs.values() if _may_move(run) and gains_by_move(run)]
+    if not movable:
+        return
+    others = list(_workers_with_room(cell, worker, now_ms))
+    # Runs that are being stopped will need room as well.
+    pending = [run for run in worker.runs.values() if run.phase is RunPhase.STOPPING]
+    free_milli = sum(free_capacity(other, ZERO_RESOURCES).cpu_milli for other in others)
+    free_milli -= sum(run.size.cpu_milli for run in pending)
+    for run in movable:
+        if run.size.cpu_milli <= free_milli and _has_room(cell, run, others):
+            free_milli -= run.size.cpu_milli
+            speeds.moved_runs += 1
+            cell.note("run moved", run, percent=run.progress_percent, pace=round(known.pace, 2))
+            cell.stop_run(run, "its worker is slow")
+
+
+def _may_move(run: Run) -> bool:
+    """Return whether a run may be stopped to start its task elsewhere."""
+    task = run.task
+    if task is None or task.run is not run or run.phase is not RunPhase.RUNNING:
+        return False
+    spec = task.step.spec
+    if run.track is None or spec.is_gang:
+        return False
+    return spec.saves_progress or spec.allows_copies
+
+
+def gains_by_move(run: Run) -> bool:
+    """Return whether a task ends clearly earlier if its run is stopped and started elsewhere."""
+    track = run.track
+    normal_ms = track.expected_ms * track.worker.speed
+    stay_ms = _left(run.progress_percent) * track.expected_ms / track.worker.pace
+    move_ms = MOVE_COST_MS + _left(track.saved_percent) * normal_ms
+    return move_ms <= MAX_MOVE_SHARE * stay_ms and stay_ms - move_ms >= MIN_MOVE_GAIN_MS
+
+
+def _left(percent: int) -> float:
+    return 1.0 - min(percent, FULL_PERCENT) / FULL_PERCENT
+
+
+def _workers_with_room(cell: Cell, slow: Worker, now_ms: int) -> Iterator[Worker]:
+    for worker in cell.workers.values():
+        is_other = worker.info.pool == slow.info.pool and worker is not slow
+        if not is_other or worker.is_slow or not worker.is_usable:
+            continue
+        if cell.health.may_start(worker.id, True, now_ms):
+            yield worker
+
+
+def _has_room(cell: Cell, run: Run, others: list[Worker]) -> bool:
+    """Return whether a run fits on a worker that its task may start on."""
+    step = run.task.step
+    spec, queue = step.spec, cell.queue_of(step.job)
+    if queue is None:
+        return False
+    allowed = None if queue.advice is None else cell.permits.allowed(step.name)
+    size = allocation_of(run.size, run.is_filler)
+    return any(
+        size.fits_in(free_capacity(worker, ZERO_RESOURCES))
+        and (allowed is None or worker.id in allowed)
+        and (not spec.label or spec.label in worker.info.labels)
+        for worker in others
+    )
--- a/packages/core/lagoonshelf_core/jobs/supervision.py
+++ b/packages/core/lagoonshelf_core/jobs/supervision.py
@@ -4,6 +4,8 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import PaceRun
 from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunPhase, StepRun
+from lagoonshelf_core.jobs.slow_workers import update_slow_workers
+from lagoonshelf_core.jobs.worker_speeds import remaining_ms
 from lagoonshelf_core.jobs.workers import Worker
 
 # Stalls and changes of the tail latency take half a second or more to show.
@@ -40,6 +42,7 @@
                 _check_run(cell, worker, run, now_ms)
         if worker.fillers:
             _pace_fillers(cell, worker, now_ms)
+    update_slow_workers(cell, now_ms)
 
 
 def _check_run(cell: Cell, worker: Worker, run: Run, now_ms: int) -> None:
@@ -67,8 +70,10 @@
         return True
     if not spec.saves_progress:
         return False
-    remaining_ms = spec.estimate_ms * (FULL_PERCENT - run.progress_percent) / FULL_PERCENT
-    return now_ms + remaining_ms > worker.drain_end_ms - DRAIN_MARGIN_MS
+    left_ms = remaining_ms(run, now_ms)
+    if left_ms is None:
+        left_ms = spec.estimate_ms * (FULL_PERCENT - run.progress_percent) / FULL_PERCENT
+    return now_ms + left_ms > worker.drain_end_ms - DRAIN_MARGIN_MS
 
 
 def _may_be_stopped(run: Run) -> bool:
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -113,6 +113,8 @@
     if run.is_service and not run.has_served and row.percent >= FULL_PERCENT:
         cell.record_at_work(run, now_ms)
     run.load = row.load
+    if run.track is not None:
+        cell.speeds.observe(run, row.checkpoint, now_ms)
     if row.checkpoint:
         run.checkpoint = row.checkpoint
         if run.task is not None and run.task.run is run:
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -88,6 +88,8 @@
     :param silent_since_ms: time since which it has not answered, 0 while it answers
     :param isolated_runs: runs of suspected tasks that have not settled; it gets no other work
         meanwhile, so that only they can be the cause if it crashes
+    :param speed_class: class of its speed relative to its pool, 0 for the mean
+    :param is_slow: marked slow; it gets new tasks only where no other worker has room
     """
 
     info: WorkerInfo
@@ -112,6 +114,8 @@
     registered_ms: int = 0
     silent_since_ms: int = 0
     isolated_runs: set[Run] = field(default_factory=set)
+    speed_class: int = 0
+    is_slow: bool = False
 
     @property
     def id(self) -> WorkerId:
