Moves of gangs from slow workers, and slack by the speed of the pool

A run of a kind whose run times vary widely is compared with its own progress so far, since the estimate says little of it.

--- a/bench/cell_cost.py
+++ b/bench/cell_cost.py
@@ -14,6 +14,7 @@
 )
 from lagoonshelf_core.ids import QueueId, TeamId
 from lagoonshelf_core.jobs.config import AdviceTiming, Queue, Team
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.resources import Resources
 
 RENDER, MATCH, HOLD = QueueId("render"), QueueId("match"), QueueId("hold")
@@ -53,7 +54,12 @@
     return [Team(TeamId(f"t{number}"), rate_per_s) for number in range(TEAMS)]
 
 
-def new_simulation(teams: list[Team], workers: int, allowed_share: float) -> CellSimulation:
+def new_simulation(
+    teams: list[Team],
+    workers: int,
+    allowed_share: float,
+    options: SchedulerOptions = DEFAULT_OPTIONS,
+) -> CellSimulation:
     """Return a simulation of a cell like the grown site's, without jobs.
 
     :param allowed_share: fraction of the workers that the placement policy allows
@@ -64,16 +70,17 @@
         infos,
         advice_members=ADVICE_MEMBERS,
         allowed_share=allowed_share,
+        options=options,
     )
 
 
-def simulate(workers: int) -> SimulationResult:
+def simulate(workers: int, options: SchedulerOptions = DEFAULT_OPTIONS) -> SimulationResult:
     """Simulate the load of the grown site, scaled to a number of workers."""
     teams = make_teams()
     load = generate_arrivals(
         make_job_kinds(workers / SITE_WORKERS), [team.id for team in teams], LOAD_MS, SEED
     )
-    return new_simulation(teams, workers, 0.5).run(load, LOAD_MS)
+    return new_simulation(teams, workers, 0.5, options).run(load, LOAD_MS)
 
 
 def run() -> list[str]:
--- a/bench/cell_simulation.py
+++ b/bench/cell_simulation.py
@@ -13,6 +13,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Pool, PoolId
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.jobs.planning import plan
 from lagoonshelf_core.jobs.progress import Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, StepSpec
@@ -143,6 +144,7 @@
         *,
         advice_members: int = 4,
         allowed_share: float = 1.0,
+        options: SchedulerOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Set up a cell whose workers have already reported their runs.
 
@@ -150,7 +152,7 @@
             parallel
         :param allowed_share: fraction of the workers that the placement policy allows
         """
-        self.cell = Cell(cfg)
+        self.cell = Cell(cfg, options)
         for info in workers:
             worker = self.cell.update_worker(info, 0)
             worker.is_read = worker.is_recorded = True
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -61,17 +61,23 @@
     for step in cell.open_steps.first():
         queue = cell.queue_of(step.job)
         if queue is not None:
-            ranked.append((rank(step, queue, now_ms), step, queue))
+            ranked.append((rank(step, queue, now_ms, _pool_rate(cell, queue)), step, queue))
     ranked.sort(key=lambda row: (row[0], row[1].name))
     return ranked
 
 
+def _pool_rate(cell: Cell, queue: Queue) -> float:
+    return 1.0 if cell.speeds is None else cell.speeds.pool_rate(queue.pool)
+
+
 def summary(cell: Cell, now_ms: int) -> dict[str, object]:
     """Return statistics of the cell for the log."""
     bands: dict[str, int] = {}
     for step in cell.open_steps:
         queue = cell.queue_of(step.job)
-        name = "no queue" if queue is None else Band(rank(step, queue, now_ms)[0]).name.lower()
+        name = "no queue"
+        if queue is not None:
+            name = Band(rank(step, queue, now_ms, _pool_rate(cell, queue))[0]).name.lower()
         bands[name] = bands.get(name, 0) + 1
     usable = [worker for worker in cell.workers.values() if worker.is_usable]
     return {
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -329,6 +329,13 @@
         """Return whether all tasks are neither done nor running."""
         return len(self.waiting) == len(self.tasks)
 
+    @property
+    def is_all_running(self) -> bool:
+        """Return whether all tasks have a run that is at work."""
+        return len(self.running) == len(self.tasks) and all(
+            task.run.phase is RunPhase.RUNNING for task in self.running.values()
+        )
+
     @property
     def remaining_ms(self) -> float:
         """Return the estimated time from its start to the end of its dependent steps."""
--- a/packages/core/lagoonshelf_core/jobs/ranking.py
+++ b/packages/core/lagoonshelf_core/jobs/ranking.py
@@ -33,20 +33,26 @@
     return queue.stretch * step.job.critical_path_ms + queue.latency_ms
 
 
-def slack_ms(step: StepRun, queue: Queue, now_ms: int) -> float:
-    """Return how long a step may still wait without its job missing its objective."""
+def slack_ms(step: StepRun, queue: Queue, now_ms: int, pool_rate: float = 1.0) -> float:
+    """Return how long a step may still wait without its job missing its objective.
+
+    :param pool_rate: estimates of the pool's tasks divided by their usual run times
+    """
     waited_ms = now_ms - step.job.received_ms
-    return objective_ms(step, queue) - waited_ms - step.remaining_ms
+    return objective_ms(step, queue) - waited_ms - step.remaining_ms / pool_rate
 
 
-def rank(step: StepRun, queue: Queue, now_ms: int) -> Rank:
-    """Return the sort key of a step; the lowest one is scheduled first."""
+def rank(step: StepRun, queue: Queue, now_ms: int, pool_rate: float = 1.0) -> Rank:
+    """Return the sort key of a step; the lowest one is scheduled first.
+
+    :param pool_rate: estimates of the pool's tasks divided by their usual run times
+    """
     job = step.job
     if step.spec.is_service:
         return (Band.SERVICE, job.received_ms)
     if job.spec.occurrences:
         return (Band.ON_TIME, 0.0)
-    slack = slack_ms(step, queue, now_ms)
+    slack = slack_ms(step, queue, now_ms, pool_rate)
     if slack < -(TOO_LATE_FACTOR - 1.0) * objective_ms(step, queue):
         return (Band.TOO_LATE, job.received_ms)
     if job.is_excess:
--- a/packages/core/lagoonshelf_core/jobs/slow_workers.py
+++ b/packages/core/lagoonshelf_core/jobs/slow_workers.py
@@ -3,9 +3,9 @@
 A marked worker gets new tasks only where no other worker has room.
 """
 
-from collections.abc import Iterator
+from dataclasses import dataclass
 
-from lagoonshelf_core.jobs.capacity import free_capacity
+from lagoonshelf_core.jobs.capacity import count_fitting, free_capacity
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import PoolId
 from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunPhase
@@ -16,7 +16,7 @@
     WorkerSpeed,
     WorkerSpeeds,
 )
-from lagoonshelf_core.jobs.workers import Worker, allocation_of
+from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import ZERO_RESOURCES
 
 # A marked worker whose runs progress by more than this share of what is expected is normal again.
@@ -44,15 +44,27 @@
 MIN_MOVE_GAIN_MS = 500
 
 
+@dataclass(slots=True)
+class _Room:
+    """Workers of a pool that may take moved runs.
+
+    :param free_milli: CPU that they have free, less that of the runs that are being moved
+    """
+
+    workers: list[Worker]
+    free_milli: int
+
+
 def update_slow_workers(cell: Cell, now_ms: int) -> None:
     """Mark workers that have become slow, end marks, and move runs that gain by it."""
     speeds = cell.speeds
     if speeds is None:
         return
     speeds.refresh(cell.workers.values(), now_ms)
+    rooms: dict[PoolId, _Room] = {}
     for worker in list(speeds.marked.values()):
         if not _end_mark(cell, speeds.get(worker), worker, now_ms):
-            _move_runs(cell, speeds, worker, now_ms)
+            _move_runs(cell, speeds, worker, rooms, now_ms)
     _mark_suspects(cell, speeds, now_ms)
 
 
@@ -98,12 +110,14 @@
             continue
         known = speeds.get(worker)
         peers = _peer_ratio(speeds, known, now_ms)
-        if is_slow(known.recent, peers):
+        if _is_slow(known.recent, peers):
             suspects.append((known.recent.ratio, peers, worker, known))
     suspects.sort(key=lambda row: (row[0], row[2].id))
+    markable = {pool: _count_markable(cell, pool) for pool in {row[3].pool for row in suspects}}
     for ratio, peers, worker, known in suspects:
-        if _count_markable(cell, worker.info.pool) <= 0:
+        if markable[known.pool] <= 0:
             continue
+        markable[known.pool] -= 1
         _mark(worker, known, now_ms)
         speeds.marked[worker.id] = worker
         fields = {
@@ -127,7 +141,7 @@
     worker.is_slow = True
 
 
-def is_slow(recent: Recent, peers: float) -> bool:
+def _is_slow(recent: Recent, peers: float) -> bool:
     """Return whether recent progress shows that a worker has become slow.
 
     :param peers: ratio of actual to expected progress on the other workers of its pool
@@ -159,42 +173,62 @@
     return max(1, int(MAX_SLOW_SHARE * len(workers))) - sum(w.is_slow for w in workers)
 
 
-def _move_runs(cell: Cell, speeds: WorkerSpeeds, worker: Worker, now_ms: int) -> None:
+def _move_runs(
+    cell: Cell, speeds: WorkerSpeeds, worker: Worker, rooms: dict[PoolId, _Room], now_ms: int
+) -> None:
     """Stop the runs of a slow worker that end clearly earlier elsewhere.
 
     Their tasks start again once their ends have been reported.
+
+    :param rooms: what has been found of the pools in this check
     """
     known = speeds.get(worker)
     if now_ms - known.marked_ms < MOVE_DELAY_MS or not worker.is_read:
         return
-    movable = [run for run in worker.runs.values() if _may_move(run) and gains_by_move(run)]
+    movable = [run for run in worker.runs.values() if _may_move(run) and _gains_by_move(run)]
     if not movable:
         return
-    others = list(_workers_with_room(cell, worker, now_ms))
-    # Runs that are being stopped will need room as well.
-    pending = [run for run in worker.runs.values() if run.phase is RunPhase.STOPPING]
-    free_milli = sum(free_capacity(other, ZERO_RESOURCES).cpu_milli for other in others)
-    free_milli -= sum(run.size.cpu_milli for run in pending)
+    room = rooms.get(known.pool)
+    if room is None:
+        room = rooms[known.pool] = _find_room(cell, known.pool, now_ms)
     for run in movable:
-        if run.size.cpu_milli <= free_milli and _has_room(cell, run, others):
-            free_milli -= run.size.cpu_milli
-            speeds.moved_runs += 1
+        count = _count_moved(run)
+        needed_milli = count * run.size.cpu_milli
+        if count and needed_milli <= room.free_milli and count <= _count_slots(cell, run, room):
+            room.free_milli -= needed_milli
+            speeds.moved_runs += count
             cell.note("run moved", run, percent=run.progress_percent, pace=round(known.pace, 2))
             cell.stop_run(run, "its worker is slow")
 
 
+def _count_moved(run: Run) -> int:
+    """Return how many tasks move when a run is stopped: all of its gang that are beside it.
+
+    A gang moves only while all of it runs, and so once.
+    """
+    step = run.task.step
+    if not step.spec.is_gang:
+        return 1
+    if not step.is_all_running:
+        return 0
+    return sum(member.run.worker == run.worker for member in step.tasks)
+
+
 def _may_move(run: Run) -> bool:
     """Return whether a run may be stopped to start its task elsewhere."""
     task = run.task
     if task is None or task.run is not run or run.phase is not RunPhase.RUNNING:
         return False
     spec = task.step.spec
-    if run.track is None or spec.is_gang:
+    if run.track is None:
         return False
+    if spec.is_gang:
+        # The others of the gang end with it, so that without checkpoints all their work is lost.
+        return spec.saves_progress
     return spec.saves_progress or spec.allows_copies
 
 
-def gains_by_move(run: Run) -> bool:
+def _gains_by_move(run: Run) -> bool:
     """Return whether a task ends clearly earlier if its run is stopped and started elsewhere."""
     track = run.track
     normal_ms = track.expected_ms * track.worker.speed
@@ -207,26 +241,31 @@
     return 1.0 - min(percent, FULL_PERCENT) / FULL_PERCENT
 
 
-def _workers_with_room(cell: Cell, slow: Worker, now_ms: int) -> Iterator[Worker]:
-    for worker in cell.workers.values():
-        is_other = worker.info.pool == slow.info.pool and worker is not slow
-        if not is_other or worker.is_slow or not worker.is_usable:
-            continue
-        if cell.health.may_start(worker.id, True, now_ms):
-            yield worker
+def _find_room(cell: Cell, pool: PoolId, now_ms: int) -> _Room:
+    in_pool = [worker for worker in cell.workers.values() if worker.info.pool == pool]
+    others = [
+        worker
+        for worker in in_pool
+        if worker.is_usable
+        and not worker.is_slow
+        and cell.health.may_start(worker.id, True, now_ms)
+    ]
+    free_milli = sum(free_capacity(worker, ZERO_RESOURCES).cpu_milli for worker in others)
+    stopping = (run for worker in in_pool if worker.is_slow for run in worker.runs.values())
+    free_milli -= sum(run.size.cpu_milli for run in stopping if run.phase is RunPhase.STOPPING)
+    return _Room(others, free_milli)
 
 
-def _has_room(cell: Cell, run: Run, others: list[Worker]) -> bool:
-    """Return whether a run fits on a worker that its task may start on."""
+def _count_slots(cell: Cell, run: Run, room: _Room) -> int:
+    """Return how many tasks like that of a run fit on workers that it may start on."""
     step = run.task.step
     spec, queue = step.spec, cell.queue_of(step.job)
     if queue is None:
-        return False
+        return 0
     allowed = None if queue.advice is None else cell.permits.allowed(step.name)
-    size = allocation_of(run.size, run.is_filler)
-    return any(
-        size.fits_in(free_capacity(worker, ZERO_RESOURCES))
-        and (allowed is None or worker.id in allowed)
+    return sum(
+        count_fitting(run.size, worker.info.capacity, worker.used)
+        for worker in room.workers
+        if (allowed is None or worker.id in allowed)
         and (not spec.label or spec.label in worker.info.labels)
-        for worker in others
     )
--- a/packages/core/lagoonshelf_core/jobs/supervision.py
+++ b/packages/core/lagoonshelf_core/jobs/supervision.py
@@ -105,13 +105,7 @@
         or run.pace_percent < FULL_PERCENT
     ):
         return False
-    return not spec.is_gang or _is_gang_running(step)
-
-
-def _is_gang_running(step: StepRun) -> bool:
-    return len(step.running) == len(step.tasks) and all(
-        task.run.phase is RunPhase.RUNNING for task in step.running.values()
-    )
+    return not spec.is_gang or step.is_all_running
 
 
 def _pace_fillers(cell: Cell, worker: Worker, now_ms: int) -> None:
--- a/packages/core/lagoonshelf_core/jobs/worker_speeds.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_speeds.py
@@ -45,9 +45,16 @@
 SLOW_RATIO = 0.4
 # Half-life of the recent progress by which a worker that has become slow is found.
 RECENT_HALF_LIFE_MS = 500
-# Kinds of which the run times vary more than this do not count there.
+# A run of a kind whose run times vary more than this is compared with its own progress so far, and
+# counts only once that is at least the share.
 MAX_RECENT_VARIANCE = 0.25
+MIN_OWN_SHARE = 0.1
 MAX_RECENT_RATIO = 2.0
+# Runs after which the speed of a pool is known, and its bounds: it is a mean over the kinds, whose
+# estimates may all be wrong in one direction.
+MIN_POOL_RUNS = 20.0
+MIN_POOL_RATE = 0.5
+MAX_POOL_RATE = 2.0
 # Weight of the model's run time beside a run's own progress, in runs.
 MODEL_WEIGHT = 0.1
 
@@ -148,6 +155,7 @@
     :param variance: of the ratio of actual to expected progress
     """
 
+    pool: PoolId
     estimated: float = 0.0
     done: float = 0.0
     variance: float = ESTIMATE_VARIANCE
@@ -196,11 +204,25 @@
     mark_ms: int | None = None
     saved_percent: int = 0
 
+    def own_share(self, duration_ms: int) -> float:
+        """Return which share is done in a time at the pace up to the mark, 0 when not known.
+
+        A worker that is marked slow has slowed it already.
+        """
+        done = (self.mark_percent - self.first_percent) / FULL_PERCENT
+        if done < MIN_OWN_SHARE or self.worker.pace < 1.0:
+            return 0.0
+        return done * duration_ms / (self.mark_ms - self.first_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class PoolSpeeds:
-    """Speeds of the workers of a pool of which something is known."""
+    """Speeds of the workers of a pool of which something is known.
 
+    :param rate: estimates divided by the usual run times, as a mean over the kinds of task
+    """
+
+    rate: float
     slowest: float
     middle: float
     fastest: float
@@ -249,8 +271,8 @@
             return
         step = run.task.step
         spec = step.spec
-        kind = self._kind((step.job.spec.queue, step.index, spec.estimate_ms > 0))
         known = self.get(worker)
+        kind = self._kind((step.job.spec.queue, step.index, spec.estimate_ms > 0), known.pool)
         estimate_ms = spec.estimate_ms or UNKNOWN_ESTIMATE_MS
         expected_ms = max(1.0, estimate_ms / (kind.rate * known.speed))
         is_far = bool(spec.rack) and worker.info.rack != spec.rack
@@ -312,6 +334,9 @@
         done = (min(percent, FULL_PERCENT) - track.mark_percent) / FULL_PERCENT
         if max(expected * speed, done) < MIN_EXPECTED_SHARE and not is_end:
             return
+        predicted = expected * speed
+        if kind.variance > MAX_RECENT_VARIANCE:
+            predicted = track.own_share(duration_ms)
         track.mark_percent, track.mark_ms = percent, now_ms
         is_known = kind.is_known
         is_normal = worker.pace >= 1.0
@@ -319,25 +344,27 @@
             kind.add(estimated * speed, done)
         if not is_known:
             return
-        ratio = done / (expected * speed)
-        if kind.variance <= MAX_RECENT_VARIANCE:
-            ratio_counted = min(ratio, MAX_RECENT_RATIO)
-            worker.recent.add(duration_ms, ratio_counted, now_ms)
-            if worker.recent.ratio < SLOW_RATIO:
-                self._suspects.add(run.worker)
-            pool_recent = self.pool_recents.setdefault(worker.pool, Recent())
-            pool_recent.add(duration_ms, ratio_counted, now_ms)
+        if predicted:
+            self._add_recent(run, duration_ms, done / predicted, now_ms)
         if is_normal:
-            kind.add_ratio(ratio, expected)
+            kind.add_ratio(done / (expected * speed), expected)
             weight = min(1.0, ESTIMATE_VARIANCE / max(kind.variance, ESTIMATE_VARIANCE))
             worker.add(expected * weight, done * weight)
 
-    def _kind(self, key: _KindKey) -> _Kind:
+    def _add_recent(self, run: Run, duration_ms: int, ratio: float, now_ms: int) -> None:
+        worker = run.track.worker
+        ratio = min(ratio, MAX_RECENT_RATIO)
+        worker.recent.add(duration_ms, ratio, now_ms)
+        self.pool_recents.setdefault(worker.pool, Recent()).add(duration_ms, ratio, now_ms)
+        if worker.recent.ratio < SLOW_RATIO:
+            self._suspects.add(run.worker)
+
+    def _kind(self, key: _KindKey, pool: PoolId) -> _Kind:
         kind = self._kinds.get(key)
         if kind is None:
             if len(self._kinds) >= MAX_KINDS:
                 self._kinds.pop(next(iter(self._kinds)))
-            kind = self._kinds[key] = _Kind()
+            kind = self._kinds[key] = _Kind(pool)
         return kind
 
     def refresh(self, workers: Iterable[Worker], now_ms: int) -> None:
@@ -359,7 +386,21 @@
                 known.decay(elapsed_ms)
                 worker.speed_class = known.speed_class()
             speeds = [known.speed for _, known in rows]
-            self.pools[pool] = PoolSpeeds(min(speeds), median(speeds), max(speeds))
+            rate = self._pool_rate(pool)
+            self.pools[pool] = PoolSpeeds(rate, min(speeds), median(speeds), max(speeds))
+
+    def _pool_rate(self, pool: PoolId) -> float:
+        kinds = [kind for kind in self._kinds.values() if kind.pool == pool and kind.is_known]
+        done = sum(kind.done for kind in kinds)
+        if done < MIN_POOL_RUNS:
+            return 1.0
+        rate = done / sum(kind.estimated for kind in kinds)
+        return min(max(rate, MIN_POOL_RATE), MAX_POOL_RATE)
+
+    def pool_rate(self, pool: PoolId) -> float:
+        """Return the estimates of a pool's tasks divided by their usual run times."""
+        known = self.pools.get(pool)
+        return 1.0 if known is None else known.rate
 
 
 def remaining_ms(run: Run, now_ms: int) -> float | None:
