--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -6,7 +6,7 @@
 from lagoonshelf_core.jobs.commands import RequestAdvice
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.progress import StepRun
-from lagoonshelf_core.jobs.ranking import Band
+from lagoonshelf_core.jobs.ranking import Band, prefers_fast
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 
@@ -25,6 +25,8 @@
 ADVISED_STEPS_PER_WORKER = 0.25
 MAX_LATE_CHECKS = 8
 LATE_RECHECK_MS = 500
+# A fast worker with less than this share of its CPU free is listed after those of any speed.
+MIN_FREE_SHARE = 0.125
 # Late gangs without held workers that are advised at a time, so that workers can be held for them.
 MAX_LATE_GANGS = 4
 
@@ -80,21 +82,18 @@
 def _select_workers(
     cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band
 ) -> tuple[tuple[WorkerId, ...], bool]:
-    """Return the workers to list in a request: held ones, then those with the most free CPU.
+    """Return the workers to list in a request: held ones, then those that suit the step best.
 
     The second value is whether the step could probably start on those the policy will allow.
     """
-    by_free_cpu = state.by_free_cpu.get(queue.pool)
-    if by_free_cpu is None:
-        by_free_cpu = sorted(state.usable[queue.pool].values(), key=_free_cpu_key)
-        state.by_free_cpu[queue.pool] = by_free_cpu
+    by_preference = _by_preference(cell, state, step, queue)
     label, size = step.spec.label, allocation_of(step.spec.size, step.spec.is_filler)
     share = cell.permits.allowed_share(queue.id)
     waiting = len(step.waiting)
     max_per_worker = step.spec.max_per_worker or waiting
     expected_slots = 0.0
     selected: list[WorkerId] = []
-    for worker in _held_first(state, step, queue, by_free_cpu):
+    for worker in _held_first(state, step, queue, by_preference):
         if label and label not in worker.info.labels:
             continue
         probability = cell.permits.allow_probability(step.name, worker.info.id, share)
@@ -117,13 +116,33 @@
 
 
 def _held_first(
-    state: SchedulingPass, step: StepRun, queue: Queue, by_free_cpu: list[Worker]
+    state: SchedulingPass, step: StepRun, queue: Queue, by_preference: list[Worker]
 ) -> list[Worker]:
     if step.hold is None:
-        return by_free_cpu
+        return by_preference
     usable, held = state.usable[queue.pool], step.hold.workers
     first = [usable[name] for name in sorted(held) if name in usable]
-    return first + [worker for worker in by_free_cpu if worker.id not in held]
+    return first + [worker for worker in by_preference if worker.id not in held]
+
+
+def _by_preference(cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue) -> list[Worker]:
+    """Return the usable workers in the order in which advice is asked for them."""
+    lists = state.by_free_cpu
+    if cell.speeds is not None and prefers_fast(step, queue, state.now_ms):
+        lists = state.by_speed
+    workers = lists.get(queue.pool)
+    if workers is None:
+        usable = state.usable[queue.pool].values()
+        is_by_speed = lists is state.by_speed and any(w.speed_class for w in usable)
+        key = _speed_key if is_by_speed else _free_cpu_key
+        workers = lists[queue.pool] = sorted(usable, key=key)
+    return workers
+
+
+def _speed_key(worker: Worker) -> tuple:
+    capacity_milli = worker.info.capacity.cpu_milli
+    is_full = capacity_milli - worker.used.cpu_milli < MIN_FREE_SHARE * capacity_milli
+    return (worker.is_slow, is_full, -worker.speed_class, _free_cpu_key(worker))
 
 
 def _free_cpu_key(worker: Worker) -> tuple[bool, int, WorkerId]:
--- a/packages/core/lagoonshelf_core/jobs/isolation.py
+++ b/packages/core/lagoonshelf_core/jobs/isolation.py
@@ -74,6 +74,7 @@
         last_start_ms = max((run.started_ms for run in worker.runs.values()), default=0)
         return (
             not quiet,
+            worker.is_slow,
             0 if quiet else last_start_ms,
             worker.id in state.holders,
             worker.id in failed_workers,
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -87,6 +87,7 @@
         "usable": len(usable),
         "quarantined": sum(cell.health.is_quarantined(w.id, now_ms) for w in usable),
         "on_probe": sum(cell.health.is_on_probe(w.id, now_ms) for w in usable),
+        "slow": sum(w.is_slow for w in usable),
         "outdated": sum(not cell.may_use_capacity(w, now_ms) for w in usable),
         "registry_age_ms": now_ms - cell.registry_ms,
         "blocking": sum(worker.blocks_inherited for worker in cell.workers.values()),
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -32,6 +32,7 @@
     :param pools: capacity and load of the usable workers, by pool
     :param by_free_cpu: usable workers by pool, those with the most free CPU first; sorted on
         first use
+    :param by_speed: the same for steps that prefer fast workers, the fastest with room first
     :param advised_steps: number of steps whose permits are kept valid
     :param late_checks: number of late steps checked for an advice request
     :param late_gangs: number of late gangs that may wait for capacity
@@ -48,6 +49,7 @@
     usable: dict[str, dict[WorkerId, Worker]]
     pools: dict[str, PoolLoad] = field(default_factory=dict)
     by_free_cpu: dict[str, list[Worker]] = field(default_factory=dict)
+    by_speed: dict[str, list[Worker]] = field(default_factory=dict)
     advised_steps: int = 0
     late_checks: int = 0
     late_gangs: int = 0
--- a/packages/core/lagoonshelf_core/jobs/slow_workers.py
+++ b/packages/core/lagoonshelf_core/jobs/slow_workers.py
@@ -37,6 +37,9 @@
 SLOW_RESET_MS = 60_000
 # Time from the mark until runs are moved; a short disturbance is over by then.
 MOVE_DELAY_MS = 500
+# A run that was started on a marked worker, for want of room elsewhere, is not moved before this
+# time: the room that seems free is often taken by the time that it starts again.
+MIN_STAY_MS = 3_000
 # Time from a stop until the next run of the task is at work.
 MOVE_COST_MS = 500
 # A run is moved if it ends after at most this share of the time that it would take otherwise.
@@ -185,7 +188,13 @@
     known = speeds.get(worker)
     if now_ms - known.marked_ms < MOVE_DELAY_MS or not worker.is_read:
         return
-    movable = [run for run in worker.runs.values() if _may_move(run) and _gains_by_move(run)]
+    movable = [
+        run
+        for run in worker.runs.values()
+        if (run.started_ms < known.marked_ms or now_ms - run.started_ms >= MIN_STAY_MS)
+        and _may_move(run)
+        and _gains_by_move(run)
+    ]
     if not movable:
         return
     room = rooms.get(known.pool)
--- a/packages/core/lagoonshelf_core/jobs/worker_speeds.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_speeds.py
@@ -26,7 +26,7 @@
 EVIDENCE_HALF_LIFE_MS = 30_000
 # A kind of task says nothing of workers before this much is known of it; it keeps the evidence of
 # about the last MAX_KIND_RUNS runs.
-MIN_KIND_RUNS = 3.0
+MIN_KIND_RUNS = 6.0
 MAX_KIND_RUNS = 200.0
 VARIANCE_WEIGHT = 0.1
 MAX_KINDS = 1_000
@@ -235,10 +235,11 @@
         """Initialize with all workers at speed 1.
 
         ``marked`` has the workers that are marked slow, ``moved_runs`` counts the runs that were
-        moved from them.
+        moved from them since the count was last reported.
         """
         self._kinds: dict[_KindKey, _Kind] = {}
         self._workers: dict[WorkerId, WorkerSpeed] = {}
+        self._scales: dict[PoolId, float] = {}
         self.pool_recents: dict[PoolId, Recent] = {}
         self.pools: dict[PoolId, PoolSpeeds] = {}
         self.marked: dict[WorkerId, Worker] = {}
@@ -250,7 +251,9 @@
         """Return what is known of a worker."""
         known = self._workers.get(worker.id)
         if known is None:
-            known = self._workers[worker.id] = WorkerSpeed(worker.info.pool)
+            pool = worker.info.pool
+            known = WorkerSpeed(pool, scale=self._scales.get(pool, 1.0))
+            self._workers[worker.id] = known
         return known
 
     def forget(self, worker: Worker) -> None:
@@ -381,8 +384,10 @@
         self.pools = {}
         for pool, rows in by_pool.items():
             mean = sum(known.speed for _, known in rows) / len(rows)
+            scale = min(max(self._scales.get(pool, 1.0) * mean, MIN_SPEED), MAX_SPEED)
+            self._scales[pool] = scale
             for worker, known in rows:
-                known.scale = min(max(known.scale * mean, MIN_SPEED), MAX_SPEED)
+                known.scale = scale
                 known.decay(elapsed_ms)
                 worker.speed_class = known.speed_class()
             speeds = [known.speed for _, known in rows]
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -1,7 +1,11 @@
 """Prometheus metrics of the server process for multi-step jobs."""
 
+from collections import Counter as Tally
+
 from aioprometheus import Counter, Gauge, Histogram
 
+from lagoonshelf_core.jobs.worker_speeds import WorkerSpeeds
+
 # Upper bounds of the latency buckets; latency objectives of clients are between 250 ms and 30 s.
 BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 30_000]
 
@@ -55,6 +59,11 @@
 loop_late_ms = Histogram(
     "lagoonshelf_loop_late_ms", "Delay of a short timer of the event loop.", buckets=BUCKETS_MS
 )
+worker_speed = Gauge(
+    "lagoonshelf_worker_speed", "Speed of the slowest, median and fastest worker by pool."
+)
+slow_workers = Gauge("lagoonshelf_slow_workers", "Workers that are marked slow by pool.")
+moved_runs = Counter("lagoonshelf_moved_runs_total", "Runs stopped as their worker was slow.")
 is_leader = Gauge("lagoonshelf_is_holder", "1 while this process holds the cell.")
 
 
@@ -67,3 +76,15 @@
     store_calls.inc({"call": call, "result": result})
     if call != "watch":
         store_ms.observe({"call": call}, took_ms)
+
+
+def report_speeds(speeds: WorkerSpeeds) -> None:
+    """Report the speeds of the workers as the leader knows them."""
+    marked = Tally(worker.info.pool for worker in speeds.marked.values())
+    for pool, known in speeds.pools.items():
+        worker_speed.set({"pool": pool, "of": "slowest"}, known.slowest)
+        worker_speed.set({"pool": pool, "of": "median"}, known.middle)
+        worker_speed.set({"pool": pool, "of": "fastest"}, known.fastest)
+        slow_workers.set({"pool": pool}, marked[pool])
+    moved_runs.add({}, speeds.moved_runs)
+    speeds.moved_runs = 0
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -404,6 +404,8 @@
             for band, count in fields["open_steps"].items():
                 job_metrics.open_steps.set({"band": band}, count)
             job_metrics.live_jobs.set({}, len(self.cell.live_jobs))
+            if self.cell.speeds is not None:
+                job_metrics.report_speeds(self.cell.speeds)
             _log.info("cell", **fields)
 
     async def _expire_cancellations(self) -> None:
