Nothing starts in an evacuated failure domain

Cause: an operator could not keep new work off the workers of a failure domain.

Starts go by this knowledge only up to bounds.evacuate_ms less the longest start, checked before the scheduling pass and again before the call; in an outage that all members see, the age does not count. Without the bound the store is not asked.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -6,7 +6,8 @@
 from lagoonshelf_core.health import Health, HealthLimits
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
 from lagoonshelf_core.jobs.commands import Command, StopRun
-from lagoonshelf_core.jobs.config import CellConfig, Queue
+from lagoonshelf_core.jobs.config import CellConfig, PoolId, Queue
+from lagoonshelf_core.jobs.evacuations import Evacuations
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.open_steps import OpenSteps
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
@@ -96,6 +97,7 @@
         # one may have reported since that it is draining, 0 for none.
         self.registry_ms = 0
         self.max_registry_age_ms = 0
+        self.evacuations = Evacuations()
         self.losses: deque[LossRecord] = deque(maxlen=MAX_LOSS_RECORDS)
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
@@ -251,6 +253,13 @@
             return True
         return now_ms - self.registry_ms <= self.max_registry_age_ms
 
+    def evacuated_pools(self) -> list[PoolId]:
+        """Return the pools that have workers in evacuated failure domains only."""
+        domains = self.evacuations.domains
+        workers = [worker.info for worker in self.workers.values() if worker.is_listed]
+        left = {info.pool for info in workers if info.domain not in domains}
+        return sorted({info.pool for info in workers} - left)
+
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -48,9 +48,13 @@
 def _add_usable_workers(cell: Cell, state: SchedulingPass) -> None:
     if not cell.may_use_registry(state.now_ms):
         return
+    if not cell.evacuations.is_current(state.now_ms, is_store_down=cell.is_store_down):
+        return
     for worker in cell.workers.values():
         if not worker.is_usable or cell.health.is_quarantined(worker.id, state.now_ms):
             continue
+        if worker.info.domain in cell.evacuations.domains:
+            continue
         if cell.may_use_capacity(worker, state.now_ms):
             state.add_usable(worker)
 
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -263,7 +263,9 @@
             return "its worker has shrunk"
         if not self._cell.may_use_capacity(worker, self._clock.now_ms()):
             return "the capacity of its worker may be outdated"
-        return ""
+        now_ms, is_store_down = self._clock.now_ms(), self._cell.is_store_down
+        domain, evacuations = worker.info.domain, self._cell.evacuations
+        return evacuations.find_obstacle(domain, now_ms, is_store_down=is_store_down)
 
     def _withdraw(self, run: Run, reason: str) -> None:
         """End a run whose start has not been sent."""
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -71,6 +71,8 @@
     :param cancel_ms: time after which nothing of a cancelled job is started
     :param registry_max_age_ms: time after which a worker that reported that it is draining gets
         nothing more to start
+    :param evacuate_ms: time after which nothing is started in an evacuated failure domain, None
+        if the platform has no evacuations
     :param options: optional parts of the scheduler
     """
 
@@ -84,6 +86,7 @@
     cancel_ms: int = DEFAULT_CANCEL_MS
     registry_max_age_ms: int = DEFAULT_REGISTRY_MAX_AGE_MS
     options: SchedulerOptions = DEFAULT_OPTIONS
+    evacuate_ms: int | None = None
 
     @property
     def address(self) -> str:
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -55,6 +55,12 @@
 loop_late_ms = Histogram(
     "lagoonshelf_loop_late_ms", "Delay of a short timer of the event loop.", buckets=BUCKETS_MS
 )
+evacuated_domains = Gauge("lagoonshelf_evacuated_domains", "Failure domains that are evacuated.")
+evacuated_workers = Gauge("lagoonshelf_evacuated_workers", "Workers in evacuated domains.")
+evacuated_runs = Gauge("lagoonshelf_evacuated_runs", "Runs on workers in evacuated domains.")
+evacuations_age_ms = Gauge(
+    "lagoonshelf_evacuations_age_ms", "Time since the evacuated domains were certainly current."
+)
 is_leader = Gauge("lagoonshelf_is_holder", "1 while this process holds the cell.")
 
 
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -19,6 +19,7 @@
 from lagoonshelf_server.jobs.advice_router import AdviceRouter
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.dispatcher import START_TIMEOUTS_MS, Dispatcher
+from lagoonshelf_server.jobs.evacuation_watcher import EvacuationWatcher
 from lagoonshelf_server.jobs.fleet import Fleet, FleetHooks, FleetPorts
 from lagoonshelf_server.jobs.job_watcher import JobWatcher
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
@@ -79,6 +80,8 @@
         self.is_store_troubled: Callable[[], bool] = lambda: False
         self.is_store_down: Callable[[], bool] = lambda: False
         self.cancel_ms = DEFAULT_CANCEL_MS
+        # Time after which nothing is started in an evacuated domain, None if there are none.
+        self.evacuate_ms: int | None = None
         self._store = ports.store
         self._codec = ports.codec
         self._machines = ports.machines
@@ -109,6 +112,9 @@
         self.dispatcher = Dispatcher(
             self.cell, ports.workers, leader_lease, clock, sessions, self.request_pass
         )
+        self._evacuations = EvacuationWatcher(
+            self.cell, ports.store, ports.codec, clock, self.request_pass
+        )
         self._early_cancellations = EarlyCancellations()
         self._is_behind = False
         self.dispatcher.may_start = self._may_start
@@ -133,6 +139,9 @@
         started_ms = self._clock.now_ms()
         state = await read_cell_state(self._store, self._codec.registry_prefix, self._clock)
         await self._restore(state, started_ms)
+        if self.evacuate_ms:
+            self.cell.evacuations.max_age_ms = _max_age_ms(self.evacuate_ms)
+            await self._evacuations.take_over()
         self.is_ready = True
         self._leader_lease.record_takeover()
         _log.info(
@@ -147,6 +156,8 @@
         self._spawn(self.progress_writer.run())
         self._spawn(self._job_watcher.watch())
         self._spawn(self._job_watcher.poll(self._max_submissions_age_ms() // 2))
+        for loop in self._evacuations.loops() if self.evacuate_ms else ():
+            self._spawn(loop)
         self._fleet.start()
         retention = JobRetention(self._store, self.progress_writer, self._clock, self.cell.jobs)
         retention.on_ended_job_removed = self._forget_ended_job
@@ -330,11 +341,8 @@
         return is_recent or self.is_store_down()
 
     def _max_submissions_age_ms(self) -> int:
-        """Return the age up to which starts may go by the known cancellations.
-
-        A start may reach its worker as late as its command times out.
-        """
-        return max(self.cancel_ms // 2, self.cancel_ms - max(START_TIMEOUTS_MS))
+        """Return the age up to which starts may go by the known cancellations."""
+        return _max_age_ms(self.cancel_ms)
 
     def _after_report(self) -> None:
         self._record_changes()
@@ -404,6 +412,8 @@
             for band, count in fields["open_steps"].items():
                 job_metrics.open_steps.set({"band": band}, count)
             job_metrics.live_jobs.set({}, len(self.cell.live_jobs))
+            if self.evacuate_ms:
+                fields.update(self._evacuations.report())
             _log.info("cell", **fields)
 
     async def _expire_cancellations(self) -> None:
@@ -442,6 +452,16 @@
             await asyncio.sleep(0)
 
 
+def _max_age_ms(bound_ms: int) -> int:
+    """Return the age up to which starts may go by what is known of something.
+
+    A start may reach its worker as late as its command times out.
+
+    :param bound_ms: time after which a change has to be in force
+    """
+    return max(bound_ms // 2, bound_ms - max(START_TIMEOUTS_MS))
+
+
 def _count_loss(loss: WorkerLoss) -> None:
     job_metrics.worker_losses.inc({"how": loss.value})
 
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -205,6 +205,7 @@
             )
             leader.cell.max_capacity_age_ms = self._cfg.capacity_max_age_ms
             leader.cancel_ms = self._cfg.cancel_ms
+            leader.evacuate_ms = self._cfg.evacuate_ms
             leader.cell.max_registry_age_ms = self._cfg.registry_max_age_ms
             leader.is_store_troubled = self.heartbeats.is_store_troubled_for_all
             leader.is_store_down = self.heartbeats.is_store_down_for_all
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NewType, Protocol
 
-from lagoonshelf_core.ids import WorkerId
+from lagoonshelf_core.ids import FailureDomain, WorkerId
 from lagoonshelf_core.jobs.config import CellConfig
 from lagoonshelf_core.jobs.waves import MachineId, MachineView, WaveSpec
 from lagoonshelf_core.jobs.worker_reports import EndedRow, RunningRow
@@ -292,10 +292,14 @@
     config_key: str
     registry_prefix: str
     wave_prefix: str
+    evacuation_prefix: str
 
     def decode_wave(self, data: bytes) -> WaveSpec | None:
         """Return a maintenance wave, ``None`` if it cannot be decoded."""
 
+    def decode_evacuation(self, key: str) -> FailureDomain | None:
+        """Return the failure domain that a key evacuates, ``None`` if it is malformed."""
+
     def wave_status_key(self, number: int) -> str:
         """Return the key where the operator reads the status of a wave."""
 
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import FailureDomain
 from lagoonshelf_core.jobs.progress import RunEnd
 from lagoonshelf_core.jobs.worker_reports import EndedRow, RunningRow
 from lagoonshelf_core.jobs.workers import WorkerInfo
@@ -330,6 +331,7 @@
 
     config_key = "config"
     registry_prefix = "workers/"
+    evacuation_prefix = "evacuate/"
 
     def __init__(self) -> None:
         self.infos: dict[bytes, WorkerInfo] = {}
@@ -341,6 +343,9 @@
     def decode_worker(self, key: str, data: bytes) -> WorkerInfo | None:
         return self.infos.get(data)
 
+    def decode_evacuation(self, key: str) -> FailureDomain | None:
+        return FailureDomain(key.removeprefix(self.evacuation_prefix)) or None
+
 
 async def eventually(check: object, timeout_s: float = 3.0) -> None:
     """Wait until a condition holds.
--- a/tests/support/terms.py
+++ b/tests/support/terms.py
@@ -46,7 +46,7 @@
     def _starts_of(self, spec: JobSpec) -> int:
         return sum(task.startswith(spec.id) for _, task, _ in self.workers.started)
 
-    async def _term(self, member: str) -> Leader:
+    async def _term(self, member: str, *, evacuate_ms: int | None = None) -> Leader:
         """Start a term that replaces any other."""
         lease = LeaderLease(self.store, self.clock, MemberId(member), member)
         await lease._refresh()
@@ -58,6 +58,7 @@
         ports = Ports(self.store, self.workers, self.codec)
         leader = Leader(ports, lease, cfg, self.clock)
         leader.lease, leader.config_view = lease, cfg
+        leader.evacuate_ms = evacuate_ms
         self.config_poll = asyncio.ensure_future(cfg.poll())
         self.tasks.append(self.config_poll)
         for coro in (lease.renew(), leader.run()):
