Runs that lose nothing are moved out of an evacuated domain, and cold workers fill slowly

Cause: services stayed in an evacuated domain for ever, as did slow runs with checkpoints; workers that come back cold would be filled at once.

Change: supervision moves services within max_unavailable, and runs with checkpoints that would end much later than elsewhere, while there is room outside; gangs and all other runs end where they are.

--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -86,7 +86,7 @@
     """
     by_free_cpu = state.by_free_cpu.get(queue.pool)
     if by_free_cpu is None:
-        by_free_cpu = sorted(state.usable[queue.pool].values(), key=_free_cpu_key)
+        by_free_cpu = _by_free_cpu(state, queue)
         state.by_free_cpu[queue.pool] = by_free_cpu
     label, size = step.spec.label, allocation_of(step.spec.size, step.spec.is_filler)
     share = cell.permits.allowed_share(queue.id)
@@ -126,5 +126,11 @@
     return first + [worker for worker in by_free_cpu if worker.id not in held]
 
 
-def _free_cpu_key(worker: Worker) -> tuple[int, WorkerId]:
-    return (worker.used.cpu_milli - worker.info.capacity.cpu_milli, worker.info.id)
+def _by_free_cpu(state: SchedulingPass, queue: Queue) -> list[Worker]:
+    """Return the usable workers of a pool, those with the most free CPU first, cold ones last."""
+
+    def key(worker: Worker) -> tuple[bool, int, WorkerId]:
+        used_milli = worker.used.cpu_milli - worker.info.capacity.cpu_milli
+        return (worker.id in state.cold, used_milli, worker.id)
+
+    return sorted(state.usable[queue.pool].values(), key=key)
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -5,6 +5,7 @@
 
 from lagoonshelf_core.health import Health, HealthLimits
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
+from lagoonshelf_core.jobs.cold_starts import ColdStarts
 from lagoonshelf_core.jobs.commands import Command, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, PoolId, Queue
 from lagoonshelf_core.jobs.evacuations import Evacuations
@@ -98,6 +99,7 @@
         self.registry_ms = 0
         self.max_registry_age_ms = 0
         self.evacuations = Evacuations()
+        self.cold_starts = ColdStarts()
         self.losses: deque[LossRecord] = deque(maxlen=MAX_LOSS_RECORDS)
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
@@ -234,6 +236,8 @@
         if info.is_draining and not worker.info.is_draining:
             worker.drain_end_ms = now_ms + info.remaining_ms
         worker.info = info
+        if self.evacuations.max_age_ms:
+            worker.record_cold(now_ms)
         worker.is_listed = True
         worker.is_full = False
         return worker
--- a/packages/core/lagoonshelf_core/jobs/config.py
+++ b/packages/core/lagoonshelf_core/jobs/config.py
@@ -76,11 +76,15 @@
 
     :param checks_capacity: its workers reject tasks that do not fit
     :param is_standby: its machines are powered off
+    :param cold_start_ms: time for which its workers are slow after their start, 0 if unknown
+    :param cold_starts_per_s: starts on such workers together, 0 for no limit
     """
 
     id: PoolId
     checks_capacity: bool = False
     is_standby: bool = False
+    cold_start_ms: int = 0
+    cold_starts_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/lagoonshelf_core/jobs/evacuations.py
+++ b/packages/core/lagoonshelf_core/jobs/evacuations.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from lagoonshelf_core.ids import FailureDomain
+from lagoonshelf_core.jobs.progress import Run
 
 
 class Evacuations:
@@ -12,6 +13,7 @@
         cannot be evacuated
     :ivar revision: revision of the store that ``domains`` reflects
     :ivar confirmed_ms: time at which ``domains`` was certainly current
+    :ivar moving: runs that are being moved out of the domains, by name, and since when
     """
 
     def __init__(self) -> None:
@@ -20,6 +22,7 @@
         self.domains: set[FailureDomain] = set()
         self.revision = 0
         self.confirmed_ms: int | None = None
+        self.moving: dict[str, tuple[Run, int]] = {}
 
     def replace(
         self, domains: Iterable[FailureDomain], revision: int, sent_ms: int
--- a/packages/core/lagoonshelf_core/jobs/gang_placement.py
+++ b/packages/core/lagoonshelf_core/jobs/gang_placement.py
@@ -166,9 +166,10 @@
 ) -> list[tuple[Task, Worker]]:
     """Return a worker for each gang member, or nothing when not all members fit.
 
-    The order of preference is: workers without other recent starts if the gang has suspects,
-    workers that have not failed the job, workers that are not held for another gang, workers in
-    the rack of the data, workers that fit most members, and the fullest among equal ones.
+    The order of preference is: workers that are not cold, workers without other recent starts if
+    the gang has suspects, workers that have not failed the job, workers that are not held for
+    another gang, workers in the rack of the data, workers that fit most members, and the fullest
+    among equal ones.
     """
     spec = step.spec
     size = allocation_of(spec.size, spec.is_filler)
@@ -178,7 +179,7 @@
         if state.is_held_from(worker, step, band):
             continue
         capacity, used = worker.info.capacity, worker.used
-        count = count_fitting(size, capacity, used)
+        count = min(count_fitting(size, capacity, used), state.cold_room(worker, size))
         if not count or not cell.health.may_start(worker.id, True, state.now_ms):
             continue
         if spec.max_per_worker:
@@ -188,8 +189,9 @@
         is_held = state.holders.get(worker.id, step) is not step
         is_unclear = step.has_suspects and not is_quiet(worker)
         has_failed = worker.id in failed_workers
-        key = (is_unclear, has_failed, is_held, is_other_rack, -count, free_milli, worker.id)
-        slots.append((key, worker, count))
+        is_cold = worker.id in state.cold
+        key = (is_cold, is_unclear, has_failed, is_held, is_other_rack, -count, free_milli)
+        slots.append(((*key, worker.id), worker, count))
     slots.sort(key=lambda row: row[0])
     if spec.same_rack:
         slots = _prefer_one_rack(slots, spec.count)
@@ -199,7 +201,7 @@
         for _ in range(min(count, len(waiting))):
             placed.append((waiting.pop(), worker))
         if not waiting:
-            return placed
+            return placed if state.take_cold(*(worker for _, worker in placed)) else []
     return []
 
 
@@ -210,7 +212,9 @@
     by_rack: dict[str, int] = {}
     for _, worker, count in slots:
         by_rack[worker.info.rack] = by_rack.get(worker.info.rack, 0) + count
-    fitting = sorted(rack for rack, count in by_rack.items() if count >= needed)
+    fitting = [rack for rack, count in by_rack.items() if count >= needed]
     if not fitting:
         return slots
-    return [row for row in slots if row[1].info.rack == fitting[0]]
+    cold = {worker.info.rack for key, worker, _ in slots if key[0]}
+    best = min(fitting, key=lambda rack: (rack in cold, rack))
+    return [row for row in slots if row[1].info.rack == best]
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -7,6 +7,7 @@
 from lagoonshelf_core.jobs.advice_requests import request_advice
 from lagoonshelf_core.jobs.capacity import free_capacity
 from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.cold import add_cold_workers
 from lagoonshelf_core.jobs.commands import StartRun
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
@@ -57,6 +58,7 @@
             continue
         if cell.may_use_capacity(worker, state.now_ms):
             state.add_usable(worker)
+    add_cold_workers(cell, state)
 
 
 def _rank_open_steps(cell: Cell, now_ms: int) -> list[tuple[Rank, StepRun, Queue]]:
@@ -166,6 +168,7 @@
 ) -> list[tuple[Task, Worker]]:
     """Start the suspected tasks of a step that can start, each isolated from other starts."""
     started = []
+    workers = [worker for worker in workers if worker.id not in state.cold] or workers
     for task, worker in place_suspects(cell, state, step, queue.pool, workers, band):
         permit = "" if permits is None else permits[worker.id]
         _start(cell, state, task, worker, task.attempt + 1, task.checkpoint, permit)
@@ -230,10 +233,10 @@
         if spec.max_per_worker and on_worker.get(worker.id, 0) >= spec.max_per_worker:
             return None
         free = free_capacity(worker, planned.get(worker.id, ZERO_RESOURCES))
-        if not size.fits_in(free):
+        if not size.fits_in(free) or not state.cold_room(worker, size, planned.get(worker.id)):
             return None
         score = _score(step, worker, free, worker.id in failed_workers)
-        return (worker.id in state.holders, *score)
+        return (worker.id in state.cold, worker.id in state.holders, *score)
 
     # A placement changes the score of its worker only, so the others are evaluated once.
     evaluated = ((evaluate(worker), worker) for worker in workers)
@@ -254,9 +257,11 @@
         startable_milli -= size.cpu_milli
         if not candidates or startable_milli < 0 or len(placed) >= max_starts:
             break
-        if not cell.is_within_limit(step.job.spec.team, planned_total + spec.size):
-            break
         _, best = candidates[0]
+        is_within_limit = cell.is_within_limit(step.job.spec.team, planned_total + spec.size)
+        # Cold workers are the last candidates, so that those behind them are cold as well.
+        if not is_within_limit or not state.take_cold(best):
+            break
         placed.append((task, best))
         planned_total += spec.size
         planned[best.id] = planned.get(best.id, ZERO_RESOURCES) + size
@@ -304,6 +309,8 @@
 ) -> None:
     run = cell.begin_run(task, worker, attempt, state.now_ms)
     state.count_start(task.job)
+    if worker.id in state.cold:
+        cell.cold_starts.count(worker.info.pool)
     state.pools[worker.info.pool].used_milli += allocation_of(run.size, run.is_filler).cpu_milli
     expires_ms = cell.permits.expires_ms(task.step.name) if permit else 0
     cell.commands.append(StartRun(run, task.job.spec.payload, checkpoint, permit, expires_ms))
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.ids import WorkerId
-from lagoonshelf_core.jobs.capacity import startable_milli
+from lagoonshelf_core.jobs.capacity import MAX_MEMBERS_PER_WORKER, count_fitting, startable_milli
 from lagoonshelf_core.jobs.progress import GangHold, Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobId, StepIndex
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
-from lagoonshelf_core.resources import ZERO_RESOURCES
+from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
 
 # Starts of one scheduling pass; a wide step takes several passes, so that each ends within a small
 # part of the leader lease's TTL.
@@ -42,6 +42,8 @@
         starts of other jobs
     :param started_jobs: jobs of which it has started tasks
     :param stuck_steps: job and index of the steps of occurrences of which no task could start
+    :param cold: capacity that may be used of each worker that is slow since its start
+    :param cold_starts_left: starts that such workers may still get, by pool with a limit
     """
 
     now_ms: int
@@ -57,6 +59,8 @@
     starts_left: int = MAX_STARTS_PER_PASS
     started_jobs: set[JobId] = field(default_factory=set)
     stuck_steps: set[tuple[JobId, StepIndex]] = field(default_factory=set)
+    cold: dict[WorkerId, Resources] = field(default_factory=dict)
+    cold_starts_left: dict[str, int] = field(default_factory=dict)
 
     def add_usable(self, worker: Worker) -> None:
         """Add a worker that may get tasks."""
@@ -68,6 +72,30 @@
         # A worker that has shrunk may use more than it has, which is no load of the others.
         load.used_milli += min(worker.used.cpu_milli, capacity_milli)
 
+    def cold_room(self, worker: Worker, size: Resources, planned: Resources | None = None) -> int:
+        """Return how many tasks of a size a worker may get as far as it is cold.
+
+        A cold worker without runs may get one task of any size, which else could wait for long.
+
+        :param planned: resources of tasks that the pass has placed on the worker
+        """
+        capacity = self.cold.get(worker.id)
+        if capacity is None:
+            return MAX_MEMBERS_PER_WORKER
+        is_idle = not worker.runs and planned is None
+        fitting = count_fitting(size, capacity, worker.used + (planned or ZERO_RESOURCES))
+        return max(fitting, int(is_idle))
+
+    def take_cold(self, *workers: Worker) -> bool:
+        """Count a start on each worker as far as it is cold; return false if too many are."""
+        cold = [worker.info.pool for worker in workers if worker.id in self.cold]
+        if not cold or cold[0] not in self.cold_starts_left:
+            return True
+        if self.cold_starts_left[cold[0]] < len(cold):
+            return False
+        self.cold_starts_left[cold[0]] -= len(cold)
+        return True
+
     def may_start(self, step: StepRun) -> bool:
         """Return whether the pass may start tasks of a step.
 
--- a/packages/core/lagoonshelf_core/jobs/supervision.py
+++ b/packages/core/lagoonshelf_core/jobs/supervision.py
@@ -3,6 +3,7 @@
 from lagoonshelf_core.ids import TaskId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import PaceRun
+from lagoonshelf_core.jobs.moves import count_unavailable, move_if_evacuated
 from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunPhase, StepRun
 from lagoonshelf_core.jobs.workers import Worker
 
@@ -52,6 +53,8 @@
         if _should_move(worker, run, step, now_ms):
             cell.stop_run(run, "its worker is draining")
         return
+    if move_if_evacuated(cell, worker, run, now_ms):
+        return
     if _is_stalled(run, step, worker.reported_ms):
         cell.note(
             "run stalled", run, percent=run.progress_percent, for_ms=now_ms - run.progressed_ms
@@ -73,17 +76,10 @@
 
 def _may_be_stopped(run: Run) -> bool:
     """Return whether a service's task may be stopped, given the unavailable ones of its step."""
-    spec, step = run.task.step.spec, run.task.step
+    spec = run.task.step.spec
     if not spec.is_service:
         return False
-    unavailable = sum(
-        task.run is None
-        or task.run.phase is not RunPhase.RUNNING
-        or task.run.progress_percent < FULL_PERCENT
-        for task in step.tasks
-        if task.run is not run
-    )
-    return spec.max_unavailable == 0 or unavailable < spec.max_unavailable
+    return spec.max_unavailable == 0 or count_unavailable(run) < spec.max_unavailable
 
 
 def _is_stalled(run: Run, step: StepRun, reported_ms: int) -> bool:
--- a/packages/core/lagoonshelf_core/jobs/workers.py
+++ b/packages/core/lagoonshelf_core/jobs/workers.py
@@ -14,6 +14,8 @@
 MAX_CALL_DELAY_MS = 12_000
 # A worker's clock may run slow by this share.
 MAX_CLOCK_DRIFT = 0.02
+# A worker that reports to be slow for longer after its start is taken to be so for this long.
+MAX_COLD_MS = 600_000
 # Time that a worker takes to end the runs of an expired lease, with a margin.
 LEASE_END_MARGIN_MS = 1_000
 
@@ -49,6 +51,7 @@
 
     :param born_ms: start of this incarnation, Unix milliseconds
     :param remaining_ms: minimum time that a draining worker remains available
+    :param cold_left_ms: how much longer the worker is slow after its start
     """
 
     id: WorkerId
@@ -61,6 +64,8 @@
     born_ms: int
     is_draining: bool = False
     remaining_ms: int = 0
+    # It counts down in each report, which is no change of the worker.
+    cold_left_ms: int = field(default=0, compare=False)
 
 
 @dataclass(slots=True, eq=False)
@@ -79,6 +84,8 @@
     :param min_token: lowest fencing token of calls to it; calls for a former incarnation have
         lower ones, so that it refuses them once it has seen this one
     :param drain_end_ms: clock time until which a draining worker remains available
+    :param cold_end_ms: clock time until which it is slow after its start
+    :param cold_ms: longest time that it was known to stay slow, 0 if it was not
     :param used: sum of the allocations of its runs
     :param unknown_runs: number of its runs whose tasks, and so whose sizes, are not known
     :param blocks_inherited: may run tasks of a previous leader, and has not been read since
@@ -101,6 +108,8 @@
     has_restarted: bool = False
     min_token: int = 0
     drain_end_ms: int = 0
+    cold_end_ms: int = 0
+    cold_ms: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     used: Resources = ZERO_RESOURCES
     unknown_runs: int = 0
@@ -136,6 +145,16 @@
             and not self.is_full
         )
 
+    def is_cold(self, now_ms: int) -> bool:
+        """Return whether it is slow since its start."""
+        return now_ms < self.cold_end_ms
+
+    def record_cold(self, now_ms: int) -> None:
+        """Record until when it is slow, by its registry entry."""
+        left_ms = min(self.info.cold_left_ms, MAX_COLD_MS)
+        self.cold_end_ms = now_ms + left_ms
+        self.cold_ms = max(self.cold_ms, left_ms) if left_ms else 0
+
     @property
     def lapse_ms(self) -> int:
         """Return the time by which all its runs have ended unless their lease is renewed."""
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -7,6 +7,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
+from lagoonshelf_core.jobs.cold_starts import DEFAULT_OVERAGE, DEFAULT_SLACK
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_server.jobs.config_view import (
     DEFAULT_MAX_AGE_MS,
@@ -73,6 +74,8 @@
         nothing more to start
     :param evacuate_ms: time after which nothing is started in an evacuated failure domain, None
         if the platform has no evacuations
+    :param cold_overage: starts on cold workers per start that their pool's rate allows
+    :param cold_slack: starts on cold workers beyond that
     :param options: optional parts of the scheduler
     """
 
@@ -87,6 +90,8 @@
     registry_max_age_ms: int = DEFAULT_REGISTRY_MAX_AGE_MS
     options: SchedulerOptions = DEFAULT_OPTIONS
     evacuate_ms: int | None = None
+    cold_overage: float = DEFAULT_OVERAGE
+    cold_slack: float = DEFAULT_SLACK
 
     @property
     def address(self) -> str:
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -138,9 +138,10 @@
     async def _lead(self) -> None:
         started_ms = self._clock.now_ms()
         state = await read_cell_state(self._store, self._codec.registry_prefix, self._clock)
-        await self._restore(state, started_ms)
         if self.evacuate_ms:
             self.cell.evacuations.max_age_ms = _max_age_ms(self.evacuate_ms)
+        await self._restore(state, started_ms)
+        if self.evacuate_ms:
             await self._evacuations.take_over()
         self.is_ready = True
         self._leader_lease.record_takeover()
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -10,6 +10,7 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId, QueueId, WorkerId
+from lagoonshelf_core.jobs.cold_starts import ColdStarts
 from lagoonshelf_core.jobs.progress import JobState
 from lagoonshelf_core.jobs.spec import JobId, decode_job
 from lagoonshelf_server.jobs.config_view import ConfigView
@@ -206,6 +207,7 @@
             leader.cell.max_capacity_age_ms = self._cfg.capacity_max_age_ms
             leader.cancel_ms = self._cfg.cancel_ms
             leader.evacuate_ms = self._cfg.evacuate_ms
+            leader.cell.cold_starts = ColdStarts(self._cfg.cold_overage, self._cfg.cold_slack)
             leader.cell.max_registry_age_ms = self._cfg.registry_max_age_ms
             leader.is_store_troubled = self.heartbeats.is_store_troubled_for_all
             leader.is_store_down = self.heartbeats.is_store_down_for_all
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -35,7 +35,8 @@
     async def asyncSetUp(self) -> None:
         self.clock, self.store = PausableClock(), FakeStore()
         ports = Ports(self.store, FakeWorkers(self.clock), FakeCodec())
-        cfg = NodeSettings(MemberId("m1"), FailureDomain("d"), "127.0.0.1", 7000, 2_000)
+        member = (MemberId("m1"), FailureDomain("d"), "127.0.0.1", 7000, 2_000)
+        cfg = NodeSettings(*member, evacuate_ms=5_000)
         self.node = Node(cfg, ports, None, self.clock)
         self.node.leader_lease.record = LeaderRecord(StoreRevision(5), MemberId("m2"), "a:2")
 
@@ -61,6 +62,8 @@
         self.assertEqual(cell.max_registry_age_ms, cfg.registry_max_age_ms)
         self.assertEqual(cell.max_capacity_age_ms, cfg.capacity_max_age_ms)
         self.assertGreater(cell.max_registry_age_ms, 0)
+        self.assertEqual(self.node._leader.evacuate_ms, cfg.evacuate_ms)
+        self.assertEqual(self.node._leader.evacuate_ms, 5_000)
         self.node.leader_lease.step_down("end of the test")
 
     async def test_outdated_counts_are_not_returned(self) -> None:
