Failure domains can be evacuated through the configuration document

Cause: the product's own interface had no way to keep work off a failure domain.

Change: a section evacuations (domain, who requested it, when), which is left out while it is empty, so that documents without it keep their digest; the partition engine takes workers in these domains as not ready; commands lagoonshelf domains evacuate, restore and list; the console's form keeps the section.

--- a/packages/client/lagoonshelf_client/commands.py
+++ b/packages/client/lagoonshelf_client/commands.py
@@ -1,7 +1,9 @@
 """The commands of ``lagoonshelf``."""
 
+import getpass
 import os
 import secrets
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -122,6 +124,63 @@
         return client.put_config(found["revision"], {**document, "keys": kept})
 
 
+class DomainCommands:
+    """Evacuate and restore failure domains (operator key)."""
+
+    def __init__(self, client: Callable[[], Client], report: Report) -> None:
+        """Create the commands."""
+        self._client = client
+        self._report = report
+
+    def evacuate(self, name: str, by: str | None = None) -> None:
+        """Start nothing more on the workers of a failure domain until it is restored.
+
+        Running tasks go on. The user's name is recorded unless --by names another.
+        Example: lagoonshelf domains evacuate rack-hall-2 --by="night shift"
+        """
+        name = str(name)
+        if not is_valid_id(name):
+            self._report(Failure(Fault(ResultCode.BAD_REQUEST, f"domain {name!r} is not valid")))
+            return
+        requested_by = str(by or _user_name())
+        if not requested_by:
+            self._report(Failure(Fault(ResultCode.BAD_REQUEST, "--by: the user has no name")))
+            return
+        requested_ms = time.time_ns() // 1_000_000
+        self._report(
+            self._change(name, {"requested_by": requested_by, "requested_ms": requested_ms})
+        )
+
+    def restore(self, name: str) -> None:
+        """End the evacuation of a failure domain.
+
+        Example: lagoonshelf domains restore rack-hall-2
+        """
+        self._report(self._change(str(name), None))
+
+    def list(self) -> None:
+        """Print the evacuated failure domains, who requested it, and when."""
+        current = self._client().get_config()
+        self._report(current.map(lambda found: found["document"].get("evacuations", {})))
+
+    def _change(self, name: str, entry: dict | None) -> Result[dict, Fault]:
+        """Add or remove an evacuation; a revision that was made meanwhile is kept."""
+        client = self._client()
+        current = client.get_config()
+        if isinstance(current, Failure):
+            return current
+        found = current.unwrap()
+        evacuations = found["document"].get("evacuations", {})
+        if (name in evacuations) != (entry is None):
+            text = f"domain {name!r} is {'not' if entry is None else 'already'} evacuated"
+            return Failure(Fault(ResultCode.BAD_REQUEST, text))
+        changed = {key: value for key, value in evacuations.items() if key != name}
+        if entry is not None:
+            changed[name] = entry
+        document = {**found["document"], "evacuations": changed}
+        return client.put_config(found["revision"], document)
+
+
 class Commands:
     """Submit work to a cell and operate the cell.
 
@@ -141,6 +200,7 @@
         self._urls = urls
         self.config = ConfigCommands(self._client, report)
         self.keys = KeyCommands(self._client, report)
+        self.domains = DomainCommands(self._client, report)
 
     def explain(self, request: str, *files: str) -> None:
         """Print the log lines of several processes that explain one request, in order of time.
@@ -224,6 +284,14 @@
         return Client(Connection(names, os.environ.get(KEY_VARIABLE, "")))
 
 
+def _user_name() -> str:
+    """Return the name of the user of this process, "" if there is none."""
+    try:
+        return getpass.getuser()
+    except (ImportError, KeyError, OSError):
+        return ""
+
+
 def _read_document(file: str) -> Result[dict, Fault]:
     try:
         raw = orjson.loads(Path(file).read_bytes())
--- a/packages/core/lagoonshelf_core/document.py
+++ b/packages/core/lagoonshelf_core/document.py
@@ -1,11 +1,19 @@
-"""The configuration document: teams, keys and queues."""
+"""The configuration document: teams, keys, queues and evacuations."""
 
 import re
 from dataclasses import dataclass
 from typing import Annotated
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    SerializerFunctionWrapHandler,
+    StringConstraints,
+    ValidationError,
+    model_serializer,
+)
 from returns.result import Failure, Result, Success
 from xxhash import xxh3_128_hexdigest
 
@@ -15,6 +23,7 @@
 TIME_OF_DAY = re.compile(r"^([01][0-9]|2[0-3]):[0-5][0-9]$")
 MAX_LIMIT = 1_000_000_000
 MAX_QUEUED = 100_000
+MAX_TIME_MS = 2**53 - 1
 MAX_SHOWN_ERRORS = 5
 
 
@@ -70,12 +79,32 @@
     cold_start_ms: Annotated[int, Field(ge=0, le=86_400_000)] = 0
 
 
+class EvacuationConfig(_StrictModel):
+    """A failure domain that gets no new tasks.
+
+    :param requested_by: who requested it
+    :param requested_ms: when, Unix milliseconds
+    """
+
+    requested_by: Annotated[str, StringConstraints(pattern=r"^[^\x00-\x1f\x7f]{1,128}$")]
+    requested_ms: Annotated[int, Field(ge=0, le=MAX_TIME_MS)]
+
+
 class Document(_StrictModel):
     """The configuration of the cell, each section keyed by id."""
 
     teams: dict[Id, TeamConfig] = Field(default_factory=dict)
     keys: dict[Id, KeyConfig] = Field(default_factory=dict)
     queues: dict[Id, QueueConfig] = Field(default_factory=dict)
+    evacuations: dict[Id, EvacuationConfig] = Field(default_factory=dict)
+
+    @model_serializer(mode="wrap")
+    def _omit_no_evacuations(self, serialize: SerializerFunctionWrapHandler) -> dict:
+        """Leave out an empty section, which earlier versions do not know and refuse."""
+        raw = serialize(self)
+        if not raw["evacuations"]:
+            del raw["evacuations"]
+        return raw
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/lagoonshelf_core/scheduler.py
+++ b/packages/core/lagoonshelf_core/scheduler.py
@@ -1,13 +1,13 @@
 """Scheduler of one partition: its tasks and workers, and the scheduling pass."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from heapq import heapify, heappop, heappush
 
 from lagoonshelf_core.commands import Command
 from lagoonshelf_core.document import QueueConfig, TeamConfig
 from lagoonshelf_core.gang_scheduler import GangScheduler
 from lagoonshelf_core.hooks import Hooks, declared_class
-from lagoonshelf_core.ids import QueueId, TaskId, TeamId, WorkerId
+from lagoonshelf_core.ids import FailureDomain, QueueId, TaskId, TeamId, WorkerId
 from lagoonshelf_core.model import Task, TaskState, WorkClass, WorkerInfo, WorkerState, WorkKind
 from lagoonshelf_core.pass_state import PassState
 from lagoonshelf_core.pending_preemptions import PendingPreemptions
@@ -40,16 +40,21 @@
         self._reclaim_checked_ms: int | None = None
 
     def set_policy(
-        self, teams: dict[TeamId, TeamConfig], queues: dict[QueueId, QueueConfig]
+        self,
+        teams: dict[TeamId, TeamConfig],
+        queues: dict[QueueId, QueueConfig],
+        evacuated: Iterable[FailureDomain] = (),
     ) -> None:
-        """Apply the configured shares and reserves.
+        """Apply the configured shares, reserves and evacuations.
 
         :param teams: teams of the configuration document
         :param queues: queues of the configuration document
+        :param evacuated: failure domains that get no new tasks
         """
         self._state.fairness.set_shares({name: team.share for name, team in teams.items()})
         reserves = {name: queue.reserve_slots for name, queue in queues.items()}
         self._state.reserves.set_reserves(reserves)
+        self._state.resources.set_evacuated(evacuated)
 
     def set_worker(self, info: WorkerInfo, state: WorkerState) -> None:
         """Add or update a worker.
--- a/packages/core/lagoonshelf_core/worker_resources.py
+++ b/packages/core/lagoonshelf_core/worker_resources.py
@@ -1,9 +1,9 @@
 """Allocated, reserved and available resources of each worker of a partition."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.ids import FailureDomain, TaskId, WorkerId
 from lagoonshelf_core.model import WorkerInfo, WorkerState
 from lagoonshelf_core.placement import Placement
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
@@ -37,9 +37,19 @@
         self.placement = Placement()
         self.capacity = ZERO_RESOURCES
         self.free_slots = 0
+        self._evacuated: frozenset[FailureDomain] = frozenset()
         self._workers: dict[WorkerId, WorkerResources] = {}
         self._counted_slots: dict[WorkerId, int] = {}
 
+    def set_evacuated(self, domains: Iterable[FailureDomain]) -> None:
+        """Give no more tasks to the workers of some failure domains, and to all others again."""
+        evacuated = frozenset(domains)
+        if evacuated == self._evacuated:
+            return
+        self._evacuated = evacuated
+        for worker, worker_resources in self._workers.items():
+            self._update_available(worker, worker_resources)
+
     def set_worker(self, info: WorkerInfo, state: WorkerState) -> None:
         """Add or update a worker."""
         worker_resources = self._workers.setdefault(info.worker, WorkerResources())
@@ -119,7 +129,7 @@
     def is_ready(self, worker: WorkerId) -> bool:
         """Return whether a worker may get new tasks."""
         worker_resources = self._workers.get(worker)
-        return worker_resources is not None and worker_resources.state is WorkerState.READY
+        return worker_resources is not None and self._may_get_tasks(worker_resources)
 
     def available(self, worker: WorkerId) -> Resources:
         """Return the resources of a worker that are neither allocated nor reserved."""
@@ -133,14 +143,22 @@
     def ready_workers(self) -> Iterator[tuple[WorkerId, WorkerResources]]:
         """Yield the ready workers."""
         for worker, worker_resources in self._workers.items():
-            if worker_resources.state is WorkerState.READY:
+            if self._may_get_tasks(worker_resources):
                 yield worker, worker_resources
 
     def domain_count(self) -> int:
-        """Return the number of failure domains with a worker in the host list."""
+        """Return the number of failure domains with a worker in the host list.
+
+        Evacuated ones do not count, as the replicas of a service would wait for them.
+        """
         workers = self._workers.values()
         live = (w.info for w in workers if w.info and w.state is not WorkerState.GONE)
-        return len({info.failure_domain for info in live})
+        return len({info.failure_domain for info in live} - self._evacuated)
+
+    def _may_get_tasks(self, worker_resources: WorkerResources) -> bool:
+        info = worker_resources.info
+        is_evacuated = info is not None and info.failure_domain in self._evacuated
+        return worker_resources.state is WorkerState.READY and not is_evacuated
 
     def _update_available(self, worker: WorkerId, worker_resources: WorkerResources) -> None:
         if worker_resources.info is None:
@@ -149,7 +167,7 @@
             worker_resources.info.capacity - worker_resources.allocated - worker_resources.reserved
         )
         domain = worker_resources.info.failure_domain
-        is_ready = worker_resources.state is WorkerState.READY
+        is_ready = self._may_get_tasks(worker_resources)
         if is_ready:
             self.placement.update(worker, domain, worker_resources.available)
         else:
--- a/packages/server/lagoonshelf_server/config_sync.py
+++ b/packages/server/lagoonshelf_server/config_sync.py
@@ -183,6 +183,7 @@
     def _set_current(self, found: Configuration) -> None:
         if found.revision != self.revision:
             _log.info("configuration applied", revision=found.revision)
+            _log_evacuations(self.document, found.document)
         self.current = found
 
     async def _current_revision(self, min_revision: int) -> int:
@@ -224,6 +225,15 @@
             _log.warning("old revisions not deleted", reason=str(exc))
 
 
+def _log_evacuations(old: Document, new: Document) -> None:
+    """Log who requested the evacuations that a revision adds, and those that it removes."""
+    for domain, evacuation in new.evacuations.items():
+        if old.evacuations.get(domain) != evacuation:
+            _log.info("domain evacuated", domain=domain, **evacuation.model_dump())
+    for domain in old.evacuations.keys() - new.evacuations.keys():
+        _log.info("domain restored", domain=domain)
+
+
 def _conflict(base: int, current: int) -> Fault:
     text = f"the document was based on revision {base}, the current one is {current}"
     return Fault(ResultCode.CONFIG_CONFLICT, text)
--- a/packages/server/lagoonshelf_server/console.py
+++ b/packages/server/lagoonshelf_server/console.py
@@ -109,9 +109,14 @@
             page.notices.insert(0, "Nothing was changed: the form has errors.")
             return page, None
         current = self._current_config()
+        # The form does not show evacuations, and must not end them.
+        if "evacuations" in current["document"]:
+            document["evacuations"] = current["document"]["evacuations"]
         if page.base != current["revision"]:
             page.notices.append(_conflict_text(page.base, current["revision"]))
-        change = create_merge_patch(current["document"], parsed.model_dump())
+        change = create_merge_patch(
+            {name: current["document"][name] for name in SECTIONS}, parsed.model_dump()
+        )
         page.change = _format_change(change)
         return page, (document, secrets)
 
--- a/packages/server/lagoonshelf_server/policy.py
+++ b/packages/server/lagoonshelf_server/policy.py
@@ -25,10 +25,10 @@
         """Initialize before the first pass."""
         self.ready_workers: Callable[[], Iterable[WorkerInfo]] = tuple
         self.admission = PartitionAdmission()
-        self.health = WorkerHealth(clock, lambda: self.ready_workers())
-        self.corrections = Corrections(lambda: self.ready_workers())
+        self.health = WorkerHealth(clock, self._usable_workers)
+        self.corrections = Corrections(self._usable_workers)
         self.deadlines = DeadlinePlanner(clock, config, self.corrections)
-        self.warm_slots = WarmSlots(clock, config, lambda: self.ready_workers())
+        self.warm_slots = WarmSlots(clock, config, self._usable_workers)
         self._clock = clock
         self._config = config
         self._revision: int | None = None
@@ -42,6 +42,11 @@
             reserved_size=self.corrections.size,
         )
 
+    def _usable_workers(self) -> list[WorkerInfo]:
+        """Return the workers that may get tasks."""
+        evacuated = self._config.document.evacuations
+        return [info for info in self.ready_workers() if info.failure_domain not in evacuated]
+
     def check_admission(self, spec: RequestSpec, scheduler: Scheduler) -> Fault | None:
         """Count a new request as waiting, or return the fault for which it is refused."""
         queue = self._config.document.queues.get(spec.queue) or QueueConfig()
@@ -53,7 +58,7 @@
         if self._revision != self._config.revision:
             self._revision = self._config.revision
             document = self._config.document
-            scheduler.set_policy(document.teams, document.queues)
+            scheduler.set_policy(document.teams, document.queues, document.evacuations)
         self.corrections.begin_pass()
         self.health.begin_pass(scheduler.tasks)
         self.deadlines.begin_pass(
--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from lagoonshelf_client.commands import Commands
+from lagoonshelf_core.document import parse_document
 from lagoonshelf_core.errors import ResultCode
 
 
@@ -33,7 +34,8 @@
         self.results: list[Result] = []
         self.client = FakeClient()
         self.commands = Commands(self.results.append)
-        self.commands.config._client = self.commands.keys._client = lambda: self.client
+        for commands in (self.commands.config, self.commands.keys, self.commands.domains):
+            commands._client = lambda: self.client
 
     def check(self, text: str) -> Result:
         with tempfile.TemporaryDirectory() as folder:
@@ -62,3 +64,21 @@
         self.commands.keys.withdraw("desk")
         self.assertIsInstance(self.results[-1], Failure)
         self.assertEqual(self.client.proposed, [])
+
+    def test_an_evacuation_names_who_requested_it(self) -> None:
+        """Guards against a domain that nobody knows whom to ask about."""
+        self.commands.domains.evacuate("hall-2", by="night shift")
+        base, proposed = self.client.proposed[0]
+        self.assertEqual(base, 3)
+        document = parse_document(proposed).unwrap()
+        self.assertEqual(document.evacuations["hall-2"].requested_by, "night shift")
+        self.client.current = {"revision": 4, "document": proposed}
+        self.commands.domains.restore("hall-2")
+        self.assertEqual(self.client.proposed[1][1]["evacuations"], {})
+
+    def test_a_mistyped_domain_is_not_changed(self) -> None:
+        """Guards against a restore of another domain that is reported as done."""
+        self.commands.domains.evacuate("")
+        self.commands.domains.restore("hall-3")
+        self.assertTrue(all(isinstance(result, Failure) for result in self.results))
+        self.assertEqual(self.client.proposed, [])
--- a/tests/processes/test_console.py
+++ b/tests/processes/test_console.py
@@ -70,3 +70,21 @@
         url = self.cell.daemons["d1"].url + "/console/"
         headers = urllib3.make_headers(basic_auth="operator:wrong")
         self.assertEqual(self.cell.http.request("GET", url, headers=headers).status, 401)
+
+    def test_the_form_ends_no_evacuation(self) -> None:
+        """Guards against a domain that gets work again as the form does not show the section."""
+        url = self.cell.daemons["d1"].url + "/v1/config"
+        found = self.cell.call(url, operator=True)
+        entry = {"requested_by": "night shift", "requested_ms": 1}
+        body = {
+            "base_revision": found["revision"],
+            "document": found["document"] | {"evacuations": {"d9": entry}},
+        }
+        self.cell.call(url, body, operator=True)
+        fields = self.form_fields(self.page("d1"))
+        fields["teams-0-share"] = "7"
+        preview = self.page("d1", "/console/preview", fields)
+        self.assertNotIn("evacuations", preview)
+        self.assertIn("is accepted", self.page("d1", "/console/apply", fields))
+        document = self.cell.call(url, operator=True)["document"]
+        self.assertEqual(document["evacuations"], {"d9": entry})
