Advice: some members carry short requests only

Change: with LAGOONSHELF_SCHEDULER_RESERVES_ADVICE_LANES, a quarter of the members carries requests of at most 50 ms only; the budget of a pass knows.

--- a/bench/cell_simulation.py
+++ b/bench/cell_simulation.py
@@ -10,6 +10,7 @@
 from zlib import crc32
 
 from lagoonshelf_core.ids import FailureDomain, QueueId, RackId, TeamId, WorkerId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Pool, PoolId
@@ -210,7 +211,7 @@
         supervise(self.cell, now_ms)
         # 700 ms is the limit of the advice router, ``MAX_BACKLOG_MS``.
         budget_ms = sum(max(0.0, 700.0 + now_ms - free) for free in self._member_free_ms)
-        has_more = plan(self.cell, now_ms, now_ms, budget_ms)
+        has_more = plan(self.cell, now_ms, now_ms, AdviceBudget(budget_ms))
         self.result.decision_cpu_s += process_time() - started_s
         if has_more:
             self._pass_ms = now_ms + PASS_DELAY_MS
--- a/bench/wide_jobs.py
+++ b/bench/wide_jobs.py
@@ -11,6 +11,7 @@
 from bench.cell_cost import WORKER_CAPACITY
 from bench.cell_simulation import POOL, make_config, make_worker_infos
 from lagoonshelf_core.ids import QueueId, TeamId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import Queue, Team
 from lagoonshelf_core.jobs.job_records import encode_progress
@@ -55,7 +56,7 @@
         JobId("0" * 16), TEAM, QUEUE, "", (StepSpec(width, TASK, TASK_MS),), accepted_ms=0
     )
     job: Job = timer.run("accept", lambda: cell.accept(spec, 0))
-    while timer.run("pass", lambda: plan(cell, 0, 0, 0.0)):
+    while timer.run("pass", lambda: plan(cell, 0, 0, AdviceBudget())):
         pass
     for worker in cell.workers.values():
         for run in list(worker.runs.values()):
--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -55,9 +55,9 @@
     cost_ms = timing.base_ms + timing.per_worker_ms * len(selected)
     if not selected or not cell.permits.is_request_due(step.name, cost_ms, now_ms):
         return
-    if state.advice_budget_ms < cost_ms and state.advised_steps > 1:
+    if not state.advice_budget.allows(cost_ms) and state.advised_steps > 1:
         return
-    state.advice_budget_ms -= cost_ms
+    state.advice_budget.take(cost_ms)
     cell.permits.request_sent(step.name)
     cell.commands.append(RequestAdvice(step, selected, cost_ms))
 
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -4,6 +4,7 @@
 from heapq import heapify, heappop, heapreplace
 
 from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.advice_requests import request_advice
 from lagoonshelf_core.jobs.capacity import free_capacity
 from lagoonshelf_core.jobs.cell import Cell
@@ -21,17 +22,17 @@
 TASKS_PLACED = "tasks placed"
 
 
-def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> bool:
+def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget: AdviceBudget) -> bool:
     """Run a scheduling pass; add commands to the cell for the tasks that start now.
 
     Return whether another pass is needed for work that this one has left.
 
-    :param advice_budget_ms: time of the placement policy that advice requests may use
+    :param advice_budget: time of the placement policy that advice requests may use
     """
     has_more = cell.open_due_occurrences(now_wall_ms)
     if not cell.open_steps:
         return has_more
-    state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
+    state = SchedulingPass(now_ms, {}, advice_budget=advice_budget)
     _add_usable_workers(cell, state)
     ranked = _rank_open_steps(cell, now_ms)
     state.register_holds(step for _, step, _ in ranked)
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.ids import WorkerId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.capacity import startable_milli
 from lagoonshelf_core.jobs.progress import GangHold, Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band
@@ -37,7 +38,7 @@
     :param late_gangs: number of late gangs that may wait for capacity
     :param holders: gang that each held worker is held for
     :param quieted_pools: pools of which a worker is kept for a suspected task
-    :param advice_budget_ms: time of the placement policy that requests may still use
+    :param advice_budget: time of the placement policy that requests may still use
     :param starts_left: tasks that the pass may still start, not counting gangs and the first
         starts of other jobs
     :param started_jobs: jobs of which it has started tasks
@@ -53,7 +54,7 @@
     late_gangs: int = 0
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
     quieted_pools: set[str] = field(default_factory=set)
-    advice_budget_ms: float = 0.0
+    advice_budget: AdviceBudget = field(default_factory=AdviceBudget)
     starts_left: int = MAX_STARTS_PER_PASS
     started_jobs: set[JobId] = field(default_factory=set)
     stuck_steps: set[tuple[JobId, StepIndex]] = field(default_factory=set)
--- a/packages/server/lagoonshelf_server/jobs/advice_router.py
+++ b/packages/server/lagoonshelf_server/jobs/advice_router.py
@@ -2,9 +2,15 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from math import inf
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId, WorkerId
+from lagoonshelf_core.jobs.advice_lanes import (
+    SHORT_REQUEST_MS,
+    AdviceBudget,
+    count_short_lanes,
+)
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import RequestAdvice
 from lagoonshelf_server.jobs import job_metrics
@@ -49,10 +55,13 @@
         else:
             entry.heartbeat_ms = self._clock.now_ms()
 
-    def budget_ms(self) -> float:
-        """Return the policy time in milliseconds that new requests may take now."""
-        now_ms = self._clock.now_ms()
-        return sum(max(0.0, MAX_BACKLOG_MS - entry.backlog_ms) for entry in self._live(now_ms))
+    def budget(self) -> AdviceBudget:
+        """Return the policy time that new requests may take now."""
+        live = self._live(self._clock.now_ms())
+        total_ms = sum(map(_spare_ms, live))
+        long_lanes = self._lanes(live, inf)
+        long_ms = None if len(long_lanes) == len(live) else sum(map(_spare_ms, long_lanes))
+        return AdviceBudget(total_ms, long_ms)
 
     async def request(self, command: RequestAdvice) -> None:
         """Request advice through the member with the smallest backlog and record the answer."""
@@ -61,7 +70,8 @@
         if not live:
             self._cell.permits.request_failed(step, started_ms)
             return
-        entry = min(live, key=lambda candidate: candidate.backlog_ms)
+        lanes = self._lanes(live, command.cost_ms)
+        entry = min(lanes, key=lambda candidate: candidate.backlog_ms)
         entry.backlog_ms += command.cost_ms
         try:
             permits = await entry.request(step, command.workers)
@@ -99,3 +109,13 @@
             for entry in self._members.values()
             if now_ms - entry.heartbeat_ms < MEMBER_TIMEOUT_MS and now_ms >= entry.avoided_until_ms
         ]
+
+    def _lanes(self, live: list[_Member], cost_ms: float) -> list[_Member]:
+        """Return the members that may carry a request."""
+        if not self._cell.options.reserves_advice_lanes or cost_ms <= SHORT_REQUEST_MS:
+            return live
+        return live[count_short_lanes(len(live)) :]
+
+
+def _spare_ms(entry: _Member) -> float:
+    return max(0.0, MAX_BACKLOG_MS - entry.backlog_ms)
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -261,8 +261,8 @@
         if self._leader_lease.may_dispatch() and self._is_config_valid():
             supervise(cell, now_ms)
             if self._knows_cancellations():
-                budget_ms = self.advice_router.budget_ms()
-                if plan(cell, now_ms, self._clock.wall_ms(), budget_ms):
+                budget = self.advice_router.budget()
+                if plan(cell, now_ms, self._clock.wall_ms(), budget):
                     self.request_pass()
         commands, cell.commands = cell.commands, []
         starting = {c.run.task.job for c in commands if isinstance(c, StartRun)}
--- a/tests/support/jobs.py
+++ b/tests/support/jobs.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 from lagoonshelf_core.ids import FailureDomain, QueueId, RackId, TeamId, WorkerId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.config import AdviceTiming, CellConfig, Pool, PoolId, Queue, Team
@@ -84,7 +85,7 @@
 
 def plan_starts(cell: Cell, now_ms: int = 0) -> list[Run]:
     """Run a scheduling pass and return the runs that it starts."""
-    plan(cell, now_ms, now_ms, ADVICE_BUDGET_MS)
+    plan(cell, now_ms, now_ms, AdviceBudget(ADVICE_BUDGET_MS))
     commands, cell.commands = cell.commands, []
     return [command.run for command in commands if isinstance(command, StartRun)]
 
@@ -97,7 +98,7 @@
 
 def plan_advice_requests(cell: Cell, now_ms: int = 0) -> list[RequestAdvice]:
     """Run a scheduling pass and return its advice requests."""
-    plan(cell, now_ms, now_ms, ADVICE_BUDGET_MS)
+    plan(cell, now_ms, now_ms, AdviceBudget(ADVICE_BUDGET_MS))
     commands, cell.commands = cell.commands, []
     return [command for command in commands if isinstance(command, RequestAdvice)]
 
