Leader lease: hosts with a fast link go first

From 5 to 13 s its calls to 103 of 176 workers time out, 77 workers count as lost, and takeovers take 0.64 and 2.5 s. Change: LAGOONSHELF_SCHEDULER_LEADER_LINK_MBPS. A host below it delays its claim, and offers the lease to a host that has the cores and the link of a leader.

--- a/packages/core/lagoonshelf_core/jobs/options.py
+++ b/packages/core/lagoonshelf_core/jobs/options.py
@@ -9,6 +9,8 @@
 
     :param reserves_advice_lanes: some members carry only short requests to the placement policy,
         so that urgent steps do not wait behind long ones
+    :param leader_link_mbps: link speed that a host needs to lead the cell as long as another host
+        has it, 0 to ignore links
     :param orders_late_by_work: late steps go by receipt and remaining work, not by receipt alone
     :param refuses_overload: jobs that cannot end in time to be of use are refused at hand-in
     :param forecasts_reserve: the capacity kept for urgent work follows a forecast of its arrivals
@@ -17,6 +19,7 @@
     """
 
     reserves_advice_lanes: bool = False
+    leader_link_mbps: float = 0.0
     orders_late_by_work: bool = False
     refuses_overload: bool = False
     forecasts_reserve: bool = False
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -72,6 +72,7 @@
     :param registry_max_age_ms: time after which a worker that reported that it is draining gets
         nothing more to start
     :param options: optional parts of the scheduler
+    :param link_mbps: speed of this host's link, 0 if unknown
     """
 
     member: MemberId
@@ -84,12 +85,23 @@
     cancel_ms: int = DEFAULT_CANCEL_MS
     registry_max_age_ms: int = DEFAULT_REGISTRY_MAX_AGE_MS
     options: SchedulerOptions = DEFAULT_OPTIONS
+    link_mbps: float = 0.0
 
     @property
     def address(self) -> str:
         """Return the address at which other members reach this process."""
         return f"{self.host}:{self.peer_port}"
 
+    @property
+    def has_leader_link(self) -> bool:
+        """Return whether the link of this host is fast enough to lead the cell."""
+        return not self.link_mbps or self.link_mbps >= self.options.leader_link_mbps
+
+    @property
+    def suits_leader(self) -> bool:
+        """Return whether this host has the cores and the link of a leader."""
+        return self.cores_milli >= LEADER_CORES_MILLI and self.has_leader_link
+
 
 class Heartbeats:
     """Sends and answers heartbeats, and derives the state of leader, members and store."""
@@ -161,6 +173,7 @@
             self._store_silence_ms(),
             self._is_store_troubled(),
             self._cfg.cores_milli,
+            self._cfg.suits_leader,
         )
         sent_ms = self._clock.now_ms()
         try:
@@ -298,7 +311,7 @@
         rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
         fresh = self._fresh_members()
         members = tuple(sample(fresh, min(MAX_RELAYS_IN_REPLY, len(fresh))))
-        self._offer_to_larger_host(body)
+        self._offer_to_better_host(body)
         reply = PulseReply(
             True, self._leader_lease.revision, self._store_silence_ms(), rows, members
         )
@@ -315,12 +328,17 @@
         factor = max(1.0, len(self._members) / MEMBERS_AT_FULL_RATE)
         return min(int(HEARTBEAT_INTERVAL_S * 1000 * factor), MAX_HEARTBEAT_INTERVAL_MS)
 
-    def _offer_to_larger_host(self, body: Pulse) -> None:
-        """Offer the leader lease if this host is too small and the sender's is not."""
+    def _offer_to_better_host(self, body: Pulse) -> None:
+        """Offer the leader lease if this host has too few cores or too slow a link for it.
+
+        The sender's host has to be clearly better, so that the lease is not passed around.
+        """
         now_ms = self._clock.now_ms()
         own = self._cfg.cores_milli
         is_larger = body.cores_milli >= max(LEADER_CORES_MILLI, LARGER_HOST_FACTOR * own)
-        if own >= LEADER_CORES_MILLI or not is_larger or body.is_store_troubled:
+        has_more_cores = own < LEADER_CORES_MILLI and is_larger
+        has_faster_link = not self._cfg.has_leader_link and body.suits_leader
+        if body.is_store_troubled or not (has_more_cores or has_faster_link):
             return
         if now_ms - self._offered_ms > OFFER_INTERVAL_MS:
             self._offered_ms = now_ms
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -14,7 +14,6 @@
 from lagoonshelf_core.jobs.spec import JobId, decode_job
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.heartbeats import (
-    LEADER_CORES_MILLI,
     SMALL_HOST_CLAIM_DELAY_MS,
     Heartbeats,
     NodeSettings,
@@ -96,7 +95,7 @@
         self.config = ConfigView(ports.store, ports.codec, clock, cfg.config_max_age_ms)
         self.config.fetch_copy = self._fetch_config
         self.leader_lease = LeaderLease(ports.store, clock, cfg.member, cfg.address)
-        if cfg.cores_milli < LEADER_CORES_MILLI:
+        if not cfg.suits_leader:
             self.leader_lease.claim_delay_ms = SMALL_HOST_CLAIM_DELAY_MS
         leader_client = LeaderClient(
             self._announce, self._announce_cancel, self._state, self._relay
--- a/packages/server/lagoonshelf_server/jobs/scheduler_settings.py
+++ b/packages/server/lagoonshelf_server/jobs/scheduler_settings.py
@@ -10,6 +10,7 @@
 
 SCHEDULER_PREFIX = "LAGOONSHELF_SCHEDULER_"
 MAX_HALF_LIFE_H = 24.0 * 366
+MAX_LINK_MBPS = 1_000_000.0
 
 
 class SchedulerSettings(BaseModel):
@@ -20,6 +21,13 @@
     reserves_advice_lanes: bool = Field(
         False, description="Keep some members for short requests to the placement policy."
     )
+    leader_link_mbps: float = Field(
+        0.0,
+        ge=0.0,
+        le=MAX_LINK_MBPS,
+        description="Link speed of hosts that should lead the cell; 0 ignores links.",
+        json_schema_extra={"unit": "Mbit/s"},
+    )
     orders_late_by_work: bool = Field(
         False, description="Order late steps by receipt and remaining work."
     )
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -325,6 +325,7 @@
     :param store_age_ms: time since the store last answered the sender
     :param is_store_troubled: whether a recent call to the store failed or was slow
     :param cores_milli: CPU cores of the sender's host, in thousandths
+    :param suits_leader: whether the sender's host has the cores and the link of a leader
     """
 
     member: str
@@ -333,6 +334,7 @@
     store_age_ms: int
     is_store_troubled: bool = False
     cores_milli: int = 0
+    suits_leader: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -248,6 +248,7 @@
   storeAgeMs @3 :UInt32;
   isStoreTroubled @4 :Bool;
   coresMilli @5 :UInt32;
+  suitsLeader @6 :Bool;
 }
 
 struct PeerState {
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -7,6 +7,7 @@
 
 from lagoonshelf_core.errors import ResultCode
 from lagoonshelf_core.ids import FailureDomain, MemberId
+from lagoonshelf_core.jobs.options import SchedulerOptions
 from lagoonshelf_core.jobs.spec import JobId, encode_job
 from lagoonshelf_server.jobs import node as node_module
 from lagoonshelf_server.jobs.heartbeats import NodeSettings
@@ -98,11 +99,8 @@
     def _answer(self, heartbeat: Pulse) -> PulseReply:
         return self.node.heartbeats.answer(MemberId("m2"), heartbeat, _LeaderStub(), None)
 
-    async def test_a_leader_on_a_small_host_offers_the_lease_to_a_large_host(self) -> None:
-        """Guards against a leader that stays on a small host.
-
-        Grown sites have 6 large hosts of 45.
-        """
+    def _lead_and_count_offers(self, **settings: object) -> list[bool]:
+        """Lead the cell on a host of given size; return a list that grows with each offer."""
         offers: list[bool] = []
 
         async def offer() -> None:
@@ -111,7 +109,15 @@
         self.node.leader_lease.is_held = True
         self.node.leader_lease.offer = offer
         self.store._answered_ms = self.clock.now_ms()
-        self.node.heartbeats._cfg = replace(self.node.heartbeats._cfg, cores_milli=500)
+        self.node.heartbeats._cfg = replace(self.node.heartbeats._cfg, **settings)
+        return offers
+
+    async def test_a_leader_on_a_small_host_offers_the_lease_to_a_large_host(self) -> None:
+        """Guards against a leader that stays on a small host.
+
+        Grown sites have 6 large hosts of 45.
+        """
+        offers = self._lead_and_count_offers(cores_milli=500)
         self._answer(Pulse("m2", "a:2", 5, 10, False, 600))
         await asyncio.sleep(0)
         self.assertEqual(offers, [])
@@ -120,6 +126,31 @@
         await asyncio.sleep(0)
         self.assertEqual(offers, [True])
 
+    async def test_a_leader_on_a_slow_link_offers_the_lease_to_a_host_with_a_fast_one(
+        self,
+    ) -> None:
+        """Guards against a leader whose link is full of the lists of 176 workers.
+
+        On 5 Mbit/s its calls to 103 workers timed out under a burst, and 77 workers counted as
+        lost. A host that is no better is offered nothing, so that the lease is not passed around.
+        """
+        options = SchedulerOptions(leader_link_mbps=20.0)
+        offers = self._lead_and_count_offers(options=options, link_mbps=5.0)
+        self._answer(Pulse("m2", "a:2", 5, 10, False, 2_000, False))
+        await asyncio.sleep(0)
+        self.assertEqual(offers, [])
+        self._answer(Pulse("m3", "a:3", 5, 10, False, 2_000, True))
+        await asyncio.sleep(0)
+        self.assertEqual(offers, [True])
+
+    async def test_links_count_only_where_the_settings_ask_for_it(self) -> None:
+        """Guards against other leaders in a deployment that has not asked for them."""
+        offers = self._lead_and_count_offers(link_mbps=5.0)
+        self._answer(Pulse("m3", "a:3", 5, 10, False, 2_000, True))
+        await asyncio.sleep(0)
+        self.assertEqual(offers, [])
+        self.assertTrue(self.node.heartbeats._cfg.suits_leader)
+
     async def test_a_heartbeat_reports_the_state_of_the_sender(self) -> None:
         """Guards against heartbeats that omit the store state or the cores of the sender."""
         sent: list[Pulse] = []
