--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -71,6 +71,8 @@
     :param cancel_ms: time after which nothing of a cancelled job is started
     :param registry_max_age_ms: time after which a worker that reported that it is draining gets
         nothing more to start
+    :param evacuate_ms: time after which nothing is started in an evacuated failure domain, None
+        if the platform has no evacuations
     :param options: optional parts of the scheduler
     :param link_mbps: speed of this host's link, 0 if unknown
     """
@@ -86,6 +88,7 @@
     registry_max_age_ms: int = DEFAULT_REGISTRY_MAX_AGE_MS
     options: SchedulerOptions = DEFAULT_OPTIONS
     link_mbps: float = 0.0
+    evacuate_ms: int | None = None
 
     @property
     def address(self) -> str:
