Late work is ordered by receipt and remaining work, behind a switch

Cause: late steps went by receipt alone, so that one wide late job was started before a hundred small urgent ones that were still of use. Change: with orders_late_by_work, late steps go by the time at which their job would end with a hundredth of the pool, postponed by at most one objective; holds of later gangs keep no earlier late step out; steps of no use any more have at most four advice requests at a time. Off by default and then unchanged.

--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -11,6 +11,7 @@
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
 from lagoonshelf_core.jobs.isolation import place_suspects
+from lagoonshelf_core.jobs.late_order import order_late_by_work
 from lagoonshelf_core.jobs.progress import StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band, Rank, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
@@ -19,6 +20,9 @@
 
 # Log message of the tasks of a step that start in a pass.
 TASKS_PLACED = "tasks placed"
+# Steps of no use any more whose permits are kept valid. Each is advised through another member,
+# and a cell has at least six, so that some are free for new urgent steps.
+MAX_TOO_LATE_ADVISED = 4
 
 
 def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> bool:
@@ -33,10 +37,13 @@
         return has_more
     state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
     _add_usable_workers(cell, state)
-    ranked = _rank_open_steps(cell, now_ms)
+    ranked = _rank_open_steps(cell, state)
     state.register_holds(step for _, step, _ in ranked)
+    if cell.options.orders_late_by_work:
+        state.later_holders.update(state.holders.values())
     has_unread = any(worker.blocks_inherited for worker in cell.workers.values())
     for (band, _), step, queue in ranked:
+        state.later_holders.discard(step)
         if step.job.is_inherited and has_unread:
             continue
         if not state.may_start(step) or state.is_stuck(step):
@@ -55,13 +62,16 @@
             state.add_usable(worker)
 
 
-def _rank_open_steps(cell: Cell, now_ms: int) -> list[tuple[Rank, StepRun, Queue]]:
+def _rank_open_steps(cell: Cell, state: SchedulingPass) -> list[tuple[Rank, StepRun, Queue]]:
     """Return the steps with tasks that can start and their queues, in order of priority."""
     ranked = []
     for step in cell.open_steps.first():
         queue = cell.queue_of(step.job)
         if queue is not None:
-            ranked.append((rank(step, queue, now_ms), step, queue))
+            row = rank(step, queue, state.now_ms)
+            if cell.options.orders_late_by_work:
+                row = order_late_by_work(row, step, queue, state.capacity_milli(queue.pool))
+            ranked.append((row, step, queue))
     ranked.sort(key=lambda row: (row[0], row[1].name))
     return ranked
 
@@ -105,7 +115,7 @@
     if queue.advice is not None:
         permits = cell.permits.valid(step.name, state.now_ms)
         may_run_on = cell.permits.allowed(step.name)
-        request_advice(cell, state, step, queue, band)
+        _request_advice_in_turn(cell, state, step, queue, band)
     workers = _find_workers(step, usable, usable if permits is None else permits)
     if spec.is_gang:
         placed = place_gang(cell, state, step, queue.pool, workers, band) if workers else []
@@ -124,6 +134,20 @@
         state.note_stuck(step)
 
 
+def _request_advice_in_turn(
+    cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band
+) -> None:
+    """Request advice for a step, within the slots of its band.
+
+    Requests for steps of no use any more would keep those of new urgent steps waiting.
+    """
+    if band is not Band.TOO_LATE or not cell.options.orders_late_by_work:
+        request_advice(cell, state, step, queue, band)
+    elif state.too_late_advised < MAX_TOO_LATE_ADVISED:
+        request_advice(cell, state, step, queue, band)
+        state.too_late_advised += cell.permits.is_in_use(step.name, state.now_ms)
+
+
 def _start_all(
     cell: Cell,
     state: SchedulingPass,
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -5,6 +5,7 @@
 
 from lagoonshelf_core.ids import WorkerId
 from lagoonshelf_core.jobs.capacity import startable_milli
+from lagoonshelf_core.jobs.late_order import LATE_BANDS
 from lagoonshelf_core.jobs.progress import GangHold, Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobId, StepIndex
@@ -36,6 +37,9 @@
     :param late_checks: number of late steps checked for an advice request
     :param late_gangs: number of late gangs that may wait for capacity
     :param holders: gang that each held worker is held for
+    :param later_holders: gangs with holds that come later in the pass than what is planned now;
+        filled only where late work is ordered by its size
+    :param too_late_advised: steps of no use any more whose permits are kept valid
     :param quieted_pools: pools of which a worker is kept for a suspected task
     :param advice_budget_ms: time of the placement policy that requests may still use
     :param starts_left: tasks that the pass may still start, not counting gangs and the first
@@ -52,6 +56,8 @@
     late_checks: int = 0
     late_gangs: int = 0
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
+    later_holders: set[StepRun] = field(default_factory=set)
+    too_late_advised: int = 0
     quieted_pools: set[str] = field(default_factory=set)
     advice_budget_ms: float = 0.0
     starts_left: int = MAX_STARTS_PER_PASS
@@ -68,6 +74,11 @@
         # A worker that has shrunk may use more than it has, which is no load of the others.
         load.used_milli += min(worker.used.cpu_milli, capacity_milli)
 
+    def capacity_milli(self, pool: str) -> int:
+        """Return the CPU of the usable workers of a pool, in thousandths."""
+        load = self.pools.get(pool)
+        return 0 if load is None else load.capacity_milli
+
     def may_start(self, step: StepRun) -> bool:
         """Return whether the pass may start tasks of a step.
 
@@ -150,4 +161,7 @@
         holder = self.holders.get(worker.id)
         if holder is None or holder is step or holder.hold is None or band <= Band.URGENT:
             return False
+        if holder in self.later_holders and band in LATE_BANDS:
+            # The step passes the gang, as its job is smaller or was received earlier.
+            return False
         return band >= holder.hold.band
