Too-late steps are advised without limit in a pool that is half free

Cause: with four at a time an idle cell would finish a thousand accepted jobs that are too late slowly. Change: the limit holds only while more than half of the pool's CPU is used.

--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -144,9 +144,11 @@
 ) -> None:
     """Request advice for a step, within the slots of its band.
 
-    Requests for steps of no use any more would keep those of new urgent steps waiting.
+    Requests for steps of no use any more would keep those of new urgent steps waiting. In a pool
+    that is half free they are not limited, as all accepted work has to be finished.
     """
-    if band is not Band.TOO_LATE or not cell.options.orders_late_by_work:
+    is_limited = band is Band.TOO_LATE and cell.options.orders_late_by_work
+    if not is_limited or state.is_half_free(queue.pool):
         request_advice(cell, state, step, queue, band)
     elif state.too_late_advised < MAX_TOO_LATE_ADVISED:
         request_advice(cell, state, step, queue, band)
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -80,6 +80,11 @@
         load = self.pools.get(pool)
         return 0 if load is None else load.capacity_milli
 
+    def is_half_free(self, pool: str) -> bool:
+        """Return whether at least half of a pool's CPU is free."""
+        load = self.pools.get(pool)
+        return load is None or 2 * load.used_milli <= load.capacity_milli
+
     def may_start(self, step: StepRun) -> bool:
         """Return whether the pass may start tasks of a step.
 
--- a/tests/core/jobs/test_late_order.py
+++ b/tests/core/jobs/test_late_order.py
@@ -90,6 +90,8 @@
     def test_too_late_work_leaves_advice_slots(self) -> None:
         """After a restart a thousand too-late steps used the placement policy for seconds."""
         cell = _cell()
+        accept_job(cell, make_job(make_step(80), queue=URGENT), 59_999)
+        self.assertEqual(len(plan_starts(cell, 59_999)), 80)
         for _ in range(1_000):
             accept_job(cell, make_job(make_step(25), queue=ADVISED), 0)
         requests = plan_advice_requests(cell, 60_000) + plan_advice_requests(cell, 60_003)
@@ -98,6 +100,14 @@
         advised = [request.step.job.id for request in plan_advice_requests(cell, 60_010)]
         self.assertEqual(advised, [new.id])
 
+    def test_too_late_work_uses_a_pool_that_is_half_free(self) -> None:
+        """Guards against accepted jobs that wait for advice, four at a time, in an idle cell."""
+        cell = _cell()
+        for _ in range(100):
+            accept_job(cell, make_job(make_step(2), queue=ADVISED), 0)
+        requests = plan_advice_requests(cell, 60_000) + plan_advice_requests(cell, 60_003)
+        self.assertGreater(len(requests), MAX_TOO_LATE_ADVISED)
+
     def test_odd_estimates(self) -> None:
         """An estimate of 0, or of a year, postpones a job by more than 0 and at most its bound."""
         cell = _cell()
