--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -4,6 +4,7 @@
 from heapq import heapify, heappop, heapreplace
 
 from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.advice_requests import request_advice
 from lagoonshelf_core.jobs.capacity import free_capacity
 from lagoonshelf_core.jobs.cell import Cell
@@ -12,6 +13,7 @@
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
 from lagoonshelf_core.jobs.isolation import place_suspects
+from lagoonshelf_core.jobs.late_order import order_late_by_work
 from lagoonshelf_core.jobs.progress import StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band, Rank, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
@@ -20,24 +22,30 @@
 
 # Log message of the tasks of a step that start in a pass.
 TASKS_PLACED = "tasks placed"
+# Steps of no use any more whose permits are kept valid. Each is advised through another member,
+# and a cell has at least six, so that some are free for new urgent steps.
+MAX_TOO_LATE_ADVISED = 4
 
 
-def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> bool:
+def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget: AdviceBudget) -> bool:
     """Run a scheduling pass; add commands to the cell for the tasks that start now.
 
     Return whether another pass is needed for work that this one has left.
 
-    :param advice_budget_ms: time of the placement policy that advice requests may use
+    :param advice_budget: time of the placement policy that advice requests may use
     """
     has_more = cell.open_due_occurrences(now_wall_ms)
     if not cell.open_steps:
         return has_more
-    state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
+    state = SchedulingPass(now_ms, {}, advice_budget=advice_budget)
     _add_usable_workers(cell, state)
-    ranked = _rank_open_steps(cell, now_ms)
+    ranked = _rank_open_steps(cell, state)
     state.register_holds(step for _, step, _ in ranked)
+    if cell.options.orders_late_by_work:
+        state.later_holders.update(state.holders.values())
     has_unread = any(worker.blocks_inherited for worker in cell.workers.values())
     for (band, _), step, queue in ranked:
+        state.later_holders.discard(step)
         if step.job.is_inherited and has_unread:
             continue
         if not state.may_start(step) or state.is_stuck(step):
@@ -61,13 +69,16 @@
     add_cold_workers(cell, state)
 
 
-def _rank_open_steps(cell: Cell, now_ms: int) -> list[tuple[Rank, StepRun, Queue]]:
+def _rank_open_steps(cell: Cell, state: SchedulingPass) -> list[tuple[Rank, StepRun, Queue]]:
     """Return the steps with tasks that can start and their queues, in order of priority."""
     ranked = []
     for step in cell.open_steps.first():
         queue = cell.queue_of(step.job)
         if queue is not None:
-            ranked.append((rank(step, queue, now_ms), step, queue))
+            row = rank(step, queue, state.now_ms)
+            if cell.options.orders_late_by_work:
+                row = order_late_by_work(row, step, queue, state.capacity_milli(queue.pool))
+            ranked.append((row, step, queue))
     ranked.sort(key=lambda row: (row[0], row[1].name))
     return ranked
 
@@ -111,7 +122,7 @@
     if queue.advice is not None:
         permits = cell.permits.valid(step.name, state.now_ms)
         may_run_on = cell.permits.allowed(step.name)
-        request_advice(cell, state, step, queue, band)
+        _request_advice_in_turn(cell, state, step, queue, band)
     workers = _find_workers(step, usable, usable if permits is None else permits)
     if spec.is_gang:
         placed = place_gang(cell, state, step, queue.pool, workers, band) if workers else []
@@ -130,6 +141,22 @@
         state.note_stuck(step)
 
 
+def _request_advice_in_turn(
+    cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band
+) -> None:
+    """Request advice for a step, within the slots of its band.
+
+    Requests for steps of no use any more would keep those of new urgent steps waiting. In a pool
+    that is half free they are not limited, as all accepted work has to be finished.
+    """
+    is_limited = band is Band.TOO_LATE and cell.options.orders_late_by_work
+    if not is_limited or state.is_half_free(queue.pool):
+        request_advice(cell, state, step, queue, band)
+    elif state.too_late_advised < MAX_TOO_LATE_ADVISED:
+        request_advice(cell, state, step, queue, band)
+        state.too_late_advised += cell.permits.is_in_use(step.name, state.now_ms)
+
+
 def _start_all(
     cell: Cell,
     state: SchedulingPass,
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.ids import WorkerId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.capacity import MAX_MEMBERS_PER_WORKER, count_fitting, startable_milli
+from lagoonshelf_core.jobs.late_order import LATE_BANDS
 from lagoonshelf_core.jobs.progress import GangHold, Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobId, StepIndex
@@ -36,8 +38,11 @@
     :param late_checks: number of late steps checked for an advice request
     :param late_gangs: number of late gangs that may wait for capacity
     :param holders: gang that each held worker is held for
+    :param later_holders: gangs with holds that come later in the pass than what is planned now;
+        filled only where late work is ordered by its size
+    :param too_late_advised: steps of no use any more whose permits are kept valid
     :param quieted_pools: pools of which a worker is kept for a suspected task
-    :param advice_budget_ms: time of the placement policy that requests may still use
+    :param advice_budget: time of the placement policy that requests may still use
     :param starts_left: tasks that the pass may still start, not counting gangs and the first
         starts of other jobs
     :param started_jobs: jobs of which it has started tasks
@@ -54,8 +59,10 @@
     late_checks: int = 0
     late_gangs: int = 0
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
+    later_holders: set[StepRun] = field(default_factory=set)
+    too_late_advised: int = 0
     quieted_pools: set[str] = field(default_factory=set)
-    advice_budget_ms: float = 0.0
+    advice_budget: AdviceBudget = field(default_factory=AdviceBudget)
     starts_left: int = MAX_STARTS_PER_PASS
     started_jobs: set[JobId] = field(default_factory=set)
     stuck_steps: set[tuple[JobId, StepIndex]] = field(default_factory=set)
@@ -96,6 +103,16 @@
         self.cold_starts_left[cold[0]] -= len(cold)
         return True
 
+    def capacity_milli(self, pool: str) -> int:
+        """Return the CPU of the usable workers of a pool, in thousandths."""
+        load = self.pools.get(pool)
+        return 0 if load is None else load.capacity_milli
+
+    def is_half_free(self, pool: str) -> bool:
+        """Return whether at least half of a pool's CPU is free."""
+        load = self.pools.get(pool)
+        return load is None or 2 * load.used_milli <= load.capacity_milli
+
     def may_start(self, step: StepRun) -> bool:
         """Return whether the pass may start tasks of a step.
 
@@ -178,4 +195,7 @@
         holder = self.holders.get(worker.id)
         if holder is None or holder is step or holder.hold is None or band <= Band.URGENT:
             return False
+        if holder in self.later_holders and band in LATE_BANDS:
+            # The step passes the gang, as its job is smaller or was received earlier.
+            return False
         return band >= holder.hold.band
--- a/tests/support/terms.py
+++ b/tests/support/terms.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import unittest
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from unittest.mock import patch
 
 from lagoonshelf_core.clock import Clock
@@ -72,6 +72,24 @@
     def _entries(self) -> list:
         return list(self.workers.workers.values())
 
+    def _hold_records(self) -> Callable[[], None]:
+        """Keep progress from being recorded until the returned function is called."""
+        commit, is_held = self.store.commit, True
+
+        async def hold_progress(
+            conditions: dict, puts: Sequence[Put] = (), deletes: Sequence[str] = (), **limits: int
+        ) -> Committed | Conflict | None:
+            while is_held and any(put.key.startswith(PROGRESS_PREFIX) for put in puts):
+                await asyncio.sleep(0.01)
+            return await commit(conditions, puts, deletes, **limits)
+
+        def release() -> None:
+            nonlocal is_held
+            is_held = False
+
+        self.store.commit = hold_progress
+        return release
+
     def _fail_progress_writes(self) -> None:
         """Let the store turn away the progress of jobs, and take all else."""
         original = self.store.commit
