--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -10,6 +10,7 @@
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.open_steps import OpenSteps
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
+from lagoonshelf_core.jobs.past_use import past_use_of
 from lagoonshelf_core.jobs.permits import Permits
 from lagoonshelf_core.jobs.progress import (
     ATTEMPTS_SKIPPED,
@@ -82,6 +83,7 @@
         self.permits = Permits()
         self.health = Health(WORKER_HEALTH_LIMITS)
         self.rates = TeamRates()
+        self.past_use = past_use_of(options)
         self.changed_jobs: set[Job] = set()
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
@@ -340,6 +342,8 @@
 
     def end_run(self, run: Run, end: RunEnd, checkpoint: str, now_ms: int) -> None:
         """Apply the end of a run."""
+        if self.past_use is not None:
+            self.past_use.charge_end(self.workers, run, end, now_ms)
         self._release(run)
         self.on_end(run, end, now_ms)
         task = run.task
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -11,6 +11,7 @@
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
 from lagoonshelf_core.jobs.isolation import place_suspects
+from lagoonshelf_core.jobs.past_use import order_by_past_use
 from lagoonshelf_core.jobs.progress import StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band, Rank, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
@@ -62,6 +63,8 @@
         queue = cell.queue_of(step.job)
         if queue is not None:
             ranked.append((rank(step, queue, now_ms), step, queue))
+    if cell.past_use is not None:
+        ranked = order_by_past_use(cell.past_use, cell.cfg, ranked, now_ms)
     ranked.sort(key=lambda row: (row[0], row[1].name))
     return ranked
 
--- a/packages/core/lagoonshelf_core/jobs/ranking.py
+++ b/packages/core/lagoonshelf_core/jobs/ranking.py
@@ -27,6 +27,11 @@
 
 Rank = tuple[int, float]
 
+# Bands whose steps go by slack; those of the others go by time of receipt.
+_SLACK_BANDS = frozenset({Band.URGENT, Band.ON_TIME, Band.EXCESS})
+# Part of its slack by which a step that is on time may be held back, so that it stays on time.
+MAX_SLACK_SHARE = 0.5
+
 
 def objective_ms(step: StepRun, queue: Queue) -> float:
     """Return the time from receipt within which the job of a step should end."""
@@ -56,3 +61,17 @@
     if slack < 0:
         return (Band.LATE, job.received_ms)
     return (Band.URGENT if queue.priority == 0 else Band.ON_TIME, slack)
+
+
+def hold_back(found: Rank, penalty_ms: float) -> Rank:
+    """Return the sort key of a step that is held back within its band.
+
+    Steps with the same penalty keep their order. Services are not held back, as they wait for
+    nothing but room.
+    """
+    band, key = found
+    if penalty_ms <= 0 or band == Band.SERVICE:
+        return found
+    if band in _SLACK_BANDS:
+        penalty_ms = min(penalty_ms, max(0.0, key) * MAX_SLACK_SHARE)
+    return (band, key + penalty_ms)
