Durable past use: cell/usage, written by the leader

Cause: use of the last hours has to survive the leader and the loss of all processes. Metrics of use, entitlement and penalty.

--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -36,6 +36,17 @@
     "lagoonshelf_wasted_core_ms_total", "Core-milliseconds of runs that did not end well, by end."
 )
 open_steps = Gauge("lagoonshelf_open_steps", "Steps that wait for room by band.")
+usage_is_known = Gauge(
+    "lagoonshelf_usage_is_known", "1 while this process knows the past use of the teams."
+)
+team_use = Gauge("lagoonshelf_team_use_core_ms", "Decayed use by team in core-milliseconds.")
+team_entitlement = Gauge(
+    "lagoonshelf_team_entitlement_core_ms",
+    "Use that a team is entitled to among the teams that wait.",
+)
+team_penalty = Gauge(
+    "lagoonshelf_team_penalty_ms", "Longest time by which a team's waiting steps are held back."
+)
 live_jobs = Gauge("lagoonshelf_live_jobs", "Jobs that have not ended.")
 config_version = Gauge("lagoonshelf_config_version", "Version of the configuration in force.")
 config_age_ms = Gauge("lagoonshelf_config_age_ms", "Time since the configuration was read.")
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -34,6 +34,7 @@
 from lagoonshelf_server.jobs.progress_writer import ProgressWriter
 from lagoonshelf_server.jobs.retention import JobRetention
 from lagoonshelf_server.jobs.takeover import TASKS_PER_TURN, CellState, read_cell_state
+from lagoonshelf_server.jobs.usage_store import UsageStore
 from lagoonshelf_server.logs import logger
 
 # Events that arrive within this time are handled by a single scheduling pass.
@@ -109,6 +110,7 @@
         self.dispatcher = Dispatcher(
             self.cell, ports.workers, leader_lease, clock, sessions, self.request_pass
         )
+        self._usage_store = UsageStore(self.cell, self._store, leader_lease, clock)
         self._early_cancellations = EarlyCancellations()
         self._is_behind = False
         self.dispatcher.may_start = self._may_start
@@ -153,6 +155,8 @@
         retention.on_cancellation_removed = self._early_cancellations.take
         self._spawn(retention.run(state.orphans))
         self._spawn(self._expire_cancellations())
+        if self.cell.past_use is not None:
+            self._spawn(self._usage_store.run(self.cell.past_use))
         self._spawn(self._report())
         self._spawn(self._send_loop())
         self._spawn(self._log_loop())
@@ -161,6 +165,11 @@
             self._spawn(Maintenance(*args, self._leader_lease, self._clock).run())
         await self._plan_loop()
 
+    async def prepare_hand_over(self) -> None:
+        """Write what a successor would not know otherwise."""
+        if self.may_answer():
+            await self._usage_store.write_last()
+
     def request_pass(self) -> None:
         """Request a scheduling pass soon."""
         self._pass_requested.set()
--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -104,6 +104,8 @@
         self.claim_delay_ms = 0
         self._failed_takeovers = 0
         self.predecessor_is_dead = False
+        # Whether this process has known of a leader before its present term.
+        self.has_predecessor = False
         self.is_outage: Callable[[], bool] = lambda: False
         self.acquired = asyncio.Event()
         self.lost = asyncio.Event()
@@ -351,6 +353,8 @@
             await self._refresh()
             return
         was_held = self.is_held
+        if not was_held:
+            self.has_predecessor = self.record is not None and self.record.member != NO_MEMBER
         self._lease = lease
         self._term = self.token = result.revision
         self.renewed_ms = sent_ms
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -141,12 +141,18 @@
         """Offer the leader lease and stop claiming it; clients are still served."""
         self.is_draining = self.heartbeats.is_draining = True
         self.leader_lease.is_candidate = False
+        await self._prepare_hand_over()
         await self.leader_lease.offer()
 
     async def leave(self) -> None:
         """Release the leader lease if no other member has claimed it."""
+        await self._prepare_hand_over()
         await self.leader_lease.release()
 
+    async def _prepare_hand_over(self) -> None:
+        if self._leader is not None:
+            await self._leader.prepare_hand_over()
+
     # Loops
 
     async def _run_forever(self, loop: Callable[[], Awaitable[None]]) -> None:
--- a/tests/support/terms.py
+++ b/tests/support/terms.py
@@ -7,6 +7,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS
 from lagoonshelf_core.jobs.spec import JobSpec, encode_job
 from lagoonshelf_server.jobs import worker_session
 from lagoonshelf_server.jobs.config_view import ConfigView
@@ -23,6 +24,8 @@
 class TermTestCase(unittest.IsolatedAsyncioTestCase):
     """Terms of one or two processes with three workers."""
 
+    options = DEFAULT_OPTIONS
+
     async def asyncSetUp(self) -> None:
         self.clock = Clock()
         self.store, self.codec = FakeStore(), FakeCodec()
@@ -56,7 +59,7 @@
         cfg.current = config()
         cfg.confirmed_ms = self.clock.now_ms()
         ports = Ports(self.store, self.workers, self.codec)
-        leader = Leader(ports, lease, cfg, self.clock)
+        leader = Leader(ports, lease, cfg, self.clock, self.options)
         leader.lease, leader.config_view = lease, cfg
         self.config_poll = asyncio.ensure_future(cfg.poll())
         self.tasks.append(self.config_poll)
