lagoonshelf teams usage prints past use from metrics pages

Cause: operators ask why the work of a team waits behind that of others. Change: the command reads the metrics pages of the given processes and prints use, entitlement and penalty as the leader tells them, or "unknown".

--- a/packages/client/lagoonshelf_client/commands.py
+++ b/packages/client/lagoonshelf_client/commands.py
@@ -10,6 +10,7 @@
 
 from lagoonshelf_client.api import Client, Connection
 from lagoonshelf_client.explain import explain, format_line, read_lines
+from lagoonshelf_client.team_usage import find_usage
 from lagoonshelf_core.document import create_merge_patch, parse_document
 from lagoonshelf_core.errors import Fault, ResultCode
 from lagoonshelf_core.ids import KeyId, TeamId, is_valid_id
@@ -122,6 +123,23 @@
         return client.put_config(found["revision"], {**document, "keys": kept})
 
 
+class TeamCommands:
+    """Print figures of the teams."""
+
+    def __init__(self, report: Report) -> None:
+        """Create the commands."""
+        self._report = report
+
+    def usage(self, url: str) -> None:
+        """Print past use, entitlement and longest delay of each team, or that they are unknown.
+
+        Only the leader knows them, so give the metrics addresses of all processes.
+        Example: lagoonshelf teams usage --url=http://192.0.2.1:9101,http://192.0.2.2:9101
+        """
+        urls = url if isinstance(url, (list, tuple)) else str(url).split(",")
+        self._report(find_usage([str(part).strip().rstrip("/") for part in urls]))
+
+
 class Commands:
     """Submit work to a cell and operate the cell.
 
@@ -141,6 +159,7 @@
         self._urls = urls
         self.config = ConfigCommands(self._client, report)
         self.keys = KeyCommands(self._client, report)
+        self.teams = TeamCommands(report)
 
     def explain(self, request: str, *files: str) -> None:
         """Print the log lines of several processes that explain one request, in order of time.
--- a/packages/server/lagoonshelf_server/jobs/usage_store.py
+++ b/packages/server/lagoonshelf_server/jobs/usage_store.py
@@ -33,8 +33,8 @@
 TICK_S = 1.0
 # A leader that dies loses the use since its last write.
 WRITE_INTERVAL_MS = 30_000
-# Longest wait for the write at the end of a term; the process must not be late to leave for it.
-LAST_WRITE_TIMEOUT_S = 0.5
+# Longest wait for the write at the end of a term; the release of the leader lease waits for it.
+LAST_WRITE_TIMEOUT_S = 0.2
 # The store accepts values of up to 1 MiB.
 MAX_RECORD_BYTES = 1_000_000
 # Teams with metrics, those with the most use.
