--- a/tests/core/jobs/test_past_use.py
+++ b/tests/core/jobs/test_past_use.py
@@ -11,6 +11,7 @@
 from lagoonshelf_core.jobs.planning import _rank_open_steps
 from lagoonshelf_core.jobs.progress import RunEnd
 from lagoonshelf_core.jobs.ranking import Band, hold_back
+from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
 from tests.support import jobs
 from tests.support.jobs import BATCH, SMALL, URGENT, confirm_starts, make_step, plan_starts
 
@@ -47,7 +48,10 @@
         self.past_use.charge(self.cell.workers, until_ms)
 
     def _order(self, now_ms: int = NOW_MS) -> list[TeamId]:
-        return [step.job.spec.team for _, step, _ in _rank_open_steps(self.cell, now_ms)]
+        return [
+            step.job.spec.team
+            for _, step, _ in _rank_open_steps(self.cell, SchedulingPass(now_ms, {}))
+        ]
 
     def test_five_times_the_use_is_held_back_by_a_bounded_time_and_behind_newcomers(self) -> None:
         """Guards against hours of heavy use without effect, and against starving its team."""
@@ -83,9 +87,9 @@
             for team in (HEAVY, LIGHT):
                 self._add(team, NOW_MS - age_ms)
                 self._add(team, NOW_MS - age_ms, queue=URGENT)
-        ranked = _rank_open_steps(self.cell, NOW_MS)
+        ranked = _rank_open_steps(self.cell, SchedulingPass(NOW_MS, {}))
         self.cell.past_use = None
-        bare = _rank_open_steps(self.cell, NOW_MS)
+        bare = _rank_open_steps(self.cell, SchedulingPass(NOW_MS, {}))
         self.assertNotEqual([row[1] for row in ranked], [row[1] for row in bare])
         self.assertEqual([row[0][0] for row in ranked], [row[0][0] for row in bare])
         for team in (HEAVY, LIGHT):
