--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -14,6 +14,7 @@
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
 from lagoonshelf_core.jobs.isolation import place_suspects
 from lagoonshelf_core.jobs.late_order import order_late_by_work
+from lagoonshelf_core.jobs.past_use import order_by_past_use
 from lagoonshelf_core.jobs.progress import StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band, Rank, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
@@ -79,6 +80,8 @@
             if cell.options.orders_late_by_work:
                 row = order_late_by_work(row, step, queue, state.capacity_milli(queue.pool))
             ranked.append((row, step, queue))
+    if cell.past_use is not None:
+        ranked = order_by_past_use(cell.past_use, cell.cfg, ranked, state.now_ms)
     ranked.sort(key=lambda row: (row[0], row[1].name))
     return ranked
 
