--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -57,9 +57,9 @@
     cost_ms = timing.base_ms + timing.per_worker_ms * len(selected)
     if not selected or not cell.permits.is_request_due(step.name, cost_ms, now_ms):
         return
-    if state.advice_budget_ms < cost_ms and state.advised_steps > 1:
+    if not state.advice_budget.allows(cost_ms) and state.advised_steps > 1:
         return
-    state.advice_budget_ms -= cost_ms
+    state.advice_budget.take(cost_ms)
     cell.permits.request_sent(step.name)
     cell.commands.append(RequestAdvice(step, selected, cost_ms))
 
@@ -126,25 +126,27 @@
 
 
 def _by_preference(cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue) -> list[Worker]:
-    """Return the usable workers in the order in which advice is asked for them."""
+    """Return the usable workers in the order in which advice is asked for them.
+
+    Cold and slow ones are last. The others go by free CPU, and for a step that prefers fast
+    workers by speed if they have room.
+    """
     lists = state.by_free_cpu
     if cell.speeds is not None and prefers_fast(step, queue, state.now_ms):
         lists = state.by_speed
     workers = lists.get(queue.pool)
-    if workers is None:
-        usable = state.usable[queue.pool].values()
-        is_by_speed = lists is state.by_speed and any(w.speed_class for w in usable)
-        key = _speed_key if is_by_speed else _free_cpu_key
-        workers = lists[queue.pool] = sorted(usable, key=key)
-    return workers
-
-
-def _speed_key(worker: Worker) -> tuple:
-    capacity_milli = worker.info.capacity.cpu_milli
-    is_full = capacity_milli - worker.used.cpu_milli < MIN_FREE_SHARE * capacity_milli
-    return (worker.is_slow, is_full, -worker.speed_class, _free_cpu_key(worker))
-
-
-def _free_cpu_key(worker: Worker) -> tuple[bool, int, WorkerId]:
-    free_milli = worker.info.capacity.cpu_milli - worker.used.cpu_milli
-    return (worker.is_slow, -free_milli, worker.info.id)
+    if workers is not None:
+        return workers
+    usable = state.usable[queue.pool].values()
+    is_by_speed = lists is state.by_speed and any(worker.speed_class for worker in usable)
+
+    def key(worker: Worker) -> tuple:
+        capacity_milli = worker.info.capacity.cpu_milli
+        used_milli = worker.used.cpu_milli - capacity_milli
+        speed_rank = ()
+        if is_by_speed:
+            speed_rank = (-used_milli < MIN_FREE_SHARE * capacity_milli, -worker.speed_class)
+        return (worker.id in state.cold, worker.is_slow, *speed_rank, used_milli, worker.id)
+
+    lists[queue.pool] = sorted(usable, key=key)
+    return lists[queue.pool]
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -5,11 +5,14 @@
 
 from lagoonshelf_core.health import Health, HealthLimits
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
+from lagoonshelf_core.jobs.cold_starts import ColdStarts
 from lagoonshelf_core.jobs.commands import Command, StopRun
-from lagoonshelf_core.jobs.config import CellConfig, Queue
+from lagoonshelf_core.jobs.config import CellConfig, PoolId, Queue
+from lagoonshelf_core.jobs.evacuations import Evacuations
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.open_steps import OpenSteps
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
+from lagoonshelf_core.jobs.past_use import past_use_of
 from lagoonshelf_core.jobs.permits import Permits
 from lagoonshelf_core.jobs.progress import (
     ATTEMPTS_SKIPPED,
@@ -84,6 +87,7 @@
         self.health = Health(WORKER_HEALTH_LIMITS)
         self.rates = TeamRates()
         self.speeds = WorkerSpeeds() if options.models_worker_speed else None
+        self.past_use = past_use_of(options)
         self.changed_jobs: set[Job] = set()
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
@@ -98,6 +102,8 @@
         # one may have reported since that it is draining, 0 for none.
         self.registry_ms = 0
         self.max_registry_age_ms = 0
+        self.evacuations = Evacuations()
+        self.cold_starts = ColdStarts()
         self.losses: deque[LossRecord] = deque(maxlen=MAX_LOSS_RECORDS)
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
@@ -231,10 +237,11 @@
             self.mark_runs_unverified(worker, now_ms)
             worker.is_recorded = False
             self.health.forget_worker(info.id)
-            self._forget_speed(worker)
         if info.is_draining and not worker.info.is_draining:
             worker.drain_end_ms = now_ms + info.remaining_ms
         worker.info = info
+        if self.evacuations.max_age_ms:
+            worker.record_cold(now_ms)
         worker.is_listed = True
         worker.is_full = False
         return worker
@@ -254,14 +261,16 @@
             return True
         return now_ms - self.registry_ms <= self.max_registry_age_ms
 
+    def evacuated_pools(self) -> list[PoolId]:
+        """Return the pools that have workers in evacuated failure domains only."""
+        domains = self.evacuations.domains
+        workers = [worker.info for worker in self.workers.values() if worker.is_listed]
+        left = {info.pool for info in workers if info.domain not in domains}
+        return sorted({info.pool for info in workers} - left)
+
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
-        self._forget_speed(worker)
-
-    def _forget_speed(self, worker: Worker) -> None:
-        if self.speeds is not None:
-            self.speeds.forget(worker)
 
     def mark_runs_unverified(self, worker: Worker, now_ms: int) -> None:
         """Mark the runs of a worker that has restarted: the new incarnation may run some."""
@@ -348,8 +357,8 @@
 
     def end_run(self, run: Run, end: RunEnd, checkpoint: str, now_ms: int) -> None:
         """Apply the end of a run."""
-        if run.track is not None and end is RunEnd.DONE:
-            self.speeds.observe_done(run, now_ms)
+        if self.past_use is not None:
+            self.past_use.charge_end(self.workers, run, end, now_ms)
         self._release(run)
         self.on_end(run, end, now_ms)
         task = run.task
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -4,13 +4,17 @@
 from heapq import heapify, heappop, heapreplace
 
 from lagoonshelf_core.ids import TaskId, WorkerId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.advice_requests import request_advice
 from lagoonshelf_core.jobs.capacity import free_capacity
 from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.cold import add_cold_workers
 from lagoonshelf_core.jobs.commands import StartRun
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
 from lagoonshelf_core.jobs.isolation import place_suspects
+from lagoonshelf_core.jobs.late_order import order_late_by_work
+from lagoonshelf_core.jobs.past_use import order_by_past_use
 from lagoonshelf_core.jobs.progress import StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band, Rank, prefers_fast, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
@@ -19,24 +23,30 @@
 
 # Log message of the tasks of a step that start in a pass.
 TASKS_PLACED = "tasks placed"
+# Steps of no use any more whose permits are kept valid. Each is advised through another member,
+# and a cell has at least six, so that some are free for new urgent steps.
+MAX_TOO_LATE_ADVISED = 4
 
 
-def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> bool:
+def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget: AdviceBudget) -> bool:
     """Run a scheduling pass; add commands to the cell for the tasks that start now.
 
     Return whether another pass is needed for work that this one has left.
 
-    :param advice_budget_ms: time of the placement policy that advice requests may use
+    :param advice_budget: time of the placement policy that advice requests may use
     """
     has_more = cell.open_due_occurrences(now_wall_ms)
     if not cell.open_steps:
         return has_more
-    state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
+    state = SchedulingPass(now_ms, {}, advice_budget=advice_budget)
     _add_usable_workers(cell, state)
-    ranked = _rank_open_steps(cell, now_ms)
+    ranked = _rank_open_steps(cell, state)
     state.register_holds(step for _, step, _ in ranked)
+    if cell.options.orders_late_by_work:
+        state.later_holders.update(state.holders.values())
     has_unread = any(worker.blocks_inherited for worker in cell.workers.values())
     for (band, _), step, queue in ranked:
+        state.later_holders.discard(step)
         if step.job.is_inherited and has_unread:
             continue
         if not state.may_start(step) or state.is_stuck(step):
@@ -48,20 +58,30 @@
 def _add_usable_workers(cell: Cell, state: SchedulingPass) -> None:
     if not cell.may_use_registry(state.now_ms):
         return
+    if not cell.evacuations.is_current(state.now_ms, is_store_down=cell.is_store_down):
+        return
     for worker in cell.workers.values():
         if not worker.is_usable or cell.health.is_quarantined(worker.id, state.now_ms):
             continue
+        if worker.info.domain in cell.evacuations.domains:
+            continue
         if cell.may_use_capacity(worker, state.now_ms):
             state.add_usable(worker)
+    add_cold_workers(cell, state)
 
 
-def _rank_open_steps(cell: Cell, now_ms: int) -> list[tuple[Rank, StepRun, Queue]]:
+def _rank_open_steps(cell: Cell, state: SchedulingPass) -> list[tuple[Rank, StepRun, Queue]]:
     """Return the steps with tasks that can start and their queues, in order of priority."""
     ranked = []
     for step in cell.open_steps.first():
         queue = cell.queue_of(step.job)
         if queue is not None:
-            ranked.append((rank(step, queue, now_ms, _pool_rate(cell, queue)), step, queue))
+            row = rank(step, queue, state.now_ms, _pool_rate(cell, queue))
+            if cell.options.orders_late_by_work:
+                row = order_late_by_work(row, step, queue, state.capacity_milli(queue.pool))
+            ranked.append((row, step, queue))
+    if cell.past_use is not None:
+        ranked = order_by_past_use(cell.past_use, cell.cfg, ranked, state.now_ms)
     ranked.sort(key=lambda row: (row[0], row[1].name))
     return ranked
 
@@ -112,7 +132,7 @@
     if queue.advice is not None:
         permits = cell.permits.valid(step.name, state.now_ms)
         may_run_on = cell.permits.allowed(step.name)
-        request_advice(cell, state, step, queue, band)
+        _request_advice_in_turn(cell, state, step, queue, band)
     workers = _find_workers(step, usable, usable if permits is None else permits)
     is_fast = cell.speeds is not None and prefers_fast(step, queue, state.now_ms)
     if spec.is_gang:
@@ -136,6 +156,22 @@
         state.note_stuck(step)
 
 
+def _request_advice_in_turn(
+    cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band
+) -> None:
+    """Request advice for a step, within the slots of its band.
+
+    Requests for steps of no use any more would keep those of new urgent steps waiting. In a pool
+    that is half free they are not limited, as all accepted work has to be finished.
+    """
+    is_limited = band is Band.TOO_LATE and cell.options.orders_late_by_work
+    if not is_limited or state.is_half_free(queue.pool):
+        request_advice(cell, state, step, queue, band)
+    elif state.too_late_advised < MAX_TOO_LATE_ADVISED:
+        request_advice(cell, state, step, queue, band)
+        state.too_late_advised += cell.permits.is_in_use(step.name, state.now_ms)
+
+
 def _start_all(
     cell: Cell,
     state: SchedulingPass,
@@ -174,6 +210,7 @@
 ) -> list[tuple[Task, Worker]]:
     """Start the suspected tasks of a step that can start, each isolated from other starts."""
     started = []
+    workers = [worker for worker in workers if worker.id not in state.cold] or workers
     for task, worker in place_suspects(cell, state, step, queue.pool, workers, band):
         permit = "" if permits is None else permits[worker.id]
         _start(cell, state, task, worker, task.attempt + 1, task.checkpoint, permit)
@@ -241,10 +278,11 @@
         if spec.max_per_worker and on_worker.get(worker.id, 0) >= spec.max_per_worker:
             return None
         free = free_capacity(worker, planned.get(worker.id, ZERO_RESOURCES))
-        if not size.fits_in(free):
+        if not size.fits_in(free) or not state.cold_room(worker, size, planned.get(worker.id)):
             return None
         score = _score(step, worker, free, worker.id in failed_workers, prefers_fast)
-        return (worker.is_slow, worker.id in state.holders, *score)
+        is_held = worker.id in state.holders
+        return (worker.id in state.cold, worker.is_slow, is_held, *score)
 
     # A placement changes the score of its worker only, so the others are evaluated once.
     evaluated = ((evaluate(worker), worker) for worker in workers)
@@ -265,9 +303,11 @@
         startable_milli -= size.cpu_milli
         if not candidates or startable_milli < 0 or len(placed) >= max_starts:
             break
-        if not cell.is_within_limit(step.job.spec.team, planned_total + spec.size):
-            break
         _, best = candidates[0]
+        is_within_limit = cell.is_within_limit(step.job.spec.team, planned_total + spec.size)
+        # Cold workers are the last candidates, so that those behind them are cold as well.
+        if not is_within_limit or not state.take_cold(best):
+            break
         placed.append((task, best))
         planned_total += spec.size
         planned[best.id] = planned.get(best.id, ZERO_RESOURCES) + size
@@ -323,6 +363,8 @@
 ) -> None:
     run = cell.begin_run(task, worker, attempt, state.now_ms)
     state.count_start(task.job)
+    if worker.id in state.cold:
+        cell.cold_starts.count(worker.info.pool)
     state.pools[worker.info.pool].used_milli += allocation_of(run.size, run.is_filler).cpu_milli
     expires_ms = cell.permits.expires_ms(task.step.name) if permit else 0
     cell.commands.append(StartRun(run, task.job.spec.payload, checkpoint, permit, expires_ms))
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -4,12 +4,14 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.ids import WorkerId
-from lagoonshelf_core.jobs.capacity import startable_milli
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
+from lagoonshelf_core.jobs.capacity import MAX_MEMBERS_PER_WORKER, count_fitting, startable_milli
+from lagoonshelf_core.jobs.late_order import LATE_BANDS
 from lagoonshelf_core.jobs.progress import GangHold, Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobId, StepIndex
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
-from lagoonshelf_core.resources import ZERO_RESOURCES
+from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
 
 # Starts of one scheduling pass; a wide step takes several passes, so that each ends within a small
 # part of the leader lease's TTL.
@@ -37,12 +39,17 @@
     :param late_checks: number of late steps checked for an advice request
     :param late_gangs: number of late gangs that may wait for capacity
     :param holders: gang that each held worker is held for
+    :param later_holders: gangs with holds that come later in the pass than what is planned now;
+        filled only where late work is ordered by its size
+    :param too_late_advised: steps of no use any more whose permits are kept valid
     :param quieted_pools: pools of which a worker is kept for a suspected task
-    :param advice_budget_ms: time of the placement policy that requests may still use
+    :param advice_budget: time of the placement policy that requests may still use
     :param starts_left: tasks that the pass may still start, not counting gangs and the first
         starts of other jobs
     :param started_jobs: jobs of which it has started tasks
     :param stuck_steps: job and index of the steps of occurrences of which no task could start
+    :param cold: capacity that may be used of each worker that is slow since its start
+    :param cold_starts_left: starts that such workers may still get, by pool with a limit
     """
 
     now_ms: int
@@ -54,11 +61,15 @@
     late_checks: int = 0
     late_gangs: int = 0
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
+    later_holders: set[StepRun] = field(default_factory=set)
+    too_late_advised: int = 0
     quieted_pools: set[str] = field(default_factory=set)
-    advice_budget_ms: float = 0.0
+    advice_budget: AdviceBudget = field(default_factory=AdviceBudget)
     starts_left: int = MAX_STARTS_PER_PASS
     started_jobs: set[JobId] = field(default_factory=set)
     stuck_steps: set[tuple[JobId, StepIndex]] = field(default_factory=set)
+    cold: dict[WorkerId, Resources] = field(default_factory=dict)
+    cold_starts_left: dict[str, int] = field(default_factory=dict)
 
     def add_usable(self, worker: Worker) -> None:
         """Add a worker that may get tasks."""
@@ -70,6 +81,40 @@
         # A worker that has shrunk may use more than it has, which is no load of the others.
         load.used_milli += min(worker.used.cpu_milli, capacity_milli)
 
+    def cold_room(self, worker: Worker, size: Resources, planned: Resources | None = None) -> int:
+        """Return how many tasks of a size a worker may get as far as it is cold.
+
+        A cold worker without runs may get one task of any size, which else could wait for long.
+
+        :param planned: resources of tasks that the pass has placed on the worker
+        """
+        capacity = self.cold.get(worker.id)
+        if capacity is None:
+            return MAX_MEMBERS_PER_WORKER
+        is_idle = not worker.runs and planned is None
+        fitting = count_fitting(size, capacity, worker.used + (planned or ZERO_RESOURCES))
+        return max(fitting, int(is_idle))
+
+    def take_cold(self, *workers: Worker) -> bool:
+        """Count a start on each worker as far as it is cold; return false if too many are."""
+        cold = [worker.info.pool for worker in workers if worker.id in self.cold]
+        if not cold or cold[0] not in self.cold_starts_left:
+            return True
+        if self.cold_starts_left[cold[0]] < len(cold):
+            return False
+        self.cold_starts_left[cold[0]] -= len(cold)
+        return True
+
+    def capacity_milli(self, pool: str) -> int:
+        """Return the CPU of the usable workers of a pool, in thousandths."""
+        load = self.pools.get(pool)
+        return 0 if load is None else load.capacity_milli
+
+    def is_half_free(self, pool: str) -> bool:
+        """Return whether at least half of a pool's CPU is free."""
+        load = self.pools.get(pool)
+        return load is None or 2 * load.used_milli <= load.capacity_milli
+
     def may_start(self, step: StepRun) -> bool:
         """Return whether the pass may start tasks of a step.
 
@@ -152,4 +197,7 @@
         holder = self.holders.get(worker.id)
         if holder is None or holder is step or holder.hold is None or band <= Band.URGENT:
             return False
+        if holder in self.later_holders and band in LATE_BANDS:
+            # The step passes the gang, as its job is smaller or was received earlier.
+            return False
         return band >= holder.hold.band
--- a/packages/core/lagoonshelf_core/jobs/slow_workers.py
+++ b/packages/core/lagoonshelf_core/jobs/slow_workers.py
@@ -63,10 +63,11 @@
     speeds = cell.speeds
     if speeds is None:
         return
-    speeds.refresh(cell.workers.values(), now_ms)
+    speeds.refresh(cell.workers, now_ms)
     rooms: dict[PoolId, _Room] = {}
     for worker in list(speeds.marked.values()):
-        if not _end_mark(cell, speeds.get(worker), worker, now_ms):
+        known = speeds.get(worker)
+        if worker.is_slow and not _end_mark(cell, known, worker, now_ms):
             _move_runs(cell, speeds, worker, rooms, now_ms)
     _mark_suspects(cell, speeds, now_ms)
 
@@ -257,6 +258,8 @@
         for worker in in_pool
         if worker.is_usable
         and not worker.is_slow
+        and not worker.is_cold(now_ms)
+        and worker.info.domain not in cell.evacuations.domains
         and cell.health.may_start(worker.id, True, now_ms)
     ]
     free_milli = sum(free_capacity(worker, ZERO_RESOURCES).cpu_milli for worker in others)
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -126,6 +126,8 @@
     if run is not None:
         if row.end is not RunEnd.DONE:
             cell.note("run ended", run, how=row.end.value, percent=run.progress_percent)
+        elif run.track is not None:
+            cell.speeds.observe_done(run, now_ms)
         cell.end_run(run, row.end, row.checkpoint, now_ms)
         return
     task = cell.find_task(row.name)
--- a/packages/core/lagoonshelf_core/jobs/worker_speeds.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_speeds.py
@@ -5,7 +5,7 @@
 with a prior in favour of 1, are its speed.
 """
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from math import log, sqrt
 from statistics import median
@@ -98,6 +98,7 @@
 class WorkerSpeed:
     """What is known of one worker.
 
+    :param born_ms: start of its incarnation
     :param expected: runs that its observed run time is worth at speed 1
     :param done: runs, in shares, that were done in this time
     :param scale: mean of its pool, which may differ from 1 while the kinds are learnt
@@ -108,6 +109,7 @@
     """
 
     pool: PoolId
+    born_ms: int
     expected: float = 0.0
     done: float = 0.0
     scale: float = 1.0
@@ -187,7 +189,7 @@
 
     :param expected_ms: run time by the model when the run was added
     :param is_observed: its progress tells of the worker. That of a gang does not, which is as
-        slow as its slowest member, nor that of a run away from its data.
+        slow as its slowest member, nor that of a run away from its data or on a cold worker.
     :param first_ms: time of the first report, None before
     :param mark_percent: progress at the start of the present stretch
     :param mark_ms: start of the present stretch, None while there is none
@@ -249,20 +251,15 @@
 
     def get(self, worker: Worker) -> WorkerSpeed:
         """Return what is known of a worker."""
-        known = self._workers.get(worker.id)
-        if known is None:
-            pool = worker.info.pool
-            known = WorkerSpeed(pool, scale=self._scales.get(pool, 1.0))
-            self._workers[worker.id] = known
+        known, info = self._workers.get(worker.id), worker.info
+        if known is None or known.born_ms != info.born_ms:
+            # What is known of an earlier incarnation need not hold for this one.
+            self.marked.pop(info.id, None)
+            worker.speed_class, worker.is_slow = 0, False
+            known = WorkerSpeed(info.pool, info.born_ms, scale=self._scales.get(info.pool, 1.0))
+            self._workers[info.id] = known
         return known
 
-    def forget(self, worker: Worker) -> None:
-        """Forget a worker that was removed, or that has another incarnation in its place."""
-        self._workers.pop(worker.id, None)
-        self.marked.pop(worker.id, None)
-        worker.speed_class = 0
-        worker.is_slow = False
-
     def take_suspects(self) -> set[WorkerId]:
         """Return the workers whose runs have made little progress since the last call."""
         suspects, self._suspects = self._suspects, set()
@@ -279,7 +276,8 @@
         estimate_ms = spec.estimate_ms or UNKNOWN_ESTIMATE_MS
         expected_ms = max(1.0, estimate_ms / (kind.rate * known.speed))
         is_far = bool(spec.rack) and worker.info.rack != spec.rack
-        is_observed = not (spec.is_gang or spec.same_rack or is_far)
+        is_cold = worker.is_cold(run.started_ms)
+        is_observed = not (spec.is_gang or spec.same_rack or is_far or is_cold)
         run.track = RunTrack(kind, known, expected_ms, is_observed)
 
     def observe(self, run: Run, checkpoint: str, now_ms: int) -> None:
@@ -370,17 +368,20 @@
             kind = self._kinds[key] = _Kind(pool)
         return kind
 
-    def refresh(self, workers: Iterable[Worker], now_ms: int) -> None:
+    def refresh(self, workers: Mapping[WorkerId, Worker], now_ms: int) -> None:
         """Update the speeds relative to the pools and their classes, once per interval."""
         elapsed_ms = now_ms - self._refreshed_ms
         if elapsed_ms < REFRESH_INTERVAL_MS:
             return
         self._refreshed_ms = now_ms
         by_pool: dict[PoolId, list[tuple[Worker, WorkerSpeed]]] = {}
-        for worker in workers:
-            known = self._workers.get(worker.id)
-            if known is not None:
-                by_pool.setdefault(known.pool, []).append((worker, known))
+        for name in list(self._workers):
+            worker = workers.get(name)
+            if worker is None:
+                del self._workers[name]
+                self.marked.pop(name, None)
+            else:
+                by_pool.setdefault(worker.info.pool, []).append((worker, self.get(worker)))
         self.pools = {}
         for pool, rows in by_pool.items():
             mean = sum(known.speed for _, known in rows) / len(rows)
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -10,11 +10,11 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId, QueueId, WorkerId
+from lagoonshelf_core.jobs.cold_starts import ColdStarts
 from lagoonshelf_core.jobs.progress import JobState
 from lagoonshelf_core.jobs.spec import JobId, decode_job
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.heartbeats import (
-    LEADER_CORES_MILLI,
     SMALL_HOST_CLAIM_DELAY_MS,
     Heartbeats,
     NodeSettings,
@@ -96,7 +96,7 @@
         self.config = ConfigView(ports.store, ports.codec, clock, cfg.config_max_age_ms)
         self.config.fetch_copy = self._fetch_config
         self.leader_lease = LeaderLease(ports.store, clock, cfg.member, cfg.address)
-        if cfg.cores_milli < LEADER_CORES_MILLI:
+        if not cfg.suits_leader:
             self.leader_lease.claim_delay_ms = SMALL_HOST_CLAIM_DELAY_MS
         leader_client = LeaderClient(
             self._announce, self._announce_cancel, self._state, self._relay
@@ -141,12 +141,18 @@
         """Offer the leader lease and stop claiming it; clients are still served."""
         self.is_draining = self.heartbeats.is_draining = True
         self.leader_lease.is_candidate = False
+        await self._prepare_hand_over()
         await self.leader_lease.offer()
 
     async def leave(self) -> None:
         """Release the leader lease if no other member has claimed it."""
+        await self._prepare_hand_over()
         await self.leader_lease.release()
 
+    async def _prepare_hand_over(self) -> None:
+        if self._leader is not None:
+            await self._leader.prepare_hand_over()
+
     # Loops
 
     async def _run_forever(self, loop: Callable[[], Awaitable[None]]) -> None:
@@ -205,6 +211,8 @@
             )
             leader.cell.max_capacity_age_ms = self._cfg.capacity_max_age_ms
             leader.cancel_ms = self._cfg.cancel_ms
+            leader.evacuate_ms = self._cfg.evacuate_ms
+            leader.cell.cold_starts = ColdStarts(self._cfg.cold_overage, self._cfg.cold_slack)
             leader.cell.max_registry_age_ms = self._cfg.registry_max_age_ms
             leader.is_store_troubled = self.heartbeats.is_store_troubled_for_all
             leader.is_store_down = self.heartbeats.is_store_down_for_all
--- a/tests/support/terms.py
+++ b/tests/support/terms.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import unittest
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from unittest.mock import patch
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import MemberId
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS
 from lagoonshelf_core.jobs.spec import JobSpec, encode_job
 from lagoonshelf_server.jobs import worker_session
 from lagoonshelf_server.jobs.config_view import ConfigView
@@ -23,6 +24,8 @@
 class TermTestCase(unittest.IsolatedAsyncioTestCase):
     """Terms of one or two processes with three workers."""
 
+    options = DEFAULT_OPTIONS
+
     async def asyncSetUp(self) -> None:
         self.clock = Clock()
         self.store, self.codec = FakeStore(), FakeCodec()
@@ -46,7 +49,7 @@
     def _starts_of(self, spec: JobSpec) -> int:
         return sum(task.startswith(spec.id) for _, task, _ in self.workers.started)
 
-    async def _term(self, member: str) -> Leader:
+    async def _term(self, member: str, *, evacuate_ms: int | None = None) -> Leader:
         """Start a term that replaces any other."""
         lease = LeaderLease(self.store, self.clock, MemberId(member), member)
         await lease._refresh()
@@ -56,8 +59,9 @@
         cfg.current = config()
         cfg.confirmed_ms = self.clock.now_ms()
         ports = Ports(self.store, self.workers, self.codec)
-        leader = Leader(ports, lease, cfg, self.clock)
+        leader = Leader(ports, lease, cfg, self.clock, self.options)
         leader.lease, leader.config_view = lease, cfg
+        leader.evacuate_ms = evacuate_ms
         self.config_poll = asyncio.ensure_future(cfg.poll())
         self.tasks.append(self.config_poll)
         for coro in (lease.renew(), leader.run()):
@@ -71,6 +75,24 @@
     def _entries(self) -> list:
         return list(self.workers.workers.values())
 
+    def _hold_records(self) -> Callable[[], None]:
+        """Keep progress from being recorded until the returned function is called."""
+        commit, is_held = self.store.commit, True
+
+        async def hold_progress(
+            conditions: dict, puts: Sequence[Put] = (), deletes: Sequence[str] = (), **limits: int
+        ) -> Committed | Conflict | None:
+            while is_held and any(put.key.startswith(PROGRESS_PREFIX) for put in puts):
+                await asyncio.sleep(0.01)
+            return await commit(conditions, puts, deletes, **limits)
+
+        def release() -> None:
+            nonlocal is_held
+            is_held = False
+
+        self.store.commit = hold_progress
+        return release
+
     def _fail_progress_writes(self) -> None:
         """Let the store turn away the progress of jobs, and take all else."""
         original = self.store.commit
