Jobs that cannot end in time are refused at submission, behind a switch

Cause: each job was accepted and waited; under overload a part was done when it was of no use any more, and Retry-After was a constant. Change: with refuses_overload, the leader forecasts the work before a new job and the rate of each pool, heartbeat replies carry it, and members refuse by it (503, Retry-After by the backlog and the job id) what would start neither on time nor in time to be of use. An id that is stored or has ended is never refused, and nothing is without a recent forecast or while the store is troubled.

--- a/packages/core/lagoonshelf_core/jobs/late_order.py
+++ b/packages/core/lagoonshelf_core/jobs/late_order.py
@@ -3,6 +3,7 @@
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.progress import Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band, Rank, objective_ms
+from lagoonshelf_core.jobs.spec import StepSpec
 
 # Bands that are ordered by a virtual finish time. Work that is of no use any more keeps the order
 # of receipt, so that what is owed longest is done first.
@@ -36,16 +37,35 @@
 
     Jobs received later than a job's own virtual finish never pass it, so that none starves.
     """
+    objective = objective_ms(step, queue)
+    work = waiting_work(step.job)
+    return step.job.received_ms + late_delay_ms(work, objective, queue, pool_milli)
+
+
+def late_delay_ms(work: int, objective: float, queue: Queue, pool_milli: int) -> float:
+    """Return for how long after its receipt other late jobs pass a job.
+
+    :param work: work of its waiting tasks, in thousandths of core-milliseconds
+    :param objective: time from receipt within which it should end
+    """
     priority = max(0, queue.priority)
     factor = PRIORITY_FACTORS[priority] if priority < len(PRIORITY_FACTORS) else 1.0
-    delay_ms = waiting_work(step.job) / (pool_milli * REFERENCE_SHARE * factor)
-    max_delay_ms = MAX_DELAY_OBJECTIVES * max(0.0, objective_ms(step, queue))
-    return step.job.received_ms + min(delay_ms, max_delay_ms)
+    delay_ms = work / (pool_milli * REFERENCE_SHARE * factor)
+    return min(delay_ms, MAX_DELAY_OBJECTIVES * max(0.0, objective))
 
 
 def waiting_work(job: Job) -> int:
-    """Return the work of a job's tasks that wait, in thousandths of core-milliseconds."""
+    """Return the work of a job's tasks that wait, in thousandths of core-milliseconds.
+
+    Services never end, and fillers use only CPU that others leave.
+    """
     return sum(
-        len(step.waiting) * step.spec.size.cpu_milli * max(MIN_ESTIMATE_MS, step.spec.estimate_ms)
+        len(step.waiting) * step.spec.size.cpu_milli * estimate_ms(step.spec)
         for step in job.steps.values()
+        if not step.spec.is_service and not step.spec.is_filler
     )
+
+
+def estimate_ms(spec: StepSpec) -> int:
+    """Return the estimated run time of a task of a step."""
+    return max(MIN_ESTIMATE_MS, spec.estimate_ms)
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -17,6 +17,7 @@
 from lagoonshelf_server.jobs.lag import LoopLag
 from lagoonshelf_server.jobs.leader import DEFAULT_CANCEL_MS, Leader
 from lagoonshelf_server.jobs.leader_lease import LeaderLease, LeaderRecord, LeaderStatus
+from lagoonshelf_server.jobs.overload_gate import OverloadGate
 from lagoonshelf_server.jobs.ports import Store, StoreRevision
 from lagoonshelf_server.messages import PeerState, Pulse, PulseReply, QueueCount
 from lagoonshelf_server.peers import PeerLostError, PeerNet, PeerUnreachableError
@@ -110,6 +111,7 @@
         self._leader_lease = leader_lease
         self._job_api = job_api
         self._config = config
+        self.overload_gate = OverloadGate(cfg.options, store, clock, lambda: config.current)
         self._refusals = 0
         self._members: dict[MemberId, tuple[PeerState, int]] = {}
         self._troubled: dict[MemberId, tuple[bool, int]] = {}
@@ -209,6 +211,8 @@
             if reply.is_ready:
                 self._job_api.pending = {QueueId(row.queue): row.count for row in reply.pending}
                 self._job_api.pending_at_ms = sent_ms
+                computed_ms = sent_ms - reply.forecast_age_ms
+                self.overload_gate.record(reply.forecasts, computed_ms)
         elif is_to_leader:
             # A process that restarted at the leader's address does not hold the lease.
             self._leader_lease.record_status(LeaderStatus.DEAD, self._leader_lease.revision)
@@ -299,6 +303,8 @@
         fresh = self._fresh_members()
         members = tuple(sample(fresh, min(MAX_RELAYS_IN_REPLY, len(fresh))))
         self._offer_to_larger_host(body)
+        current = leader.forecasts() if leader.may_answer() else None
+        forecasts, forecast_age_ms = current or ((), 0)
         reply = PulseReply(
             True, self._leader_lease.revision, self._store_silence_ms(), rows, members
         )
@@ -308,6 +314,8 @@
             interval_ms=self._reply_interval_ms(),
             config_version=self._config.current.version,
             config_age_ms=min(now_ms - self._config.confirmed_ms, MAX_REPORTED_AGE_MS),
+            forecasts=forecasts,
+            forecast_age_ms=forecast_age_ms,
         )
 
     def _reply_interval_ms(self) -> int:
--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -10,6 +10,7 @@
 from lagoonshelf_core.ids import QueueId
 from lagoonshelf_core.jobs.early_cancellations import encode_cancellation
 from lagoonshelf_core.jobs.job_records import decode_state
+from lagoonshelf_core.jobs.overload_admission import Refusal
 from lagoonshelf_core.jobs.progress import FINAL_STATES, JobState
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, encode_job
 from lagoonshelf_server.jobs.keys import cancel_key, ended_key, job_key, progress_key
@@ -188,16 +189,22 @@
         self._final_states: dict[JobId, JobState] = {}
         self._tasks: set[asyncio.Task] = set()
         self._writer = JobWriter(store, clock)
+        self.find_refusal: Callable[[JobSpec], Awaitable[Refusal | None]] = _accept
         self.pending: dict[QueueId, int] = {}
         self.pending_at_ms = 0
 
-    async def submit(self, spec: JobSpec, wait_ms: int) -> WriteOutcome:
+    async def submit(self, spec: JobSpec, wait_ms: int) -> WriteOutcome | Refusal:
         """Accept a job; it is durable when this returns ``STORED``.
 
+        A refused job is not stored, and never runs unless it is submitted again.
+
         :param wait_ms: timeout of the client
         """
         record = encode_job(spec)
         deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
+        refusal = await self.find_refusal(spec)
+        if refusal is not None:
+            return refusal
         write = partial(self.store_job, spec.id, record, deadline_ms)
         relay = partial(self._relay, spec.id, record.decode(), deadline_ms)
         written = await self._write_or_relay(write, relay)
@@ -308,3 +315,9 @@
             await coro
         except ConnectionError as exc:
             _log.info("change not announced to the leader", reason=str(exc))
+
+
+async def _accept(spec: JobSpec) -> Refusal | None:
+    """Refuse no job."""
+    del spec
+    return None
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -55,6 +55,15 @@
 loop_late_ms = Histogram(
     "lagoonshelf_loop_late_ms", "Delay of a short timer of the event loop.", buckets=BUCKETS_MS
 )
+refusals = Counter(
+    "lagoonshelf_refusals_total", "Jobs refused as they could not end in time, by queue."
+)
+forecast_wait_ms = Gauge(
+    "lagoonshelf_forecast_wait_ms", "Expected time until a new job would start, by queue."
+)
+reserve_milli = Gauge(
+    "lagoonshelf_reserve_milli", "CPU kept free for urgent work by pool, in thousandths."
+)
 is_leader = Gauge("lagoonshelf_is_holder", "1 while this process holds the cell.")
 
 
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -9,6 +9,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import Command, PaceRun, RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.early_cancellations import EarlyCancellations
+from lagoonshelf_core.jobs.load_forecast import LoadForecaster
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.jobs.planning import TASKS_PLACED, plan, summary
 from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd
@@ -23,6 +24,11 @@
 from lagoonshelf_server.jobs.job_watcher import JobWatcher
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.maintenance import Maintenance
+from lagoonshelf_server.jobs.overload_gate import (
+    FORECAST_INTERVAL_MS,
+    Forecasts,
+    report_forecasts,
+)
 from lagoonshelf_server.jobs.ports import (
     Item,
     MachinePort,
@@ -92,7 +98,8 @@
         self._notes: deque[tuple[str, dict[str, object]]] = deque()
         self._has_notes = asyncio.Event()
         self.cell = Cell(config.current, options)
-        self.cell.on_end = _count_end
+        self.forecaster = LoadForecaster(self.cell)
+        self.cell.on_end = self._count_end
         self.cell.on_loss = _count_loss
         self.cell.on_give_up = lambda: job_metrics.given_up_tasks.inc({})
         self.progress_writer = ProgressWriter(self._store, leader_lease)
@@ -208,6 +215,12 @@
         """
         return self.is_ready and self._leader_lease.may_dispatch()
 
+    def forecasts(self) -> Forecasts | None:
+        """Return the forecasts of the load and their age, ``None`` if there are none."""
+        if not self.cell.options.refuses_overload or not self.may_answer():
+            return None
+        return self.forecaster.current(self._clock.now_ms(), FORECAST_INTERVAL_MS)
+
     async def _restore(self, state: CellState, read_ms: int) -> None:
         self._job_watcher.record_reading(state.revision, state.requested_ms)
         lapse_ms = self._fleet.restore(state.registry, state.used_workers, read_ms)
@@ -404,6 +417,7 @@
             for band, count in fields["open_steps"].items():
                 job_metrics.open_steps.set({"band": band}, count)
             job_metrics.live_jobs.set({}, len(self.cell.live_jobs))
+            report_forecasts(self.cell, self.forecasts())
             _log.info("cell", **fields)
 
     async def _expire_cancellations(self) -> None:
@@ -411,6 +425,13 @@
             await asyncio.sleep(CANCELLATION_CHECK_INTERVAL_S)
             self._early_cancellations.take_expired(self._clock.now_ms())
 
+    def _count_end(self, run: Run, end: RunEnd, now_ms: int) -> None:
+        job_metrics.run_ends.inc({"how": end.value})
+        self.forecaster.record_end(run, end)
+        if end is not RunEnd.DONE:
+            core_ms = run.size.cpu_milli * (now_ms - run.started_ms) / 1000
+            job_metrics.wasted_core_ms.add({"how": end.value}, core_ms)
+
     def _forget_ended_job(self, job: JobId) -> None:
         self.progress_writer.forget(job)
         self.cell.remove_job(job)
@@ -444,10 +465,3 @@
 
 def _count_loss(loss: WorkerLoss) -> None:
     job_metrics.worker_losses.inc({"how": loss.value})
-
-
-def _count_end(run: Run, end: RunEnd, now_ms: int) -> None:
-    job_metrics.run_ends.inc({"how": end.value})
-    if end is not RunEnd.DONE:
-        core_ms = run.size.cpu_milli * (now_ms - run.started_ms) / 1000
-        job_metrics.wasted_core_ms.add({"how": end.value}, core_ms)
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -23,6 +23,7 @@
 from lagoonshelf_server.jobs.keys import SECRET
 from lagoonshelf_server.jobs.leader import Leader, Ports
 from lagoonshelf_server.jobs.leader_lease import MAX_OUTAGE_MS, LeaderLease
+from lagoonshelf_server.jobs.overload_gate import Forecasts
 from lagoonshelf_server.jobs.ports import (
     ABSENT,
     AdvicePort,
@@ -105,6 +106,8 @@
         self.heartbeats = Heartbeats(
             cfg, ports.store, clock, self.leader_lease, self.job_api, self.config
         )
+        self.heartbeats.overload_gate.own_forecast = self._own_forecasts
+        self.job_api.find_refusal = self.heartbeats.overload_gate.find_refusal
         self.leader_lease.is_outage = self.heartbeats.is_store_troubled_for_all
 
     async def start(self) -> None:
@@ -137,6 +140,10 @@
             return None
         return self.job_api.pending.get(queue, 0)
 
+    def _own_forecasts(self) -> Forecasts | None:
+        leader = self._leader
+        return None if leader is None else leader.forecasts()
+
     async def drain(self) -> None:
         """Offer the leader lease and stop claiming it; clients are still served."""
         self.is_draining = self.heartbeats.is_draining = True
--- /dev/null
+++ b/packages/server/lagoonshelf_server/jobs/overload_gate.py
@@ -0,0 +1,127 @@
+"""Admission of submitted jobs by the leader's forecast of the load, at every member."""
+
+import asyncio
+from collections.abc import Callable
+
+from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.config import CellConfig
+from lagoonshelf_core.jobs.load_forecast import PoolForecast
+from lagoonshelf_core.jobs.options import SchedulerOptions
+from lagoonshelf_core.jobs.overload_admission import Refusal, find_refusal, wait_on_time
+from lagoonshelf_core.jobs.spec import JobId, JobSpec
+from lagoonshelf_server.jobs import job_metrics
+from lagoonshelf_server.jobs.keys import ended_key, job_key
+from lagoonshelf_server.jobs.ports import Store, StoreUnavailableError, StoreUncertainError
+from lagoonshelf_server.logs import logger
+
+# A leader computes a forecast anew when it is older than this. With the interval of the heartbeats
+# of at most 600 ms, those that members use stay below MAX_FORECAST_AGE_MS.
+FORECAST_INTERVAL_MS = 250
+# Time for the reads before a refusal; without their answers the job is accepted as usual.
+READ_TIMEOUT_S = 0.5
+# After a failed or slow call to the store, an earlier write of the same job may still take effect,
+# so that nothing is refused for about twice the time after which a write is given up.
+STORE_TROUBLE_MS = 2_000
+
+Forecasts = tuple[tuple[PoolForecast, ...], int]
+
+_log = logger("front")
+
+
+class OverloadGate:
+    """Refuses jobs that cannot end in time to be of use."""
+
+    def __init__(
+        self,
+        options: SchedulerOptions,
+        store: Store,
+        clock: Clock,
+        config: Callable[[], CellConfig],
+    ) -> None:
+        """Set up without a forecast.
+
+        :param config: returns the configuration in force
+        """
+        self._options = options
+        self._store = store
+        self._clock = clock
+        self._config = config
+        self._forecasts: tuple[PoolForecast, ...] = ()
+        self._computed_ms = 0
+        self.own_forecast: Callable[[], Forecasts | None] = lambda: None
+
+    def record(self, forecasts: tuple[PoolForecast, ...], computed_ms: int) -> None:
+        """Keep the forecasts of a heartbeat reply.
+
+        :param computed_ms: clock time at which the leader had computed them, or an earlier one
+        """
+        if forecasts and computed_ms >= self._computed_ms:
+            self._forecasts, self._computed_ms = forecasts, computed_ms
+
+    async def find_refusal(self, spec: JobSpec) -> Refusal | None:
+        """Return why a job is refused, ``None`` if it is accepted or its id is in use."""
+        if not self._options.refuses_overload:
+            return None
+        refusal = self._decide(spec)
+        if refusal is None or self._is_store_troubled() or await self._may_be_in_use(spec.id):
+            return None
+        job_metrics.refusals.inc({"queue": spec.queue})
+        _log_refusal(spec, refusal)
+        return refusal
+
+    def _decide(self, spec: JobSpec) -> Refusal | None:
+        cfg = self._config()
+        queue = cfg.queues.get(spec.queue)
+        forecasts, age_ms = self._current()
+        forecast = next((row for row in forecasts if queue and row.pool == queue.pool), None)
+        if queue is None or forecast is None:
+            return None
+        by_work = self._options.orders_late_by_work
+        return find_refusal(spec, queue, forecast, age_ms, orders_late_by_work=by_work)
+
+    def _current(self) -> Forecasts:
+        """Return the latest forecasts and their age; those of this process if it leads."""
+        own = self.own_forecast()
+        return own or (self._forecasts, self._clock.now_ms() - self._computed_ms)
+
+    def _is_store_troubled(self) -> bool:
+        return self._clock.now_ms() - self._store.trouble_ms() < STORE_TROUBLE_MS
+
+    async def _may_be_in_use(self, job: JobId) -> bool:
+        """Return whether a job may be stored or may have ended.
+
+        The record of a job is replaced by its final state, so that this is read last.
+        """
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                stored = await self._store.read(job_key(job))
+                return stored is not None or await self._store.read(ended_key(job)) is not None
+        except (TimeoutError, StoreUnavailableError, StoreUncertainError):
+            return True
+
+
+def report_forecasts(cell: Cell, current: Forecasts | None) -> None:
+    """Set the metrics of the forecasts; each second, so that the averages are kept up, too."""
+    by_pool = {} if current is None else {row.pool: row for row in current[0]}
+    for queue in cell.cfg.queues.values():
+        forecast = by_pool.get(queue.pool)
+        if forecast is not None:
+            wait = wait_on_time(queue.latency_ms, queue, forecast)
+            job_metrics.forecast_wait_ms.set({"queue": queue.id}, int(wait.wait_ms))
+
+
+def _log_refusal(spec: JobSpec, refusal: Refusal) -> None:
+    """Log a refusal with its inputs; work in core-milliseconds, rates in thousandths of cores."""
+    _log.info(
+        "job refused",
+        request=spec.id,
+        queue=spec.queue,
+        retry_after_s=refusal.retry_after_s,
+        limit_ms=refusal.limit_ms,
+        ahead_ms=refusal.on_time.ahead_ms,
+        rate_milli=refusal.on_time.rate_milli,
+        late_ahead_ms=refusal.late.ahead_ms,
+        late_rate_milli=refusal.late.rate_milli,
+        forecast_age_ms=refusal.forecast_age_ms,
+    )
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from lagoonshelf_core.jobs.load_forecast import PoolForecast
+
 
 @dataclass(frozen=True, slots=True)
 class Hello:
@@ -355,6 +357,8 @@
     :param interval_ms: time until the next heartbeat, 0 for the default
     :param config_version: configuration in force at the sender, 0 if it is not the leader
     :param config_age_ms: time since the sender read the configuration from the store
+    :param forecasts: load of the pools; empty if the leader computes none
+    :param forecast_age_ms: time since the leader computed them
     """
 
     is_holder: bool
@@ -368,6 +372,8 @@
     interval_ms: int = 0
     config_version: int = 0
     config_age_ms: int = 0
+    forecasts: tuple[PoolForecast, ...] = ()
+    forecast_age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -267,6 +267,21 @@
   intervalMs @8 :UInt32;
   configVersion @9 :UInt64;
   configAgeMs @10 :UInt32;
+  forecasts @11 :List(PoolForecast);
+  forecastAgeMs @12 :UInt32;
+}
+
+struct PoolForecast {
+  pool @0 :Text;
+  capacityMilli @1 :UInt64;
+  freeMilli @2 :UInt64;
+  freeSlots @3 :List(UInt32);
+  rateMilli @4 :UInt64;
+  urgentRateMilli @5 :UInt64;
+  onTimeRateMilli @6 :UInt64;
+  urgent @7 :List(UInt64);
+  onTime @8 :List(UInt64);
+  late @9 :List(UInt64);
 }
 
 struct AdviceAsk {
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -6,6 +6,8 @@
 import orjson
 
 from lagoonshelf_core.ids import FailureDomain, MemberId
+from lagoonshelf_core.jobs.overload_admission import ExpectedWait, Refusal
+from lagoonshelf_core.jobs.spec import JobSpec
 from lagoonshelf_platform.http_server import HttpRequest, HttpResponse
 from lagoonshelf_platform.ingress import Ingress
 from lagoonshelf_server.jobs.heartbeats import NodeSettings
@@ -71,6 +73,21 @@
         self.assertEqual(response.headers["Retry-After"], "1")
 
 
+class RefusedJobTest(IngressTestCase):
+    """A process that refuses a job under overload."""
+
+    async def test_a_refusal_says_when_to_return(self) -> None:
+        """Guards against a status that says the job may run, and a fixed time to return."""
+
+        async def refuse(spec: JobSpec) -> Refusal:
+            return Refusal(7, ExpectedWait(1_000, 10), ExpectedWait(1_000, 10), 3_000, 100)
+
+        self.node.job_api.find_refusal = refuse
+        job = {"spec": "x", "phases": [STEP]}
+        response = await self._request("POST", f"/batch/{JOB_ID}", body=job)
+        self.assertEqual((response.status, response.headers["Retry-After"]), (UNAVAILABLE, "7"))
+
+
 class MalformedJobTest(IngressTestCase):
     """Jobs that cannot be stored."""
 
