--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -26,6 +26,7 @@
 )
 from lagoonshelf_core.jobs.rates import TeamRates
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence
+from lagoonshelf_core.jobs.worker_speeds import WorkerSpeeds
 from lagoonshelf_core.jobs.workers import (
     LossRecord,
     Worker,
@@ -85,6 +86,7 @@
         self.permits = Permits()
         self.health = Health(WORKER_HEALTH_LIMITS)
         self.rates = TeamRates()
+        self.speeds = WorkerSpeeds() if options.models_worker_speed else None
         self.past_use = past_use_of(options)
         self.changed_jobs: set[Job] = set()
         self.commands: list[Command] = []
@@ -456,6 +458,8 @@
     def allocate(self, worker: Worker, run: Run) -> None:
         """Allocate the resources of a run on its worker and for its team."""
         worker.add_run(run)
+        if self.speeds is not None:
+            self.speeds.track(worker, run)
         if run.team is not None:
             used = self.team_allocations.get(run.team, ZERO_RESOURCES)
             self.team_allocations[run.team] = used + run.size
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -3,12 +3,16 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from lagoonshelf_core.ids import TeamId, WorkerId
 from lagoonshelf_core.jobs.index_ranges import IndexRanges
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence, StepIndex, StepSpec
 from lagoonshelf_core.resources import Resources
 
+if TYPE_CHECKING:
+    from lagoonshelf_core.jobs.worker_speeds import RunTrack
+
 # Attempt numbers that a new leader skips, so that it never reuses the number of a start by its
 # predecessor that it has not seen.
 ATTEMPTS_SKIPPED = 16
@@ -74,6 +78,7 @@
     :param is_loss_recorded: the loss of its worker has been recorded
     :param has_started: the worker has confirmed the start or has reported the run
     :param has_served: a run of a service that has been at work
+    :param track: its progress in the model of speeds, None when it is not followed
     """
 
     name: str
@@ -98,6 +103,7 @@
     is_loss_recorded: bool = False
     has_started: bool = False
     has_served: bool = False
+    track: "RunTrack | None" = None
 
 
 @dataclass(slots=True)
@@ -323,6 +329,13 @@
         """Return whether all tasks are neither done nor running."""
         return len(self.waiting) == len(self.tasks)
 
+    @property
+    def is_all_running(self) -> bool:
+        """Return whether all tasks have a run that is at work."""
+        return len(self.running) == len(self.tasks) and all(
+            task.run.phase is RunPhase.RUNNING for task in self.running.values()
+        )
+
     @property
     def remaining_ms(self) -> float:
         """Return the estimated time from its start to the end of its dependent steps."""
