--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -76,7 +76,7 @@
     for step in cell.open_steps.first():
         queue = cell.queue_of(step.job)
         if queue is not None:
-            row = rank(step, queue, state.now_ms, _pool_rate(cell, queue))
+            row = _rank(cell, step, queue, state.now_ms)
             if cell.options.orders_late_by_work:
                 row = order_late_by_work(row, step, queue, state.capacity_milli(queue.pool))
             ranked.append((row, step, queue))
@@ -86,8 +86,10 @@
     return ranked
 
 
-def _pool_rate(cell: Cell, queue: Queue) -> float:
-    return 1.0 if cell.speeds is None else cell.speeds.pool_rate(queue.pool)
+def _rank(cell: Cell, step: StepRun, queue: Queue, now_ms: int) -> Rank:
+    if cell.speeds is None:
+        return rank(step, queue, now_ms)
+    return rank(step, queue, now_ms, cell.speeds.pool_rate(queue.pool))
 
 
 def summary(cell: Cell, now_ms: int) -> dict[str, object]:
@@ -97,7 +99,7 @@
         queue = cell.queue_of(step.job)
         name = "no queue"
         if queue is not None:
-            name = Band(rank(step, queue, now_ms, _pool_rate(cell, queue))[0]).name.lower()
+            name = Band(_rank(cell, step, queue, now_ms)[0]).name.lower()
         bands[name] = bands.get(name, 0) + 1
     usable = [worker for worker in cell.workers.values() if worker.is_usable]
     return {
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -81,6 +81,15 @@
 evacuations_age_ms = Gauge(
     "lagoonshelf_evacuations_age_ms", "Time since the evacuated domains were certainly current."
 )
+refusals = Counter(
+    "lagoonshelf_refusals_total", "Jobs refused as they could not end in time, by queue."
+)
+forecast_wait_ms = Gauge(
+    "lagoonshelf_forecast_wait_ms", "Expected time until a new job would start, by queue."
+)
+reserve_milli = Gauge(
+    "lagoonshelf_reserve_milli", "CPU kept free for urgent work by pool, in thousandths."
+)
 is_leader = Gauge("lagoonshelf_is_holder", "1 while this process holds the cell.")
 
 
