--- a/tests/core/jobs/test_worker_speeds.py
+++ b/tests/core/jobs/test_worker_speeds.py
@@ -44,10 +44,7 @@
 
 
 class Pool:
-    """Workers that work off their runs at given speeds.
-
-    :param factors: run times of the queues' tasks in estimates
-    """
+    """Workers that work off their runs at given speeds; factors are run times in estimates."""
 
     def __init__(self, speeds: list[float], options: SchedulerOptions = ON) -> None:
         self.cell = Cell(config(), options)
@@ -59,17 +56,13 @@
         self.percent = lambda done: int(100 * done)
         self.now_ms = 1_000
         self.started: list[Run] = []
-        self.notes: list[tuple[str, dict]] = []
         self._rng = Random(7)
         self._done: dict[Run, float] = {}
         self._run_ms: dict[Run, float] = {}
         self._stopped: set[Run] = set()
 
     def advance(self, duration_ms: int, jobs: tuple = ()) -> None:
-        """Let time pass.
-
-        :param jobs: interval and builder of the jobs that arrive
-        """
+        """Let time pass; jobs are given by the interval of their arrivals and a builder."""
         for _ in range(duration_ms // STEP_MS):
             self.now_ms += STEP_MS
             for interval_ms, build in jobs:
@@ -84,8 +77,7 @@
         plan(self.cell, self.now_ms, self.now_ms, ADVICE_BUDGET_MS)
         commands, self.cell.commands = self.cell.commands, []
         for command in commands:
-            run = command.run
-            step = run.task.step
+            run, step = command.run, command.run.task.step
             if isinstance(command, StartRun):
                 self.cell.start_confirmed(run, self.now_ms)
                 factor = self._rng.uniform(0.8, 1.2) * self.factors[step.job.spec.queue]
@@ -96,8 +88,6 @@
             else:
                 tasks = step.running.values() if step.spec.is_gang else [run.task]
                 self._stopped.update(task.run for task in tasks)
-        notes, self.cell.notes = self.cell.notes, []
-        self.notes += notes
 
     def _work(self, worker: Worker, is_due: bool) -> None:
         rows, ended = [], []
@@ -107,10 +97,9 @@
             speed = min(self.speeds[name] for name in names | {worker.id})
             done = self._done.get(run, 0.0) + STEP_MS * speed / self._run_ms[run]
             self._done[run] = done
-            if run in self._stopped:
-                ended.append(EndedRow(1, run.name, run.attempt, RunEnd.STOPPED, ""))
-            elif done >= 1.0:
-                ended.append(EndedRow(1, run.name, run.attempt, RunEnd.DONE, ""))
+            if run in self._stopped or done >= 1.0:
+                end = RunEnd.STOPPED if run in self._stopped else RunEnd.DONE
+                ended.append(EndedRow(1, run.name, run.attempt, end, ""))
             else:
                 saved = f"{done:.1f}" if step.spec.saves_progress else ""
                 rows.append(RunningRow(run.name, run.attempt, saved, self.percent(done), 0.0))
@@ -118,7 +107,7 @@
             apply_report(self.cell, worker, rows, ended, self.now_ms, self.now_ms)
 
     def noted(self, message: str) -> list[dict]:
-        return [fields for name, fields in self.notes if name == message]
+        return [fields for name, fields in self.cell.notes if name == message]
 
     def start(self, spec: JobSpec, age_ms: int = 0) -> list[Run]:
         """Let a job arrive and return the runs that start at once."""
@@ -144,7 +133,6 @@
 
     def setUp(self) -> None:
         self.pool = Pool([0.55] * 5 + [1.2] * 15)
-        # The estimates of one kind are far off, and it runs mostly on the faster workers.
         self.pool.factors[URGENT] = 1.8
 
     def test_urgent_work_goes_to_faster_workers_within_seconds(self) -> None:
@@ -152,8 +140,7 @@
         self.pool.advance(10_000, LOAD)
         mean = (5 * 0.55 + 15 * 1.2) / 20
         for name, speed in self.pool.speeds.items():
-            worker = self.pool.cell.workers[name]
-            known = self.pool.cell.speeds.get(worker)
+            known = self.pool.cell.speeds.get(self.pool.cell.workers[name])
             self.assertAlmostEqual(known.speed, speed / mean, delta=0.2, msg=name)
         since = len(self.pool.started)
         self.pool.advance(5_000, LOAD)
@@ -197,10 +184,7 @@
     """Eight workers of the same speed."""
 
     def test_the_choice_of_workers_is_as_without_the_model(self) -> None:
-        """Guards against a model that reads the noise of estimates as speed.
-
-        The kinds differ in what their estimates are worth, and none of it is a worker's.
-        """
+        """Guards against a model that reads kinds of task, or the noise of estimates, as speed."""
         starts = []
         for options in (ON, SchedulerOptions()):
             pool = Pool([0.9] * 8, options)
