--- a/tests/core/jobs/test_load_hot_team.py
+++ b/tests/core/jobs/test_load_hot_team.py
@@ -42,8 +42,8 @@
     return {key: in_time / all_ for key, (all_, in_time) in counts.items()}
 
 
-def _former_rank(step: StepRun, queue: Queue, now_ms: int) -> Rank:
-    band, value = rank(step, queue, now_ms)
+def _former_rank(step: StepRun, queue: Queue, now_ms: int, pool_rate: float = 1.0) -> Rank:
+    band, value = rank(step, queue, now_ms, pool_rate)
     if band in (Band.EXCESS, Band.EXCESS_LATE):
         return (Band.EXCESS, step.job.received_ms)
     return (band, value)
