Moves from slow workers need room beside the reserve of their band

A run was stopped where processors were free but kept for higher bands, so that its task would have waited. The number of tasks that fit now respects max_per_worker as well.

--- a/packages/core/lagoonshelf_core/jobs/moves.py
+++ b/packages/core/lagoonshelf_core/jobs/moves.py
@@ -105,7 +105,7 @@
             continue
         if cell.health.is_quarantined(target.id, now_ms):
             continue
-        missing -= _count_room(step, target, size)
+        missing -= count_room(step, target, size)
         if missing <= 0:
             return True
     return False
@@ -120,7 +120,8 @@
     )
 
 
-def _count_room(step: StepRun, target: Worker, size: Resources) -> int:
+def count_room(step: StepRun, target: Worker, size: Resources) -> int:
+    """Return how many tasks of a step fit on a worker, each taken to be of a size."""
     count = count_fitting(size, target.info.capacity, target.used)
     limit = step.spec.max_per_worker
     if not limit:
--- a/packages/core/lagoonshelf_core/jobs/slow_workers.py
+++ b/packages/core/lagoonshelf_core/jobs/slow_workers.py
@@ -5,10 +5,12 @@
 
 from dataclasses import dataclass
 
-from lagoonshelf_core.jobs.capacity import count_fitting, free_capacity
+from lagoonshelf_core.jobs.capacity import startable_milli
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import PoolId
+from lagoonshelf_core.jobs.moves import count_room
 from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunPhase
+from lagoonshelf_core.jobs.ranking import Band, rank
 from lagoonshelf_core.jobs.worker_speeds import (
     MIN_SPEED,
     SLOW_RATIO,
@@ -17,7 +19,6 @@
     WorkerSpeeds,
 )
 from lagoonshelf_core.jobs.workers import Worker
-from lagoonshelf_core.resources import ZERO_RESOURCES
 
 # A marked worker whose runs progress by more than this share of what is expected is normal again.
 NORMAL_RATIO = 0.7
@@ -51,11 +52,13 @@
 class _Room:
     """Workers of a pool that may take moved runs.
 
-    :param free_milli: CPU that they have free, less that of the runs that are being moved
+    :param capacity_milli: CPU of the usable workers of the pool
+    :param used_milli: CPU in use on them, with that of the runs that are being moved
     """
 
     workers: list[Worker]
-    free_milli: int
+    capacity_milli: int
+    used_milli: int
 
 
 def update_slow_workers(cell: Cell, now_ms: int) -> None:
@@ -203,9 +206,8 @@
         room = rooms[known.pool] = _find_room(cell, known.pool, now_ms)
     for run in movable:
         count = _count_moved(run)
-        needed_milli = count * run.size.cpu_milli
-        if count and needed_milli <= room.free_milli and count <= _count_slots(cell, run, room):
-            room.free_milli -= needed_milli
+        if count and _fits(cell, run, count, room, now_ms):
+            room.used_milli += count * run.size.cpu_milli
             speeds.moved_runs += count
             cell.note("run moved", run, percent=run.progress_percent, pace=round(known.pace, 2))
             cell.stop_run(run, "its worker is slow")
@@ -253,31 +255,47 @@
 
 def _find_room(cell: Cell, pool: PoolId, now_ms: int) -> _Room:
     in_pool = [worker for worker in cell.workers.values() if worker.info.pool == pool]
-    others = [
+    usable = [
         worker
         for worker in in_pool
-        if worker.is_usable
-        and not worker.is_slow
+        if worker.is_usable and worker.info.domain not in cell.evacuations.domains
+    ]
+    others = [
+        worker
+        for worker in usable
+        if not worker.is_slow
         and not worker.is_cold(now_ms)
-        and worker.info.domain not in cell.evacuations.domains
         and cell.health.may_start(worker.id, True, now_ms)
     ]
-    free_milli = sum(free_capacity(worker, ZERO_RESOURCES).cpu_milli for worker in others)
-    stopping = (run for worker in in_pool if worker.is_slow for run in worker.runs.values())
-    free_milli -= sum(run.size.cpu_milli for run in stopping if run.phase is RunPhase.STOPPING)
-    return _Room(others, free_milli)
+    capacity_milli = sum(worker.info.capacity.cpu_milli for worker in usable)
+    used_milli = sum(worker.used.cpu_milli for worker in usable)
+    # Runs that are being stopped need room elsewhere as well. What they use now will be free, but
+    # on a slow worker.
+    for worker in in_pool:
+        if worker.is_slow:
+            stopping = (run for run in worker.runs.values() if run.phase is RunPhase.STOPPING)
+            used_milli += sum(run.size.cpu_milli for run in stopping)
+    return _Room(others, capacity_milli, used_milli)
+
 
+def _fits(cell: Cell, run: Run, count: int, room: _Room, now_ms: int) -> bool:
+    """Return whether tasks like that of a run could start elsewhere now.
 
-def _count_slots(cell: Cell, run: Run, room: _Room) -> int:
-    """Return how many tasks like that of a run fit on workers that it may start on."""
+    :param count: number of tasks
+    """
     step = run.task.step
     spec, queue = step.spec, cell.queue_of(step.job)
     if queue is None:
-        return 0
+        return False
+    band = Band(rank(step, queue, now_ms)[0])
+    needed_milli = count * run.size.cpu_milli
+    if needed_milli > startable_milli(room.capacity_milli, room.used_milli, band, needed_milli):
+        return False
     allowed = None if queue.advice is None else cell.permits.allowed(step.name)
-    return sum(
-        count_fitting(run.size, worker.info.capacity, worker.used)
+    slots = sum(
+        count_room(step, worker, run.size)
         for worker in room.workers
         if (allowed is None or worker.id in allowed)
         and (not spec.label or spec.label in worker.info.labels)
     )
+    return slots >= count
