The reserve for urgent work follows a forecast of its arrivals, behind a switch

Cause: fixed shares of 8%, 16% and 24% of a pool were kept free at any load. Change: with forecasts_reserve, a pass keeps free what urgent arrivals need beyond the CPU that runs free until these catch up, by the decayed mean and variance of both, with a risk of 1 in 100, 1,000 or 10,000 by band; never more than the fixed shares, which apply for the first 10 s of a term.

--- a/packages/core/lagoonshelf_core/jobs/capacity.py
+++ b/packages/core/lagoonshelf_core/jobs/capacity.py
@@ -33,13 +33,19 @@
     )
 
 
-def startable_milli(capacity_milli: int, used_milli: int, band: Band, smallest_milli: int) -> int:
-    """Return how much of a pool's CPU the tasks of a step may take beside the band's reserve.
+def fixed_reserve_milli(capacity_milli: int, band: Band) -> int:
+    """Return the fixed share of a pool's CPU that tasks of a band leave free."""
+    return capacity_milli * RESERVE_PERMILLE[band] // 1000
+
+
+def startable_milli(
+    capacity_milli: int, used_milli: int, reserve_milli: int, smallest_milli: int
+) -> int:
+    """Return how much of a pool's CPU the tasks of a step may take beside a reserve.
 
     :param smallest_milli: CPU of the smallest part of the step that can start; a step that would
         not fit beside the reserve in an empty pool could never start, so it needs to leave none
     """
-    reserve_milli = capacity_milli * RESERVE_PERMILLE[band] // 1000
     if smallest_milli > capacity_milli - reserve_milli:
         reserve_milli = 0
     return capacity_milli - used_milli - reserve_milli
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -5,6 +5,7 @@
 
 from lagoonshelf_core.health import Health, HealthLimits
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
+from lagoonshelf_core.jobs.arrival_forecast import ArrivalForecast
 from lagoonshelf_core.jobs.commands import Command, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Queue
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
@@ -82,6 +83,7 @@
         self.permits = Permits()
         self.health = Health(WORKER_HEALTH_LIMITS)
         self.rates = TeamRates()
+        self.arrivals = ArrivalForecast()
         self.changed_jobs: set[Job] = set()
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
@@ -115,6 +117,9 @@
         job.is_excess = team is not None and not self.rates.admit(team, now_ms)
         self.jobs[spec.id] = job
         self.live_jobs[spec.id] = job
+        queue = self.cfg.queues.get(spec.queue)
+        if queue is not None and queue.priority <= 0 and not is_inherited:
+            self.arrivals.record_job(queue.pool, spec, now_ms)
         if not spec.occurrences:
             self._open_occurrence(job, Occurrence(0))
         return job
@@ -340,6 +345,9 @@
 
     def end_run(self, run: Run, end: RunEnd, checkpoint: str, now_ms: int) -> None:
         """Apply the end of a run."""
+        worker = self.workers.get(run.worker)
+        if worker is not None:
+            self.arrivals.record_end(worker.info.pool, run, now_ms)
         self._release(run)
         self.on_end(run, end, now_ms)
         task = run.task
--- a/packages/core/lagoonshelf_core/jobs/overload_admission.py
+++ b/packages/core/lagoonshelf_core/jobs/overload_admission.py
@@ -4,7 +4,7 @@
 from math import ceil
 from zlib import crc32
 
-from lagoonshelf_core.jobs.capacity import RESERVE_PERMILLE
+from lagoonshelf_core.jobs.capacity import fixed_reserve_milli
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.late_order import estimate_ms, late_delay_ms
 from lagoonshelf_core.jobs.load_forecast import EDGES_MS, PoolForecast, class_of, slots_for
@@ -183,7 +183,7 @@
     if forecast.free_milli >= IDLE_SHARE * forecast.capacity_milli:
         return True
     band = Band.URGENT if queue.priority <= 0 else Band.ON_TIME
-    reserve_milli = forecast.capacity_milli * RESERVE_PERMILLE[band] // 1000
+    reserve_milli = fixed_reserve_milli(forecast.capacity_milli, band)
     if demand.first_cpu_milli > forecast.free_milli - reserve_milli:
         return False
     return demand.first_count <= slots_for(forecast.free_slots, demand.first_size_milli)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -36,6 +36,8 @@
     if not cell.open_steps:
         return has_more
     state = SchedulingPass(now_ms, {}, advice_budget_ms=advice_budget_ms)
+    if cell.options.forecasts_reserve:
+        state.arrivals = cell.arrivals
     _add_usable_workers(cell, state)
     ranked = _rank_open_steps(cell, state)
     state.register_holds(step for _, step, _ in ranked)
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 
 from lagoonshelf_core.ids import WorkerId
-from lagoonshelf_core.jobs.capacity import startable_milli
+from lagoonshelf_core.jobs.arrival_forecast import ArrivalForecast
+from lagoonshelf_core.jobs.capacity import fixed_reserve_milli, startable_milli
 from lagoonshelf_core.jobs.late_order import LATE_BANDS
 from lagoonshelf_core.jobs.progress import GangHold, Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band
@@ -37,6 +38,7 @@
     :param late_checks: number of late steps checked for an advice request
     :param late_gangs: number of late gangs that may wait for capacity
     :param holders: gang that each held worker is held for
+    :param arrivals: forecast of urgent arrivals, None where the reserves are fixed shares
     :param later_holders: gangs with holds that come later in the pass than what is planned now;
         filled only where late work is ordered by its size
     :param too_late_advised: steps of no use any more whose permits are kept valid
@@ -56,6 +58,7 @@
     late_checks: int = 0
     late_gangs: int = 0
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
+    arrivals: ArrivalForecast | None = None
     later_holders: set[StepRun] = field(default_factory=set)
     too_late_advised: int = 0
     quieted_pools: set[str] = field(default_factory=set)
@@ -112,7 +115,15 @@
         load, spec = self.pools[pool], step.spec
         smallest = allocation_of(spec.size, spec.is_filler).cpu_milli
         smallest *= spec.count if spec.is_gang else 1
-        return startable_milli(load.capacity_milli, load.used_milli, band, smallest)
+        reserve_milli = self.reserve_milli(pool, band)
+        return startable_milli(load.capacity_milli, load.used_milli, reserve_milli, smallest)
+
+    def reserve_milli(self, pool: str, band: Band) -> int:
+        """Return the CPU of a pool that tasks of a band leave free."""
+        capacity_milli = self.pools[pool].capacity_milli
+        if self.arrivals is None:
+            return fixed_reserve_milli(capacity_milli, band)
+        return self.arrivals.reserve_milli(pool, capacity_milli, band, self.now_ms)
 
     def register_holds(self, steps: Iterable[StepRun]) -> None:
         """Register the workers that waiting gangs hold since earlier passes.
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -28,6 +28,7 @@
     FORECAST_INTERVAL_MS,
     Forecasts,
     report_forecasts,
+    report_reserves,
 )
 from lagoonshelf_server.jobs.ports import (
     Item,
@@ -418,6 +419,7 @@
                 job_metrics.open_steps.set({"band": band}, count)
             job_metrics.live_jobs.set({}, len(self.cell.live_jobs))
             report_forecasts(self.cell, self.forecasts())
+            report_reserves(self.cell, self._clock.now_ms())
             _log.info("cell", **fields)
 
     async def _expire_cancellations(self) -> None:
--- a/packages/server/lagoonshelf_server/jobs/overload_gate.py
+++ b/packages/server/lagoonshelf_server/jobs/overload_gate.py
@@ -1,14 +1,16 @@
 """Admission of submitted jobs by the leader's forecast of the load, at every member."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.cell import Cell
-from lagoonshelf_core.jobs.config import CellConfig
+from lagoonshelf_core.jobs.config import CellConfig, PoolId
 from lagoonshelf_core.jobs.load_forecast import PoolForecast
 from lagoonshelf_core.jobs.options import SchedulerOptions
 from lagoonshelf_core.jobs.overload_admission import Refusal, find_refusal, wait_on_time
+from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.keys import ended_key, job_key
@@ -111,6 +113,19 @@
             job_metrics.forecast_wait_ms.set({"queue": queue.id}, int(wait.wait_ms))
 
 
+def report_reserves(cell: Cell, now_ms: int) -> None:
+    """Set the metric of the CPU that work on time leaves free, where it is forecast."""
+    if not cell.options.forecasts_reserve:
+        return
+    capacity_milli: Counter[PoolId] = Counter()
+    for worker in cell.workers.values():
+        if worker.is_usable:
+            capacity_milli[worker.info.pool] += worker.info.capacity.cpu_milli
+    for pool, milli in capacity_milli.items():
+        reserve_milli = cell.arrivals.reserve_milli(pool, milli, Band.ON_TIME, now_ms)
+        job_metrics.reserve_milli.set({"pool": pool}, reserve_milli)
+
+
 def _log_refusal(spec: JobSpec, refusal: Refusal) -> None:
     """Log a refusal with its inputs; work in core-milliseconds, rates in thousandths of cores."""
     _log.info(
