Log: lines of a step are merged under load, and routine lines leave room

Cause: a busy leader writes a line for each step and pass and for each report; the token bucket then dropped lines of any kind, with a line of left out lines after each few others.

--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -17,6 +17,9 @@
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import ZERO_RESOURCES
 
+# Log message of the tasks of a step that a report shows as done.
+TASKS_DONE = "tasks done"
+
 
 @dataclass(frozen=True, slots=True)
 class RunningRow:
@@ -223,4 +226,4 @@
         "worker": worker.id,
         "tasks": [int(name.rpartition(".")[2]) for name in names],
     }
-    cell.notes.append(("tasks done", fields))
+    cell.notes.append((TASKS_DONE, fields))
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -24,6 +24,7 @@
 from lagoonshelf_server.jobs.job_watcher import JobWatcher
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.maintenance import Maintenance
+from lagoonshelf_server.jobs.note_log import Line, NoteLog
 from lagoonshelf_server.jobs.overload_gate import (
     FORECAST_INTERVAL_MS,
     Forecasts,
@@ -98,6 +99,7 @@
         self._has_commands = asyncio.Event()
         self._notes: deque[tuple[str, dict[str, object]]] = deque()
         self._has_notes = asyncio.Event()
+        self._note_log = NoteLog()
         self.cell = Cell(config.current, options)
         self.forecaster = LoadForecaster(self.cell)
         self.cell.on_end = self._count_end
@@ -133,6 +135,7 @@
                 self._leader_lease.record_failed_takeover()
             self.is_ready = False
             self._log_notes(len(self._notes))
+            self._log_lines(self._note_log.take_due(self._clock.now_ms(), is_last=True))
             lost.cancel()
             for task in list(self._tasks):
                 task.cancel()
@@ -313,7 +316,10 @@
 
     def _log_notes(self, count: int) -> None:
         for _ in range(count):
-            message, fields = self._notes.popleft()
+            self._log_lines(self._note_log.add(*self._notes.popleft(), self._clock.now_ms()))
+
+    def _log_lines(self, lines: list[Line]) -> None:
+        for message, fields in lines:
             _log.info(message, seat=self._leader_lease.revision, **fields)
 
     def _submission_fields(self) -> dict[str, int]:
@@ -363,6 +369,8 @@
                 waited_ms = self._clock.now_ms() - job.received_ms
                 job_metrics.job_ms.observe({"state": job.state.value}, waited_ms)
                 fields = {"reason": job.failure} if job.failure else {}
+                if job.state is not JobState.COMPLETE:
+                    self._note_log.mark_bad(job.id)
                 _log.info(
                     "job ended",
                     request=job.id,
@@ -421,6 +429,7 @@
             report_forecasts(self.cell, self.forecasts())
             report_reserves(self.cell, self._clock.now_ms())
             _log.info("cell", **fields)
+            self._log_lines(self._note_log.take_due(self._clock.now_ms()))
 
     async def _expire_cancellations(self) -> None:
         while True:
--- a/packages/server/lagoonshelf_server/logs.py
+++ b/packages/server/lagoonshelf_server/logs.py
@@ -15,6 +15,11 @@
 BURST_LINES = 1_500.0
 # Bytes that are buffered while nobody reads the stream.
 MAX_PENDING_BYTES = 512 * 1024
+# Lines of which a busy leader has hundreds per second; they leave this many tokens to the others.
+ROUTINE_MESSAGES = frozenset({"tasks placed", "tasks done", "advised", "runs adopted"})
+TOKENS_KEPT = 500.0
+# Interval of the lines that tell how many were left out.
+LEFT_OUT_INTERVAL_S = 1.0
 WARNING_LEVELS = ("warning", "error", "critical")
 
 
@@ -72,6 +77,7 @@
         self._pending_bytes = 0
         self._tokens = BURST_LINES
         self._refilled_at = time.monotonic()
+        self._told_at = -LEFT_OUT_INTERVAL_S
         self.dropped_lines = 0
 
     def emit(self, record: LogRecord) -> None:
@@ -79,9 +85,7 @@
         if not self._is_allowed(record):
             self.dropped_lines += 1
             return
-        if self.dropped_lines and not self._pending:
-            count, self.dropped_lines = self.dropped_lines, 0
-            self._add({"level": "warning", "message": "lines left out", "count": count})
+        self._tell_left_out(record)
         self._add(line_fields(record))
         self.flush()
 
@@ -103,6 +107,16 @@
                 return
             self._pending.popleft()
 
+    def _tell_left_out(self, record: LogRecord) -> None:
+        """Write how many lines were left out before a record, once in the interval."""
+        now = time.monotonic()
+        is_due = now - self._told_at >= LEFT_OUT_INTERVAL_S
+        if self.dropped_lines and not self._pending and is_due:
+            count, self.dropped_lines, self._told_at = self.dropped_lines, 0, now
+            at = record.time.isoformat(timespec="milliseconds")
+            line = {"time": at, "level": "warning", "message": "lines left out", "count": count}
+            self._add(line)
+
     def _is_allowed(self, record: LogRecord) -> bool:
         if self._pending_bytes > MAX_PENDING_BYTES:
             return False
@@ -112,7 +126,8 @@
         gained = (now - self._refilled_at) * LINES_PER_S
         self._tokens = min(BURST_LINES, self._tokens + gained)
         self._refilled_at = now
-        if self._tokens < 1.0:
+        kept = TOKENS_KEPT if record.message in ROUTINE_MESSAGES else 0.0
+        if self._tokens < 1.0 + kept:
             return False
         self._tokens -= 1.0
         return True
--- a/tests/server/test_bounded_logs.py
+++ b/tests/server/test_bounded_logs.py
@@ -6,7 +6,7 @@
 import orjson
 from logbook import Logger
 
-from lagoonshelf_server.logs import BURST_LINES, MAX_PENDING_BYTES, BoundedHandler
+from lagoonshelf_server.logs import BURST_LINES, MAX_PENDING_BYTES, TOKENS_KEPT, BoundedHandler
 
 
 class BoundedLogsTest(unittest.TestCase):
@@ -63,3 +63,18 @@
             self.log.warning("worker lost")
         self.assertIn("worker lost", [line["message"] for line in self._lines()])
         self.assertGreater(self.handler.dropped_lines + 500, 400)
+
+    def test_routine_lines_leave_room_for_others(self) -> None:
+        """Guards against placements that use up the rate of lines before a refusal is logged.
+
+        The log of a busy leader had a line of left out lines after each few others.
+        """
+        with self.handler.applicationbound():
+            for _ in range(int(BURST_LINES)):
+                self.log.info("tasks placed")
+                self._lines()
+            for _ in range(int(TOKENS_KEPT) // 2):
+                self.log.info("job refused")
+        messages = [line["message"] for line in self._lines()]
+        self.assertEqual(messages.count("job refused"), TOKENS_KEPT // 2)
+        self.assertLessEqual(messages.count("lines left out"), 2)
