--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -5,7 +5,7 @@
 
 from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
-from lagoonshelf_core.jobs.advice_requests import request_advice
+from lagoonshelf_core.jobs.advice_requests import least_cost_ms, request_advice
 from lagoonshelf_core.jobs.capacity import free_capacity
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.cold import add_cold_workers
@@ -23,9 +23,10 @@
 
 # Log message of the tasks of a step that start in a pass.
 TASKS_PLACED = "tasks placed"
-# Steps of no use any more whose permits are kept valid. Each is advised through another member,
-# and a cell has at least six, so that some are free for new urgent steps.
-MAX_TOO_LATE_ADVISED = 4
+# Share of the placement policy's time that requests for steps of no use any more leave to the
+# others. With four such steps advised at a time, accepted jobs were still waiting when a day with
+# most of the cell free had ended.
+USEFUL_ADVICE_SHARE = 0.5
 
 
 def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget: AdviceBudget) -> bool:
@@ -39,6 +40,9 @@
     if not cell.open_steps:
         return has_more
     state = SchedulingPass(now_ms, {}, advice_budget=advice_budget)
+    state.reserved_advice_ms = USEFUL_ADVICE_SHARE * advice_budget.full_ms
+    if cell.options.forecasts_reserve:
+        state.arrivals = cell.arrivals
     _add_usable_workers(cell, state)
     ranked = _rank_open_steps(cell, state)
     state.register_holds(step for _, step, _ in ranked)
@@ -159,17 +163,15 @@
 def _request_advice_in_turn(
     cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band
 ) -> None:
-    """Request advice for a step, within the slots of its band.
+    """Request advice for a step, within the share of its band.
 
-    Requests for steps of no use any more would keep those of new urgent steps waiting. In a pool
-    that is half free they are not limited, as all accepted work has to be finished.
+    Long requests for steps of no use any more would keep those of new steps waiting.
     """
-    is_limited = band is Band.TOO_LATE and cell.options.orders_late_by_work
-    if not is_limited or state.is_half_free(queue.pool):
-        request_advice(cell, state, step, queue, band)
-    elif state.too_late_advised < MAX_TOO_LATE_ADVISED:
-        request_advice(cell, state, step, queue, band)
-        state.too_late_advised += cell.permits.is_in_use(step.name, state.now_ms)
+    if band is Band.TOO_LATE and cell.options.orders_late_by_work:
+        usable_ms = state.advice_budget.total_ms - state.reserved_advice_ms
+        if usable_ms < least_cost_ms(queue):
+            return
+    request_advice(cell, state, step, queue, band)
 
 
 def _start_all(
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -5,7 +5,13 @@
 
 from lagoonshelf_core.ids import WorkerId
 from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
-from lagoonshelf_core.jobs.capacity import MAX_MEMBERS_PER_WORKER, count_fitting, startable_milli
+from lagoonshelf_core.jobs.arrival_forecast import ArrivalForecast
+from lagoonshelf_core.jobs.capacity import (
+    MAX_MEMBERS_PER_WORKER,
+    count_fitting,
+    fixed_reserve_milli,
+    startable_milli,
+)
 from lagoonshelf_core.jobs.late_order import LATE_BANDS
 from lagoonshelf_core.jobs.progress import GangHold, Job, StepRun
 from lagoonshelf_core.jobs.ranking import Band
@@ -39,9 +45,10 @@
     :param late_checks: number of late steps checked for an advice request
     :param late_gangs: number of late gangs that may wait for capacity
     :param holders: gang that each held worker is held for
+    :param arrivals: forecast of urgent arrivals, None where the reserves are fixed shares
     :param later_holders: gangs with holds that come later in the pass than what is planned now;
         filled only where late work is ordered by its size
-    :param too_late_advised: steps of no use any more whose permits are kept valid
+    :param reserved_advice_ms: time of the placement policy that is kept for steps of use
     :param quieted_pools: pools of which a worker is kept for a suspected task
     :param advice_budget: time of the placement policy that requests may still use
     :param starts_left: tasks that the pass may still start, not counting gangs and the first
@@ -61,8 +68,9 @@
     late_checks: int = 0
     late_gangs: int = 0
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
+    arrivals: ArrivalForecast | None = None
     later_holders: set[StepRun] = field(default_factory=set)
-    too_late_advised: int = 0
+    reserved_advice_ms: float = 0.0
     quieted_pools: set[str] = field(default_factory=set)
     advice_budget: AdviceBudget = field(default_factory=AdviceBudget)
     starts_left: int = MAX_STARTS_PER_PASS
@@ -110,11 +118,6 @@
         load = self.pools.get(pool)
         return 0 if load is None else load.capacity_milli
 
-    def is_half_free(self, pool: str) -> bool:
-        """Return whether at least half of a pool's CPU is free."""
-        load = self.pools.get(pool)
-        return load is None or 2 * load.used_milli <= load.capacity_milli
-
     def may_start(self, step: StepRun) -> bool:
         """Return whether the pass may start tasks of a step.
 
@@ -148,7 +151,15 @@
         load, spec = self.pools[pool], step.spec
         smallest = allocation_of(spec.size, spec.is_filler).cpu_milli
         smallest *= spec.count if spec.is_gang else 1
-        return startable_milli(load.capacity_milli, load.used_milli, band, smallest)
+        reserve_milli = self.reserve_milli(pool, band)
+        return startable_milli(load.capacity_milli, load.used_milli, reserve_milli, smallest)
+
+    def reserve_milli(self, pool: str, band: Band) -> int:
+        """Return the CPU of a pool that tasks of a band leave free."""
+        capacity_milli = self.pools[pool].capacity_milli
+        if self.arrivals is None:
+            return fixed_reserve_milli(capacity_milli, band)
+        return self.arrivals.reserve_milli(pool, capacity_milli, band, self.now_ms)
 
     def register_holds(self, steps: Iterable[StepRun]) -> None:
         """Register the workers that waiting gangs hold since earlier passes.
--- a/packages/server/lagoonshelf_server/jobs/advice_router.py
+++ b/packages/server/lagoonshelf_server/jobs/advice_router.py
@@ -61,7 +61,7 @@
         total_ms = sum(map(_spare_ms, live))
         long_lanes = self._lanes(live, inf)
         long_ms = None if len(long_lanes) == len(live) else sum(map(_spare_ms, long_lanes))
-        return AdviceBudget(total_ms, long_ms)
+        return AdviceBudget(total_ms, long_ms, MAX_BACKLOG_MS * len(live))
 
     async def request(self, command: RequestAdvice) -> None:
         """Request advice through the member with the smallest backlog and record the answer."""
