--- a/packages/core/lagoonshelf_core/jobs/advice_lanes.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_lanes.py
@@ -22,10 +22,17 @@
 
     :param total_ms: time of all members
     :param long_ms: time of the members that carry long requests, ``None`` if all do
+    :param full_ms: time of all members if none had a request; that is left now by default
     """
 
     total_ms: float = 0.0
     long_ms: float | None = None
+    full_ms: float = -1.0
+
+    def __post_init__(self) -> None:
+        """Take what is left now as the full time if that is not given."""
+        if self.full_ms < 0:
+            self.full_ms = self.total_ms
 
     def allows(self, cost_ms: float) -> bool:
         """Return whether there is time for a request."""
--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -64,6 +64,14 @@
     cell.commands.append(RequestAdvice(step, selected, cost_ms))
 
 
+def least_cost_ms(queue: Queue) -> float:
+    """Return the time that a request for a step of a queue takes at least."""
+    timing = queue.advice
+    if timing is None:
+        return 0.0
+    return timing.base_ms + timing.per_worker_ms * MIN_WORKERS_PER_REQUEST
+
+
 def _max_advised_steps(state: SchedulingPass, queue: Queue) -> int:
     workers = len(state.usable[queue.pool])
     return max(MAX_ADVISED_STEPS, int(ADVISED_STEPS_PER_WORKER * workers))
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -5,6 +5,7 @@
 
 from lagoonshelf_core.health import Health, HealthLimits
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
+from lagoonshelf_core.jobs.arrival_forecast import ArrivalForecast
 from lagoonshelf_core.jobs.cold_starts import ColdStarts
 from lagoonshelf_core.jobs.commands import Command, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, PoolId, Queue
@@ -88,6 +89,7 @@
         self.rates = TeamRates()
         self.speeds = WorkerSpeeds() if options.models_worker_speed else None
         self.past_use = past_use_of(options)
+        self.arrivals = ArrivalForecast()
         self.changed_jobs: set[Job] = set()
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
@@ -123,6 +125,9 @@
         job.is_excess = team is not None and not self.rates.admit(team, now_ms)
         self.jobs[spec.id] = job
         self.live_jobs[spec.id] = job
+        queue = self.cfg.queues.get(spec.queue)
+        if queue is not None and queue.priority <= 0 and not is_inherited:
+            self.arrivals.record_job(queue.pool, spec, now_ms)
         if not spec.occurrences:
             self._open_occurrence(job, Occurrence(0))
         return job
@@ -359,6 +364,9 @@
         """Apply the end of a run."""
         if self.past_use is not None:
             self.past_use.charge_end(self.workers, run, end, now_ms)
+        worker = self.workers.get(run.worker)
+        if worker is not None:
+            self.arrivals.record_end(worker.info.pool, run, now_ms)
         self._release(run)
         self.on_end(run, end, now_ms)
         task = run.task
