lagoonshelf where: where a job would start

Cause: a team cannot tell what its job waits for, or would wait for. Change: preview_step runs the decisions of a pass for a step that is not in the cell; the leader reports them over POST /where of any process. The fixture of test_peers names the last member of the message union, which has changed; it checks as before.

--- a/packages/client/lagoonshelf_client/api.py
+++ b/packages/client/lagoonshelf_client/api.py
@@ -72,6 +72,10 @@
         """Return the state of one API process."""
         return self._call_any_url("GET", "/v1/state")
 
+    def where(self, job: Mapping[str, object]) -> Result[dict, Fault]:
+        """Return where a described job would start; the URLs are those of the metrics."""
+        return self._call_any_url("POST", "/where", job)
+
     def drain(self) -> Result[dict, Fault]:
         """Start a graceful shutdown of one API process."""
         return self._call_any_url("POST", "/v1/drain", {})
--- a/packages/client/lagoonshelf_client/commands.py
+++ b/packages/client/lagoonshelf_client/commands.py
@@ -136,8 +136,7 @@
         Only the leader knows them, so give the metrics addresses of all processes.
         Example: lagoonshelf teams usage --url=http://192.0.2.1:9101,http://192.0.2.2:9101
         """
-        urls = url if isinstance(url, (list, tuple)) else str(url).split(",")
-        self._report(find_usage([str(part).strip().rstrip("/") for part in urls]))
+        self._report(find_usage(_split_urls(url)))
 
 
 class Commands:
@@ -215,6 +214,40 @@
         }
         self._report(self._client().submit(request, patience_s))
 
+    def where(
+        self,
+        url: str,
+        file: str = "",
+        queue: str = "",
+        team: str = "",
+        tasks: int = 1,
+        cpu_milli: int = 1000,
+        memory_mib: int = 512,
+        accelerators: int = 0,
+        run_ms: int = 0,
+        gang: bool = False,
+        label: str = "",
+    ) -> None:
+        """Print where a job would start if it were submitted now; nothing is submitted.
+
+        The URLs are the metrics addresses of any processes, which ask the leader.
+        Example: lagoonshelf where --url=http://192.0.2.1:9101 --queue=urgent --team=fitting
+        Example: lagoonshelf where --url=http://192.0.2.1:9101 --file=job.json
+        """
+        step = {
+            "count": tasks,
+            "cpu_milli": cpu_milli,
+            "memory_mib": memory_mib,
+            "accelerators": accelerators,
+            "estimate_ms": run_ms,
+            "is_gang": gang,
+            "label": str(label),
+        }
+        described = {"queue": str(queue), "team": str(team), "steps": [step]}
+        job = read_json(str(file)) if file else Success(described)
+        client = Client(Connection(_split_urls(url), ""))
+        self._report(job.bind(client.where))
+
     def status(self, request_key: str) -> None:
         """Print the state of a request.
 
@@ -239,18 +272,30 @@
 
     def _client(self) -> Client:
         urls = self._urls or os.environ.get(URLS_VARIABLE, DEFAULT_URL)
-        names = tuple(url.strip().rstrip("/") for url in urls.split(","))
-        return Client(Connection(names, os.environ.get(KEY_VARIABLE, "")))
+        return Client(Connection(_split_urls(urls), os.environ.get(KEY_VARIABLE, "")))
 
 
-def _read_document(file: str) -> Result[dict, Fault]:
+def read_json(file: str) -> Result[object, Fault]:
+    """Return the content of a JSON file."""
     try:
-        raw = orjson.loads(Path(file).read_bytes())
+        return Success(orjson.loads(Path(file).read_bytes()))
     except OSError as exc:
         text = f"cannot read {file!r}: {exc.strerror}"
         return Failure(Fault(ResultCode.BAD_REQUEST, text))
     except ValueError as exc:
         return Failure(Fault(ResultCode.CONFIG_INVALID, f"{file}: not valid JSON: {exc}"))
+
+
+def _split_urls(url: str | list | tuple) -> tuple[str, ...]:
+    parts = url if isinstance(url, (list, tuple)) else str(url).split(",")
+    return tuple(str(part).strip().rstrip("/") for part in parts)
+
+
+def _read_document(file: str) -> Result[dict, Fault]:
+    return read_json(file).bind(lambda raw: _check_document(file, raw))
+
+
+def _check_document(file: str, raw: object) -> Result[dict, Fault]:
     if not isinstance(raw, dict) or raw.keys() != {"revision", "document"}:
         text = f"{file}: must have exactly the keys revision and document"
         return Failure(Fault(ResultCode.CONFIG_INVALID, text))
--- a/packages/core/lagoonshelf_core/jobs/gang_placement.py
+++ b/packages/core/lagoonshelf_core/jobs/gang_placement.py
@@ -86,7 +86,7 @@
     for worker in workers:
         if state.is_held_from(worker, step, band):
             continue
-        slots = _expected_slots(step, worker, state.now_ms)
+        slots = expected_slots(step, worker, state.now_ms)
         if slots:
             slots_by_worker[worker] = slots
             previous = 0
@@ -122,7 +122,7 @@
     return GangHold(frozenset(held), capacity, band, at_ms)
 
 
-def _expected_slots(step: StepRun, worker: Worker, now_ms: int) -> list[tuple[int, int]]:
+def expected_slots(step: StepRun, worker: Worker, now_ms: int) -> list[tuple[int, int]]:
     """Return from when on how many members will fit on a worker that gets no other work."""
     spec = step.spec
     size = allocation_of(spec.size, spec.is_filler)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -1,7 +1,9 @@
 """Scheduling pass: decides which tasks start, and on which workers."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from heapq import heapify, heappop, heapreplace
+from itertools import chain
 
 from lagoonshelf_core.ids import TaskId, WorkerId
 from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
@@ -14,7 +16,7 @@
 from lagoonshelf_core.jobs.isolation import place_suspects
 from lagoonshelf_core.jobs.late_order import order_late_by_work
 from lagoonshelf_core.jobs.past_use import order_by_past_use
-from lagoonshelf_core.jobs.progress import StepRun, Task
+from lagoonshelf_core.jobs.progress import GangHold, StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band, Rank, rank
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
@@ -54,6 +56,55 @@
     return has_more or state.starts_left <= 0
 
 
+@dataclass(frozen=True, slots=True)
+class Preview:
+    """What a pass would decide about a step that is not in the cell.
+
+    :param state: state of the pass when it comes to the step
+    :param ahead: steps that go before it
+    :param labelled: usable workers of the pool that have its label
+    :param placed: tasks that would start now, with their workers
+    :param hold: workers that would be held for it, if it is a gang that has to wait
+    """
+
+    state: SchedulingPass
+    band: Band
+    ahead: list[tuple[StepRun, Queue]]
+    labelled: list[Worker]
+    placed: list[tuple[Task, Worker]]
+    hold: GangHold | None
+
+
+def preview_step(cell: Cell, step: StepRun, queue: Queue, now_ms: int) -> Preview:
+    """Return what a pass would decide about a step, and change nothing.
+
+    Steps that go before it and wait have not found room in the passes before, so that what is
+    free is free for this one. Permits of the placement policy are taken as given.
+    """
+    state = SchedulingPass(now_ms, {})
+    _add_usable_workers(cell, state)
+    ranked = _rank_open_steps(cell, state, (step,))
+    state.register_holds(other for _, other, _ in ranked)
+    position = next(number for number, row in enumerate(ranked) if row[1] is step)
+    if cell.options.orders_late_by_work:
+        later = {other for _, other, _ in ranked[position:]}
+        state.later_holders.update(later.intersection(state.holders.values()))
+    band, ahead = Band(ranked[position][0][0]), [row[1:] for row in ranked[:position]]
+    usable = state.usable.get(queue.pool, {})
+    workers = _find_workers(step, usable, usable)
+    placed: list[tuple[Task, Worker]] = []
+    smallest_start = step.spec.size.scaled(step.spec.count if step.spec.is_gang else 1)
+    if workers and cell.is_within_limit(step.job.spec.team, smallest_start):
+        if step.spec.is_gang:
+            placed = place_gang(cell, state, step, queue.pool, workers, band)
+            if not placed:
+                hold_workers(state, step, queue.pool, workers, band)
+        else:
+            startable_milli = state.startable_milli(step, queue.pool, band)
+            placed = _place_tasks(cell, state, step, workers, band, startable_milli)
+    return Preview(state, band, ahead, workers, placed, step.hold)
+
+
 def _add_usable_workers(cell: Cell, state: SchedulingPass) -> None:
     if not cell.may_use_registry(state.now_ms):
         return
@@ -68,10 +119,15 @@
             state.add_usable(worker)
 
 
-def _rank_open_steps(cell: Cell, state: SchedulingPass) -> list[tuple[Rank, StepRun, Queue]]:
-    """Return the steps with tasks that can start and their queues, in order of priority."""
+def _rank_open_steps(
+    cell: Cell, state: SchedulingPass, others: Iterable[StepRun] = ()
+) -> list[tuple[Rank, StepRun, Queue]]:
+    """Return the steps with tasks that can start and their queues, in order of priority.
+
+    :param others: steps of which to tell the order although they are not in the cell
+    """
     ranked = []
-    for step in cell.open_steps.first():
+    for step in chain(cell.open_steps.first(), others):
         queue = cell.queue_of(step.job)
         if queue is not None:
             row = rank(step, queue, state.now_ms)
--- a/packages/server/lagoonshelf_server/codec.py
+++ b/packages/server/lagoonshelf_server/codec.py
@@ -40,6 +40,7 @@
     RequestRef,
     Status,
     Submit,
+    WhereText,
 )
 
 PROTOCOL_VERSION = 1
@@ -80,6 +81,8 @@
     "relayed": Relayed,
     "configCopyAsk": ConfigCopyAsk,
     "configCopy": ConfigCopy,
+    "whereAsk": WhereText,
+    "whereReply": WhereText,
 }
 
 capnp.remove_import_hook()
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -327,6 +327,10 @@
         watcher = self._job_watcher
         return {"submissions": watcher.revision, "submissions_age_ms": watcher.age_ms()}
 
+    def submissions_age_ms(self) -> int:
+        """Return the age of what is known of the stored jobs and cancellations."""
+        return self._job_watcher.age_ms()
+
     def _is_config_valid(self) -> bool:
         """Return whether limits and queues are certainly those in force.
 
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from lagoonshelf_core.clock import Clock
-from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId, QueueId, WorkerId
 from lagoonshelf_core.jobs.progress import JobState
 from lagoonshelf_core.jobs.spec import JobId, decode_job
@@ -32,6 +32,7 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
+from lagoonshelf_server.jobs.where import answer_where, decode_question
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
     Ack,
@@ -46,6 +47,7 @@
     JobStateReply,
     Permit,
     Relayed,
+    WhereText,
 )
 from lagoonshelf_server.peers import (
     PeerLostError,
@@ -64,6 +66,9 @@
 RELAY_WRITE_MS = 1_200
 ADVICE_TIMEOUT_S = 2.8
 MAX_RELAYS = 2
+WHERE_TIMEOUT_S = 2.0
+# Pause before each question where a job would start: it costs the leader about as much as a pass.
+WHERE_PAUSE_S = 0.1
 # Reported queue counts may be at most 2 s old.
 PENDING_MAX_AGE_MS = 1_900
 RETRY_S = 0.1
@@ -91,6 +96,7 @@
         self._tasks: list[asyncio.Task] = []
         self._leader: Leader | None = None
         self._advice_lock = asyncio.Lock()
+        self._where_lock = asyncio.Lock()
         self.is_draining = False
         self.config = ConfigView(ports.store, ports.codec, clock, cfg.config_max_age_ms)
         self.config.fetch_copy = self._fetch_config
@@ -329,6 +335,28 @@
             WriteOutcome(reply.outcome) if isinstance(reply, Relayed) else WriteOutcome.UNAVAILABLE
         )
 
+    async def where(self, job: bytes) -> str:
+        """Return where a described job would start, as the leader reports it.
+
+        :raises LagoonshelfError: when the description is not valid, or no leader answers
+        """
+        decode_question(job)
+        async with self._where_lock:
+            await asyncio.sleep(WHERE_PAUSE_S)
+            leader = self._leader
+            if leader is not None:
+                return answer_where(leader, job, self.config.age_ms(), self._clock.now_ms())
+            try:
+                body = WhereText(job.decode())
+                reply = await self._call_leader("whereAsk", body, WHERE_TIMEOUT_S)
+            except (ConnectionError, PeerLostError) as exc:
+                fault = Fault(ResultCode.NO_OWNER, f"no leader can be reached: {exc}")
+                raise LagoonshelfError(fault) from exc
+        if isinstance(reply, Ack):
+            code = CODES_BY_NUMBER.get(reply.code, ResultCode.INTERNAL)
+            raise LagoonshelfError(Fault(code, reply.message))
+        return reply.text
+
     # Advice
 
     async def _request_advice(
@@ -371,17 +399,26 @@
             return "ack", Ack(ResultCode.DONE.number, "")
         if leader is None or not leader.is_ready:
             raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "this process holds no cell"))
-        if kind == "jobStateAsk":
-            if not leader.may_answer():
-                raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "the seat may be lost"))
-            state = leader.state(JobId(body.job))
-            return "jobState", JobStateReply(True, "" if state is None else state.value)
+        if kind in ("jobStateAsk", "whereAsk"):
+            return self._answer_question(leader, kind, body)
         if kind == "jobAccepted":
             _accept_record(leader, body)
         else:
             raise LagoonshelfError(Fault(ResultCode.PROTOCOL, f"unexpected message {kind}"))
         return "ack", Ack(ResultCode.DONE.number, "")
 
+    def _answer_question(
+        self, leader: Leader, kind: str, body: JobRef | WhereText
+    ) -> tuple[str, Body]:
+        if not leader.may_answer():
+            raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "the seat may be lost"))
+        if kind == "whereAsk":
+            now_ms = self._clock.now_ms()
+            report = answer_where(leader, body.text, self.config.age_ms(), now_ms)
+            return "whereReply", WhereText(report)
+        state = leader.state(JobId(body.job))
+        return "jobState", JobStateReply(True, "" if state is None else state.value)
+
     async def _on_advice(self, body: AdviceAsk) -> Advice:
         try:
             permits = await self._request_advice(body.step, tuple(map(WorkerId, body.workers)))
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -427,6 +427,13 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class WhereText:
+    """Description of a job, or the report where it would start, as JSON."""
+
+    text: str
+
+
 Body = (
     Hello
     | Status
@@ -455,6 +462,7 @@
     | Relayed
     | ConfigCopyAsk
     | ConfigCopy
+    | WhereText
 )
 
 
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -39,6 +39,8 @@
     relayed @33 :Relayed;
     configCopyAsk @34 :ConfigCopyAsk;
     configCopy @35 :ConfigCopy;
+    whereAsk @36 :WhereText;
+    whereReply @37 :WhereText;
   }
 }
 
@@ -298,3 +300,7 @@
   document @1 :Data;
   ageMs @2 :UInt32;
 }
+
+struct WhereText {
+  text @0 :Text;
+}
--- a/tests/server/test_peers.py
+++ b/tests/server/test_peers.py
@@ -35,8 +35,8 @@
     """Return the schema of a later version, with a new field and a new union member."""
     text = SCHEMA_PATH.read_text().replace("0xd3a1f0c95b7e2846", "0xd3a1f0c95b7e2847")
     text = text.replace("struct Ack {", "struct Future { x @0 :Text; }\nstruct Ack { z @2 :Text;")
-    last = "configCopy @35 :ConfigCopy;"
-    text = text.replace(last, last + " future @36 :Future;")
+    last = "whereReply @37 :WhereText;"
+    text = text.replace(last, last + " future @38 :Future;")
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "newer.capnp"
         path.write_text(text)
