--- a/packages/core/lagoonshelf_core/jobs/placement_report.py
+++ b/packages/core/lagoonshelf_core/jobs/placement_report.py
@@ -71,6 +71,8 @@
     size = allocation_of(step.spec.size, step.spec.is_filler)
     if not count_fitting(size, info.capacity, worker.used):
         return "room"
+    if not state.cold_room(worker, size):
+        return "cold"
     if state.is_held_from(worker, step, preview.band):
         return "hold of a gang"
     if not cell.health.may_start(worker.id, True, state.now_ms):
--- a/tests/server/jobs/test_usage_store.py
+++ b/tests/server/jobs/test_usage_store.py
@@ -105,8 +105,8 @@
     async def test_without_the_option_the_store_is_not_called(self) -> None:
         """Guards against calls for a part that is off."""
         self.options = SchedulerOptions()
-        with patch.object(self.store, "read", wraps=self.store.read) as read:
+        with patch.object(usage_store.UsageStore, "_read") as read:
             await (await self._term("m1")).prepare_hand_over()
             await asyncio.sleep(0.05)
-        self.assertNotIn(USAGE, [call.args[0] for call in read.call_args_list])
+        read.assert_not_called()
         self.assertNotIn(USAGE, self.store.items)
