--- a/bench/cell_cost.py
+++ b/bench/cell_cost.py
@@ -1,5 +1,8 @@
 """Measures the processor time of the leader's scheduling decisions for each start.
 
+The decisions are measured without the optional parts, and for the smaller cells with the model of
+the workers' speeds as well.
+
 Usage: python -m bench cell_cost
 """
 
@@ -14,6 +17,7 @@
 )
 from lagoonshelf_core.ids import QueueId, TeamId
 from lagoonshelf_core.jobs.config import AdviceTiming, Queue, Team
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.resources import Resources
 
 RENDER, MATCH, HOLD = QueueId("render"), QueueId("match"), QueueId("hold")
@@ -27,6 +31,11 @@
 ADVICE_MEMBERS = 45
 LOAD_MS = 10_000
 WORKER_COUNTS = (25, 176, 1_200)
+WITH_SPEEDS = SchedulerOptions(models_worker_speed=True)
+CASES = (
+    *((count, DEFAULT_OPTIONS, "") for count in WORKER_COUNTS),
+    *((count, WITH_SPEEDS, ", speeds") for count in WORKER_COUNTS[:2]),
+)
 SEED = 5
 
 
@@ -53,7 +62,12 @@
     return [Team(TeamId(f"t{number}"), rate_per_s) for number in range(TEAMS)]
 
 
-def new_simulation(teams: list[Team], workers: int, allowed_share: float) -> CellSimulation:
+def new_simulation(
+    teams: list[Team],
+    workers: int,
+    allowed_share: float,
+    options: SchedulerOptions = DEFAULT_OPTIONS,
+) -> CellSimulation:
     """Return a simulation of a cell like the grown site's, without jobs.
 
     :param allowed_share: fraction of the workers that the placement policy allows
@@ -64,26 +78,27 @@
         infos,
         advice_members=ADVICE_MEMBERS,
         allowed_share=allowed_share,
+        options=options,
     )
 
 
-def simulate(workers: int) -> SimulationResult:
+def simulate(workers: int, options: SchedulerOptions = DEFAULT_OPTIONS) -> SimulationResult:
     """Simulate the load of the grown site, scaled to a number of workers."""
     teams = make_teams()
     load = generate_arrivals(
         make_job_kinds(workers / SITE_WORKERS), [team.id for team in teams], LOAD_MS, SEED
     )
-    return new_simulation(teams, workers, 0.5).run(load, LOAD_MS)
+    return new_simulation(teams, workers, 0.5, options).run(load, LOAD_MS)
 
 
 def run() -> list[str]:
-    """Return one line for each number of workers."""
+    """Return one line for each case."""
     rows = []
-    for workers in WORKER_COUNTS:
-        result = simulate(workers)
+    for workers, options, name in CASES:
+        result = simulate(workers, options)
         cores = result.decision_cpu_s / (LOAD_MS / 1000)
         rows.append(
             f"decisions, {workers:>5} workers: {result.starts / (LOAD_MS / 1000):>7.1f} starts/s "
-            f"{result.cpu_ms_per_start():>6.2f} ms per start {cores:>6.3f} cores"
+            f"{result.cpu_ms_per_start():>6.2f} ms per start {cores:>6.3f} cores{name}"
         )
     return rows
--- a/packages/server/lagoonshelf_server/jobs/where.py
+++ b/packages/server/lagoonshelf_server/jobs/where.py
@@ -5,6 +5,7 @@
 
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import QueueId, RackId, TeamId
+from lagoonshelf_core.jobs.overload_admission import find_refusal
 from lagoonshelf_core.jobs.placement_report import report_placement
 from lagoonshelf_core.jobs.spec import MAX_STEPS, MAX_TASKS_PER_STEP, JobId, JobSpec, StepSpec
 from lagoonshelf_core.resources import Resources
@@ -79,9 +80,27 @@
         raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "the seat may be lost"))
     cell = leader.cell
     report = report_placement(cell, spec, now_ms)
+    report["refused"] = report["refused"] or _find_refusal(leader, spec)
     report["ages_ms"] = {
         "configuration": config_age_ms,
         "registry": now_ms - cell.registry_ms,
-        "submissions": leader.submissions_age_ms(),
+        "submissions": leader.submission_fields()["submissions_age_ms"],
     }
     return orjson.dumps({"code": ResultCode.DONE.number, **report}).decode()
+
+
+def _find_refusal(leader: Leader, spec: JobSpec) -> str | None:
+    """Return why admission would refuse a job under overload, ``None`` if it would not."""
+    cell, found = leader.cell, leader.forecasts()
+    queue = cell.cfg.queues.get(spec.queue)
+    if found is None or queue is None:
+        return None
+    forecast = next((row for row in found[0] if row.pool == queue.pool), None)
+    if forecast is None:
+        return None
+    by_work = cell.options.orders_late_by_work
+    refusal = find_refusal(spec, queue, forecast, found[1], orders_late_by_work=by_work)
+    if refusal is None:
+        return None
+    text = f"it cannot end within {refusal.limit_ms} ms, in which it is of use"
+    return f"{text}; submit it again in about {refusal.retry_after_s} s"
