--- a/tests/core/jobs/test_worker_speeds.py
+++ b/tests/core/jobs/test_worker_speeds.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from random import Random
 
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.advice_requests import MIN_WORKERS_PER_REQUEST
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import StartRun
@@ -81,7 +82,7 @@
             self._plan()
 
     def _plan(self) -> None:
-        plan(self.cell, self.now_ms, self.now_ms, ADVICE_BUDGET_MS)
+        plan(self.cell, self.now_ms, self.now_ms, AdviceBudget(ADVICE_BUDGET_MS))
         commands, self.cell.commands = self.cell.commands, []
         for command in commands:
             run = command.run
