--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -165,7 +165,7 @@
             live=len(self.cell.live_jobs),
             workers=len(self.cell.workers),
             took_ms=self._clock.now_ms() - started_ms,
-            **self._submission_fields(),
+            **self.submission_fields(),
         )
         self._spawn(self.progress_writer.run())
         self._spawn(self._job_watcher.watch())
@@ -217,11 +217,11 @@
         Announcements, pages and changes of the store arrive in any order.
         """
         if self.cell.cancel(job, self._clock.wall_ms()):
-            _log.info("job cancelled", request=job, **self._submission_fields())
+            _log.info("job cancelled", request=job, **self.submission_fields())
             self.request_pass()
         elif job not in self.cell.jobs:
             self._early_cancellations.add(job, self._clock.now_ms())
-            _log.info("unknown job cancelled", request=job, **self._submission_fields())
+            _log.info("unknown job cancelled", request=job, **self.submission_fields())
 
     def _cancel_if_announced(self, job: JobId) -> None:
         if self._early_cancellations.take(job):
@@ -314,7 +314,7 @@
         notes, cell.notes = cell.notes, []
         for message, fields in notes:
             if message == TASKS_PLACED:
-                fields.update(self._submission_fields())
+                fields.update(self.submission_fields())
             self._notes.append((message, fields))
         if notes:
             self._has_notes.set()
@@ -343,7 +343,7 @@
         for message, fields in lines:
             _log.info(message, seat=self._leader_lease.revision, **fields)
 
-    def _submission_fields(self) -> dict[str, int]:
+    def submission_fields(self) -> dict[str, int]:
         """Return how much of the stored jobs and cancellations is known, for the log."""
         watcher = self._job_watcher
         return {"submissions": watcher.revision, "submissions_age_ms": watcher.age_ms()}
@@ -366,7 +366,7 @@
         """
         is_recent = self._job_watcher.age_ms() < self._max_submissions_age_ms()
         if not is_recent and not self._is_behind:
-            _log.warning("cancellations may be unknown", **self._submission_fields())
+            _log.warning("cancellations may be unknown", **self.submission_fields())
         self._is_behind = not is_recent
         return is_recent or self.is_store_down()
 
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -433,6 +433,13 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class WhereText:
+    """Description of a job, or the report where it would start, as JSON."""
+
+    text: str
+
+
 Body = (
     Hello
     | Status
@@ -461,6 +468,7 @@
     | Relayed
     | ConfigCopyAsk
     | ConfigCopy
+    | WhereText
 )
 
 
