--- a/packages/core/lagoonshelf_core/jobs/permits.py
+++ b/packages/core/lagoonshelf_core/jobs/permits.py
@@ -90,6 +90,11 @@
             return False
         return now_ms >= self._usable_until_ms(entry) - RENEWAL_MARGIN_MS - cost_ms
 
+    def is_requested(self, step: str) -> bool:
+        """Return whether a request for a step is in progress."""
+        entry = self._steps.get(step)
+        return entry is not None and entry.is_requested
+
     def is_in_use(self, step: str, now_ms: int) -> bool:
         """Return whether a request for a step is in progress or its permits are valid."""
         entry = self._steps.get(step)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -20,9 +20,9 @@
 
 # Log message of the tasks of a step that start in a pass.
 TASKS_PLACED = "tasks placed"
-# Steps of no use any more whose permits are kept valid. Each is advised through another member,
-# and a cell has at least six, so that some are free for new urgent steps.
-MAX_TOO_LATE_ADVISED = 4
+# Advice requests in progress for steps of no use any more. Each goes through another member, and a
+# cell has at least six, so that some are free for new urgent steps.
+MAX_TOO_LATE_REQUESTS = 4
 
 
 def plan(cell: Cell, now_ms: int, now_wall_ms: int, advice_budget_ms: float) -> bool:
@@ -145,9 +145,9 @@
     """
     if band is not Band.TOO_LATE or not cell.options.orders_late_by_work:
         request_advice(cell, state, step, queue, band)
-    elif state.too_late_advised < MAX_TOO_LATE_ADVISED:
+    elif state.too_late_requests < MAX_TOO_LATE_REQUESTS:
         request_advice(cell, state, step, queue, band)
-        state.too_late_advised += cell.permits.is_in_use(step.name, state.now_ms)
+        state.too_late_requests += cell.permits.is_requested(step.name)
 
 
 def _start_all(
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -41,7 +41,7 @@
     :param arrivals: forecast of urgent arrivals, None where the reserves are fixed shares
     :param later_holders: gangs with holds that come later in the pass than what is planned now;
         filled only where late work is ordered by its size
-    :param too_late_advised: steps of no use any more whose permits are kept valid
+    :param too_late_requests: advice requests in progress for steps of no use any more
     :param quieted_pools: pools of which a worker is kept for a suspected task
     :param advice_budget_ms: time of the placement policy that requests may still use
     :param starts_left: tasks that the pass may still start, not counting gangs and the first
@@ -60,7 +60,7 @@
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
     arrivals: ArrivalForecast | None = None
     later_holders: set[StepRun] = field(default_factory=set)
-    too_late_advised: int = 0
+    too_late_requests: int = 0
     quieted_pools: set[str] = field(default_factory=set)
     advice_budget_ms: float = 0.0
     starts_left: int = MAX_STARTS_PER_PASS
--- a/tests/core/jobs/test_late_order.py
+++ b/tests/core/jobs/test_late_order.py
@@ -9,7 +9,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.late_order import order_late_by_work, virtual_finish_ms
 from lagoonshelf_core.jobs.options import SchedulerOptions
-from lagoonshelf_core.jobs.planning import MAX_TOO_LATE_ADVISED
+from lagoonshelf_core.jobs.planning import MAX_TOO_LATE_REQUESTS
 from lagoonshelf_core.jobs.ranking import Band, objective_ms
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
@@ -93,7 +93,7 @@
         for _ in range(1_000):
             accept_job(cell, make_job(make_step(25), queue=ADVISED), 0)
         requests = plan_advice_requests(cell, 60_000) + plan_advice_requests(cell, 60_003)
-        self.assertEqual(len(requests), MAX_TOO_LATE_ADVISED)
+        self.assertEqual(len(requests), MAX_TOO_LATE_REQUESTS)
         new = accept_job(cell, make_job(queue=ADVISED), 60_010)
         advised = [request.step.job.id for request in plan_advice_requests(cell, 60_010)]
         self.assertEqual(advised, [new.id])
