Advice lanes need 16 members

Cause: in a cell of seven hosts one lane takes a seventh of the placement policy's time from the long requests.

--- a/packages/core/lagoonshelf_core/jobs/advice_lanes.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_lanes.py
@@ -10,10 +10,10 @@
 # Requests up to this duration may use any member. A step that waits for one of them on its member
 # loses a small part of the 250 ms in which urgent work has to start.
 SHORT_REQUEST_MS = 50.0
-# Share of the members that carry short requests only. Cells with fewer members than
-# MIN_MEMBERS_FOR_LANES have none, as that would take too much from long requests.
+# Share of the members that carry short requests only. In cells with fewer members than
+# MIN_MEMBERS_FOR_LANES long requests need all of them: a burst of wide jobs keeps each busy.
 SHORT_LANE_SHARE = 0.25
-MIN_MEMBERS_FOR_LANES = 4
+MIN_MEMBERS_FOR_LANES = 16
 
 
 @dataclass(slots=True)
