Arrivals are observed only where the reserve follows their forecast

Cause: with the switch off, each accepted job and ended run was counted for nothing. Change: it is counted with forecasts_reserve only.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -118,7 +118,8 @@
         self.jobs[spec.id] = job
         self.live_jobs[spec.id] = job
         queue = self.cfg.queues.get(spec.queue)
-        if queue is not None and queue.priority <= 0 and not is_inherited:
+        is_urgent = queue is not None and queue.priority <= 0
+        if self.options.forecasts_reserve and is_urgent and not is_inherited:
             self.arrivals.record_job(queue.pool, spec, now_ms)
         if not spec.occurrences:
             self._open_occurrence(job, Occurrence(0))
@@ -346,7 +347,7 @@
     def end_run(self, run: Run, end: RunEnd, checkpoint: str, now_ms: int) -> None:
         """Apply the end of a run."""
         worker = self.workers.get(run.worker)
-        if worker is not None:
+        if self.options.forecasts_reserve and worker is not None:
             self.arrivals.record_end(worker.info.pool, run, now_ms)
         self._release(run)
         self.on_end(run, end, now_ms)
