A large service in an evacuated domain costs a pass little

Cause: each task of a service in an evacuated domain counted all tasks of its step; a supervision pass took 0.7 s with 2,000 tasks, most of a leader lease.

Change: a step that may not be moved further is not checked again in the pass.

--- a/packages/core/lagoonshelf_core/jobs/evacuations.py
+++ b/packages/core/lagoonshelf_core/jobs/evacuations.py
@@ -14,6 +14,7 @@
     :ivar revision: revision of the store that ``domains`` reflects
     :ivar confirmed_ms: time at which ``domains`` was certainly current
     :ivar moving: runs that are being moved out of the domains, by name, and since when
+    :ivar refused: names of the steps of which no more runs are moved in the pass of ``checked_ms``
     """
 
     def __init__(self) -> None:
@@ -23,6 +24,8 @@
         self.revision = 0
         self.confirmed_ms: int | None = None
         self.moving: dict[str, tuple[Run, int]] = {}
+        self.refused: set[str] = set()
+        self.checked_ms = 0
 
     def replace(
         self, domains: Iterable[FailureDomain], revision: int, sent_ms: int
--- a/packages/core/lagoonshelf_core/jobs/moves.py
+++ b/packages/core/lagoonshelf_core/jobs/moves.py
@@ -6,6 +6,7 @@
 
 from lagoonshelf_core.jobs.capacity import count_fitting
 from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.evacuations import Evacuations
 from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunPhase, StepRun, Task
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 from lagoonshelf_core.resources import Resources
@@ -30,23 +31,35 @@
 
     Gangs end where they are: a move stops all members, also those outside the domain.
     """
-    if worker.info.domain not in cell.evacuations.domains:
+    known = cell.evacuations
+    if worker.info.domain not in known.domains:
         return False
+    if known.checked_ms != now_ms:
+        _begin_pass(known, now_ms)
     step = run.task.step
-    if step.spec.is_gang or not (_may_stop_service(run) or _ends_earlier_elsewhere(run)):
+    if step.spec.is_gang or step.name in known.refused or len(known.moving) >= MAX_MOVES:
         return False
-    moving = cell.evacuations.moving
-    for name, (moved, since_ms) in list(moving.items()):
-        if _is_moved(moved) or now_ms - since_ms > MOVE_TIMEOUT_MS:
-            del moving[name]
-    if len(moving) >= MAX_MOVES or not _has_room(cell, worker, step, now_ms):
+    if not step.spec.is_service and not _ends_earlier_elsewhere(run):
         return False
-    moving[run.name] = (run, now_ms)
+    if not _may_stop_service(run) or not _has_room(cell, worker, step, now_ms):
+        # The checks read all tasks of the step, and all workers.
+        known.refused.add(step.name)
+        return False
+    known.moving[run.name] = (run, now_ms)
     cell.note("run moved out of an evacuated domain", run, domain=worker.info.domain)
     cell.stop_run(run, "its failure domain is evacuated")
     return True
 
 
+def _begin_pass(known: Evacuations, now_ms: int) -> None:
+    """Forget moves that have ended, and the steps that the previous pass has refused."""
+    known.checked_ms = now_ms
+    known.refused.clear()
+    for name, (run, since_ms) in list(known.moving.items()):
+        if _is_moved(run) or now_ms - since_ms > MOVE_TIMEOUT_MS:
+            del known.moving[name]
+
+
 def count_unavailable(run: Run) -> int:
     """Return how many other tasks of a service's step do not serve."""
     return sum(
@@ -59,19 +72,19 @@
 
 
 def _may_stop_service(run: Run) -> bool:
-    """Return whether a service's task may be moved.
+    """Return whether a run may be moved as far as it is one of a service.
 
     A step without a limit of unavailable tasks is moved one by one: the whole domain goes at once,
     and often all of its tasks are there.
     """
     spec = run.task.step.spec
-    return spec.is_service and count_unavailable(run) < max(1, spec.max_unavailable)
+    return not spec.is_service or count_unavailable(run) < max(1, spec.max_unavailable)
 
 
 def _ends_earlier_elsewhere(run: Run) -> bool:
     """Return whether a run that saves its progress would end much later than elsewhere."""
     spec, percent = run.task.step.spec, run.progress_percent
-    if not spec.saves_progress or spec.is_filler or spec.is_service:
+    if not spec.saves_progress or spec.is_filler:
         return False
     if not MIN_MOVE_PERCENT <= percent < MAX_MOVE_PERCENT:
         return False
--- a/tests/core/jobs/test_evacuations.py
+++ b/tests/core/jobs/test_evacuations.py
@@ -9,6 +9,7 @@
 from lagoonshelf_core.jobs.spec import StepSpec
 from lagoonshelf_core.jobs.supervision import supervise
 from lagoonshelf_core.jobs.worker_reports import RunningRow, apply_report
+from lagoonshelf_core.resources import ZERO_RESOURCES
 from tests.support.jobs import (
     HOST,
     POOL,
@@ -25,6 +26,7 @@
     take_stops,
     worker_info,
 )
+from tests.support.line_count import count_lines
 
 MAX_AGE_MS = 4_400
 PER_HOST = HOST.cpu_milli // SMALL.cpu_milli
@@ -97,6 +99,14 @@
         started = plan_starts(self.cell, 20_300)
         self.assertEqual([run.worker for run in started], ["w001", "w002"])
 
+    def test_a_large_service_is_not_counted_for_each_task(self) -> None:
+        """Guards against passes of 0.7 s, measured with 2,000 tasks in the domain."""
+        costs = []
+        for count in (50, 100):
+            self._evacuate(2, 100, make_step(count, ZERO_RESOURCES, is_service=True))
+            costs.append(count_lines(lambda: supervise(self.cell, 30_000)))
+        self.assertLess(costs[1], 3 * costs[0])
+
     def test_other_runs_are_moved_only_if_they_are_slow_and_lose_nothing(self) -> None:
         """Guards against work that is thrown away, or left for long on a slow worker."""
         saves = {"saves_progress": True}
