--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -8,7 +8,7 @@
 from lagoonshelf_core.jobs.arrival_forecast import ArrivalForecast
 from lagoonshelf_core.jobs.cold_starts import ColdStarts
 from lagoonshelf_core.jobs.commands import Command, StopRun
-from lagoonshelf_core.jobs.config import CellConfig, PoolId, Queue
+from lagoonshelf_core.jobs.config import CellConfig, Queue
 from lagoonshelf_core.jobs.evacuations import Evacuations
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.open_steps import OpenSteps
@@ -266,13 +266,6 @@
             return True
         return now_ms - self.registry_ms <= self.max_registry_age_ms
 
-    def evacuated_pools(self) -> list[PoolId]:
-        """Return the pools that have workers in evacuated failure domains only."""
-        domains = self.evacuations.domains
-        workers = [worker.info for worker in self.workers.values() if worker.is_listed]
-        left = {info.pool for info in workers if info.domain not in domains}
-        return sorted({info.pool for info in workers} - left)
-
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -298,3 +298,13 @@
             self._cell.health.failed(run.worker, TaskId(task.job.id), self._clock.now_ms())
         if task.step.spec.is_gang:
             self._cell.stop_gang_attempt(task.step, run.attempt)
+
+
+def max_age_ms(bound_ms: int) -> int:
+    """Return the age up to which starts may go by what is known of something.
+
+    A start may reach its worker as late as its command times out.
+
+    :param bound_ms: time after which a change has to be in force
+    """
+    return max(bound_ms // 2, bound_ms - max(START_TIMEOUTS_MS))
--- a/packages/server/lagoonshelf_server/jobs/evacuation_watcher.py
+++ b/packages/server/lagoonshelf_server/jobs/evacuation_watcher.py
@@ -6,6 +6,7 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain
 from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.config import PoolId
 from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.ports import (
@@ -154,11 +155,17 @@
             _log.warning("evacuation of an unknown domain", revision=revision, **unknown)
         if removed:
             _log.info("evacuation ended", revision=revision, **_shown(removed))
-        pools = self._cell.evacuated_pools()
+        pools = self._evacuated_pools()
         if added and pools:
             _log.warning("pools without workers outside evacuated domains", **_shown(pools))
         self._on_change()
 
+    def _evacuated_pools(self) -> set[PoolId]:
+        """Return the pools that have workers in evacuated domains only."""
+        workers = [worker.info for worker in self._cell.workers.values() if worker.is_listed]
+        left = {info.pool for info in workers if info.domain not in self._known.domains}
+        return {info.pool for info in workers} - left
+
     def _log_failure(self, exc: Exception) -> None:
         """Log the first of some failures; the end of them is logged by ``_log_success``."""
         if not self._is_failing:
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -19,7 +19,7 @@
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.advice_router import AdviceRouter
 from lagoonshelf_server.jobs.config_view import ConfigView
-from lagoonshelf_server.jobs.dispatcher import START_TIMEOUTS_MS, Dispatcher
+from lagoonshelf_server.jobs.dispatcher import Dispatcher, max_age_ms
 from lagoonshelf_server.jobs.evacuation_watcher import EvacuationWatcher
 from lagoonshelf_server.jobs.fleet import Fleet, FleetHooks, FleetPorts
 from lagoonshelf_server.jobs.job_watcher import JobWatcher
@@ -152,7 +152,7 @@
         started_ms = self._clock.now_ms()
         state = await read_cell_state(self._store, self._codec.registry_prefix, self._clock)
         if self.evacuate_ms:
-            self.cell.evacuations.max_age_ms = _max_age_ms(self.evacuate_ms)
+            self.cell.evacuations.max_age_ms = max_age_ms(self.evacuate_ms)
         await self._restore(state, started_ms)
         if self.evacuate_ms:
             await self._evacuations.take_over()
@@ -372,7 +372,7 @@
 
     def _max_submissions_age_ms(self) -> int:
         """Return the age up to which starts may go by the known cancellations."""
-        return _max_age_ms(self.cancel_ms)
+        return max_age_ms(self.cancel_ms)
 
     def _after_report(self) -> None:
         self._record_changes()
@@ -496,15 +496,5 @@
             await asyncio.sleep(0)
 
 
-def _max_age_ms(bound_ms: int) -> int:
-    """Return the age up to which starts may go by what is known of something.
-
-    A start may reach its worker as late as its command times out.
-
-    :param bound_ms: time after which a change has to be in force
-    """
-    return max(bound_ms // 2, bound_ms - max(START_TIMEOUTS_MS))
-
-
 def _count_loss(loss: WorkerLoss) -> None:
     job_metrics.worker_losses.inc({"how": loss.value})
