--- a/bench/cell_simulation.py
+++ b/bench/cell_simulation.py
@@ -10,9 +10,11 @@
 from zlib import crc32
 
 from lagoonshelf_core.ids import FailureDomain, QueueId, RackId, TeamId, WorkerId
+from lagoonshelf_core.jobs.advice_lanes import AdviceBudget
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Pool, PoolId
+from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.jobs.planning import plan
 from lagoonshelf_core.jobs.progress import Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, StepSpec
@@ -143,6 +145,7 @@
         *,
         advice_members: int = 4,
         allowed_share: float = 1.0,
+        options: SchedulerOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Set up a cell whose workers have already reported their runs.
 
@@ -150,7 +153,7 @@
             parallel
         :param allowed_share: fraction of the workers that the placement policy allows
         """
-        self.cell = Cell(cfg)
+        self.cell = Cell(cfg, options)
         for info in workers:
             worker = self.cell.update_worker(info, 0)
             worker.is_read = worker.is_recorded = True
@@ -210,7 +213,7 @@
         supervise(self.cell, now_ms)
         # 700 ms is the limit of the advice router, ``MAX_BACKLOG_MS``.
         budget_ms = sum(max(0.0, 700.0 + now_ms - free) for free in self._member_free_ms)
-        has_more = plan(self.cell, now_ms, now_ms, budget_ms)
+        has_more = plan(self.cell, now_ms, now_ms, AdviceBudget(budget_ms))
         self.result.decision_cpu_s += process_time() - started_s
         if has_more:
             self._pass_ms = now_ms + PASS_DELAY_MS
--- a/packages/client/lagoonshelf_client/commands.py
+++ b/packages/client/lagoonshelf_client/commands.py
@@ -1,7 +1,9 @@
 """The commands of ``lagoonshelf``."""
 
+import getpass
 import os
 import secrets
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -10,6 +12,7 @@
 
 from lagoonshelf_client.api import Client, Connection
 from lagoonshelf_client.explain import explain, format_line, read_lines
+from lagoonshelf_client.team_usage import find_usage
 from lagoonshelf_core.document import create_merge_patch, parse_document
 from lagoonshelf_core.errors import Fault, ResultCode
 from lagoonshelf_core.ids import KeyId, TeamId, is_valid_id
@@ -122,6 +125,79 @@
         return client.put_config(found["revision"], {**document, "keys": kept})
 
 
+class DomainCommands:
+    """Evacuate and restore failure domains (operator key)."""
+
+    def __init__(self, client: Callable[[], Client], report: Report) -> None:
+        """Create the commands."""
+        self._client = client
+        self._report = report
+
+    def evacuate(self, name: str, by: str | None = None) -> None:
+        """Start nothing more on the workers of a failure domain until it is restored.
+
+        Running tasks go on. The user's name is recorded unless --by names another.
+        Example: lagoonshelf domains evacuate rack-hall-2 --by="night shift"
+        """
+        name = str(name)
+        if not is_valid_id(name):
+            self._report(Failure(Fault(ResultCode.BAD_REQUEST, f"domain {name!r} is not valid")))
+            return
+        requested_by = str(by or _user_name())
+        if not requested_by:
+            self._report(Failure(Fault(ResultCode.BAD_REQUEST, "--by: the user has no name")))
+            return
+        requested_ms = time.time_ns() // 1_000_000
+        self._report(
+            self._change(name, {"requested_by": requested_by, "requested_ms": requested_ms})
+        )
+
+    def restore(self, name: str) -> None:
+        """End the evacuation of a failure domain.
+
+        Example: lagoonshelf domains restore rack-hall-2
+        """
+        self._report(self._change(str(name), None))
+
+    def list(self) -> None:
+        """Print the evacuated failure domains, who requested it, and when."""
+        current = self._client().get_config()
+        self._report(current.map(lambda found: found["document"].get("evacuations", {})))
+
+    def _change(self, name: str, entry: dict | None) -> Result[dict, Fault]:
+        """Add or remove an evacuation; a revision that was made meanwhile is kept."""
+        client = self._client()
+        current = client.get_config()
+        if isinstance(current, Failure):
+            return current
+        found = current.unwrap()
+        evacuations = found["document"].get("evacuations", {})
+        if (name in evacuations) != (entry is None):
+            text = f"domain {name!r} is {'not' if entry is None else 'already'} evacuated"
+            return Failure(Fault(ResultCode.BAD_REQUEST, text))
+        changed = {key: value for key, value in evacuations.items() if key != name}
+        if entry is not None:
+            changed[name] = entry
+        document = {**found["document"], "evacuations": changed}
+        return client.put_config(found["revision"], document)
+
+
+class TeamCommands:
+    """Print figures of the teams."""
+
+    def __init__(self, report: Report) -> None:
+        """Create the commands."""
+        self._report = report
+
+    def usage(self, url: str) -> None:
+        """Print past use, entitlement and longest delay of each team, or that they are unknown.
+
+        Only the leader knows them, so give the metrics addresses of all processes.
+        Example: lagoonshelf teams usage --url=http://192.0.2.1:9101,http://192.0.2.2:9101
+        """
+        self._report(find_usage(_split_urls(url)))
+
+
 class Commands:
     """Submit work to a cell and operate the cell.
 
@@ -141,6 +217,8 @@
         self._urls = urls
         self.config = ConfigCommands(self._client, report)
         self.keys = KeyCommands(self._client, report)
+        self.domains = DomainCommands(self._client, report)
+        self.teams = TeamCommands(report)
 
     def explain(self, request: str, *files: str) -> None:
         """Print the log lines of several processes that explain one request, in order of time.
@@ -196,6 +274,40 @@
         }
         self._report(self._client().submit(request, patience_s))
 
+    def where(
+        self,
+        url: str,
+        file: str = "",
+        queue: str = "",
+        team: str = "",
+        tasks: int = 1,
+        cpu_milli: int = 1000,
+        memory_mib: int = 512,
+        accelerators: int = 0,
+        run_ms: int = 0,
+        gang: bool = False,
+        label: str = "",
+    ) -> None:
+        """Print where a job would start if it were submitted now; nothing is submitted.
+
+        The URLs are the metrics addresses of any processes, which ask the leader.
+        Example: lagoonshelf where --url=http://192.0.2.1:9101 --queue=urgent --team=fitting
+        Example: lagoonshelf where --url=http://192.0.2.1:9101 --file=job.json
+        """
+        step = {
+            "count": tasks,
+            "cpu_milli": cpu_milli,
+            "memory_mib": memory_mib,
+            "accelerators": accelerators,
+            "estimate_ms": run_ms,
+            "is_gang": gang,
+            "label": str(label),
+        }
+        described = {"queue": str(queue), "team": str(team), "steps": [step]}
+        job = read_json(str(file)) if file else Success(described)
+        client = Client(Connection(_split_urls(url), ""))
+        self._report(job.bind(client.where))
+
     def status(self, request_key: str) -> None:
         """Print the state of a request.
 
@@ -220,18 +332,38 @@
 
     def _client(self) -> Client:
         urls = self._urls or os.environ.get(URLS_VARIABLE, DEFAULT_URL)
-        names = tuple(url.strip().rstrip("/") for url in urls.split(","))
-        return Client(Connection(names, os.environ.get(KEY_VARIABLE, "")))
+        return Client(Connection(_split_urls(urls), os.environ.get(KEY_VARIABLE, "")))
 
 
-def _read_document(file: str) -> Result[dict, Fault]:
+def _user_name() -> str:
+    """Return the name of the user of this process, "" if there is none."""
+    try:
+        return getpass.getuser()
+    except (ImportError, KeyError, OSError):
+        return ""
+
+
+def read_json(file: str) -> Result[object, Fault]:
+    """Return the content of a JSON file."""
     try:
-        raw = orjson.loads(Path(file).read_bytes())
+        return Success(orjson.loads(Path(file).read_bytes()))
     except OSError as exc:
         text = f"cannot read {file!r}: {exc.strerror}"
         return Failure(Fault(ResultCode.BAD_REQUEST, text))
     except ValueError as exc:
         return Failure(Fault(ResultCode.CONFIG_INVALID, f"{file}: not valid JSON: {exc}"))
+
+
+def _split_urls(url: str | list | tuple) -> tuple[str, ...]:
+    parts = url if isinstance(url, (list, tuple)) else str(url).split(",")
+    return tuple(str(part).strip().rstrip("/") for part in parts)
+
+
+def _read_document(file: str) -> Result[dict, Fault]:
+    return read_json(file).bind(lambda raw: _check_document(file, raw))
+
+
+def _check_document(file: str, raw: object) -> Result[dict, Fault]:
     if not isinstance(raw, dict) or raw.keys() != {"revision", "document"}:
         text = f"{file}: must have exactly the keys revision and document"
         return Failure(Fault(ResultCode.CONFIG_INVALID, text))
--- a/packages/core/lagoonshelf_core/jobs/advice_requests.py
+++ b/packages/core/lagoonshelf_core/jobs/advice_requests.py
@@ -6,7 +6,7 @@
 from lagoonshelf_core.jobs.commands import RequestAdvice
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.progress import StepRun
-from lagoonshelf_core.jobs.ranking import Band
+from lagoonshelf_core.jobs.ranking import Band, prefers_fast
 from lagoonshelf_core.jobs.scheduling_pass import SchedulingPass
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 
@@ -25,6 +25,8 @@
 ADVISED_STEPS_PER_WORKER = 0.25
 MAX_LATE_CHECKS = 8
 LATE_RECHECK_MS = 500
+# A fast worker with less than this share of its CPU free is listed after those of any speed.
+MIN_FREE_SHARE = 0.125
 # Late gangs without held workers that are advised at a time, so that workers can be held for them.
 MAX_LATE_GANGS = 4
 
@@ -55,13 +57,21 @@
     cost_ms = timing.base_ms + timing.per_worker_ms * len(selected)
     if not selected or not cell.permits.is_request_due(step.name, cost_ms, now_ms):
         return
-    if state.advice_budget_ms < cost_ms and state.advised_steps > 1:
+    if not state.advice_budget.allows(cost_ms) and state.advised_steps > 1:
         return
-    state.advice_budget_ms -= cost_ms
+    state.advice_budget.take(cost_ms)
     cell.permits.request_sent(step.name)
     cell.commands.append(RequestAdvice(step, selected, cost_ms))
 
 
+def least_cost_ms(queue: Queue) -> float:
+    """Return the time that a request for a step of a queue takes at least."""
+    timing = queue.advice
+    if timing is None:
+        return 0.0
+    return timing.base_ms + timing.per_worker_ms * MIN_WORKERS_PER_REQUEST
+
+
 def _max_advised_steps(state: SchedulingPass, queue: Queue) -> int:
     workers = len(state.usable[queue.pool])
     return max(MAX_ADVISED_STEPS, int(ADVISED_STEPS_PER_WORKER * workers))
@@ -80,21 +90,18 @@
 def _select_workers(
     cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band
 ) -> tuple[tuple[WorkerId, ...], bool]:
-    """Return the workers to list in a request: held ones, then those with the most free CPU.
+    """Return the workers to list in a request: held ones, then those that suit the step best.
 
     The second value is whether the step could probably start on those the policy will allow.
     """
-    by_free_cpu = state.by_free_cpu.get(queue.pool)
-    if by_free_cpu is None:
-        by_free_cpu = sorted(state.usable[queue.pool].values(), key=_free_cpu_key)
-        state.by_free_cpu[queue.pool] = by_free_cpu
+    by_preference = _by_preference(cell, state, step, queue)
     label, size = step.spec.label, allocation_of(step.spec.size, step.spec.is_filler)
     share = cell.permits.allowed_share(queue.id)
     waiting = len(step.waiting)
     max_per_worker = step.spec.max_per_worker or waiting
     expected_slots = 0.0
     selected: list[WorkerId] = []
-    for worker in _held_first(state, step, queue, by_free_cpu):
+    for worker in _held_first(state, step, queue, by_preference):
         if label and label not in worker.info.labels:
             continue
         probability = cell.permits.allow_probability(step.name, worker.info.id, share)
@@ -117,14 +124,37 @@
 
 
 def _held_first(
-    state: SchedulingPass, step: StepRun, queue: Queue, by_free_cpu: list[Worker]
+    state: SchedulingPass, step: StepRun, queue: Queue, by_preference: list[Worker]
 ) -> list[Worker]:
     if step.hold is None:
-        return by_free_cpu
+        return by_preference
     usable, held = state.usable[queue.pool], step.hold.workers
     first = [usable[name] for name in sorted(held) if name in usable]
-    return first + [worker for worker in by_free_cpu if worker.id not in held]
+    return first + [worker for worker in by_preference if worker.id not in held]
+
+
+def _by_preference(cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue) -> list[Worker]:
+    """Return the usable workers in the order in which advice is asked for them.
+
+    Cold and slow ones are last. The others go by free CPU, and for a step that prefers fast
+    workers by speed if they have room.
+    """
+    lists = state.by_free_cpu
+    if cell.speeds is not None and prefers_fast(step, queue, state.now_ms):
+        lists = state.by_speed
+    workers = lists.get(queue.pool)
+    if workers is not None:
+        return workers
+    usable = state.usable[queue.pool].values()
+    is_by_speed = lists is state.by_speed and any(worker.speed_class for worker in usable)
 
+    def key(worker: Worker) -> tuple:
+        capacity_milli = worker.info.capacity.cpu_milli
+        used_milli = worker.used.cpu_milli - capacity_milli
+        speed_rank = ()
+        if is_by_speed:
+            speed_rank = (-used_milli < MIN_FREE_SHARE * capacity_milli, -worker.speed_class)
+        return (worker.id in state.cold, worker.is_slow, *speed_rank, used_milli, worker.id)
 
-def _free_cpu_key(worker: Worker) -> tuple[int, WorkerId]:
-    return (worker.used.cpu_milli - worker.info.capacity.cpu_milli, worker.info.id)
+    lists[queue.pool] = sorted(usable, key=key)
+    return lists[queue.pool]
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -6,11 +6,14 @@
 from lagoonshelf_core.health import Health, HealthLimits
 from lagoonshelf_core.ids import TaskId, TeamId, WorkerId
 from lagoonshelf_core.jobs.arrival_forecast import ArrivalForecast
+from lagoonshelf_core.jobs.cold_starts import ColdStarts
 from lagoonshelf_core.jobs.commands import Command, StopRun
-from lagoonshelf_core.jobs.config import CellConfig, Queue
+from lagoonshelf_core.jobs.config import CellConfig, PoolId, Queue
+from lagoonshelf_core.jobs.evacuations import Evacuations
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.open_steps import OpenSteps
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
+from lagoonshelf_core.jobs.past_use import past_use_of
 from lagoonshelf_core.jobs.permits import Permits
 from lagoonshelf_core.jobs.progress import (
     ATTEMPTS_SKIPPED,
@@ -24,6 +27,7 @@
 )
 from lagoonshelf_core.jobs.rates import TeamRates
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, Occurrence
+from lagoonshelf_core.jobs.worker_speeds import WorkerSpeeds
 from lagoonshelf_core.jobs.workers import (
     LossRecord,
     Worker,
@@ -83,6 +87,8 @@
         self.permits = Permits()
         self.health = Health(WORKER_HEALTH_LIMITS)
         self.rates = TeamRates()
+        self.speeds = WorkerSpeeds() if options.models_worker_speed else None
+        self.past_use = past_use_of(options)
         self.arrivals = ArrivalForecast()
         self.changed_jobs: set[Job] = set()
         self.commands: list[Command] = []
@@ -98,6 +104,8 @@
         # one may have reported since that it is draining, 0 for none.
         self.registry_ms = 0
         self.max_registry_age_ms = 0
+        self.evacuations = Evacuations()
+        self.cold_starts = ColdStarts()
         self.losses: deque[LossRecord] = deque(maxlen=MAX_LOSS_RECORDS)
         self.last_supervised_ms = 0
         self.on_end: Callable[[Run, RunEnd, int], None] = lambda run, end, now_ms: None
@@ -238,6 +246,8 @@
         if info.is_draining and not worker.info.is_draining:
             worker.drain_end_ms = now_ms + info.remaining_ms
         worker.info = info
+        if self.evacuations.max_age_ms:
+            worker.record_cold(now_ms)
         worker.is_listed = True
         worker.is_full = False
         return worker
@@ -257,6 +267,13 @@
             return True
         return now_ms - self.registry_ms <= self.max_registry_age_ms
 
+    def evacuated_pools(self) -> list[PoolId]:
+        """Return the pools that have workers in evacuated failure domains only."""
+        domains = self.evacuations.domains
+        workers = [worker.info for worker in self.workers.values() if worker.is_listed]
+        left = {info.pool for info in workers if info.domain not in domains}
+        return sorted({info.pool for info in workers} - left)
+
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
@@ -346,6 +363,8 @@
 
     def end_run(self, run: Run, end: RunEnd, checkpoint: str, now_ms: int) -> None:
         """Apply the end of a run."""
+        if self.past_use is not None:
+            self.past_use.charge_end(self.workers, run, end, now_ms)
         worker = self.workers.get(run.worker)
         if self.options.forecasts_reserve and worker is not None:
             self.arrivals.record_end(worker.info.pool, run, now_ms)
@@ -448,6 +467,8 @@
     def allocate(self, worker: Worker, run: Run) -> None:
         """Allocate the resources of a run on its worker and for its team."""
         worker.add_run(run)
+        if self.speeds is not None:
+            self.speeds.track(worker, run)
         if run.team is not None:
             used = self.team_allocations.get(run.team, ZERO_RESOURCES)
             self.team_allocations[run.team] = used + run.size
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -116,6 +116,8 @@
     if run.is_service and not run.has_served and row.percent >= FULL_PERCENT:
         cell.record_at_work(run, now_ms)
     run.load = row.load
+    if run.track is not None:
+        cell.speeds.observe(run, row.checkpoint, now_ms)
     if row.checkpoint:
         run.checkpoint = row.checkpoint
         if run.task is not None and run.task.run is run:
@@ -127,6 +129,8 @@
     if run is not None:
         if row.end is not RunEnd.DONE:
             cell.note("run ended", run, how=row.end.value, percent=run.progress_percent)
+        elif run.track is not None:
+            cell.speeds.observe_done(run, now_ms)
         cell.end_run(run, row.end, row.checkpoint, now_ms)
         return
     task = cell.find_task(row.name)
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -20,6 +20,7 @@
 from lagoonshelf_server.jobs.advice_router import AdviceRouter
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.dispatcher import START_TIMEOUTS_MS, Dispatcher
+from lagoonshelf_server.jobs.evacuation_watcher import EvacuationWatcher
 from lagoonshelf_server.jobs.fleet import Fleet, FleetHooks, FleetPorts
 from lagoonshelf_server.jobs.job_watcher import JobWatcher
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
@@ -42,6 +43,7 @@
 from lagoonshelf_server.jobs.progress_writer import ProgressWriter
 from lagoonshelf_server.jobs.retention import JobRetention
 from lagoonshelf_server.jobs.takeover import TASKS_PER_TURN, CellState, read_cell_state
+from lagoonshelf_server.jobs.usage_store import UsageStore
 from lagoonshelf_server.logs import logger
 
 # Events that arrive within this time are handled by a single scheduling pass.
@@ -87,6 +89,8 @@
         self.is_store_troubled: Callable[[], bool] = lambda: False
         self.is_store_down: Callable[[], bool] = lambda: False
         self.cancel_ms = DEFAULT_CANCEL_MS
+        # Time after which nothing is started in an evacuated domain, None if there are none.
+        self.evacuate_ms: int | None = None
         self._store = ports.store
         self._codec = ports.codec
         self._machines = ports.machines
@@ -119,6 +123,10 @@
         self.dispatcher = Dispatcher(
             self.cell, ports.workers, leader_lease, clock, sessions, self.request_pass
         )
+        self._usage_store = UsageStore(self.cell, self._store, leader_lease, clock)
+        self._evacuations = EvacuationWatcher(
+            self.cell, ports.store, ports.codec, clock, self.request_pass
+        )
         self._early_cancellations = EarlyCancellations()
         self._is_behind = False
         self.dispatcher.may_start = self._may_start
@@ -143,7 +151,11 @@
     async def _lead(self) -> None:
         started_ms = self._clock.now_ms()
         state = await read_cell_state(self._store, self._codec.registry_prefix, self._clock)
+        if self.evacuate_ms:
+            self.cell.evacuations.max_age_ms = _max_age_ms(self.evacuate_ms)
         await self._restore(state, started_ms)
+        if self.evacuate_ms:
+            await self._evacuations.take_over()
         self.is_ready = True
         self._leader_lease.record_takeover()
         _log.info(
@@ -153,17 +165,21 @@
             live=len(self.cell.live_jobs),
             workers=len(self.cell.workers),
             took_ms=self._clock.now_ms() - started_ms,
-            **self._submission_fields(),
+            **self.submission_fields(),
         )
         self._spawn(self.progress_writer.run())
         self._spawn(self._job_watcher.watch())
         self._spawn(self._job_watcher.poll(self._max_submissions_age_ms() // 2))
+        for loop in self._evacuations.loops() if self.evacuate_ms else ():
+            self._spawn(loop)
         self._fleet.start()
         retention = JobRetention(self._store, self.progress_writer, self._clock, self.cell.jobs)
         retention.on_ended_job_removed = self._forget_ended_job
         retention.on_cancellation_removed = self._early_cancellations.take
         self._spawn(retention.run(state.orphans))
         self._spawn(self._expire_cancellations())
+        if self.cell.past_use is not None:
+            self._spawn(self._usage_store.run(self.cell.past_use))
         self._spawn(self._report())
         self._spawn(self._send_loop())
         self._spawn(self._log_loop())
@@ -172,6 +188,11 @@
             self._spawn(Maintenance(*args, self._leader_lease, self._clock).run())
         await self._plan_loop()
 
+    async def prepare_hand_over(self) -> None:
+        """Write what a successor would not know otherwise."""
+        if self.may_answer():
+            await self._usage_store.write_last()
+
     def request_pass(self) -> None:
         """Request a scheduling pass soon."""
         self._pass_requested.set()
@@ -196,11 +217,11 @@
         Announcements, pages and changes of the store arrive in any order.
         """
         if self.cell.cancel(job, self._clock.wall_ms()):
-            _log.info("job cancelled", request=job, **self._submission_fields())
+            _log.info("job cancelled", request=job, **self.submission_fields())
             self.request_pass()
         elif job not in self.cell.jobs:
             self._early_cancellations.add(job, self._clock.now_ms())
-            _log.info("unknown job cancelled", request=job, **self._submission_fields())
+            _log.info("unknown job cancelled", request=job, **self.submission_fields())
 
     def _cancel_if_announced(self, job: JobId) -> None:
         if self._early_cancellations.take(job):
@@ -278,8 +299,8 @@
         if self._leader_lease.may_dispatch() and self._is_config_valid():
             supervise(cell, now_ms)
             if self._knows_cancellations():
-                budget_ms = self.advice_router.budget_ms()
-                if plan(cell, now_ms, self._clock.wall_ms(), budget_ms):
+                budget = self.advice_router.budget()
+                if plan(cell, now_ms, self._clock.wall_ms(), budget):
                     self.request_pass()
         commands, cell.commands = cell.commands, []
         starting = {c.run.task.job for c in commands if isinstance(c, StartRun)}
@@ -293,7 +314,7 @@
         notes, cell.notes = cell.notes, []
         for message, fields in notes:
             if message == TASKS_PLACED:
-                fields.update(self._submission_fields())
+                fields.update(self.submission_fields())
             self._notes.append((message, fields))
         if notes:
             self._has_notes.set()
@@ -322,7 +343,7 @@
         for message, fields in lines:
             _log.info(message, seat=self._leader_lease.revision, **fields)
 
-    def _submission_fields(self) -> dict[str, int]:
+    def submission_fields(self) -> dict[str, int]:
         """Return how much of the stored jobs and cancellations is known, for the log."""
         watcher = self._job_watcher
         return {"submissions": watcher.revision, "submissions_age_ms": watcher.age_ms()}
@@ -345,16 +366,13 @@
         """
         is_recent = self._job_watcher.age_ms() < self._max_submissions_age_ms()
         if not is_recent and not self._is_behind:
-            _log.warning("cancellations may be unknown", **self._submission_fields())
+            _log.warning("cancellations may be unknown", **self.submission_fields())
         self._is_behind = not is_recent
         return is_recent or self.is_store_down()
 
     def _max_submissions_age_ms(self) -> int:
-        """Return the age up to which starts may go by the known cancellations.
-
-        A start may reach its worker as late as its command times out.
-        """
-        return max(self.cancel_ms // 2, self.cancel_ms - max(START_TIMEOUTS_MS))
+        """Return the age up to which starts may go by the known cancellations."""
+        return _max_age_ms(self.cancel_ms)
 
     def _after_report(self) -> None:
         self._record_changes()
@@ -426,6 +444,10 @@
             for band, count in fields["open_steps"].items():
                 job_metrics.open_steps.set({"band": band}, count)
             job_metrics.live_jobs.set({}, len(self.cell.live_jobs))
+            if self.cell.speeds is not None:
+                job_metrics.report_speeds(self.cell.speeds)
+            if self.evacuate_ms:
+                fields.update(self._evacuations.report())
             report_forecasts(self.cell, self.forecasts())
             report_reserves(self.cell, self._clock.now_ms())
             _log.info("cell", **fields)
@@ -474,5 +496,15 @@
             await asyncio.sleep(0)
 
 
+def _max_age_ms(bound_ms: int) -> int:
+    """Return the age up to which starts may go by what is known of something.
+
+    A start may reach its worker as late as its command times out.
+
+    :param bound_ms: time after which a change has to be in force
+    """
+    return max(bound_ms // 2, bound_ms - max(START_TIMEOUTS_MS))
+
+
 def _count_loss(loss: WorkerLoss) -> None:
     job_metrics.worker_losses.inc({"how": loss.value})
--- a/tests/server/jobs/test_job_watcher.py
+++ b/tests/server/jobs/test_job_watcher.py
@@ -1,7 +1,7 @@
 """Tests of what a leader knows of jobs and cancellations when it starts tasks."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from unittest.mock import patch
 
 from lagoonshelf_core.jobs.early_cancellations import EARLY_CANCELLATION_MS
@@ -12,7 +12,6 @@
 from lagoonshelf_server.jobs.dispatcher import START_TIMEOUTS_MS
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
 from lagoonshelf_server.jobs.keys import (
-    PROGRESS_PREFIX,
     SUBMISSION_PREFIX,
     USED_WORKERS,
     cancel_key,
@@ -231,24 +230,6 @@
         await eventually(lambda: second.state(last.id) is JobState.CANCELLED)
         self.assertEqual(self.workers.started, [])
 
-    def _hold_records(self) -> Callable[[], None]:
-        """Keep progress from being recorded until the returned function is called."""
-        commit, is_held = self.store.commit, True
-
-        async def hold_progress(
-            conditions: dict, puts: Sequence[Put] = (), deletes: Sequence[str] = (), **limits: int
-        ) -> Committed | Conflict | None:
-            while is_held and any(put.key.startswith(PROGRESS_PREFIX) for put in puts):
-                await asyncio.sleep(0.01)
-            return await commit(conditions, puts, deletes, **limits)
-
-        def release() -> None:
-            nonlocal is_held
-            is_held = False
-
-        self.store.commit = hold_progress
-        return release
-
     async def test_a_cancelled_job_that_was_forgotten_is_not_started_again(self) -> None:
         """Guards against a process that was paused between storing a job and announcing it.
 
