Retry-After in a store outage follows its age and the job's slack

A probe of the store had no bound and could outlast the client's deadline. Change: outage_retry.py, behind a switch; the probe is bounded by what is left.

--- a/packages/core/lagoonshelf_core/jobs/options.py
+++ b/packages/core/lagoonshelf_core/jobs/options.py
@@ -13,6 +13,8 @@
         has it, 0 to ignore links
     :param orders_late_by_work: late steps go by receipt and remaining work, not by receipt alone
     :param refuses_overload: jobs that cannot end in time to be of use are refused at hand-in
+    :param spreads_outage_retries: Retry-After in an outage of the store follows the age of the
+        outage and the slack of the job
     :param forecasts_reserve: the capacity kept for urgent work follows a forecast of its arrivals
     :param models_worker_speed: placement uses the measured speed of each worker
     :param usage_half_life_h: half-life of past use in the order of waiting work, 0 for none
@@ -22,6 +24,7 @@
     leader_link_mbps: float = 0.0
     orders_late_by_work: bool = False
     refuses_overload: bool = False
+    spreads_outage_retries: bool = False
     forecasts_reserve: bool = False
     models_worker_speed: bool = False
     usage_half_life_h: float = 0.0
--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -147,7 +147,7 @@
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return outcome, None
-            if self._store.is_failing() and not await self._is_answering(key):
+            if self._store.is_failing() and not await self._is_answering(key, left_ms):
                 if outcome is WriteOutcome.UNAVAILABLE:
                     return outcome, None
                 await asyncio.sleep(RETRY_S)
@@ -167,9 +167,10 @@
                     return outcome, None
             await asyncio.sleep(RETRY_S)
 
-    async def _is_answering(self, key: str) -> bool:
+    async def _is_answering(self, key: str, left_ms: int) -> bool:
         try:
-            await self._store.read(key)
+            # A read without an answer must not outlast the deadline of the client.
+            await self._store.read(key, timeout_ms=min(WRITE_TIMEOUT_MS, left_ms))
         except (StoreUnavailableError, StoreUncertainError):
             return False
         return True
@@ -211,6 +212,10 @@
         _log.info("job handed in", request=spec.id, queue=spec.queue, outcome=written.value)
         return written
 
+    def outage_ms(self) -> int:
+        """Return the time since the store's last answer to this process."""
+        return self._clock.now_ms() - self._store.last_answer_ms()
+
     async def cancel(self, job: JobId, wait_ms: int) -> WriteOutcome:
         """Cancel a job; the cancellation is durable when this returns ``STORED``."""
         deadline_ms = self._clock.now_ms() + max(50, wait_ms - ANSWER_MARGIN_MS)
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -11,8 +11,9 @@
 from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId, QueueId, WorkerId
 from lagoonshelf_core.jobs.cold_starts import ColdStarts
+from lagoonshelf_core.jobs.outage_retry import retry_after_outage_s
 from lagoonshelf_core.jobs.progress import JobState
-from lagoonshelf_core.jobs.spec import JobId, decode_job
+from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job
 from lagoonshelf_server.jobs.config_view import ConfigView
 from lagoonshelf_server.jobs.heartbeats import (
     SMALL_HOST_CLAIM_DELAY_MS,
@@ -74,6 +75,7 @@
 # Reported queue counts may be at most 2 s old.
 PENDING_MAX_AGE_MS = 1_900
 RETRY_S = 0.1
+DEFAULT_RETRY_AFTER_S = 1
 # Without confirmation of the configuration for this long, new clients are better served elsewhere.
 # In a shorter outage of the store they are no better off, and a refusal tells them when to return.
 READY_MAX_AGE_MS = 5_000
@@ -150,6 +152,13 @@
         leader = self._leader
         return None if leader is None else leader.forecasts()
 
+    def retry_after_s(self, spec: JobSpec) -> int:
+        """Return when a job that could not be stored should be submitted again."""
+        queue = self.config.current.queues.get(spec.queue)
+        if queue is None or not self._cfg.options.spreads_outage_retries:
+            return DEFAULT_RETRY_AFTER_S
+        return retry_after_outage_s(spec, queue, self.job_api.outage_ms())
+
     async def drain(self) -> None:
         """Offer the leader lease and stop claiming it; clients are still served."""
         self.is_draining = self.heartbeats.is_draining = True
--- a/packages/server/lagoonshelf_server/jobs/scheduler_settings.py
+++ b/packages/server/lagoonshelf_server/jobs/scheduler_settings.py
@@ -34,6 +34,9 @@
     refuses_overload: bool = Field(
         False, description="Refuse jobs that cannot end in time to be of use."
     )
+    spreads_outage_retries: bool = Field(
+        False, description="Let Retry-After in a store outage follow its age and the job's slack."
+    )
     forecasts_reserve: bool = Field(
         False, description="Keep capacity for urgent work by a forecast of its arrivals."
     )
--- a/tests/server/jobs/test_job_api.py
+++ b/tests/server/jobs/test_job_api.py
@@ -139,8 +139,8 @@
         spec = make_job()
         read = self.store.read
 
-        async def read_then_store(key: str) -> Item | None:
-            found = await read(key)
+        async def read_then_store(key: str, **limits: int) -> Item | None:
+            found = await read(key, **limits)
             if key == ended_key(spec.id):
                 self.store.put(job_key(spec.id), encode_job(spec))
                 self.store.read = read
@@ -159,8 +159,8 @@
         self.store.lose_answers = 1
         read = self.store.read
 
-        async def read_then_fail(key: str) -> Item | None:
-            found = await read(key)
+        async def read_then_fail(key: str, **limits: int) -> Item | None:
+            found = await read(key, **limits)
             self.store.is_down = self.store.commits > 0 and key.startswith(ENDED_PREFIX)
             return found
 
@@ -172,8 +172,8 @@
         """Guards against "unknown job" while the write of the job may still take effect."""
         read = self.store.read
 
-        async def read_then_fail(key: str) -> Item | None:
-            found = await read(key)
+        async def read_then_fail(key: str, **limits: int) -> Item | None:
+            found = await read(key, **limits)
             self.store.is_down = key.startswith(ENDED_PREFIX)
             return found
 
