--- a/packages/core/lagoonshelf_core/jobs/arrival_forecast.py
+++ b/packages/core/lagoonshelf_core/jobs/arrival_forecast.py
@@ -4,11 +4,11 @@
 from math import exp, inf
 
 from lagoonshelf_core.jobs.capacity import fixed_reserve_milli
-from lagoonshelf_core.jobs.config import PoolId
+from lagoonshelf_core.jobs.config import PoolId, Queue
 from lagoonshelf_core.jobs.progress import Run
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobSpec
-from lagoonshelf_core.jobs.workers import allocation_of
+from lagoonshelf_core.jobs.workers import Worker, allocation_of
 
 # Time constant of the averages: several runs of wide work, whose ends come in lumps, and short
 # beside the minutes over which the rates change.
@@ -86,25 +86,26 @@
         """Set up without having seen any."""
         self._pools: dict[PoolId, _PoolFlows] = {}
 
-    def record_job(self, pool: PoolId, spec: JobSpec, now_ms: int) -> None:
-        """Count an urgent job by the CPU of its tasks that can start at once."""
-        if spec.occurrences:
+    def record_job(self, queue: Queue | None, spec: JobSpec, now_ms: int) -> None:
+        """Count a job, if it is urgent, by the CPU of its tasks that can start at once."""
+        if queue is None or queue.priority > 0 or spec.occurrences:
             return
         cpu_milli = sum(
             step.count * allocation_of(step.size, step.is_filler).cpu_milli
             for step in spec.steps
             if not step.after and not step.is_service
         )
-        flows = self._find(pool, now_ms)
+        flows = self._find(queue.pool, now_ms)
         flows.arrivals.add(cpu_milli, now_ms)
         is_old = not 0 <= now_ms - flows.largest_ms <= LARGEST_MS
         if is_old or cpu_milli >= flows.largest_milli:
             flows.largest_milli, flows.largest_ms = cpu_milli, now_ms
 
-    def record_end(self, pool: PoolId, run: Run, now_ms: int) -> None:
+    def record_end(self, worker: Worker | None, run: Run, now_ms: int) -> None:
         """Count the CPU of a run that has ended."""
-        cpu_milli = allocation_of(run.size, run.is_filler).cpu_milli
-        self._find(pool, now_ms).freed.add(cpu_milli, now_ms)
+        if worker is not None:
+            cpu_milli = allocation_of(run.size, run.is_filler).cpu_milli
+            self._find(worker.info.pool, now_ms).freed.add(cpu_milli, now_ms)
 
     def reserve_milli(self, pool: PoolId, capacity_milli: int, band: Band, now_ms: int) -> int:
         """Return the CPU that work of a band leaves free, at most the fixed share of the band.
--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -1,6 +1,6 @@
 """State of the cell at its leader: jobs, workers and runs, and how events change them."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 from lagoonshelf_core.health import Health, HealthLimits
@@ -116,19 +116,16 @@
 
     def accept(self, spec: JobSpec, now_ms: int, *, is_inherited: bool = False) -> Job:
         """Add a stored job and return it; return a known job unchanged."""
-        known = self.jobs.get(spec.id)
-        if known is not None:
-            return known
+        if spec.id in self.jobs:
+            return self.jobs[spec.id]
         job = Job(spec, now_ms, is_inherited=is_inherited)
         job.attempt_floor = ATTEMPTS_SKIPPED if is_inherited else 0
         team = self.cfg.teams.get(spec.team)
         job.is_excess = team is not None and not self.rates.admit(team, now_ms)
         self.jobs[spec.id] = job
         self.live_jobs[spec.id] = job
-        queue = self.cfg.queues.get(spec.queue)
-        is_urgent = queue is not None and queue.priority <= 0
-        if self.options.forecasts_reserve and is_urgent and not is_inherited:
-            self.arrivals.record_job(queue.pool, spec, now_ms)
+        if self.options.forecasts_reserve and not is_inherited:
+            self.arrivals.record_job(self.cfg.queues.get(spec.queue), spec, now_ms)
         if not spec.occurrences:
             self._open_occurrence(job, Occurrence(0))
         return job
@@ -184,11 +181,8 @@
 
     def pending_by_queue(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
-        counts: dict[str, int] = {}
-        for job in self.live_jobs.values():
-            if not job.has_started:
-                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
-        return counts
+        waiting = (job for job in self.live_jobs.values() if not job.has_started)
+        return Counter(job.spec.queue for job in waiting)
 
     def update_open_step(self, step: StepRun) -> None:
         """Update whether a step has tasks that can start."""
@@ -365,9 +359,8 @@
         """Apply the end of a run."""
         if self.past_use is not None:
             self.past_use.charge_end(self.workers, run, end, now_ms)
-        worker = self.workers.get(run.worker)
-        if self.options.forecasts_reserve and worker is not None:
-            self.arrivals.record_end(worker.info.pool, run, now_ms)
+        if self.options.forecasts_reserve:
+            self.arrivals.record_end(self.workers.get(run.worker), run, now_ms)
         self._release(run)
         self.on_end(run, end, now_ms)
         task = run.task
--- a/packages/core/lagoonshelf_core/jobs/load_forecast.py
+++ b/packages/core/lagoonshelf_core/jobs/load_forecast.py
@@ -202,7 +202,9 @@
 def _usable_pools(cell: Cell, now_ms: int) -> dict[PoolId, _PoolLoad]:
     loads: dict[PoolId, _PoolLoad] = {}
     for worker in cell.workers.values():
-        if worker.is_usable and not cell.health.is_quarantined(worker.id, now_ms):
+        is_evacuated = worker.info.domain in cell.evacuations.domains
+        is_quarantined = cell.health.is_quarantined(worker.id, now_ms)
+        if worker.is_usable and not is_evacuated and not is_quarantined:
             load = loads.setdefault(worker.info.pool, _PoolLoad())
             load.capacity_milli += worker.info.capacity.cpu_milli
             load.workers.append(worker)
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram
 
+from lagoonshelf_core.jobs.progress import Run, RunEnd
 from lagoonshelf_core.jobs.worker_speeds import WorkerSpeeds
 
 # Upper bounds of the latency buckets; latency objectives of clients are between 250 ms and 30 s.
@@ -114,3 +115,11 @@
         slow_workers.set({"pool": pool}, marked[pool])
     moved_runs.add({}, speeds.moved_runs)
     speeds.moved_runs = 0
+
+
+def count_run_end(run: Run, end: RunEnd, now_ms: int) -> None:
+    """Count the end of a run, and its core-milliseconds if it did not end well."""
+    run_ends.inc({"how": end.value})
+    if end is not RunEnd.DONE:
+        core_ms = run.size.cpu_milli * (now_ms - run.started_ms) / 1000
+        wasted_core_ms.add({"how": end.value}, core_ms)
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -15,7 +15,6 @@
 from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_core.jobs.supervision import supervise
-from lagoonshelf_core.jobs.workers import WorkerLoss
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.advice_router import AdviceRouter
 from lagoonshelf_server.jobs.config_view import ConfigView
@@ -26,12 +25,7 @@
 from lagoonshelf_server.jobs.leader_lease import LeaderLease
 from lagoonshelf_server.jobs.maintenance import Maintenance
 from lagoonshelf_server.jobs.note_log import Line, NoteLog
-from lagoonshelf_server.jobs.overload_gate import (
-    FORECAST_INTERVAL_MS,
-    Forecasts,
-    report_forecasts,
-    report_reserves,
-)
+from lagoonshelf_server.jobs.overload_gate import FORECAST_INTERVAL_MS, Forecasts, report_load
 from lagoonshelf_server.jobs.ports import (
     Item,
     MachinePort,
@@ -107,7 +101,7 @@
         self.cell = Cell(config.current, options)
         self.forecaster = LoadForecaster(self.cell)
         self.cell.on_end = self._count_end
-        self.cell.on_loss = _count_loss
+        self.cell.on_loss = lambda loss: job_metrics.worker_losses.inc({"how": loss.value})
         self.cell.on_give_up = lambda: job_metrics.given_up_tasks.inc({})
         self.progress_writer = ProgressWriter(self._store, leader_lease)
         self.advice_router = AdviceRouter(self.cell, clock, self.request_pass)
@@ -448,8 +442,7 @@
                 job_metrics.report_speeds(self.cell.speeds)
             if self.evacuate_ms:
                 fields.update(self._evacuations.report())
-            report_forecasts(self.cell, self.forecasts())
-            report_reserves(self.cell, self._clock.now_ms())
+            report_load(self.cell, self.forecasts(), self._clock.now_ms())
             _log.info("cell", **fields)
             self._log_lines(self._note_log.take_due(self._clock.now_ms()))
 
@@ -459,11 +452,8 @@
             self._early_cancellations.take_expired(self._clock.now_ms())
 
     def _count_end(self, run: Run, end: RunEnd, now_ms: int) -> None:
-        job_metrics.run_ends.inc({"how": end.value})
+        job_metrics.count_run_end(run, end, now_ms)
         self.forecaster.record_end(run, end)
-        if end is not RunEnd.DONE:
-            core_ms = run.size.cpu_milli * (now_ms - run.started_ms) / 1000
-            job_metrics.wasted_core_ms.add({"how": end.value}, core_ms)
 
     def _forget_ended_job(self, job: JobId) -> None:
         self.progress_writer.forget(job)
@@ -504,7 +494,3 @@
     :param bound_ms: time after which a change has to be in force
     """
     return max(bound_ms // 2, bound_ms - max(START_TIMEOUTS_MS))
-
-
-def _count_loss(loss: WorkerLoss) -> None:
-    job_metrics.worker_losses.inc({"how": loss.value})
--- a/packages/server/lagoonshelf_server/jobs/overload_gate.py
+++ b/packages/server/lagoonshelf_server/jobs/overload_gate.py
@@ -103,8 +103,9 @@
             return True
 
 
-def report_forecasts(cell: Cell, current: Forecasts | None) -> None:
-    """Set the metrics of the forecasts; each second, so that the averages are kept up, too."""
+def report_load(cell: Cell, current: Forecasts | None, now_ms: int) -> None:
+    """Set the metrics of the forecasts and reserves."""
+    _report_reserves(cell, now_ms)
     by_pool = {} if current is None else {row.pool: row for row in current[0]}
     for queue in cell.cfg.queues.values():
         forecast = by_pool.get(queue.pool)
@@ -113,7 +114,7 @@
             job_metrics.forecast_wait_ms.set({"queue": queue.id}, int(wait.wait_ms))
 
 
-def report_reserves(cell: Cell, now_ms: int) -> None:
+def _report_reserves(cell: Cell, now_ms: int) -> None:
     """Set the metric of the CPU that work on time leaves free, where it is forecast."""
     if not cell.options.forecasts_reserve:
         return
--- a/tests/core/jobs/test_arrival_forecast.py
+++ b/tests/core/jobs/test_arrival_forecast.py
@@ -12,21 +12,26 @@
 from lagoonshelf_core.jobs.options import SchedulerOptions
 from lagoonshelf_core.jobs.progress import Run
 from lagoonshelf_core.jobs.ranking import Band
+from lagoonshelf_core.jobs.workers import Worker
 from lagoonshelf_core.resources import Resources
 from tests.support.jobs import (
     HOST,
     POOL,
     URGENT,
     accept_job,
+    config,
     end_run,
     make_cell,
     make_job,
     make_step,
     plan_starts,
+    worker_info,
 )
 
 CAPACITY_MILLI = 5_632_000
 SMALL = make_job(make_step(3, Resources(5_000, 1_024, 0), estimate_ms=640), queue=URGENT)
+QUEUE = config().queues[URGENT]
+WORKER = Worker(worker_info(0))
 RATE_PER_MS = 0.0688
 OBSERVED_MS = 30_000
 
@@ -48,9 +53,9 @@
     for now_ms in range(1, until_ms):
         if rng.random() < RATE_PER_MS / jobs:
             for _ in range(jobs):
-                forecast.record_job(POOL, SMALL, now_ms)
+                forecast.record_job(QUEUE, SMALL, now_ms)
         if rng.random() < ends_per_ms:
-            forecast.record_end(POOL, run, now_ms)
+            forecast.record_end(WORKER, run, now_ms)
     return forecast
 
 
