Tests of a server process with untrusted clients; they fail on this code

Cause: nothing bounds what a connection, or all connections together, hold. Change: tests with five groups of clients against one process with memory_mb 100 and max_fds 160; the runner runs listed modules alone, after the others.

--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -110,6 +110,21 @@
         is_link_sound = proxy.mode is ProxyMode.OPEN and not proxy.bytes_per_s
         return not self.is_running or self.is_paused or not is_link_sound
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the running program."""
+        return self._popen.pid
+
+    @property
+    def peer_address(self) -> str:
+        """Return the address for other members."""
+        return f"127.0.0.1:{self._first_port}"
+
+    @property
+    def side_addresses(self) -> tuple[str, str]:
+        """Return the addresses of the readiness check and of the metrics."""
+        return self._ready_address, f"127.0.0.1:{self._first_port + 1}"
+
     @property
     def is_running(self) -> bool:
         """Return whether the program is running."""
@@ -139,7 +154,7 @@
                 "touch_ms": TOUCH_MS,
             },
             "heartbeat_ms": HEARTBEAT_MS,
-            "limits": {"cpu_share": 1.0, "cores": 2.0},
+            "limits": {"cpu_share": 1.0, "cores": 2.0, **self._cluster.host_limits},
         }
         path = Path(self._cluster.folder.name) / f"{self.name}.json"
         path.write_bytes(orjson.dumps(settings))
@@ -219,6 +234,9 @@
         self._background_tasks: list[asyncio.Task] = []
         self._store_disturbed_at_s: list[float] = []
         self.version = 1
+        # Additions to the settings file's and the configuration's sections ``limits``.
+        self.host_limits: dict[str, int] = {}
+        self.http_limits: dict[str, int] = {}
         self.config_changes: list[ConfigChange] = []
 
     async def start(self) -> None:
@@ -250,6 +268,7 @@
         """
         self.version += 1
         fields = config(self.version, cap_cpu)
+        fields["limits"] = self.http_limits
         for name in new_queues:
             fields["routes"].append({**fields["routes"][0], "name": name, "prefix": f"/{name}/"})
         self.store.put("op/config", fields)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -15,6 +15,8 @@
 ROOT = Path(__file__).parent
 KNOWN_RED_FILE = ROOT.parent / "KNOWN-RED.txt"
 PARALLEL_MODULES = 4
+# Modules that run one at a time after all others: they measure the memory of a process under load.
+EXCLUSIVE_MODULES = ("tests.platform.test_untrusted_clients",)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,12 +57,18 @@
     return {line.removeprefix("test:").strip() for line in lines if line.startswith("test:")}
 
 
+def _run_modules(modules: list[str], parallel: int) -> list[ModuleResult]:
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(parallel, mp_context=context) as pool:
+        return list(pool.map(run_module, modules))
+
+
 def main() -> int:
     """Run the modules given as arguments, or all modules, and return the exit code."""
     modules = sys.argv[1:] or find_modules()
-    context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(PARALLEL_MODULES, mp_context=context) as pool:
-        results = list(pool.map(run_module, modules))
+    exclusive = [name for name in modules if name.startswith(EXCLUSIVE_MODULES)]
+    shared = [name for name in modules if name not in exclusive]
+    results = _run_modules(shared, PARALLEL_MODULES) + _run_modules(exclusive, 1)
     known_failures = read_known_failures()
     unexpected = 0
     for result in results:
