Bound what connections of clients hold, on all ports of the platform process

Cause: the server kept parsed requests, header lines, chunks and responses without bound, and only the port for clients had timeouts. Refusals and closed connections are counted by reason and logged once a second.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,15 @@
 import sys
 from importlib import import_module
 
-BENCHMARKS = ("decisions", "edges", "capacity", "state_size", "cell_cost", "wide_jobs")
+BENCHMARKS = (
+    "decisions",
+    "edges",
+    "capacity",
+    "state_size",
+    "cell_cost",
+    "wide_jobs",
+    "http_requests",
+)
 
 
 def main(names: list[str]) -> int:
--- a/packages/server/lagoonshelf_server/frames.py
+++ b/packages/server/lagoonshelf_server/frames.py
@@ -46,6 +46,17 @@
         metrics.count_received("peers", FRAME_HEADER.size + length)
         return data
 
+    def limit_reads(self, size: int | None) -> None:
+        """Bound the bytes that are read at once, 256 KB by default.
+
+        A transport that lacks the attribute reads as before.
+        """
+        transport = self._writer.transport
+        if size is not None:
+            transport.max_size = size
+        else:
+            del transport.max_size
+
     def send(self, envelope: Envelope) -> None:
         """Queue one frame; abort the connection if the peer does not read.
 
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -8,6 +8,7 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
+from lagoonshelf_server.connection_budget import MAX_HANDSHAKES
 from lagoonshelf_server.jobs.config_view import (
     DEFAULT_MAX_AGE_MS,
     MAX_REPORTED_AGE_MS,
@@ -72,6 +73,7 @@
     :param registry_max_age_ms: time after which a worker that reported that it is draining gets
         nothing more to start
     :param options: optional parts of the scheduler
+    :param max_handshakes: connections of members that may be open before their handshake
     """
 
     member: MemberId
@@ -84,6 +86,7 @@
     cancel_ms: int = DEFAULT_CANCEL_MS
     registry_max_age_ms: int = DEFAULT_REGISTRY_MAX_AGE_MS
     options: SchedulerOptions = DEFAULT_OPTIONS
+    max_handshakes: int = MAX_HANDSHAKES
 
     @property
     def address(self) -> str:
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -167,7 +167,7 @@
             cfg = self._cfg
             proof = hello_proof(secret, cfg.member)
             hello = Hello(cfg.member, proof, cfg.address, cfg.failure_domain)
-            net = PeerNet(hello, secret, self._handle)
+            net = PeerNet(hello, secret, self._handle, cfg.max_handshakes)
             await net.listen(cfg.host, cfg.peer_port)
             self._net = net
             _log.info("peer port open", address=cfg.address)
--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -10,9 +10,12 @@
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId
 from lagoonshelf_server.codec import decode, newer_message_id
+from lagoonshelf_server.connection_budget import MAX_HANDSHAKES
 from lagoonshelf_server.frames import Connection
+from lagoonshelf_server.listeners import ACCEPT_BATCH, open_listener, widen_backlog
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import Ack, Body, Envelope, Hello
+from lagoonshelf_server.refusals import Reason, RefusalLog
 
 HELLO_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -22,7 +25,6 @@
 # that is paused for some seconds thus gets few new connections.
 SILENT_LINK_S = 1.0
 MAX_HELLO_BYTES = 4096
-MAX_HANDSHAKES = 128
 MAX_IN_FLIGHT = 8192
 
 Handler = Callable[[MemberId, str, Body], Awaitable[tuple[str, Body]]]
@@ -65,12 +67,15 @@
 class PeerNet:
     """All connections between this process and other members."""
 
-    def __init__(self, hello: Hello, secret: str, handler: Handler) -> None:
+    def __init__(
+        self, hello: Hello, secret: str, handler: Handler, max_handshakes: int = MAX_HANDSHAKES
+    ) -> None:
         """Initialize without connections.
 
         :param hello: first message on each outgoing connection
         :param secret: cluster secret
         :param handler: handles messages of other members and returns the reply
+        :param max_handshakes: incoming connections that may be open before their handshake
         """
         self._hello = hello
         self._secret = secret
@@ -80,10 +85,14 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._handshakes = 0
+        self._max_handshakes = max_handshakes
+        self._refusals = RefusalLog("members")
 
     async def listen(self, host: str, port: int) -> None:
         """Accept connections from other members."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+        sock = open_listener(host, port)
+        self._server = await asyncio.start_server(self._serve, sock=sock, backlog=ACCEPT_BATCH)
+        widen_backlog(sock)
 
     async def call(self, address: str, kind: str, body: Body, timeout_s: float) -> Body:
         """Send a message and wait for its reply.
@@ -207,13 +216,17 @@
 
     async def _authenticate(self, conn: Connection) -> MemberId | None:
         """Return the member that opened a connection, none if it is refused."""
-        if self._handshakes >= MAX_HANDSHAKES:
+        if self._handshakes >= self._max_handshakes:
+            self._refusals.close(Reason.HANDSHAKES)
             return None
         self._handshakes += 1
         try:
-            return await asyncio.wait_for(self._handshake(conn), HELLO_TIMEOUT_S)
+            conn.limit_reads(MAX_HELLO_BYTES)
+            member = await asyncio.wait_for(self._handshake(conn), HELLO_TIMEOUT_S)
         finally:
             self._handshakes -= 1
+        conn.limit_reads(None)
+        return member
 
     async def _handshake(self, conn: Connection) -> MemberId | None:
         result = decode(await conn.read(HELLO_TIMEOUT_S, MAX_HELLO_BYTES))
@@ -232,7 +245,7 @@
         return MemberId(hello.member)
 
     def _send_refusal(self, conn: Connection, fault: Fault, message_id: int = 0) -> None:
-        _log.warning("peer message refused", code=fault.code.number, reason=fault.message)
+        self._refusals.refuse(Reason.PEER_MESSAGE, code=fault.code.number, fault=fault.message)
         conn.send(Envelope(message_id, "ack", Ack(fault.code.number, fault.message), True))
 
     def _handle(self, member: MemberId, conn: Connection, envelope: Envelope) -> None:
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -5,6 +5,7 @@
 docs/design/untrusted-clients.md.
 """
 
+import asyncio
 import unittest
 
 from tests.platform.crowds import (
@@ -86,3 +87,16 @@
         for address in ports:
             self.crowd.add(address, 100)
         await self._check()
+
+    async def test_idle_and_slow_clients_are_closed_on_all_ports(self) -> None:
+        """Guards against timeouts that hold for the port of the clients only."""
+        self.cluster.http_limits = {"header_timeout_ms": 500, "idle_timeout_ms": 500}
+        self.cluster.configure(0)
+        for address in (self.process.address, *self.process.side_addresses):
+            for data in (b"", b"GET / HT"):
+                host, _, port = address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(data)
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    self.assertEqual(b" 408 " in await reader.read(), bool(data))
+                writer.close()
