Bound what callers of /v1 and the console hold

Cause: headers of 500 KB were read, connections waited for a thread without bound, and a client that sent a byte now and then held its thread for ever. Change: CherryPy reads headers of 16,384 bytes, 512 connections wait for a thread, further ones get 503; a request that is not complete in 10 s ends. Measured: the two new tests fail before (408 instead of a refusal; no answer to an ordinary request beside 150 senders in 60 s) and pass after; the other five of test_hostile_input, four of test_console and two of processes.test_whole_path pass.

--- a/packages/server/lagoonshelf_server/bridge.py
+++ b/packages/server/lagoonshelf_server/bridge.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from lagoonshelf_server.logs import logger
+from lagoonshelf_server.read_deadlines import paused_deadline
 
 T = TypeVar("T")
 _log = logger("bridge")
@@ -47,7 +48,8 @@
         """
         fut = asyncio.run_coroutine_threadsafe(coro, self.loop)
         try:
-            return fut.result(timeout_s)
+            with paused_deadline():
+                return fut.result(timeout_s)
         except TimeoutError:
             fut.cancel()
             raise
--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -14,6 +14,7 @@
 from lagoonshelf_server.console import Console, mount_console
 from lagoonshelf_server.http_api import HttpApi
 from lagoonshelf_server.logs import configure_logging
+from lagoonshelf_server.read_deadlines import DeadlineServer, enforce_read_deadlines
 from lagoonshelf_server.settings import Settings, load_settings
 
 EXIT_BAD_SETTING = 2
@@ -21,6 +22,9 @@
 SOCKET_TIMEOUT_S = 10
 # Sized for a burst of connections; the default is 5.
 SOCKET_QUEUE_SIZE = 512
+MAX_HEADER_BYTES = 16_384
+# Connections that wait for a thread; further ones get 503 at once.
+ACCEPTED_QUEUE_SIZE = 512
 
 
 def run(**flags: object) -> None:
@@ -59,6 +63,7 @@
     http_api = HttpApi(application.bridge, backend, cfg.operator_key_sha256)
     console = Console(application.bridge, backend, cfg.cluster_secret)
     _start_http(cfg, http_api, console)
+    application.bridge.spawn(enforce_read_deadlines())
     await application.stopped.wait()
     await loop.run_in_executor(None, cherrypy.engine.exit)
     await application.net.close()
@@ -72,6 +77,10 @@
             "server.socket_host": cfg.host,
             "server.socket_port": cfg.http_port,
             "server.thread_pool": cfg.http_threads,
+            "server.thread_pool_max": cfg.http_threads,
+            "server.accepted_queue_size": ACCEPTED_QUEUE_SIZE,
+            "server.accepted_queue_timeout": 0,
+            "server.max_request_header_size": MAX_HEADER_BYTES,
             "server.socket_timeout": SOCKET_TIMEOUT_S,
             "server.socket_queue_size": SOCKET_QUEUE_SIZE,
             # The HTTP API refuses large bodies itself, with a result code.
@@ -83,6 +92,7 @@
     )
     cherrypy.tree.graft(http_api, "")
     mount_console(console, http_api.check_operator)
+    cherrypy.server.instance = DeadlineServer(cherrypy.server)
     cherrypy.engine.start()
 
 
--- a/tests/processes/test_hostile_input.py
+++ b/tests/processes/test_hostile_input.py
@@ -1,7 +1,9 @@
 """Tests of invalid and hostile input to the HTTP API of a separate process."""
 
 import socket
+import threading
 import time
+from contextlib import suppress
 
 import orjson
 
@@ -88,3 +90,40 @@
         finally:
             for conn in slow:
                 conn.close()
+
+    def test_endless_senders_do_not_block_other_clients(self) -> None:
+        """Guards against HTTP threads that are held by clients who send a byte now and then."""
+        daemon = self.cell.daemons["d1"]
+        port = int(daemon.url.rpartition(":")[2])
+        slow = [socket.create_connection((daemon.host, port)) for _ in range(150)]
+        stop = threading.Event()
+        sender = threading.Thread(target=_trickle, args=(slow, stop))
+        sender.start()
+        try:
+            answer = self.cell.submit(
+                "d1", "fitting", interactive_body("quick", timeout_ms=60_000)
+            )
+            self.assertEqual(answer["name"], "OK")
+        finally:
+            stop.set()
+            sender.join()
+
+    def test_endless_headers_are_refused(self) -> None:
+        """Guards against headers that are kept up to the memory of the process."""
+        daemon = self.cell.daemons["d1"]
+        port = int(daemon.url.rpartition(":")[2])
+        with socket.create_connection((daemon.host, port)) as conn:
+            conn.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n" + b"a: b\r\n" * 10_000)
+            self.assertEqual(conn.recv(12), b"HTTP/1.1 413")
+
+
+def _trickle(conns: list[socket.socket], stop: threading.Event) -> None:
+    """Send bytes of requests that never end until told to stop, then close."""
+    for conn in conns:
+        conn.sendall(b"POST /v1/requests HTTP/1.1\r\nHost: x\r\n")
+    while not stop.wait(0.5):
+        for conn in conns:
+            with suppress(OSError):
+                conn.sendall(b"x")
+    for conn in conns:
+        conn.close()
