Pipelining clients and silent peers leave room for others

Cause: a connection that always has a next request counted as an ordinary request in progress, so that a new connection was the only one to evict; on the members' port silent connections kept members out for two seconds.

--- a/packages/server/lagoonshelf_server/peers.py
+++ b/packages/server/lagoonshelf_server/peers.py
@@ -84,7 +84,8 @@
         self._connect_locks: dict[str, asyncio.Lock] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
-        self._handshakes = 0
+        # Incoming connections before their handshake, the one that has waited longest first.
+        self._handshakes: dict[Connection, None] = {}
         self._max_handshakes = max_handshakes
         self._refusals = RefusalLog("members")
 
@@ -216,15 +217,18 @@
 
     async def _authenticate(self, conn: Connection) -> MemberId | None:
         """Return the member that opened a connection, none if it is refused."""
-        if self._handshakes >= self._max_handshakes:
+        if len(self._handshakes) >= self._max_handshakes:
+            # A member sends its hello at once, so that one that waits is hardly a member.
             self._refusals.close(Reason.HANDSHAKES)
-            return None
-        self._handshakes += 1
+            oldest = next(iter(self._handshakes))
+            del self._handshakes[oldest]
+            oldest.abort()
+        self._handshakes[conn] = None
         try:
             conn.limit_reads(MAX_HELLO_BYTES)
             member = await asyncio.wait_for(self._handshake(conn), HELLO_TIMEOUT_S)
         finally:
-            self._handshakes -= 1
+            self._handshakes.pop(conn, None)
         conn.limit_reads(None)
         return member
 
--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from contextlib import suppress
 
 from lagoonshelf_core.jobs.config import HttpLimits
 from lagoonshelf_platform.http_server import HttpRequest, HttpResponse, HttpServer
@@ -86,3 +87,28 @@
                 await asyncio.sleep(0.05)
         self.assertEqual(self.handled, 1)
         writer.close()
+
+    async def test_connections_that_pipeline_leave_room_for_others(self) -> None:
+        """Guards against clients that always have a next request and are thus never evicted.
+
+        An ordinary request beside 1,000 of them got no answer (larger run by hand).
+        """
+        self.server.budget = ConnectionBudget(max_fds=8)
+        readers = []
+        for _ in range(3):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            self.addCleanup(writer.close)
+            writer.write(GET * 20_000)
+            readers.append(reader)
+        for reader in readers:
+            await reader.readline()
+        drains = [asyncio.ensure_future(_drain(reader)) for reader in readers]
+        self.assertEqual(await self._statuses(CLOSE), [200])
+        self.assertLess(self.handled, 3 * 20_000)
+        await asyncio.gather(*drains)
+
+
+async def _drain(reader: asyncio.StreamReader) -> None:
+    with suppress(ConnectionResetError):
+        while await reader.read(65_536):
+            pass
--- a/tests/server/test_peers.py
+++ b/tests/server/test_peers.py
@@ -4,6 +4,7 @@
 import struct
 import tempfile
 import unittest
+from contextlib import suppress
 from pathlib import Path
 from unittest.mock import patch
 
@@ -78,6 +79,20 @@
         writer.write(data)
         return reader
 
+    async def test_silent_connections_leave_room_for_members(self) -> None:
+        """Guards against peers that are no members and hold descriptors or keep members out."""
+        server = PeerNet(hello("server"), SECRET, self.handle, max_handshakes=4)
+        self.addAsyncCleanup(server.close)
+        await server.listen(HOST, 0)
+        port = server._server.sockets[0].getsockname()[1]
+        silent = [await asyncio.open_connection(HOST, port) for _ in range(12)]
+        self.writers += [writer for _, writer in silent]
+        reply = await self.good.call(f"{HOST}:{port}", "ack", Ack(41), 5)
+        self.assertEqual(reply, Ack(42))
+        with suppress(ConnectionResetError):
+            self.assertEqual(await silent[0][0].read(), b"")
+        self.assertLessEqual(len(server._handshakes), 4)
+
     async def reply(self, reader: asyncio.StreamReader) -> Envelope:
         (length,) = struct.unpack(">I", await asyncio.wait_for(reader.readexactly(4), 10))
         return decode(await reader.readexactly(length)).unwrap()
