--- a/packages/server/lagoonshelf_server/frames.py
+++ b/packages/server/lagoonshelf_server/frames.py
@@ -47,9 +47,9 @@
         return data
 
     def limit_reads(self, size: int | None) -> None:
-        """Bound the bytes that are read at once, 256 KB by default.
+        """Bound the bytes that asyncio's transport reads at once.
 
-        A transport that lacks the attribute reads as before.
+        :param size: none restores the default of 256 KB
         """
         transport = self._writer.transport
         if size is not None:
