--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -9,6 +9,7 @@
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
 from lagoonshelf_core.jobs.cold_starts import DEFAULT_OVERAGE, DEFAULT_SLACK
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
+from lagoonshelf_server.connection_budget import MAX_HANDSHAKES
 from lagoonshelf_server.jobs.config_view import (
     DEFAULT_MAX_AGE_MS,
     MAX_REPORTED_AGE_MS,
@@ -79,6 +80,7 @@
     :param cold_slack: starts on cold workers beyond that
     :param options: optional parts of the scheduler
     :param link_mbps: speed of this host's link, 0 if unknown
+    :param max_handshakes: connections of members that may be open before their handshake
     """
 
     member: MemberId
@@ -95,6 +97,7 @@
     evacuate_ms: int | None = None
     cold_overage: float = DEFAULT_OVERAGE
     cold_slack: float = DEFAULT_SLACK
+    max_handshakes: int = MAX_HANDSHAKES
 
     @property
     def address(self) -> str:
