HTTP: a legal request may consist of the shortest header lines

Cause: a bound of 1,024 header lines, and four more bytes counted for each line, refused single requests whose names and values are inside the configured limit.

--- a/packages/server/lagoonshelf_server/refusals.py
+++ b/packages/server/lagoonshelf_server/refusals.py
@@ -26,7 +26,6 @@
 
     MALFORMED = "malformed request"
     HEADERS_TOO_LARGE = "headers too large"
-    TOO_MANY_HEADERS = "too many header lines"
     BODY_TOO_LARGE = "body too large"
     CHUNKS_TOO_SMALL = "chunk headers too large"
     EXPECTATION = "unknown expectation"
