Late steps pass holds only if they are small, and a refusal waits for writes

Cause: a late gang could take over the workers that another one holds, and a client whose process died while it stored a job could be refused what that write was about to store. Change: a hold is passed by late steps of at most a quarter of its CPU and taken over by none; a member waits 0.1 s before it reads whether an id is known.

--- a/packages/core/lagoonshelf_core/jobs/gang_placement.py
+++ b/packages/core/lagoonshelf_core/jobs/gang_placement.py
@@ -88,7 +88,7 @@
     slots_by_worker: dict[Worker, list[tuple[int, int]]] = {}
     changes: list[tuple[int, int]] = []
     for worker in workers:
-        if state.is_held_from(worker, step, band):
+        if state.is_kept_from(worker, step, band):
             continue
         slots = expected_slots(step, worker, state.now_ms)
         if slots:
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -24,6 +24,10 @@
 MAX_STARTS_PER_PASS = 100
 
 
+# A late step may use workers held for a later gang if it needs at most this share of its CPU.
+SMALL_SHARE = 0.25
+
+
 @dataclass(slots=True)
 class PoolLoad:
     """CPU of the usable workers of a pool, in thousandths."""
@@ -203,12 +207,26 @@
     def is_held_from(self, worker: Worker, step: StepRun, band: Band) -> bool:
         """Return whether a worker is held for a gang that goes before a step.
 
-        Urgent steps may use held workers, as they wait for nothing else.
+        Urgent steps may use held workers, as they wait for nothing else, and so may late steps
+        that come before the gang in the order and are much smaller.
         """
         holder = self.holders.get(worker.id)
-        if holder is None or holder is step or holder.hold is None or band <= Band.URGENT:
+        if holder in self.later_holders and band in LATE_BANDS and _is_small(step, holder):
             return False
-        if holder in self.later_holders and band in LATE_BANDS:
-            # The step passes the gang, as its job is smaller or was received earlier.
+        return self.is_kept_from(worker, step, band)
+
+    def is_kept_from(self, worker: Worker, step: StepRun, band: Band) -> bool:
+        """Return whether a worker cannot be held for a step, as it is for another gang.
+
+        A gang that took over what others hold would keep both waiting.
+        """
+        holder = self.holders.get(worker.id)
+        if holder is None or holder is step or holder.hold is None or band <= Band.URGENT:
             return False
         return band >= holder.hold.band
+
+
+def _is_small(step: StepRun, holder: StepRun) -> bool:
+    """Return whether a step needs little CPU beside a gang."""
+    needed, held = (len(row.waiting) * row.spec.size.cpu_milli for row in (step, holder))
+    return needed <= SMALL_SHARE * held
--- a/packages/server/lagoonshelf_server/jobs/overload_gate.py
+++ b/packages/server/lagoonshelf_server/jobs/overload_gate.py
@@ -20,6 +20,9 @@
 # A leader computes a forecast anew when it is older than this. With the interval of the heartbeats
 # of at most 600 ms, those that members use stay below MAX_FORECAST_AGE_MS.
 FORECAST_INTERVAL_MS = 250
+# Wait before the reads: a client whose process died while it stored the job sends it again, and
+# must not be refused what that write is about to store. A store that takes longer is troubled.
+WRITE_SETTLE_S = 0.1
 # Time for the reads before a refusal; without their answers the job is accepted as usual.
 READ_TIMEOUT_S = 0.5
 # After a failed or slow call to the store, an earlier write of the same job may still take effect,
@@ -66,7 +69,10 @@
         if not self._options.refuses_overload:
             return None
         refusal = self._decide(spec)
-        if refusal is None or self._is_store_troubled() or await self._may_be_in_use(spec.id):
+        if refusal is None or self._is_store_troubled():
+            return None
+        await asyncio.sleep(WRITE_SETTLE_S)
+        if await self._may_be_in_use(spec.id) or self._is_store_troubled():
             return None
         job_metrics.refusals.inc({"queue": spec.queue})
         _log_refusal(spec, refusal)
--- a/tests/server/jobs/test_overload_gate.py
+++ b/tests/server/jobs/test_overload_gate.py
@@ -1,5 +1,6 @@
 """Tests of the refusal of jobs under overload at a member, and of the forecast's way to it."""
 
+import asyncio
 import unittest
 import unittest.mock
 from dataclasses import replace
@@ -16,7 +17,7 @@
 from lagoonshelf_server.jobs.keys import ended_key, job_key
 from lagoonshelf_server.jobs.leader import Ports
 from lagoonshelf_server.jobs.node import Node
-from lagoonshelf_server.jobs.overload_gate import STORE_TROUBLE_MS, OverloadGate
+from lagoonshelf_server.jobs.overload_gate import STORE_TROUBLE_MS, WRITE_SETTLE_S, OverloadGate
 from lagoonshelf_server.jobs.ports import StoreUncertainError
 from lagoonshelf_server.messages import Envelope, PulseReply
 from tests.support.job_fakes import FakeStore, eventually
@@ -61,6 +62,14 @@
             self.store.put(key(spec.id), b"{}")
             self.assertIs(await self._submit(spec), WriteOutcome.STORED)
 
+    async def test_write_of_a_process_that_died_is_seen(self) -> None:
+        """Guards against a refusal, sent while the first attempt's write is on its way."""
+        spec = make_job()
+        refusal = asyncio.ensure_future(self.gate.find_refusal(spec))
+        await asyncio.sleep(WRITE_SETTLE_S / 2)
+        self.store.put(job_key(spec.id), b"{}")
+        self.assertIsNone(await refusal)
+
     async def test_without_the_store_nothing_is_refused(self) -> None:
         """Guards against a refusal while an earlier write of the job may still take effect."""
         spec = make_job()
