--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -29,6 +29,14 @@
     starts_after_cancel,
     unfounded_failures,
 )
+from tests.platform.soak_parts import (
+    PARTS_SHARE,
+    Evacuation,
+    evacuate,
+    restore,
+    starts_in_evacuated_domains,
+    switch_on,
+)
 from tests.platform.standin.clients import (
     ClientJob,
     KeepAliveClient,
@@ -84,6 +92,11 @@
         self.series_rng = Random(f"series of faults of seed {seed}")
         self.cluster = Cluster(processes, executors, seed)
         self.cap_cpu = self.rng.choice((0, 0, 24_000))
+        self.parts_rng = Random(f"optional parts of seed {seed}")
+        self.has_parts = self.parts_rng.random() < PARTS_SHARE
+        self.evacuations: list[Evacuation] = []
+        if self.has_parts:
+            switch_on(self.cluster)
         self.jobs: list[ClientJob] = []
         self.answers: list[QueueAnswer] = []
         self.violations: list[str] = []
@@ -109,6 +122,7 @@
                 self._disturb_capacity(),
                 self._cancel_jobs_promptly(Random(f"prompt cancellations of seed {self.seed}")),
                 self._inject_fault_series(),
+                self._evacuate_domains(),
             )
             await asyncio.gather(*self._tasks)
             await self._clear_faults()
@@ -129,6 +143,13 @@
             self.violations += unfounded_failures(self.jobs, history, QUEUES["batch"][1])
             self.violations += incorrect_responses(self.jobs, history)
             disturbances = self.cluster.disturbances()
+            domains = {
+                executor.name.partition("+")[0]: executor.domain
+                for executor in self.cluster.executors
+            }
+            self.violations += starts_in_evacuated_domains(
+                history, domains, self.evacuations, disturbances, TOUCH_MS / 1000
+            )
             starts = self.starts_after_cancel = starts_after_cancel(
                 self.jobs, history, disturbances
             )
@@ -321,6 +342,10 @@
                 await asyncio.sleep(rng.uniform(0, 1.2))
             await asyncio.sleep(rng.uniform(0.5, 4.0))
 
+    async def _evacuate_domains(self) -> None:
+        if self.has_parts:
+            await evacuate(self.cluster, self.parts_rng, self.evacuations)
+
     async def _disturb_capacity(self) -> None:
         """Submit tasks that crash their executors, and let executors shrink and grow.
 
@@ -535,6 +560,7 @@
             if not process.is_running:
                 await process.start()
         self.cluster.store.delay_s = CALL_DELAY_S
+        restore(self.cluster, self.evacuations)
         for executor in self.cluster.executors:
             executor.set_proxy_mode(ProxyMode.OPEN)
             executor.proxy.delay_s = 0.0
@@ -579,6 +605,7 @@
         print(
             f"seed {seed}: {len(soak_run.jobs)} jobs, {accepted} accepted, "
             f"{len(soak_run.cluster.history)} runs, {len(soak_run.fault_log)} faults, "
+            f"{len(soak_run.evacuations)} evacuations, "
             f"{cancelled} cancelled, {len(soak_run.late_starts())} of them started late, in touch "
             f"or not, last start {last_s:.2f} s after, "
             f"{'FAILED' if violations else 'passed'}",
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -152,6 +152,7 @@
                 "grace_s": GRACE_S,
                 "config_apply_ms": CONFIG_APPLY_MS,
                 "touch_ms": TOUCH_MS,
+                **self._cluster.bounds,
             },
             "heartbeat_ms": HEARTBEAT_MS,
             "limits": {"cpu_share": 1.0, "cores": 2.0, **self._cluster.host_limits},
@@ -164,7 +165,7 @@
             str(ROOT / "deploy" / "start.py"),
             stdout=log,
             stderr=log,
-            env={**os.environ, "LAGOONSHELF_SETTINGS": str(path)},
+            env={**os.environ, **self._cluster.env, "LAGOONSHELF_SETTINGS": str(path)},
             preexec_fn=_end_with_parent,
         )
         log.close()
@@ -234,9 +235,13 @@
         self._background_tasks: list[asyncio.Task] = []
         self._store_disturbed_at_s: list[float] = []
         self.version = 1
-        # Additions to the settings file's and the configuration's sections ``limits``.
+        # Additions to the settings file's ``limits`` and ``bounds``, and to the configuration's
+        # ``limits``.
         self.host_limits: dict[str, int] = {}
         self.http_limits: dict[str, int] = {}
+        self.bounds: dict[str, int] = {}
+        # Environment variables of the processes beside their settings file.
+        self.env: dict[str, str] = {}
         self.config_changes: list[ConfigChange] = []
 
     async def start(self) -> None:
--- a/tests/platform/standin/executors.py
+++ b/tests/platform/standin/executors.py
@@ -84,6 +84,8 @@
         self._capacity = dict(CAPACITY)
         self.capacity_changes: list[tuple[float, int]] = []
         self.failure_rate = 0.02
+        self.domain = "z1"
+        self.speed = 1.0
         self.proxy: Proxy | None = None
 
     async def start(self) -> None:
@@ -98,7 +100,7 @@
         entry = {
             "addr": self.proxy.address,
             "service": "desk",
-            "zone": "z1",
+            "zone": self.domain,
             "state": "ready",
             "capacity": self._capacity,
             "labels": ["a", "r1"],
@@ -241,7 +243,7 @@
         if CRASHES in options and body["task"].endswith(".0"):
             task = asyncio.ensure_future(self._crash_by(record))
         else:
-            task = asyncio.ensure_future(self._execute(record, int(run_ms) / 1000))
+            task = asyncio.ensure_future(self._execute(record, int(run_ms) / 1000 / self.speed))
         self._running[key] = (record, task)
         return Response(200, clock)
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -16,6 +16,7 @@
     starts_after_cancel,
     unfounded_failures,
 )
+from tests.platform.soak_parts import Evacuation, starts_in_evacuated_domains
 from tests.platform.standin.clients import ClientJob
 from tests.platform.standin.cluster import ConfigChange
 from tests.platform.standin.executors import RunRecord
@@ -168,6 +169,23 @@
             starts = starts_after_cancel([client_job], [run], {7: [0.0, disturbed_s], 6: [5.0]})
             self.assertEqual(len(late_starts(starts, 3.0, 1.0)), expected, run)
 
+    def test_starts_in_evacuated_domains(self) -> None:
+        """A start in an evacuated domain is reported if its leader was in touch."""
+        for started_s, removed_s, domain, disturbed_s, expected in (
+            (5.2, 0.0, "z1", 1.0, 1),
+            (5.2, 5.3, "z1", 1.0, 1),
+            (4.9, 0.0, "z1", 1.0, 0),
+            (5.2, 5.1, "z1", 1.0, 0),
+            (5.2, 0.0, "z2", 1.0, 0),
+            (5.2, 0.0, "z1", 4.3, 0),
+        ):
+            run = record(1, started_s, 9.0, fencing_token=7)
+            rows = [Evacuation("z1", 2.0, removed_s)]
+            found = starts_in_evacuated_domains(
+                [run], {"i-1": domain}, rows, {7: [disturbed_s]}, 1.0
+            )
+            self.assertEqual(len(found), expected, run)
+
     def test_starts_by_leaders_out_of_touch(self) -> None:
         """Each start after a cancellation is known, also if none of them is a violation."""
         client_job = job(cancel_status=200, cancel_acknowledged_s=2.0)
