Past use: no team is held back for longer than its work is of use

Change: the penalty of a team is at most the shortest objective of its waiting jobs, one bound for all of them.

--- a/packages/core/lagoonshelf_core/jobs/past_use.py
+++ b/packages/core/lagoonshelf_core/jobs/past_use.py
@@ -3,18 +3,18 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from math import isfinite, log
+from math import inf, isfinite, log
 
 from lagoonshelf_core.ids import TeamId, WorkerId
 from lagoonshelf_core.jobs.config import CellConfig, PoolId, Queue
 from lagoonshelf_core.jobs.options import SchedulerOptions
 from lagoonshelf_core.jobs.progress import Run, RunEnd, StepRun
-from lagoonshelf_core.jobs.ranking import Rank, hold_back
+from lagoonshelf_core.jobs.ranking import Rank, hold_back, objective_ms
 from lagoonshelf_core.jobs.spec import StepSpec
 from lagoonshelf_core.jobs.workers import Worker, allocation_of
 from lagoonshelf_core.resources import ZERO_RESOURCES, Resources
 
-# Longest time by which the order of a team's steps is shifted: the longest objective of callers.
+# Longest time by which the order of a team's steps is shifted, whatever their objectives.
 MAX_PENALTY_MS = 30_000
 # A team at this multiple of its entitlement is held back by MAX_PENALTY_MS.
 FULL_PENALTY_RATIO = 2.0
@@ -211,13 +211,20 @@
 def order_by_past_use(
     past_use: PastUse, cfg: CellConfig, ranked: list[tuple[Rank, StepRun, Queue]], now_ms: int
 ) -> list[tuple[Rank, StepRun, Queue]]:
-    """Return ranked steps with those of teams above their entitlement held back."""
-    teams = {step.job.spec.team for _, step, _ in ranked}
-    if len(teams) < 2:
+    """Return ranked steps with those of teams above their entitlement held back.
+
+    No team is held back for longer than the shortest objective of its waiting jobs: late work is
+    of use for two objectives more. The bound is one for all its jobs, which keep their order.
+    """
+    objectives: dict[TeamId, float] = {}
+    for _, step, queue in ranked:
+        team = step.job.spec.team
+        objectives[team] = min(objectives.get(team, inf), objective_ms(step, queue))
+    if len(objectives) < 2:
         return ranked
     penalties = {
-        team: standing.penalty_ms
-        for team, standing in past_use.standings(teams, cfg, now_ms).items()
+        team: min(standing.penalty_ms, max(0.0, objectives.get(team, 0.0)))
+        for team, standing in past_use.standings(objectives, cfg, now_ms).items()
     }
     return [
         (hold_back(found, penalties.get(step.job.spec.team, 0.0)), step, queue)
