Remove repeated code of the optional parts of the scheduler

Cause: a review of the whole change found sums, checks and choices written twice, one value of a pass that follows from another, and a description that was decoded twice.

Change: a pass and its preview choose workers by one function; the smallest start, the waiting work of a step, the remaining share of a run, the availability of a worker and the spread of refused jobs have one definition each; the reserved time of the placement policy is derived from its budget; `where` decodes the description once. The error of a leader whose lease may be lost names the lease.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -246,6 +246,14 @@
         worker.is_full = False
         return worker
 
+    def is_available(self, worker: Worker, now_ms: int) -> bool:
+        """Return whether a worker may get tasks, as far as its own state and domain allow it."""
+        return (
+            worker.is_usable
+            and worker.info.domain not in self.evacuations.domains
+            and not self.health.is_quarantined(worker.id, now_ms)
+        )
+
     def may_use_capacity(self, worker: Worker, now_ms: int) -> bool:
         """Return whether what a worker has reported of its capacity is recent enough."""
         if not self.max_capacity_age_ms:
--- a/packages/core/lagoonshelf_core/jobs/late_order.py
+++ b/packages/core/lagoonshelf_core/jobs/late_order.py
@@ -60,12 +60,17 @@
     Services never end, and fillers use only CPU that others leave.
     """
     return sum(
-        len(step.waiting) * step.spec.size.cpu_milli * estimate_ms(step.spec)
+        waiting_work_of_step(step)
         for step in job.steps.values()
         if not step.spec.is_service and not step.spec.is_filler
     )
 
 
+def waiting_work_of_step(step: StepRun) -> int:
+    """Return the work of a step's tasks that wait, in thousandths of core-milliseconds."""
+    return len(step.waiting) * step.spec.size.cpu_milli * estimate_ms(step.spec)
+
+
 def estimate_ms(spec: StepSpec) -> int:
     """Return the estimated run time of a task of a step."""
     return max(MIN_ESTIMATE_MS, spec.estimate_ms)
--- a/packages/core/lagoonshelf_core/jobs/load_forecast.py
+++ b/packages/core/lagoonshelf_core/jobs/load_forecast.py
@@ -202,9 +202,7 @@
 def _usable_pools(cell: Cell, now_ms: int) -> dict[PoolId, _PoolLoad]:
     loads: dict[PoolId, _PoolLoad] = {}
     for worker in cell.workers.values():
-        is_evacuated = worker.info.domain in cell.evacuations.domains
-        is_quarantined = cell.health.is_quarantined(worker.id, now_ms)
-        if worker.is_usable and not is_evacuated and not is_quarantined:
+        if cell.is_available(worker, now_ms):
             load = loads.setdefault(worker.info.pool, _PoolLoad())
             load.capacity_milli += worker.info.capacity.cpu_milli
             load.workers.append(worker)
@@ -249,6 +247,4 @@
 
 def _waits_for_limit(cell: Cell, step: StepRun) -> bool:
     """Return whether a step waits for its team's limit, and so goes before no other team's."""
-    spec = step.spec
-    smallest = spec.size.scaled(spec.count) if spec.is_gang else spec.size
-    return not cell.is_within_limit(step.job.spec.team, smallest)
+    return not cell.is_within_limit(step.job.spec.team, step.spec.smallest_start)
--- a/packages/core/lagoonshelf_core/jobs/moves.py
+++ b/packages/core/lagoonshelf_core/jobs/moves.py
@@ -110,14 +110,12 @@
         size = _largest(size, task)
     missing = len(moving) + 1
     for target in cell.workers.values():
-        if target.info.pool != worker.info.pool or not target.is_usable:
+        if target.info.pool != worker.info.pool or target.is_cold(now_ms):
             continue
-        if target.info.domain in cell.evacuations.domains or target.is_cold(now_ms):
+        if not cell.is_available(target, now_ms):
             continue
         if step.spec.label and step.spec.label not in target.info.labels:
             continue
-        if cell.health.is_quarantined(target.id, now_ms):
-            continue
         missing -= count_room(step, target, size)
         if missing <= 0:
             return True
--- a/packages/core/lagoonshelf_core/jobs/options.py
+++ b/packages/core/lagoonshelf_core/jobs/options.py
@@ -12,7 +12,8 @@
     :param leader_link_mbps: link speed that a host needs to lead the cell as long as another host
         has it, 0 to ignore links
     :param orders_late_by_work: late steps go by receipt and remaining work, not by receipt alone
-    :param refuses_overload: jobs that cannot end in time to be of use are refused at hand-in
+    :param refuses_overload: jobs that cannot end in time to be of use are refused when they are
+        submitted
     :param spreads_outage_retries: Retry-After in an outage of the store follows the age of the
         outage and the slack of the job
     :param forecasts_reserve: the capacity kept for urgent work follows a forecast of its arrivals
--- a/packages/core/lagoonshelf_core/jobs/outage_retry.py
+++ b/packages/core/lagoonshelf_core/jobs/outage_retry.py
@@ -1,11 +1,10 @@
 """When a job that was refused because the store does not answer should be submitted again."""
 
 from math import ceil
-from zlib import crc32
 
 from lagoonshelf_core.jobs.config import Queue
-from lagoonshelf_core.jobs.overload_admission import job_demand
-from lagoonshelf_core.jobs.spec import JobId, JobSpec
+from lagoonshelf_core.jobs.overload_admission import job_demand, spread_fraction
+from lagoonshelf_core.jobs.spec import JobSpec
 
 # An outage is expected to last about as long again as it has lasted. Longer estimates would keep
 # jobs away from a store that is back.
@@ -14,7 +13,6 @@
 SLACK_SHARE = 0.5
 # Refused jobs are spread over this share of their wait, so that they do not come back together.
 SPREAD_SHARE = 0.5
-_HASH_RANGE = 2**32
 
 
 def retry_after_outage_s(spec: JobSpec, queue: Queue, outage_ms: int) -> int:
@@ -28,9 +26,4 @@
     demand = job_demand(spec, queue)
     slack_ms = max(0.0, demand.objective_ms - demand.critical_path_ms)
     wait_ms = min(max(0, outage_ms), SLACK_SHARE * slack_ms, MAX_RETRY_AFTER_MS)
-    return max(1, ceil(wait_ms * (1 + SPREAD_SHARE * _fraction(spec.id)) / 1000))
-
-
-def _fraction(job: JobId) -> float:
-    """Return a number from 0 to 1 that differs between jobs."""
-    return crc32(job.encode()) / _HASH_RANGE
+    return max(1, ceil(wait_ms * (1 + SPREAD_SHARE * spread_fraction(spec.id)) / 1000))
--- a/packages/core/lagoonshelf_core/jobs/overload_admission.py
+++ b/packages/core/lagoonshelf_core/jobs/overload_admission.py
@@ -199,11 +199,16 @@
     return before + int((cumulative[index] - before) * (value_ms - low_ms) / (high_ms - low_ms))
 
 
+def spread_fraction(job: JobId) -> float:
+    """Return a number from 0 to 1 that differs between jobs."""
+    return crc32(job.encode()) / _HASH_RANGE
+
+
 def _retry_after_s(job: JobId, over_ms: float, wait_ms: float) -> int:
     """Return when to submit a job again: once the backlog is down to what would admit it.
 
     Jobs refused together are spread over as long as the backlog takes, by their ids, so that they
     do not come back together.
     """
-    spread_ms = min(MAX_SPREAD_MS, max(MIN_SPREAD_MS, wait_ms)) * crc32(job.encode()) / _HASH_RANGE
+    spread_ms = min(MAX_SPREAD_MS, max(MIN_SPREAD_MS, wait_ms)) * spread_fraction(job)
     return max(1, ceil((min(MAX_BACKLOG_MS, over_ms) + spread_ms) / 1000))
--- a/packages/core/lagoonshelf_core/jobs/placement_report.py
+++ b/packages/core/lagoonshelf_core/jobs/placement_report.py
@@ -10,7 +10,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import Queue
 from lagoonshelf_core.jobs.gang_placement import expected_slots
-from lagoonshelf_core.jobs.late_order import MIN_ESTIMATE_MS
+from lagoonshelf_core.jobs.late_order import waiting_work_of_step
 from lagoonshelf_core.jobs.planning import Preview, preview_step
 from lagoonshelf_core.jobs.progress import Job, StepRun
 from lagoonshelf_core.jobs.spec import JobSpec, Occurrence, StepIndex, validate_job
@@ -97,12 +97,11 @@
 def _find_limits(cell: Cell, preview: Preview, step: StepRun, queue: Queue) -> list[str]:
     """Return the limits that keep the whole step from starting, whatever the workers."""
     spec, limits = step.spec, []
-    smallest = spec.size.scaled(spec.count if spec.is_gang else 1)
-    if not cell.is_within_limit(step.job.spec.team, smallest):
+    if not cell.is_within_limit(step.job.spec.team, spec.smallest_start):
         limits.append("cap of the team")
     load = preview.state.pools.get(queue.pool)
     if load is not None:
-        needed_milli = allocation_of(smallest, spec.is_filler).cpu_milli
+        needed_milli = allocation_of(spec.smallest_start, spec.is_filler).cpu_milli
         startable_milli = preview.state.startable_milli(step, queue.pool, preview.band)
         if startable_milli < needed_milli <= load.capacity_milli - load.used_milli:
             limits.append("reserve of higher bands")
@@ -135,10 +134,7 @@
         slots = [expected_slots(step, worker, now_ms) for worker in listed]
         room_ms = min((found[0][0] for found in slots if found), default=now_ms)
     capacity_milli = max(1, sum(worker.info.capacity.cpu_milli for worker in listed))
-    ahead = sum(_waiting_work(other) for other, its in preview.ahead if its.pool == queue.pool)
+    ahead = sum(
+        waiting_work_of_step(other) for other, its in preview.ahead if its.pool == queue.pool
+    )
     return max(room_ms, now_ms + ahead // capacity_milli) + advice_ms
-
-
-def _waiting_work(step: StepRun) -> int:
-    spec = step.spec
-    return len(step.waiting) * spec.size.cpu_milli * max(MIN_ESTIMATE_MS, spec.estimate_ms)
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -43,7 +43,6 @@
     if not cell.open_steps:
         return has_more
     state = SchedulingPass(now_ms, {}, advice_budget=advice_budget)
-    state.reserved_advice_ms = USEFUL_ADVICE_SHARE * advice_budget.full_ms
     if cell.options.forecasts_reserve:
         state.arrivals = cell.arrivals
     _add_usable_workers(cell, state)
@@ -100,19 +99,9 @@
     band, ahead = Band(ranked[position][0][0]), [row[1:] for row in ranked[:position]]
     usable = state.usable.get(queue.pool, {})
     workers = _find_workers(step, usable, usable)
-    is_fast = cell.speeds is not None and prefers_fast(step, queue, now_ms)
     placed: list[tuple[Task, Worker]] = []
-    smallest_start = step.spec.size.scaled(step.spec.count if step.spec.is_gang else 1)
-    if workers and cell.is_within_limit(step.job.spec.team, smallest_start):
-        if step.spec.is_gang:
-            args = (cell, state, step, queue.pool, workers, band)
-            placed = place_gang(*args, prefers_fast=is_fast)
-            if not placed:
-                hold_workers(state, step, queue.pool, workers, band)
-        else:
-            startable_milli = state.startable_milli(step, queue.pool, band)
-            args = (cell, state, step, workers, band, startable_milli)
-            placed = _place_tasks(*args, prefers_fast=is_fast)
+    if workers and cell.is_within_limit(step.job.spec.team, step.spec.smallest_start):
+        placed = _place_step(cell, state, step, queue, workers, workers, band)
     return Preview(state, band, ahead, workers, placed, step.hold)
 
 
@@ -122,9 +111,7 @@
     if not cell.evacuations.is_current(state.now_ms, is_store_down=cell.is_store_down):
         return
     for worker in cell.workers.values():
-        if not worker.is_usable or cell.health.is_quarantined(worker.id, state.now_ms):
-            continue
-        if worker.info.domain in cell.evacuations.domains:
+        if not cell.is_available(worker, state.now_ms):
             continue
         if cell.may_use_capacity(worker, state.now_ms):
             state.add_usable(worker)
@@ -190,9 +177,7 @@
     usable = state.usable.get(queue.pool)
     if not usable or _awaits_restart(step, state.now_ms):
         return
-    spec = step.spec
-    smallest_start = spec.size.scaled(spec.count) if spec.is_gang else spec.size
-    if not cell.is_within_limit(step.job.spec.team, smallest_start):
+    if not cell.is_within_limit(step.job.spec.team, step.spec.smallest_start):
         state.release(step)
         return
     permits: dict[WorkerId, str] | None = None
@@ -202,20 +187,10 @@
         may_run_on = cell.permits.allowed(step.name)
         _request_advice_in_turn(cell, state, step, queue, band)
     workers = _find_workers(step, usable, usable if permits is None else permits)
-    is_fast = cell.speeds is not None and prefers_fast(step, queue, state.now_ms)
-    if spec.is_gang:
-        placed = []
-        if workers:
-            args = (cell, state, step, queue.pool, workers, band)
-            placed = place_gang(*args, prefers_fast=is_fast)
-        if not placed:
-            hold_workers(state, step, queue.pool, _find_workers(step, usable, may_run_on), band)
-    else:
-        startable_milli = state.startable_milli(step, queue.pool, band)
-        args = (cell, state, step, workers, band, startable_milli)
-        placed = _place_tasks(*args, prefers_fast=is_fast)
+    holdable = _find_workers(step, usable, may_run_on) if step.spec.is_gang else []
+    placed = _place_step(cell, state, step, queue, workers, holdable, band)
     _start_all(cell, state, step, placed, permits)
-    if step.has_suspects and not spec.is_gang:
+    if step.has_suspects and not step.spec.is_gang:
         placed += _start_suspects(cell, state, step, queue, workers, permits, band)
     if placed:
         _note_placement(cell, state, step, placed)
@@ -224,6 +199,34 @@
         state.note_stuck(step)
 
 
+def _place_step(
+    cell: Cell,
+    state: SchedulingPass,
+    step: StepRun,
+    queue: Queue,
+    workers: list[Worker],
+    holdable: list[Worker],
+    band: Band,
+) -> list[tuple[Task, Worker]]:
+    """Choose workers for the tasks of a step, and hold some for a gang that has to wait.
+
+    :param workers: workers that its tasks may start on now
+    :param holdable: workers that may be held for a gang
+    """
+    is_fast = cell.speeds is not None and prefers_fast(step, queue, state.now_ms)
+    if not step.spec.is_gang:
+        startable_milli = state.startable_milli(step, queue.pool, band)
+        args = (cell, state, step, workers, band, startable_milli)
+        return _place_tasks(*args, prefers_fast=is_fast)
+    placed = []
+    if workers:
+        args = (cell, state, step, queue.pool, workers, band)
+        placed = place_gang(*args, prefers_fast=is_fast)
+    if not placed:
+        hold_workers(state, step, queue.pool, holdable, band)
+    return placed
+
+
 def _request_advice_in_turn(
     cell: Cell, state: SchedulingPass, step: StepRun, queue: Queue, band: Band
 ) -> None:
@@ -232,7 +235,8 @@
     Long requests for steps of no use any more would keep those of new steps waiting.
     """
     if band is Band.TOO_LATE and cell.options.orders_late_by_work:
-        usable_ms = state.advice_budget.total_ms - state.reserved_advice_ms
+        budget = state.advice_budget
+        usable_ms = budget.total_ms - USEFUL_ADVICE_SHARE * budget.full_ms
         if usable_ms < least_cost_ms(queue):
             return
     request_advice(cell, state, step, queue, band)
--- a/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
+++ b/packages/core/lagoonshelf_core/jobs/scheduling_pass.py
@@ -22,8 +22,6 @@
 # Starts of one scheduling pass; a wide step takes several passes, so that each ends within a small
 # part of the leader lease's TTL.
 MAX_STARTS_PER_PASS = 100
-
-
 # A late step may use workers held for a later gang if it needs at most this share of its CPU.
 SMALL_SHARE = 0.25
 
@@ -52,7 +50,6 @@
     :param arrivals: forecast of urgent arrivals, None where the reserves are fixed shares
     :param later_holders: gangs with holds that come later in the pass than what is planned now;
         filled only where late work is ordered by its size
-    :param reserved_advice_ms: time of the placement policy that is kept for steps of use
     :param quieted_pools: pools of which a worker is kept for a suspected task
     :param advice_budget: time of the placement policy that requests may still use
     :param starts_left: tasks that the pass may still start, not counting gangs and the first
@@ -74,7 +71,6 @@
     holders: dict[WorkerId, StepRun] = field(default_factory=dict)
     arrivals: ArrivalForecast | None = None
     later_holders: set[StepRun] = field(default_factory=set)
-    reserved_advice_ms: float = 0.0
     quieted_pools: set[str] = field(default_factory=set)
     advice_budget: AdviceBudget = field(default_factory=AdviceBudget)
     starts_left: int = MAX_STARTS_PER_PASS
--- a/packages/core/lagoonshelf_core/jobs/slow_workers.py
+++ b/packages/core/lagoonshelf_core/jobs/slow_workers.py
@@ -9,7 +9,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import PoolId
 from lagoonshelf_core.jobs.moves import count_room
-from lagoonshelf_core.jobs.progress import FULL_PERCENT, Run, RunPhase
+from lagoonshelf_core.jobs.progress import Run, RunPhase
 from lagoonshelf_core.jobs.ranking import Band, rank
 from lagoonshelf_core.jobs.worker_speeds import (
     MIN_SPEED,
@@ -17,6 +17,7 @@
     Recent,
     WorkerSpeed,
     WorkerSpeeds,
+    remaining_share,
 )
 from lagoonshelf_core.jobs.workers import Worker
 
@@ -244,15 +245,11 @@
     """Return whether a task ends clearly earlier if its run is stopped and started elsewhere."""
     track = run.track
     normal_ms = track.expected_ms * track.worker.speed
-    stay_ms = _left(run.progress_percent) * track.expected_ms / track.worker.pace
-    move_ms = MOVE_COST_MS + _left(track.saved_percent) * normal_ms
+    stay_ms = remaining_share(run.progress_percent) * track.expected_ms / track.worker.pace
+    move_ms = MOVE_COST_MS + remaining_share(track.saved_percent) * normal_ms
     return move_ms <= MAX_MOVE_SHARE * stay_ms and stay_ms - move_ms >= MIN_MOVE_GAIN_MS
 
 
-def _left(percent: int) -> float:
-    return 1.0 - min(percent, FULL_PERCENT) / FULL_PERCENT
-
-
 def _find_room(cell: Cell, pool: PoolId, now_ms: int) -> _Room:
     in_pool = [worker for worker in cell.workers.values() if worker.info.pool == pool]
     usable = [
--- a/packages/core/lagoonshelf_core/jobs/spec.py
+++ b/packages/core/lagoonshelf_core/jobs/spec.py
@@ -60,6 +60,11 @@
     is_filler: bool = False
     max_unavailable: int = 0
 
+    @property
+    def smallest_start(self) -> Resources:
+        """Return what its smallest part that can start needs: one task, or the whole gang."""
+        return self.size.scaled(self.count) if self.is_gang else self.size
+
 
 @dataclass(frozen=True, slots=True)
 class JobSpec:
--- a/packages/core/lagoonshelf_core/jobs/worker_speeds.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_speeds.py
@@ -409,13 +409,18 @@
         return 1.0 if known is None else known.rate
 
 
+def remaining_share(percent: int) -> float:
+    """Return the share of a task that is left at a progress."""
+    return 1.0 - min(percent, FULL_PERCENT) / FULL_PERCENT
+
+
 def remaining_ms(run: Run, now_ms: int) -> float | None:
     """Return how long a run is expected to last yet, None when it is not followed."""
     track = run.track
     if track is None:
         return None
     worker_pace = track.worker.pace
-    left = 1.0 - min(run.progress_percent, FULL_PERCENT) / FULL_PERCENT
+    left = remaining_share(run.progress_percent)
     if worker_pace < 1.0:
         return left * track.expected_ms / worker_pace
     if track.first_ms is None:
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -35,7 +35,7 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
-from lagoonshelf_server.jobs.where import answer_where, decode_question
+from lagoonshelf_server.jobs.where import answer_where, check_may_answer, decode_question
 from lagoonshelf_server.logs import logger
 from lagoonshelf_server.messages import (
     Ack,
@@ -358,12 +358,12 @@
 
         :raises LagoonshelfError: when the description is not valid, or no leader answers
         """
-        decode_question(job)
+        spec = decode_question(job)
         async with self._where_lock:
             await asyncio.sleep(WHERE_PAUSE_S)
             leader = self._leader
             if leader is not None:
-                return answer_where(leader, job, self.config.age_ms(), self._clock.now_ms())
+                return answer_where(leader, spec, self.config.age_ms(), self._clock.now_ms())
             try:
                 body = WhereText(job.decode())
                 reply = await self._call_leader("whereAsk", body, WHERE_TIMEOUT_S)
@@ -428,11 +428,10 @@
     def _answer_question(
         self, leader: Leader, kind: str, body: JobRef | WhereText
     ) -> tuple[str, Body]:
-        if not leader.may_answer():
-            raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "the seat may be lost"))
+        check_may_answer(leader)
         if kind == "whereAsk":
-            now_ms = self._clock.now_ms()
-            report = answer_where(leader, body.text, self.config.age_ms(), now_ms)
+            spec, now_ms = decode_question(body.text), self._clock.now_ms()
+            report = answer_where(leader, spec, self.config.age_ms(), now_ms)
             return "whereReply", WhereText(report)
         state = leader.state(JobId(body.job))
         return "jobState", JobStateReply(True, "" if state is None else state.value)
--- a/packages/server/lagoonshelf_server/jobs/where.py
+++ b/packages/server/lagoonshelf_server/jobs/where.py
@@ -70,14 +70,12 @@
     return JobSpec(JobId("where"), TeamId(body.team), QueueId(body.queue), "", steps)
 
 
-def answer_where(leader: Leader, text: str | bytes, config_age_ms: int, now_ms: int) -> str:
+def answer_where(leader: Leader, spec: JobSpec, config_age_ms: int, now_ms: int) -> str:
     """Return the report on a described job, with the age of what it goes by.
 
-    :raises LagoonshelfError: when the description is not valid, or this process may not lead
+    :raises LagoonshelfError: when the leader lease may be lost
     """
-    spec = decode_question(text)
-    if not leader.may_answer():
-        raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "the seat may be lost"))
+    check_may_answer(leader)
     cell = leader.cell
     report = report_placement(cell, spec, now_ms)
     report["refused"] = report["refused"] or _find_refusal(leader, spec)
@@ -89,6 +87,15 @@
     return orjson.dumps({"code": ResultCode.DONE.number, **report}).decode()
 
 
+def check_may_answer(leader: Leader) -> None:
+    """Raise an error if another process may lead by now.
+
+    :raises LagoonshelfError: when the leader lease may be lost
+    """
+    if not leader.may_answer():
+        raise LagoonshelfError(Fault(ResultCode.NO_OWNER, "the leader lease may be lost"))
+
+
 def _find_refusal(leader: Leader, spec: JobSpec) -> str | None:
     """Return why admission would refuse a job under overload, ``None`` if it would not."""
     cell, found = leader.cell, leader.forecasts()
--- a/tests/core/jobs/test_load_overload.py
+++ b/tests/core/jobs/test_load_overload.py
@@ -72,7 +72,7 @@
 
 
 class OverloadEndsTest(unittest.TestCase):
-    """The grown mix on a quarter of its workers, with all of section 2 that decides in passes."""
+    """The grown mix on a quarter of its workers, with the optional parts that decide in passes."""
 
     def test_burst(self) -> None:
         """Three seconds at six times the ordinary load leave seconds of work."""
