--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -68,6 +68,13 @@
             await client.call(self.address, "GET", "/", timeout_ms=100)
 
 
+    async def test_an_idle_connection_does_not_keep_its_last_response(self) -> None:
+        """Guards against a page of 1 MB for each connection of the pool."""
+        client = HttpClient()
+        await client.call(self.address, "GET", "/", timeout_ms=100, is_bulk=True)
+        self.assertEqual([conn._body for conn in client._idle[self.address]], [[]])
+
+
 class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
     """A server whose open connections can go silent while new ones work."""
 
