Bound what a watch of the store decodes at once

Cause: the store returns all changes since the last answer of a watch in one response. Beside clients that submit jobs of 250 KB a leader decoded all of them at once, each in several copies (response, text, bytes, decoded record). Callers saw a leader that may end for want of memory, and jobs that wait for the next one. Change: a response of a watch beyond 2 MB is not read to its end; what is stored is read again by pages, each of about 1 MB, as after a lost history. That reading passes each page on before it reads the next one. Result: the tests of the client and of the store fail before (no limit), those of the reading by pages pass before and after.

--- a/packages/server/lagoonshelf_server/jobs/job_watcher.py
+++ b/packages/server/lagoonshelf_server/jobs/job_watcher.py
@@ -106,17 +106,25 @@
         return True
 
     async def _reread(self) -> None:
+        """Pass on all that is stored; what has been passed on so far is kept if a page fails."""
         sent_ms = self._clock.now_ms()
-        try:
-            items, revision = await self._store.read_all(SUBMISSION_PREFIX)
-        except (StoreUnavailableError, StoreUncertainError) as exc:
-            self._log_failure(exc)
-            await asyncio.sleep(RETRY_S)
-            return
-        for item in items:
-            self.apply_item(item)
-        self.record_reading(StoreRevision(revision), sent_ms)
-        _log.info("submissions read again", items=len(items), revision=revision)
+        revision, after, count = None, "", 0
+        while True:
+            try:
+                page = await self._store.read_page(SUBMISSION_PREFIX, after)
+            except (StoreUnavailableError, StoreUncertainError) as exc:
+                self._log_failure(exc)
+                await asyncio.sleep(RETRY_S)
+                return
+            revision = page.revision if revision is None else revision
+            count += len(page.items)
+            for item in page.items:
+                self.apply_item(item)
+            if not page.has_more:
+                break
+            after = page.items[-1].key
+        self.record_reading(revision, sent_ms)
+        _log.info("submissions read again", items=count, revision=revision)
 
     def _log_failure(self, exc: Exception) -> None:
         """Log the first of some failures; the end of them is logged by ``record_reading``."""
--- a/packages/server/lagoonshelf_server/jobs/ports.py
+++ b/packages/server/lagoonshelf_server/jobs/ports.py
@@ -26,7 +26,7 @@
 
 
 class HistoryLostError(Exception):
-    """The store no longer keeps the requested changes."""
+    """The store no longer keeps the requested changes, or they are too many for one response."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -5,7 +5,12 @@
 import unittest
 from contextlib import suppress
 
-from lagoonshelf_platform.http_client import HttpClient, NoResponseError, NotSentError
+from lagoonshelf_platform.http_client import (
+    HttpClient,
+    NoResponseError,
+    NotSentError,
+    ResponseTooLargeError,
+)
 
 PIECE = b"x" * 100
 PIECES = 10
@@ -67,6 +72,14 @@
         with self.assertRaises(NoResponseError):
             await client.call(self.address, "GET", "/", timeout_ms=100)
 
+    async def test_a_response_beyond_the_limit_ends_the_call(self) -> None:
+        """Guards against a response that takes all memory, and against a refusal of any other."""
+        client, size = HttpClient(), len(PIECE) * PIECES
+        call = {"timeout_ms": 100, "is_bulk": True}
+        with self.assertRaises(ResponseTooLargeError):
+            await client.call(self.address, "GET", "/", **call, max_bytes=size - 1)
+        response = await client.call(self.address, "GET", "/", **call, max_bytes=size)
+        self.assertEqual(len(response.body), size)
 
     async def test_an_idle_connection_does_not_keep_its_last_response(self) -> None:
         """Guards against a page of 1 MB for each connection of the pool."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,7 @@
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_platform.http_client import HttpClient
-from lagoonshelf_platform.store import PlatformStore
+from lagoonshelf_platform.store import MAX_WATCH_BYTES, PlatformStore
 from lagoonshelf_server.jobs.ports import HistoryLostError, StoreUnavailableError
 from tests.platform.standin.store import StubStore
 
@@ -42,6 +42,17 @@
         self.assertFalse(self.store.is_failing())
         self.assertGreater(self.store.last_answer_ms(), 0)
 
+    async def test_changes_beyond_one_response_are_read_by_pages(self) -> None:
+        """Guards against a leader that decodes all changes of a burst at once."""
+        for number in range(4):
+            self.stub.put(f"in/job/{number}", {"image": "x" * (MAX_WATCH_BYTES // 4)})
+        with self.assertRaises(HistoryLostError):
+            await self.store.watch("in/", 1, 0)
+        self.assertFalse(self.store.is_failing())
+        items, revision = await self.store.read_all("in/")
+        self.assertEqual(len(items), 4)
+        self.assertEqual((await self.store.watch("in/", revision, 0))[0], [])
+
     async def test_an_expired_lease_is_an_answer_of_the_store(self) -> None:
         """Guards against a store that counts as unreachable because a lease has expired."""
         await self._lose()
--- a/tests/server/jobs/test_job_watcher.py
+++ b/tests/server/jobs/test_job_watcher.py
@@ -23,6 +23,7 @@
     Change,
     Committed,
     Conflict,
+    Page,
     Put,
     StoreRevision,
     StoreUnavailableError,
@@ -315,3 +316,38 @@
 
         client = LeaderClient(unreachable, unreachable, unreachable, unreachable)
         return JobApi(self.store, self.clock, client)
+
+
+class RereadTest(TermTestCase):
+    """A leader that has to read all submissions again."""
+
+    async def test_all_pages_are_read_after_a_lost_history(self) -> None:
+        """Guards against jobs of the later pages that nobody starts."""
+        self.store.page_items = 5
+        leader = await self._term("m1")
+        specs = [make_job() for _ in range(12)]
+        for spec in specs:
+            self._store(spec)
+        self.store.compact()
+        await eventually(lambda: all(spec.id in leader.cell.jobs for spec in specs))
+
+    async def test_a_failed_page_does_not_end_the_reading(self) -> None:
+        """Guards against a reading that counts as complete without its last page."""
+        self.store.page_items = 5
+        leader = await self._term("m1")
+        original, calls = self.store.read_page, 0
+
+        async def read_page(prefix: str, after: str, *, stale: bool = False) -> Page:
+            nonlocal calls
+            calls += prefix == SUBMISSION_PREFIX
+            if prefix == SUBMISSION_PREFIX and calls in (2, 4):
+                raise StoreUnavailableError("no response")
+            return await original(prefix, after, stale=stale)
+
+        self.store.read_page = read_page
+        specs = [make_job() for _ in range(12)]
+        for spec in specs:
+            self._store(spec)
+        self.store.compact()
+        await eventually(lambda: all(spec.id in leader.cell.jobs for spec in specs))
+        self.assertGreater(calls, 4)
