Bound the memory of accepted jobs at the leader and its successors

What callers saw: ordinary clients with small legal requests, all answered with 200, made the leader run out of memory; each successor read the same jobs from the store and ended as well, so that the cell stayed without a leader. Cause: a job costs what it describes, not its bytes, and no process knew or bounded the sum. Ended jobs kept all their tasks for 150 s and more. Change: a leader estimates the memory of each job, in total and by team. Heartbeat replies carry the sums, and a member refuses a job that does not fit with 503 and a Retry-After, after the same check of the store as a refusal for load. What is stored anyway waits in the store as a deferred job: a leader, also a new one, loads the jobs that have started, others as far as they fit, and the rest in turn as memory becomes free. An ended job keeps its description only, and is forgotten after 30 s when ended jobs take too much. Nothing that was accepted is lost, as its record is in the store.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -10,6 +10,11 @@
 from lagoonshelf_core.jobs.commands import Command, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Queue
 from lagoonshelf_core.jobs.evacuations import Evacuations
+from lagoonshelf_core.jobs.job_memory import (
+    JobMemory,
+    description_bytes,
+    job_bytes,
+)
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.open_steps import OpenSteps
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
@@ -61,6 +66,9 @@
 # leader lease's TTL.
 MAX_NEW_TASKS_PER_PASS = 500
 
+# Time for which an ended job may still be announced, or be read from the store, as a new one.
+MIN_KNOWN_ENDED_MS = 30_000
+
 # Losses of workers that are remembered.
 MAX_LOSS_RECORDS = 500
 
@@ -81,6 +89,10 @@
         self.options = options
         self.jobs: dict[JobId, Job] = {}
         self.live_jobs: dict[JobId, Job] = {}
+        self.memory = JobMemory()
+        # Jobs whose final state is durable, with the time of that, in the order of their ends.
+        self._ended_jobs: dict[JobId, int] = {}
+        self._ended_bytes = 0
         self.open_steps = OpenSteps()
         self.workers: dict[WorkerId, Worker] = {}
         self.team_allocations: dict[TeamId, Resources] = {}
@@ -124,6 +136,7 @@
         job.is_excess = team is not None and not self.rates.admit(team, now_ms)
         self.jobs[spec.id] = job
         self.live_jobs[spec.id] = job
+        self.memory.update(spec, job_bytes(spec))
         if self.options.forecasts_reserve and not is_inherited:
             self.arrivals.record_job(self.cfg.queues.get(spec.queue), spec, now_ms)
         if not spec.occurrences:
@@ -174,6 +187,32 @@
         if job is not None:
             self.live_jobs.pop(job_id, None)
             self.changed_jobs.discard(job)
+            if self._ended_jobs.pop(job_id, None) is not None:
+                self._ended_bytes -= self.memory.size_of(job_id)
+            self.memory.update(job.spec, 0)
+
+    def release_job(self, job_id: JobId, now_ms: int) -> None:
+        """Drop the tasks of a job whose final state is durable and that has no runs."""
+        job = self.jobs.get(job_id)
+        if job is None or job.has_runs or job_id in self._ended_jobs:
+            return
+        job.steps.clear()
+        self._ended_jobs[job_id] = now_ms
+        size_bytes = description_bytes(job.spec)
+        self._ended_bytes += size_bytes
+        self.memory.update(job.spec, size_bytes)
+
+    def forget_ended_jobs(self, now_ms: int) -> None:
+        """Remove the jobs that ended first, as far as ended ones hold too much memory.
+
+        Their states are in the store. Those that ended a short time ago stay: they may still be
+        reported as new.
+        """
+        while self._ended_bytes > self.memory.max_ended_bytes:
+            job_id, ended_ms = next(iter(self._ended_jobs.items()))
+            if now_ms - ended_ms < MIN_KNOWN_ENDED_MS:
+                return
+            self.remove_job(job_id)
 
     def queue_of(self, job: Job) -> Queue | None:
         """Return the queue of a job, or None when the configuration no longer has it."""
--- a/packages/core/lagoonshelf_core/jobs/overload_admission.py
+++ b/packages/core/lagoonshelf_core/jobs/overload_admission.py
@@ -81,6 +81,11 @@
     limit_ms: int
     forecast_age_ms: int
 
+    @property
+    def message(self) -> str:
+        """Return the text for the client."""
+        return f"the job could not end in time: it would start in {self.late.wait_ms:.0f} ms"
+
 
 def find_refusal(
     spec: JobSpec, queue: Queue, forecast: PoolForecast, age_ms: int, *, orders_late_by_work: bool
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -424,7 +424,8 @@
         spec = self.spec.steps[step]
         if not 0 <= index < spec.count:
             return None
-        if occurrence in self.done_occurrences and (occurrence, 0) not in self.steps:
+        is_dropped = self.is_final or occurrence in self.done_occurrences
+        if is_dropped and (occurrence, 0) not in self.steps:
             done = StepRun(self, Occurrence(occurrence), StepIndex(step), spec, has_tasks=False)
             return Task(done, index, is_done=True)
         return self.occurrence_steps(Occurrence(occurrence))[step].tasks[index]
--- a/packages/server/lagoonshelf_server/jobs/heartbeats.py
+++ b/packages/server/lagoonshelf_server/jobs/heartbeats.py
@@ -8,6 +8,7 @@
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.ids import FailureDomain, MemberId, QueueId, WorkerId
 from lagoonshelf_core.jobs.cold_starts import DEFAULT_OVERAGE, DEFAULT_SLACK
+from lagoonshelf_core.jobs.job_memory import DEFAULT_MEMORY_MB, MemoryReport
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_server.connection_budget import MAX_HANDSHAKES
 from lagoonshelf_server.jobs.config_view import (
@@ -81,6 +82,7 @@
     :param options: optional parts of the scheduler
     :param link_mbps: speed of this host's link, 0 if unknown
     :param max_handshakes: connections of members that may be open before their handshake
+    :param memory_mb: memory of this host
     """
 
     member: MemberId
@@ -98,6 +100,7 @@
     cold_overage: float = DEFAULT_OVERAGE
     cold_slack: float = DEFAULT_SLACK
     max_handshakes: int = MAX_HANDSHAKES
+    memory_mb: float = DEFAULT_MEMORY_MB
 
     @property
     def address(self) -> str:
@@ -138,6 +141,7 @@
         self._refusals = 0
         self._members: dict[MemberId, tuple[PeerState, int]] = {}
         self._troubled: dict[MemberId, tuple[bool, int]] = {}
+        self._memory_mb: dict[MemberId, int] = {}
         self._relays: tuple[PeerState, ...] = ()
         self._queries_others = False
         self._interval_s = HEARTBEAT_INTERVAL_S
@@ -187,6 +191,7 @@
             self._is_store_troubled(),
             self._cfg.cores_milli,
             self._cfg.suits_leader,
+            int(self._cfg.memory_mb),
         )
         sent_ms = self._clock.now_ms()
         try:
@@ -237,6 +242,8 @@
                 self._job_api.pending_at_ms = sent_ms
                 computed_ms = sent_ms - reply.forecast_age_ms
                 self.overload_gate.record(reply.forecasts, computed_ms)
+                memory = MemoryReport(reply.held_bytes, reply.max_bytes, reply.teams)
+                self.overload_gate.record_memory(memory, sent_ms)
         elif is_to_leader:
             # A process that restarted at the leader's address does not hold the lease.
             self._leader_lease.record_status(LeaderStatus.DEAD, self._leader_lease.revision)
@@ -322,13 +329,16 @@
         now_ms = self._clock.now_ms()
         self._members[member] = (PeerState(body.address, body.store_age_ms), now_ms)
         self._troubled[member] = (body.is_store_troubled, now_ms)
-        counts = leader.cell.pending_by_queue() if leader.may_answer() else {}
+        if body.memory_mb:
+            self._memory_mb[member] = body.memory_mb
+        counts = leader.pending_by_queue() if leader.may_answer() else {}
         rows = tuple(QueueCount(queue, count) for queue, count in counts.items())
         fresh = self._fresh_members()
         members = tuple(sample(fresh, min(MAX_RELAYS_IN_REPLY, len(fresh))))
         self._offer_to_better_host(body)
         current = leader.forecasts() if leader.may_answer() else None
         forecasts, forecast_age_ms = current or ((), 0)
+        memory = leader.memory_report() if leader.may_answer() else MemoryReport()
         reply = PulseReply(
             True, self._leader_lease.revision, self._store_silence_ms(), rows, members
         )
@@ -340,8 +350,21 @@
             config_age_ms=min(now_ms - self._config.confirmed_ms, MAX_REPORTED_AGE_MS),
             forecasts=forecasts,
             forecast_age_ms=forecast_age_ms,
+            held_bytes=memory.held_bytes,
+            max_bytes=memory.max_bytes,
+            teams=memory.teams,
         )
 
+    def smallest_memory_mb(self) -> float:
+        """Return the memory of the smallest host among those that are heard, with this one."""
+        limit_ms = self._clock.now_ms() - MAX_UNHEARD_MS
+        heard = (
+            self._memory_mb[member]
+            for member, (_, heartbeat_ms) in self._members.items()
+            if heartbeat_ms > limit_ms and member in self._memory_mb
+        )
+        return min((self._cfg.memory_mb, *heard))
+
     def _reply_interval_ms(self) -> int:
         """Return the heartbeat interval that the members should use."""
         factor = max(1.0, len(self._members) / MEMBERS_AT_FULL_RATE)
--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -10,6 +10,7 @@
 from lagoonshelf_core.ids import QueueId
 from lagoonshelf_core.jobs.early_cancellations import encode_cancellation
 from lagoonshelf_core.jobs.job_records import decode_state
+from lagoonshelf_core.jobs.memory_admission import MemoryRefusal
 from lagoonshelf_core.jobs.overload_admission import Refusal
 from lagoonshelf_core.jobs.progress import FINAL_STATES, JobState
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, encode_job
@@ -34,6 +35,8 @@
 ANSWER_MARGIN_MS = 250
 MAX_CACHED_STATES = 20_000
 
+AnyRefusal = Refusal | MemoryRefusal
+
 _log = logger("front")
 
 
@@ -190,11 +193,11 @@
         self._final_states: dict[JobId, JobState] = {}
         self._tasks: set[asyncio.Task] = set()
         self._writer = JobWriter(store, clock)
-        self.find_refusal: Callable[[JobSpec], Awaitable[Refusal | None]] = _accept
+        self.find_refusal: Callable[[JobSpec], Awaitable[AnyRefusal | None]] = _accept
         self.pending: dict[QueueId, int] = {}
         self.pending_at_ms = 0
 
-    async def submit(self, spec: JobSpec, wait_ms: int) -> WriteOutcome | Refusal:
+    async def submit(self, spec: JobSpec, wait_ms: int) -> WriteOutcome | AnyRefusal:
         """Accept a job; it is durable when this returns ``STORED``.
 
         A refused job is not stored, and never runs unless it is submitted again.
@@ -322,7 +325,7 @@
             _log.info("change not announced to the leader", reason=str(exc))
 
 
-async def _accept(spec: JobSpec) -> Refusal | None:
+async def _accept(spec: JobSpec) -> AnyRefusal | None:
     """Refuse no job."""
     del spec
     return None
--- a/packages/server/lagoonshelf_server/jobs/job_metrics.py
+++ b/packages/server/lagoonshelf_server/jobs/job_metrics.py
@@ -85,6 +85,16 @@
 refusals = Counter(
     "lagoonshelf_refusals_total", "Jobs refused as they could not end in time, by queue."
 )
+memory_refusals = Counter(
+    "lagoonshelf_memory_refusals_total",
+    "Jobs refused as the memory for jobs is in use, by whether it is the share of their team.",
+)
+job_bytes = Gauge("lagoonshelf_job_bytes", "Estimated memory of the jobs at the leader.")
+max_job_bytes = Gauge("lagoonshelf_max_job_bytes", "Memory that jobs at the leader may take.")
+deferred_jobs = Gauge(
+    "lagoonshelf_deferred_jobs",
+    "Jobs that wait in the store until the leader has memory for them.",
+)
 forecast_wait_ms = Gauge(
     "lagoonshelf_forecast_wait_ms", "Expected time until a new job would start, by queue."
 )
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -1,7 +1,7 @@
 """One term of the cell leader: takeover, main loops, and calls from other parts."""
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 
@@ -9,6 +9,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import Command, PaceRun, RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.early_cancellations import EarlyCancellations
+from lagoonshelf_core.jobs.job_memory import DEFAULT_MEMORY_MB, MemoryReport, job_bytes
 from lagoonshelf_core.jobs.load_forecast import LoadForecaster
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.jobs.planning import TASKS_PLACED, plan, summary
@@ -18,6 +19,7 @@
 from lagoonshelf_server.jobs import job_metrics
 from lagoonshelf_server.jobs.advice_router import AdviceRouter
 from lagoonshelf_server.jobs.config_view import ConfigView
+from lagoonshelf_server.jobs.deferred_jobs import DeferredJob, DeferredJobs
 from lagoonshelf_server.jobs.dispatcher import Dispatcher, max_age_ms
 from lagoonshelf_server.jobs.evacuation_watcher import EvacuationWatcher
 from lagoonshelf_server.jobs.fleet import Fleet, FleetHooks, FleetPorts
@@ -82,6 +84,8 @@
         """Set up without starting; ``run`` runs the term."""
         self.is_store_troubled: Callable[[], bool] = lambda: False
         self.is_store_down: Callable[[], bool] = lambda: False
+        # Memory of the smallest host, which may be the next one to lead.
+        self.host_memory_mb: Callable[[], float] = lambda: DEFAULT_MEMORY_MB
         self.cancel_ms = DEFAULT_CANCEL_MS
         # Time after which nothing is started in an evacuated domain, None if there are none.
         self.evacuate_ms: int | None = None
@@ -122,6 +126,8 @@
             self.cell, ports.store, ports.codec, clock, self.request_pass
         )
         self._early_cancellations = EarlyCancellations()
+        self._deferred = DeferredJobs(self._store, self.cell.memory, self._load_deferred)
+        self.progress_writer.on_ended = self._release_job
         self._is_behind = False
         self.dispatcher.may_start = self._may_start
         self.is_ready = False
@@ -144,7 +150,10 @@
 
     async def _lead(self) -> None:
         started_ms = self._clock.now_ms()
-        state = await read_cell_state(self._store, self._codec.registry_prefix, self._clock)
+        self.cell.memory.set_host_memory(self.host_memory_mb())
+        state = await read_cell_state(
+            self._store, self._codec.registry_prefix, self._clock, self.cell.memory
+        )
         if self.evacuate_ms:
             self.cell.evacuations.max_age_ms = max_age_ms(self.evacuate_ms)
         await self._restore(state, started_ms)
@@ -157,6 +166,7 @@
             seat=self._leader_lease.revision,
             jobs=len(self.cell.jobs),
             live=len(self.cell.live_jobs),
+            deferred=len(self._deferred),
             workers=len(self.cell.workers),
             took_ms=self._clock.now_ms() - started_ms,
             **self.submission_fields(),
@@ -172,6 +182,7 @@
         retention.on_cancellation_removed = self._early_cancellations.take
         self._spawn(retention.run(state.orphans))
         self._spawn(self._expire_cancellations())
+        self._spawn(self._deferred.run())
         if self.cell.past_use is not None:
             self._spawn(self._usage_store.run(self.cell.past_use))
         self._spawn(self._report())
@@ -198,7 +209,15 @@
         """
         if spec.id not in self.cell.jobs and created <= self._job_watcher.revision:
             # All jobs up to this revision have been known here, and only ended ones are removed.
-            _log.info("ended job reported again", request=spec.id, created=created)
+            if spec.id not in self._deferred:
+                _log.info("ended job reported again", request=spec.id, created=created)
+            return None
+        if spec.id in self._deferred:
+            return None
+        if spec.id not in self.cell.jobs and not self.cell.memory.fits(spec.team, job_bytes(spec)):
+            self._deferred.add(DeferredJob.of(spec))
+            _log.info("job deferred", request=spec.id, **self._memory_fields())
+            self._cancel_if_announced(spec.id)
             return None
         job = self.cell.accept(spec, self._clock.now_ms())
         self._cancel_if_announced(spec.id)
@@ -215,6 +234,7 @@
             self.request_pass()
         elif job not in self.cell.jobs:
             self._early_cancellations.add(job, self._clock.now_ms())
+            self._deferred.cancel(job)
             _log.info("unknown job cancelled", request=job, **self.submission_fields())
 
     def _cancel_if_announced(self, job: JobId) -> None:
@@ -227,6 +247,26 @@
             return None
         return self.progress_writer.durable_states.get(job_id, JobState.QUEUED)
 
+    def pending_by_queue(self) -> dict[str, int]:
+        """Return the number of jobs without a started task, by queue."""
+        return Counter(self.cell.pending_by_queue()) + self._deferred.count_by_queue
+
+    def memory_report(self) -> MemoryReport:
+        """Return the memory of the jobs here, which members admit new ones by."""
+        return self.cell.memory.report(self._deferred.bytes_by_team)
+
+    def _memory_fields(self) -> dict[str, int]:
+        memory = self.cell.memory
+        return {"held_bytes": memory.held_bytes, "max_bytes": memory.max_bytes}
+
+    def _load_deferred(self, spec: JobSpec) -> None:
+        self._restore_job(spec, None, self._clock.now_ms())
+        self._cancel_if_announced(spec.id)
+        self.request_pass()
+
+    def _release_job(self, job: JobId) -> None:
+        self.cell.release_job(job, self._clock.now_ms())
+
     def may_answer(self) -> bool:
         """Return whether the state here is certainly current.
 
@@ -251,6 +291,8 @@
             if tasks >= TASKS_PER_TURN:
                 tasks = 0
                 await asyncio.sleep(0)
+        for job in state.deferred:
+            self._deferred.add(job)
         for job in state.cancelled:
             self.cancel(job)
         for spec in state.jobs:
@@ -442,10 +484,20 @@
                 job_metrics.report_speeds(self.cell.speeds)
             if self.evacuate_ms:
                 fields.update(self._evacuations.report())
+            self._update_memory()
+            fields.update(deferred=len(self._deferred), **self._memory_fields())
             report_load(self.cell, self.forecasts(), self._clock.now_ms())
             _log.info("cell", **fields)
             self._log_lines(self._note_log.take_due(self._clock.now_ms()))
 
+    def _update_memory(self) -> None:
+        memory = self.cell.memory
+        memory.set_host_memory(self.host_memory_mb())
+        self.cell.forget_ended_jobs(self._clock.now_ms())
+        job_metrics.job_bytes.set({}, memory.held_bytes)
+        job_metrics.max_job_bytes.set({}, memory.max_bytes)
+        job_metrics.deferred_jobs.set({}, len(self._deferred))
+
     async def _expire_cancellations(self) -> None:
         while True:
             await asyncio.sleep(CANCELLATION_CHECK_INTERVAL_S)
--- a/packages/server/lagoonshelf_server/jobs/node.py
+++ b/packages/server/lagoonshelf_server/jobs/node.py
@@ -11,6 +11,7 @@
 from lagoonshelf_core.errors import CODES_BY_NUMBER, Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import MemberId, QueueId, WorkerId
 from lagoonshelf_core.jobs.cold_starts import ColdStarts
+from lagoonshelf_core.jobs.job_memory import MemoryReport
 from lagoonshelf_core.jobs.outage_retry import retry_after_outage_s
 from lagoonshelf_core.jobs.progress import JobState
 from lagoonshelf_core.jobs.spec import JobId, JobSpec, decode_job
@@ -115,6 +116,7 @@
             cfg, ports.store, clock, self.leader_lease, self.job_api, self.config
         )
         self.heartbeats.overload_gate.own_forecast = self._own_forecasts
+        self.heartbeats.overload_gate.own_memory = self._own_memory
         self.job_api.find_refusal = self.heartbeats.overload_gate.find_refusal
         self.leader_lease.is_outage = self.heartbeats.is_store_troubled_for_all
 
@@ -142,7 +144,7 @@
         """Return the number of jobs in a queue that have not started, ``None`` if outdated."""
         leader = self._leader
         if leader is not None and leader.may_answer():
-            return leader.cell.pending_by_queue().get(queue, 0)
+            return leader.pending_by_queue().get(queue, 0)
         age_ms = self._clock.now_ms() - self.job_api.pending_at_ms
         if not self.job_api.pending_at_ms or age_ms > PENDING_MAX_AGE_MS:
             return None
@@ -152,6 +154,10 @@
         leader = self._leader
         return None if leader is None else leader.forecasts()
 
+    def _own_memory(self) -> MemoryReport | None:
+        leader = self._leader
+        return leader.memory_report() if leader is not None and leader.may_answer() else None
+
     def retry_after_s(self, spec: JobSpec) -> int:
         """Return when a job that could not be stored should be submitted again."""
         queue = self.config.current.queues.get(spec.queue)
@@ -237,6 +243,7 @@
             leader.cell.cold_starts = ColdStarts(self._cfg.cold_overage, self._cfg.cold_slack)
             leader.cell.max_registry_age_ms = self._cfg.registry_max_age_ms
             leader.is_store_troubled = self.heartbeats.is_store_troubled_for_all
+            leader.host_memory_mb = self.heartbeats.smallest_memory_mb
             leader.is_store_down = self.heartbeats.is_store_down_for_all
             leader.advice_router.record_heartbeat(self._cfg.member, self._request_advice)
             self._leader = leader
--- a/packages/server/lagoonshelf_server/jobs/overload_gate.py
+++ b/packages/server/lagoonshelf_server/jobs/overload_gate.py
@@ -1,13 +1,16 @@
-"""Admission of submitted jobs by the leader's forecast of the load, at every member."""
+"""Admission of submitted jobs by the leader's load and memory, at every member."""
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 
 from lagoonshelf_core.clock import Clock
+from lagoonshelf_core.ids import TeamId
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.config import CellConfig, PoolId
+from lagoonshelf_core.jobs.job_memory import MemoryReport, job_bytes
 from lagoonshelf_core.jobs.load_forecast import PoolForecast
+from lagoonshelf_core.jobs.memory_admission import MemoryRefusal, find_memory_refusal
 from lagoonshelf_core.jobs.options import SchedulerOptions
 from lagoonshelf_core.jobs.overload_admission import Refusal, find_refusal, wait_on_time
 from lagoonshelf_core.jobs.ranking import Band
@@ -29,13 +32,18 @@
 # so that nothing is refused for about twice the time after which a write is given up.
 STORE_TROUBLE_MS = 2_000
 
+# Time in which an accepted job is stored and announced, so that the next report includes it.
+REPORT_LAG_MS = 500
+# The memory that a leader reported longer ago says nothing of a successor's.
+MAX_MEMORY_AGE_MS = 3_000
+
 Forecasts = tuple[tuple[PoolForecast, ...], int]
 
 _log = logger("front")
 
 
 class OverloadGate:
-    """Refuses jobs that cannot end in time to be of use."""
+    """Refuses jobs that cannot end in time to be of use, or that the leader could not hold."""
 
     def __init__(
         self,
@@ -54,7 +62,11 @@
         self._config = config
         self._forecasts: tuple[PoolForecast, ...] = ()
         self._computed_ms = 0
+        self._memory, self._memory_ms = MemoryReport(), 0
+        # Jobs that were accepted here and that the report may lack: time, team, bytes.
+        self._accepted: deque[tuple[int, TeamId, int]] = deque()
         self.own_forecast: Callable[[], Forecasts | None] = lambda: None
+        self.own_memory: Callable[[], MemoryReport | None] = lambda: None
 
     def record(self, forecasts: tuple[PoolForecast, ...], computed_ms: int) -> None:
         """Keep the forecasts of a heartbeat reply.
@@ -64,21 +76,58 @@
         if forecasts and computed_ms >= self._computed_ms:
             self._forecasts, self._computed_ms = forecasts, computed_ms
 
-    async def find_refusal(self, spec: JobSpec) -> Refusal | None:
+    def record_memory(self, report: MemoryReport, sent_ms: int) -> None:
+        """Keep the memory in a heartbeat reply.
+
+        :param sent_ms: clock time at which the heartbeat was sent
+        """
+        if sent_ms >= self._memory_ms:
+            self._memory, self._memory_ms = report, sent_ms
+            self._forget_accepted(sent_ms - REPORT_LAG_MS)
+
+    async def find_refusal(self, spec: JobSpec) -> Refusal | MemoryRefusal | None:
         """Return why a job is refused, ``None`` if it is accepted or its id is in use."""
-        if not self._options.refuses_overload:
-            return None
         refusal = self._decide(spec)
-        if refusal is None or self._is_store_troubled():
+        if refusal is None:
+            now_ms = self._clock.now_ms()
+            self._forget_accepted(now_ms - MAX_MEMORY_AGE_MS)
+            self._accepted.append((now_ms, spec.team, job_bytes(spec)))
+            return None
+        if self._is_store_troubled():
             return None
         await asyncio.sleep(WRITE_SETTLE_S)
         if await self._may_be_in_use(spec.id) or self._is_store_troubled():
             return None
-        job_metrics.refusals.inc({"queue": spec.queue})
-        _log_refusal(spec, refusal)
+        if isinstance(refusal, MemoryRefusal):
+            job_metrics.memory_refusals.inc({"is_team": str(refusal.is_team)})
+            _log_memory_refusal(spec, refusal)
+        else:
+            job_metrics.refusals.inc({"queue": spec.queue})
+            _log_refusal(spec, refusal)
         return refusal
 
-    def _decide(self, spec: JobSpec) -> Refusal | None:
+    def _forget_accepted(self, before_ms: int) -> None:
+        while self._accepted and self._accepted[0][0] < before_ms:
+            self._accepted.popleft()
+
+    def _decide(self, spec: JobSpec) -> Refusal | MemoryRefusal | None:
+        return self._decide_by_memory(spec) or self._decide_by_load(spec)
+
+    def _decide_by_memory(self, spec: JobSpec) -> MemoryRefusal | None:
+        own = self.own_memory()
+        if own is not None:
+            return find_memory_refusal(spec, own, {}, 0)
+        age_ms = self._clock.now_ms() - self._memory_ms
+        if age_ms > MAX_MEMORY_AGE_MS:
+            return None
+        added: Counter[TeamId] = Counter()
+        for _, team, size_bytes in self._accepted:
+            added[team] += size_bytes
+        return find_memory_refusal(spec, self._memory, added, age_ms)
+
+    def _decide_by_load(self, spec: JobSpec) -> Refusal | None:
+        if not self._options.refuses_overload:
+            return None
         cfg = self._config()
         queue = cfg.queues.get(spec.queue)
         forecasts, age_ms = self._current()
@@ -109,6 +158,21 @@
             return True
 
 
+def _log_memory_refusal(spec: JobSpec, refusal: MemoryRefusal) -> None:
+    _log.info(
+        "job refused for memory",
+        request=spec.id,
+        queue=spec.queue,
+        team=spec.team,
+        is_team=refusal.is_team,
+        size_bytes=refusal.size_bytes,
+        held_bytes=refusal.held_bytes,
+        max_bytes=refusal.max_bytes,
+        report_age_ms=refusal.report_age_ms,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
 def report_load(cell: Cell, current: Forecasts | None, now_ms: int) -> None:
     """Set the metrics of the forecasts and reserves."""
     _report_reserves(cell, now_ms)
--- a/packages/server/lagoonshelf_server/jobs/progress_writer.py
+++ b/packages/server/lagoonshelf_server/jobs/progress_writer.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -88,6 +89,7 @@
         self._written = asyncio.Event()
         self._finished = asyncio.Event()
         self.durable_states: dict[JobId, JobState] = {}
+        self.on_ended: Callable[[JobId], None] = lambda job: None
 
     def load_record(self, job: JobId, revision: int, state: JobState) -> None:
         """Record the revision and state of a record that was read from the store."""
@@ -272,6 +274,7 @@
         if write.is_end:
             self._revisions.pop(write.job, None)
             self._ended.add(write.job)
+            self.on_ended(write.job)
         else:
             self._revisions[write.job] = revision
 
--- a/packages/server/lagoonshelf_server/messages.py
+++ b/packages/server/lagoonshelf_server/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from lagoonshelf_core.jobs.job_memory import TeamMemory
 from lagoonshelf_core.jobs.load_forecast import PoolForecast
 
 
@@ -328,6 +329,7 @@
     :param is_store_troubled: whether a recent call to the store failed or was slow
     :param cores_milli: CPU cores of the sender's host, in thousandths
     :param suits_leader: whether the sender's host has the cores and the link of a leader
+    :param memory_mb: memory of the sender's host, 0 if it does not report it
     """
 
     member: str
@@ -337,6 +339,7 @@
     is_store_troubled: bool = False
     cores_milli: int = 0
     suits_leader: bool = False
+    memory_mb: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -361,6 +364,9 @@
     :param config_age_ms: time since the sender read the configuration from the store
     :param forecasts: load of the pools; empty if the leader computes none
     :param forecast_age_ms: time since the leader computed them
+    :param held_bytes: estimated memory of the jobs at the leader
+    :param max_bytes: memory that they may take, 0 if it is not known
+    :param teams: memory by team; empty while no team can have reached its share
     """
 
     is_holder: bool
@@ -376,6 +382,9 @@
     config_age_ms: int = 0
     forecasts: tuple[PoolForecast, ...] = ()
     forecast_age_ms: int = 0
+    held_bytes: int = 0
+    max_bytes: int = 0
+    teams: tuple[TeamMemory, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
+++ b/packages/server/lagoonshelf_server/wire/lagoonshelf.capnp
@@ -251,6 +251,7 @@
   isStoreTroubled @4 :Bool;
   coresMilli @5 :UInt32;
   suitsLeader @6 :Bool;
+  memoryMb @7 :UInt32;
 }
 
 struct PeerState {
@@ -272,6 +273,14 @@
   configAgeMs @10 :UInt32;
   forecasts @11 :List(PoolForecast);
   forecastAgeMs @12 :UInt32;
+  heldBytes @13 :UInt64;
+  maxBytes @14 :UInt64;
+  teams @15 :List(TeamMemory);
+}
+
+struct TeamMemory {
+  team @0 :Text;
+  sizeBytes @1 :UInt64;
 }
 
 struct PoolForecast {
--- a/tests/platform/standin/clients.py
+++ b/tests/platform/standin/clients.py
@@ -48,8 +48,9 @@
 class KeepAliveClient:
     """Client that sends all requests to one process on one connection while it is open."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, key: str = KEY) -> None:
         """Initialize without connecting."""
+        self._key = key
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._reader: asyncio.StreamReader | None = None
@@ -62,7 +63,7 @@
         """Send a request; return status and body, with status 0 for no complete response."""
         data = b"" if body is None else orjson.dumps(body)
         head = (
-            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {self._key}\r\n"
             f"Lagoonshelf-Deadline-Ms: {int(timeout_s * 1000)}\r\n"
             f"Content-Length: {len(data)}\r\n\r\n"
         )
@@ -101,9 +102,11 @@
     path: str,
     body: object = None,
     timeout_s: float = RESPONSE_TIMEOUT_S,
+    *,
+    key: str = KEY,
 ) -> tuple[int, dict]:
     """Send a request; return status and body, with status 0 for no complete response."""
-    client = KeepAliveClient(address)
+    client = KeepAliveClient(address, key)
     try:
         return await client.request(method, path, body, timeout_s)
     finally:
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -240,6 +240,8 @@
         self.host_limits: dict[str, int] = {}
         self.http_limits: dict[str, int] = {}
         self.bounds: dict[str, int] = {}
+        # Tenants beside the one that always exists, by name with their keys.
+        self.more_tenants: dict[str, str] = {}
         # Environment variables of the processes beside their settings file.
         self.env: dict[str, str] = {}
         self.config_changes: list[ConfigChange] = []
@@ -274,6 +276,10 @@
         self.version += 1
         fields = config(self.version, cap_cpu)
         fields["limits"] = self.http_limits
+        fields["tenants"] += [
+            {**fields["tenants"][0], "name": name, "keys": [key]}
+            for name, key in self.more_tenants.items()
+        ]
         for name in new_queues:
             fields["routes"].append({**fields["routes"][0], "name": name, "prefix": f"/{name}/"})
         self.store.put("op/config", fields)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -6,6 +6,7 @@
 import orjson
 
 from lagoonshelf_core.ids import FailureDomain, MemberId
+from lagoonshelf_core.jobs.memory_admission import MemoryRefusal
 from lagoonshelf_core.jobs.overload_admission import ExpectedWait, Refusal
 from lagoonshelf_core.jobs.spec import JobSpec
 from lagoonshelf_platform.http_server import HttpRequest, HttpResponse
@@ -87,6 +88,17 @@
         response = await self._request("POST", f"/batch/{JOB_ID}", body=job)
         self.assertEqual((response.status, response.headers["Retry-After"]), (UNAVAILABLE, "7"))
 
+    async def test_a_refusal_for_memory_says_when_to_return(self) -> None:
+        """Guards against a status that says the job may run."""
+
+        async def refuse(spec: JobSpec) -> MemoryRefusal:
+            return MemoryRefusal(9, True, 100, 1_000, 1_000, 20)
+
+        self.node.job_api.find_refusal = refuse
+        job = {"spec": "x", "phases": [STEP]}
+        response = await self._request("POST", f"/batch/{JOB_ID}", body=job)
+        self.assertEqual((response.status, response.headers["Retry-After"]), (UNAVAILABLE, "9"))
+
 
 class MalformedJobTest(IngressTestCase):
     """Jobs that cannot be stored."""
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -16,7 +16,10 @@
 KNOWN_RED_FILE = ROOT.parent / "KNOWN-RED.txt"
 PARALLEL_MODULES = 4
 # Modules that run one at a time after all others: they measure the memory of a process under load.
-EXCLUSIVE_MODULES = ("tests.platform.test_untrusted_clients",)
+EXCLUSIVE_MODULES = (
+    "tests.platform.test_accepted_work",
+    "tests.platform.test_untrusted_clients",
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/server/jobs/test_node.py
+++ b/tests/server/jobs/test_node.py
@@ -10,7 +10,7 @@
 from lagoonshelf_core.jobs.options import SchedulerOptions
 from lagoonshelf_core.jobs.spec import JobId, encode_job
 from lagoonshelf_server.jobs import node as node_module
-from lagoonshelf_server.jobs.heartbeats import NodeSettings
+from lagoonshelf_server.jobs.heartbeats import MAX_UNHEARD_MS, NodeSettings
 from lagoonshelf_server.jobs.job_api import WriteOutcome
 from lagoonshelf_server.jobs.leader import Ports
 from lagoonshelf_server.jobs.leader_lease import LeaderRecord, LeaderStatus
@@ -67,6 +67,17 @@
         self.assertEqual(self.node._leader.evacuate_ms, 5_000)
         self.node.leader_lease.step_down("end of the test")
 
+    async def test_memory_follows_the_smallest_host_that_is_heard(self) -> None:
+        """Guards against work that the next leader has no memory for."""
+        self.node.leader_lease.is_held = True
+        self.store._answered_ms = self.clock.now_ms()
+        self.assertEqual(self.node.heartbeats.smallest_memory_mb(), self.node._cfg.memory_mb)
+        self._answer(Pulse("m2", "a:2", 5, 10, memory_mb=100))
+        self.assertEqual(self.node.heartbeats.smallest_memory_mb(), 100)
+        state, _ = self.node.heartbeats._members["m2"]
+        self.node.heartbeats._members["m2"] = (state, self.clock.now_ms() - MAX_UNHEARD_MS)
+        self.assertEqual(self.node.heartbeats.smallest_memory_mb(), self.node._cfg.memory_mb)
+
     async def test_outdated_counts_are_not_returned(self) -> None:
         """Guards against returning counts that are older than 2 s."""
         full = PulseReply(True, 5, 0, (QueueCount("q", 7),), is_ready=True)
