Open the due occurrences of a job only as far as memory allows

What callers saw: two scheduled jobs of 64 steps whose occurrences are due each millisecond made the leader grow for as long as it ran, until it ends. Cause: the bound of open occurrences counted those of the first steps that wait. Where the first step ends and a later one waits, it never held; where it held, 200 occurrences of 64 steps took 25 MB a job. Change: each open occurrence counts towards the memory of its job. Another one is opened only if it fits the bounds of the team and of all jobs; one may always be open, so that each job goes on. Why it works: what opens and what closes is recorded in the same place, and a pass that finds no memory opens the next occurrence when one has ended.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -14,6 +14,7 @@
     JobMemory,
     description_bytes,
     job_bytes,
+    occurrence_bytes,
 )
 from lagoonshelf_core.jobs.job_records import RecordedRun, restore_progress
 from lagoonshelf_core.jobs.open_steps import OpenSteps
@@ -152,6 +153,7 @@
         job.is_excess = False
         if progress is not None:
             self.recorded_runs += restore_progress(job, progress)
+            self._update_memory(job)
         if job.is_final:
             self._close(job)
         for step in job.steps.values():
@@ -231,6 +233,17 @@
         else:
             self.open_steps.discard(step)
 
+    def _update_memory(self, job: Job) -> None:
+        """Record the memory of a job by its open occurrences."""
+        size_bytes = occurrence_bytes(job.spec)
+        further = max(0, len(job.steps) // len(job.spec.steps) - 1)
+        self.memory.update(job.spec, job_bytes(job.spec) + further * size_bytes)
+
+    def _has_memory_for_occurrence(self, job: Job) -> bool:
+        """Return whether another occurrence of a job may be opened; one always may."""
+        is_first = not job.steps
+        return is_first or self.memory.fits(job.spec.team, occurrence_bytes(job.spec))
+
     def _open_occurrence(self, job: Job, occurrence: Occurrence) -> None:
         for step in job.occurrence_steps(occurrence):
             self.update_open_step(step)
@@ -250,11 +263,12 @@
                 if job.next_occurrence in job.done_occurrences:
                     job.next_occurrence = job.done_occurrences.next_absent(job.next_occurrence)
                     continue
-                if self.open_steps.has_enough(job):
+                if self.open_steps.has_enough(job) or not self._has_memory_for_occurrence(job):
                     break
                 if new_tasks >= MAX_NEW_TASKS_PER_PASS:
                     return True
                 self._open_occurrence(job, Occurrence(job.next_occurrence))
+                self._update_memory(job)
                 job.next_occurrence += 1
                 new_tasks += sum(step.count for step in spec.steps)
         return False
@@ -461,6 +475,8 @@
             self.permits.remove(done.name)
         if not closed:
             self._open_occurrence(step.job, step.occurrence)
+        elif step.job.spec.occurrences:
+            self._update_memory(step.job)
 
     def stop_gang_attempt(self, step: StepRun, attempt: int) -> None:
         """Stop the remaining runs of a gang's attempt; their workers may not know of its end."""
--- a/tests/core/jobs/test_job_memory.py
+++ b/tests/core/jobs/test_job_memory.py
@@ -12,6 +12,7 @@
     TeamMemory,
     description_bytes,
     job_bytes,
+    occurrence_bytes,
 )
 from lagoonshelf_core.jobs.memory_admission import find_memory_refusal
 from lagoonshelf_core.jobs.progress import Job, JobState, RunEnd
@@ -135,6 +136,40 @@
         self.assertIs(job.state, JobState.COMPLETE)
         return job
 
+    def test_occurrences_wait_for_memory(self) -> None:
+        """Guards against due occurrences without bound whose first step is done.
+
+        Two jobs of 64 steps were still growing after 40 s, at 89 MB.
+        """
+        cell = make_cell(4)
+        last = [make_step(after=(0,), label="absent") for _ in range(MAX_STEPS - 1)]
+        times = {"occurrences": 10_000, "first_due_ms": 0, "interval_ms": 1}
+        spec = make_job(make_step(), *last, **times)
+        cell.memory.max_bytes = 10 * occurrence_bytes(spec)
+        job = cell.accept(spec, 0)
+        for _ in range(50):
+            runs = plan_starts(cell, 10_000)
+            confirm_starts(cell, runs)
+            for run in runs:
+                end_run(cell, run)
+        self.assertTrue(5 <= len(job.steps) / MAX_STEPS <= 10, len(job.steps) / MAX_STEPS)
+        self.assertLessEqual(cell.memory.held_bytes, cell.memory.max_bytes)
+
+    def test_one_occurrence_opens_without_memory_and_all_run(self) -> None:
+        """Guards against a scheduled job that the jobs of others stop."""
+        cell = make_cell(4)
+        cell.memory.max_bytes = 1
+        job = cell.accept(make_job(occurrences=20, first_due_ms=0, interval_ms=1), 0)
+        names = []
+        for _ in range(20):
+            runs = plan_starts(cell, 10_000)
+            self.assertEqual(len(runs), 1)
+            confirm_starts(cell, runs)
+            names.append(runs[0].name)
+            end_run(cell, runs[0])
+        self.assertIs(job.state, JobState.COMPLETE)
+        self.assertEqual(len(set(names)), 20)
+
     def test_an_ended_job_holds_its_description_only(self) -> None:
         """Guards against tasks that are kept until the record of the job is deleted."""
         cell = make_cell(1)
--- a/tests/platform/test_accepted_work.py
+++ b/tests/platform/test_accepted_work.py
@@ -8,6 +8,7 @@
 import asyncio
 import unittest
 from collections.abc import Iterable
+from time import time
 
 from tests.platform.crowds import count_descriptors, is_runnable, read_memory_mb
 from tests.platform.standin.clients import KeepAliveClient, request
@@ -42,6 +43,12 @@
 LARGE_JOB = {"spec": "x", "phases": [_waiting_step(image="x" * 3_800)] * MAX_STEPS}
 
 
+def _scheduled_job() -> dict:
+    """Return a job of which one occurrence is due in each millisecond."""
+    times = {"repeats": 10_000, "start_at_ms": int(time() * 1000), "interval_ms": 1}
+    return {"spec": "x", "phases": [_waiting_step()] * MAX_STEPS, **times}
+
+
 class AcceptedWorkTest(unittest.IsolatedAsyncioTestCase):
     """Crowds of one client account, and an ordinary request of another one."""
 
@@ -157,6 +164,12 @@
         await self._submit(4, 60, LARGE_JOB)
         await self._check(self.cluster.processes)
 
+    async def test_occurrences_that_wait(self) -> None:
+        """The due occurrences of all scheduled jobs are bounded together."""
+        await self._start(processes=1)
+        await self._submit(4, 1, _scheduled_job())
+        await self._check(self.cluster.processes)
+
     async def test_successor_of_a_leader_with_much_work(self) -> None:
         """What was accepted fits the next leader as well."""
         await self._start(processes=3)
