Bound the runs that a leader starts by the memory of the host

Cause: tasks that declare no resources fit on any worker in any number, so that all tasks of such jobs were started at once. A run takes some 1 KB at the leader, twice to four times what its task took while it waited. Callers saw nothing else than a leader that ends, as with the jobs themselves. Change: a pass starts nothing while an eighth of the memory of the smallest host is in use by runs, 20,971 of them with 160 MB. Within one pass at most 100 more start, or the members of one gang for each gang that fits. Result: 2,000 tasks without size and a bound of 150: the test failed before (2,000 runs) and sees between 150 and 250 now; more start as runs end.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -322,6 +322,13 @@
             return True
         return now_ms - self.registry_ms <= self.max_registry_age_ms
 
+    def has_too_many_runs(self) -> bool:
+        """Return whether the runs take the memory that is meant for them.
+
+        The capacity of the workers does not bound them: a task may need none.
+        """
+        return sum(len(worker.runs) for worker in self.workers.values()) >= self.memory.max_runs
+
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker on which nothing can run any more."""
         self.workers.pop(worker.id, None)
--- a/packages/core/lagoonshelf_core/jobs/job_memory.py
+++ b/packages/core/lagoonshelf_core/jobs/job_memory.py
@@ -17,6 +17,7 @@
 # Shares of the memory of the smallest host, which may be the next leader. An eighth is for the
 # connections of clients, the remainder for the process itself and the state of the workers.
 JOB_SHARE = 1 / 4
+RUN_SHARE = 1 / 8
 # A team may hold this multiple of what all teams leave free: one alone three quarters, and several
 # together never all of it.
 TEAM_RATIO = 3
@@ -25,6 +26,7 @@
 STEP_SPEC_BYTES = 500
 STEP_BYTES = 2_200
 TASK_BYTES = 260
+RUN_BYTES = 1_000
 # The copies in which a large text arrives, and in which it is stored, leave the heap fragmented.
 TEXT_FACTOR = 2
 # Ended jobs are forgotten from this share of the bound on, those that ended first before others.
@@ -74,6 +76,7 @@
         """Derive the bounds from the memory of the smallest host."""
         self.max_bytes = int(memory_mb * MB * JOB_SHARE)
         self.max_ended_bytes = int(self.max_bytes * ENDED_SHARE)
+        self.max_runs = int(memory_mb * MB * RUN_SHARE / RUN_BYTES)
 
     def fits(self, team: TeamId, size_bytes: int) -> bool:
         """Return whether a team may hold so much more; without any jobs one of any size fits."""
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -40,7 +40,7 @@
     :param advice_budget: time of the placement policy that advice requests may use
     """
     has_more = cell.open_due_occurrences(now_wall_ms)
-    if not cell.open_steps:
+    if not cell.open_steps or cell.has_too_many_runs():
         return has_more
     state = SchedulingPass(now_ms, {}, advice_budget=advice_budget)
     if cell.options.forecasts_reserve:
--- a/tests/core/jobs/test_job_memory.py
+++ b/tests/core/jobs/test_job_memory.py
@@ -7,6 +7,7 @@
 from lagoonshelf_core.jobs.cell import MIN_KNOWN_ENDED_MS, Cell
 from lagoonshelf_core.jobs.job_memory import (
     MB,
+    RUN_BYTES,
     JobMemory,
     MemoryReport,
     TeamMemory,
@@ -16,7 +17,9 @@
 )
 from lagoonshelf_core.jobs.memory_admission import find_memory_refusal
 from lagoonshelf_core.jobs.progress import Job, JobState, RunEnd
+from lagoonshelf_core.jobs.scheduling_pass import MAX_STARTS_PER_PASS
 from lagoonshelf_core.jobs.spec import MAX_STEPS, MAX_TASKS_PER_STEP
+from lagoonshelf_core.resources import ZERO_RESOURCES
 from tests.support.jobs import (
     TEAM,
     confirm_starts,
@@ -215,3 +218,19 @@
         cell.release_job(job.id, 0)
         cell.forget_ended_jobs(10 * MIN_KNOWN_ENDED_MS)
         self.assertIn(job.id, cell.jobs)
+
+    def test_runs_of_tasks_without_size_are_bounded(self) -> None:
+        """Guards against more runs than memory where no capacity bounds them."""
+        cell = make_cell(4)
+        cell.memory.max_runs = 150
+        cell.accept(make_job(make_step(2_000, ZERO_RESOURCES)), 0)
+        runs = [run for _ in range(20) for run in plan_starts(cell)]
+        self.assertTrue(150 <= len(runs) < 150 + MAX_STARTS_PER_PASS, len(runs))
+        for run in runs:
+            confirm_starts(cell, [run])
+            end_run(cell, run)
+        self.assertTrue(plan_starts(cell))
+
+    def test_the_smallest_host_holds_the_runs_of_a_large_cell(self) -> None:
+        """Guards against a bound of runs below what the executors of a site can run."""
+        self.assertGreater(JobMemory(SMALLEST_HOST_MB).max_runs * RUN_BYTES, 16 * MB)
