Bound the records that a process announces to the leader

Cause: a process that stores jobs announces each with its record, up to four times 0.5 s, without a bound of their sum. Beside a leader that does not answer, jobs of 250 KB at the rate of the store's writes are tens of megabytes. Change: at most 4 MB of records are in announcements. The leader learns of other jobs from its watch of the store, as of those whose announcement fails. Result: the test failed before (the module has no such bound) and sees three of five announcements now, and three more once those have ended; all are stored.

--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -35,6 +35,10 @@
 ANSWER_MARGIN_MS = 250
 MAX_CACHED_STATES = 20_000
 
+# Records in announcements to the leader, in bytes. Beyond it the leader learns of a job from the
+# store, shortly later.
+MAX_ANNOUNCED_BYTES = 4 * 1024 * 1024
+
 AnyRefusal = Refusal | MemoryRefusal
 
 _log = logger("front")
@@ -192,6 +196,7 @@
         self._leader = leader
         self._final_states: dict[JobId, JobState] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._announced_bytes = 0
         self._writer = JobWriter(store, clock)
         self.find_refusal: Callable[[JobSpec], Awaitable[AnyRefusal | None]] = _accept
         self.pending: dict[QueueId, int] = {}
@@ -232,7 +237,7 @@
         """Store a job, here or for another member, and report it to the leader."""
         written = await self._writer.write_job(job, record, deadline_ms)
         if written.created != ABSENT:
-            self._spawn(self._leader.announce(job, record.decode(), written.created))
+            self._announce_job(job, record, written.created)
         return written.outcome
 
     async def store_cancel(self, job: JobId, deadline_ms: int) -> WriteOutcome:
@@ -280,9 +285,23 @@
                 return None if ended is None else decode_state(ended.value)
         except StoreUncertainError as exc:
             raise StoreUnavailableError(str(exc)) from exc
-        self._spawn(self._leader.announce(job, record.value.decode(), record.created))
+        self._announce_job(job, record.value, record.created)
         return JobState.QUEUED
 
+    def _announce_job(self, job: JobId, record: bytes, created: StoreRevision) -> None:
+        size_bytes = len(record)
+        if self._announced_bytes + size_bytes > MAX_ANNOUNCED_BYTES:
+            return
+
+        async def announce() -> None:
+            try:
+                await self._leader.announce(job, record.decode(), created)
+            finally:
+                self._announced_bytes -= size_bytes
+
+        self._announced_bytes += size_bytes
+        self._spawn(announce())
+
     async def _write_or_relay(
         self,
         write: Callable[[], Awaitable[WriteOutcome]],
--- a/tests/server/jobs/test_job_api.py
+++ b/tests/server/jobs/test_job_api.py
@@ -1,11 +1,15 @@
 """Tests of the job API."""
 
+import asyncio
 import unittest
+from dataclasses import replace
+from unittest.mock import patch
 
 from lagoonshelf_core.clock import Clock
 from lagoonshelf_core.jobs.job_records import encode_progress
 from lagoonshelf_core.jobs.progress import Job, JobState
 from lagoonshelf_core.jobs.spec import encode_job
+from lagoonshelf_server.jobs import job_api
 from lagoonshelf_server.jobs.job_api import JobApi, LeaderClient, WriteOutcome
 from lagoonshelf_server.jobs.keys import (
     ENDED_PREFIX,
@@ -49,6 +53,28 @@
         self.assertIs(await self.api.submit(spec, 1_000), WriteOutcome.STORED)
         self.assertIn(job_key(spec.id), self.store.items)
 
+    async def test_records_in_announcements_are_bounded(self) -> None:
+        """Guards against a process that keeps all jobs of a leader that does not answer."""
+        size = len(encode_job(make_job()))
+        announced, is_over = [], asyncio.Event()
+
+        async def announce(job: str, record: str, created: int) -> None:
+            announced.append(job)
+            await is_over.wait()
+
+        self.api._leader = replace(self.api._leader, announce=announce)
+        with patch.object(job_api, "MAX_ANNOUNCED_BYTES", 3 * size):
+            for count in (3, 6):
+                for _ in range(5):
+                    outcome = await self.api.submit(make_job(), 1_000)
+                    self.assertIs(outcome, WriteOutcome.STORED)
+                await asyncio.sleep(0)
+                self.assertEqual(len(announced), count)
+                is_over.set()
+                await asyncio.gather(*self.api._tasks)
+                is_over.clear()
+        self.assertEqual(self.api._announced_bytes, 0)
+
     async def test_a_resubmitted_job_is_stored_once(self) -> None:
         """Guards against a resubmission that overwrites the first record."""
         spec = make_job()
