Do not store jobs without bound while a refusal cannot be checked

Cause: a job is not refused while the store is slow here, as an earlier write of it may still take effect. A crowd keeps the leader so busy that its own calls look slow, so that all 400 jobs of 60 steps were stored although memory was for some hundred. Each waits at the leader as a short entry, and their number had no bound. Change: where more than twice the bound waits already, such a job is answered 504 without a write: it may run, and the client asks again with the same id. Jobs that fit are not affected. The new test fails before, as the job is accepted.

--- a/packages/core/lagoonshelf_core/jobs/memory_admission.py
+++ b/packages/core/lagoonshelf_core/jobs/memory_admission.py
@@ -11,6 +11,9 @@
 # Memory is freed as jobs end, which takes seconds; refused jobs come back one after the other.
 RETRY_AFTER_S = 5
 RETRY_SPREAD_S = 10
+# Jobs that are stored although they do not fit, as a refusal could not be checked, wait at the
+# leader as a short entry each. Beyond this multiple of the bound no more are stored.
+MAX_BACKLOG_RATIO = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +23,7 @@
     :param is_team: the share of its team is in use, not all memory
     :param size_bytes: estimated memory of the job
     :param report_age_ms: age of what was known of the leader
+    :param is_backlog_full: too many jobs wait in the store already to store this one in doubt
     """
 
     retry_after_s: int
@@ -28,6 +32,7 @@
     held_bytes: int
     max_bytes: int
     report_age_ms: int
+    is_backlog_full: bool = False
 
     @property
     def message(self) -> str:
@@ -54,4 +59,13 @@
         return None
     is_team = held_bytes + size_bytes <= report.max_bytes
     retry_after_s = RETRY_AFTER_S + round(RETRY_SPREAD_S * spread_fraction(spec.id))
-    return MemoryRefusal(retry_after_s, is_team, size_bytes, held_bytes, report.max_bytes, age_ms)
+    backlog_bytes = sum(row.size_bytes for row in report.teams) + sum(added.values())
+    return MemoryRefusal(
+        retry_after_s,
+        is_team,
+        size_bytes,
+        held_bytes,
+        report.max_bytes,
+        age_ms,
+        is_backlog_full=backlog_bytes > MAX_BACKLOG_RATIO * report.max_bytes,
+    )
--- a/packages/server/lagoonshelf_server/jobs/job_api.py
+++ b/packages/server/lagoonshelf_server/jobs/job_api.py
@@ -198,14 +198,17 @@
         self._tasks: set[asyncio.Task] = set()
         self._announced_bytes = 0
         self._writer = JobWriter(store, clock)
-        self.find_refusal: Callable[[JobSpec], Awaitable[AnyRefusal | None]] = _accept
+        self.find_refusal: Callable[[JobSpec], Awaitable[AnyRefusal | WriteOutcome | None]] = (
+            _accept
+        )
         self.pending: dict[QueueId, int] = {}
         self.pending_at_ms = 0
 
     async def submit(self, spec: JobSpec, wait_ms: int) -> WriteOutcome | AnyRefusal:
         """Accept a job; it is durable when this returns ``STORED``.
 
-        A refused job is not stored, and never runs unless it is submitted again.
+        A refused job is not stored, and never runs unless it is submitted again. ``UNCERTAIN`` may
+        also be returned without a write.
 
         :param wait_ms: timeout of the client
         """
@@ -344,7 +347,7 @@
             _log.info("change not announced to the leader", reason=str(exc))
 
 
-async def _accept(spec: JobSpec) -> AnyRefusal | None:
+async def _accept(spec: JobSpec) -> AnyRefusal | WriteOutcome | None:
     """Refuse no job."""
     del spec
     return None
--- a/packages/server/lagoonshelf_server/jobs/overload_gate.py
+++ b/packages/server/lagoonshelf_server/jobs/overload_gate.py
@@ -16,6 +16,7 @@
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_server.jobs import job_metrics
+from lagoonshelf_server.jobs.job_api import WriteOutcome
 from lagoonshelf_server.jobs.keys import ended_key, job_key
 from lagoonshelf_server.jobs.ports import Store, StoreUnavailableError, StoreUncertainError
 from lagoonshelf_server.logs import logger
@@ -85,8 +86,12 @@
             self._memory, self._memory_ms = report, sent_ms
             self._forget_accepted(sent_ms - REPORT_LAG_MS)
 
-    async def find_refusal(self, spec: JobSpec) -> Refusal | MemoryRefusal | None:
-        """Return why a job is refused, ``None`` if it is accepted or its id is in use."""
+    async def find_refusal(self, spec: JobSpec) -> Refusal | MemoryRefusal | WriteOutcome | None:
+        """Return why a job is refused, ``None`` if it is accepted or its id is in use.
+
+        ``UNCERTAIN`` is returned where it can neither be refused truthfully, as the store does
+        not tell whether it is stored, nor be held.
+        """
         refusal = self._decide(spec)
         if refusal is None:
             now_ms = self._clock.now_ms()
@@ -94,9 +99,12 @@
             self._accepted.append((now_ms, spec.team, job_bytes(spec)))
             return None
         if self._is_store_troubled():
-            return None
+            return self._decide_in_doubt(spec, refusal)
         await asyncio.sleep(WRITE_SETTLE_S)
-        if await self._may_be_in_use(spec.id) or self._is_store_troubled():
+        may_be_in_use = await self._may_be_in_use(spec.id)
+        if self._is_store_troubled():
+            return self._decide_in_doubt(spec, refusal)
+        if may_be_in_use:
             return None
         if isinstance(refusal, MemoryRefusal):
             job_metrics.memory_refusals.inc({"is_team": str(refusal.is_team)})
@@ -106,6 +114,16 @@
             _log_refusal(spec, refusal)
         return refusal
 
+    def _decide_in_doubt(
+        self, spec: JobSpec, refusal: Refusal | MemoryRefusal
+    ) -> WriteOutcome | None:
+        """Return how to answer while an earlier write of a job may take effect."""
+        if not isinstance(refusal, MemoryRefusal) or not refusal.is_backlog_full:
+            return None
+        job_metrics.memory_refusals.inc({"is_team": str(refusal.is_team)})
+        _log_memory_refusal(spec, refusal)
+        return WriteOutcome.UNCERTAIN
+
     def _forget_accepted(self, before_ms: int) -> None:
         while self._accepted and self._accepted[0][0] < before_ms:
             self._accepted.popleft()
@@ -167,6 +185,7 @@
         is_team=refusal.is_team,
         size_bytes=refusal.size_bytes,
         held_bytes=refusal.held_bytes,
+        is_backlog_full=refusal.is_backlog_full,
         max_bytes=refusal.max_bytes,
         report_age_ms=refusal.report_age_ms,
         retry_after_s=refusal.retry_after_s,
--- a/tests/server/jobs/test_overload_gate.py
+++ b/tests/server/jobs/test_overload_gate.py
@@ -9,7 +9,7 @@
 from lagoonshelf_core.ids import FailureDomain, MemberId
 from lagoonshelf_core.jobs.job_memory import MB, MemoryReport, TeamMemory, job_bytes
 from lagoonshelf_core.jobs.load_forecast import EDGES_MS, PoolForecast
-from lagoonshelf_core.jobs.memory_admission import MemoryRefusal
+from lagoonshelf_core.jobs.memory_admission import MAX_BACKLOG_RATIO, MemoryRefusal
 from lagoonshelf_core.jobs.options import SchedulerOptions
 from lagoonshelf_core.jobs.overload_admission import MAX_FORECAST_AGE_MS, Refusal
 from lagoonshelf_core.jobs.spec import JobSpec
@@ -130,6 +130,18 @@
         self.store.troubled_ms = self.clock.now_ms() - STORE_TROUBLE_MS // 2
         self.assertIsNone(await self.gate.find_refusal(make_job()))
 
+    async def test_in_doubt_and_beside_a_long_backlog_nothing_more_is_stored(self) -> None:
+        """Guards against a backlog without bound while the store is slow.
+
+        The leader itself may be what makes it look slow. 504 says that the job may run.
+        """
+        self.store.troubled_ms = self.clock.now_ms()
+        full = replace(self.full, teams=(TeamMemory(TEAM, MAX_BACKLOG_RATIO * MB + 1),))
+        self.gate.record_memory(full, self.clock.now_ms())
+        self.assertIs(await self.gate.find_refusal(make_job()), WriteOutcome.UNCERTAIN)
+        self.store.troubled_ms = 0
+        self.assertIsInstance(await self.gate.find_refusal(make_job()), MemoryRefusal)
+
     async def test_an_old_report_refuses_nothing(self) -> None:
         """Guards against refusals by what a former leader held."""
         self.gate._memory_ms -= MAX_MEMORY_AGE_MS + 1
