--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -1,6 +1,7 @@
 """Soak test: real server processes on the stand-in platform under injected faults.
 
 Usage: python -m tests.platform.soak [--seeds N] [--first SEED] [--minutes M] [--processes N]
+    [--memory-mb MB]
 """
 
 import asyncio
@@ -84,13 +85,20 @@
 class SoakRun:
     """One soak run: the load and faults of one seed, and the violations found."""
 
-    def __init__(self, seed: int, processes: int = 3, executors: int = 5) -> None:
-        """Initialize the random generator and the cluster."""
+    def __init__(
+        self, seed: int, processes: int = 3, executors: int = 5, memory_mb: int = 0
+    ) -> None:
+        """Initialize the random generator and the cluster.
+
+        :param memory_mb: memory in the settings of the processes, 0 for the default
+        """
         self.seed = seed
         self.rng = Random(seed)
         # A generator of its own leaves the other faults of a seed as they were.
         self.series_rng = Random(f"series of faults of seed {seed}")
         self.cluster = Cluster(processes, executors, seed)
+        if memory_mb:
+            self.cluster.host_limits = {"memory_mb": memory_mb}
         self.cap_cpu = self.rng.choice((0, 0, 24_000))
         self.parts_rng = Random(f"optional parts of seed {seed}")
         self.has_parts = self.parts_rng.random() < PARTS_SHARE
@@ -102,6 +110,8 @@
         self.violations: list[str] = []
         self.starts_after_cancel: list[StartAfterCancel] = []
         self.fault_log: list[str] = []
+        # Times that a leader left a stored job in the store for want of memory.
+        self.deferred = 0
         self._tasks: set[asyncio.Task] = set()
         self._started_s = 0.0
 
@@ -160,6 +170,7 @@
         finally:
             for task in self._tasks:
                 task.cancel()
+            self.deferred = self.cluster.logs().count('"message":"deferred job loaded"')
             late = self.late_starts()
             if self.violations or late:
                 LOG_DIR.mkdir(parents=True, exist_ok=True)
@@ -586,18 +597,25 @@
             await asyncio.sleep(0.1)
 
 
-def soak(seeds: int = 10, first: int = 0, minutes: float = 0.0, processes: int = 3) -> None:
+def soak(
+    seeds: int = 10,
+    first: int = 0,
+    minutes: float = 0.0,
+    processes: int = 3,
+    memory_mb: int = 0,
+) -> None:
     """Run the seeds one after the other.
 
     :param seeds: number of seeds; ignored if ``minutes`` is given
     :param first: first seed, 0 to derive it from the clock
     :param processes: number of server processes
+    :param memory_mb: memory in their settings, 0 for the default; with 1 many jobs are deferred
     """
     seed = first or int(monotonic() * 1000) % 1_000_000
     deadline_s = monotonic() + 60 * minutes
     runs = failed = 0
     while runs < seeds if not minutes else monotonic() < deadline_s:
-        soak_run = SoakRun(seed, processes)
+        soak_run = SoakRun(seed, processes, memory_mb=memory_mb)
         violations = asyncio.run(soak_run.run())
         accepted = sum(STORED in job.statuses for job in soak_run.jobs)
         cancelled = sum(bool(job.cancel_status) for job in soak_run.jobs)
@@ -605,7 +623,7 @@
         print(
             f"seed {seed}: {len(soak_run.jobs)} jobs, {accepted} accepted, "
             f"{len(soak_run.cluster.history)} runs, {len(soak_run.fault_log)} faults, "
-            f"{len(soak_run.evacuations)} evacuations, "
+            f"{len(soak_run.evacuations)} evacuations, {soak_run.deferred} deferred, "
             f"{cancelled} cancelled, {len(soak_run.late_starts())} of them started late, in touch "
             f"or not, last start {last_s:.2f} s after, "
             f"{'FAILED' if violations else 'passed'}",
