--- a/packages/server/lagoonshelf_server/connection_budget.py
+++ b/packages/server/lagoonshelf_server/connection_budget.py
@@ -3,11 +3,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from lagoonshelf_core.jobs.job_memory import DEFAULT_MEMORY_MB, MB
 from lagoonshelf_server.refusals import Reason
 
-MB = 1024 * 1024
-# Limits of the smallest host, for settings files without them.
-DEFAULT_MEMORY_MB = 160
+# Descriptors of the smallest host, for settings files without them.
 DEFAULT_MAX_FDS = 1_638
 # The process needs 44 MB without jobs; the remainder is for jobs and the state of the cell.
 MEMORY_SHARE = 1 / 8
--- a/tests/platform/test_accepted_work.py
+++ b/tests/platform/test_accepted_work.py
@@ -92,15 +92,29 @@
             if busy <= MAX_BUSY_SAMPLES:
                 return
 
-    async def _wait_for_successor(self, leader: Process) -> None:
-        """Wait until another process holds the leader lease and has read all jobs."""
+    async def _wait_for_successor(self, leader: Process) -> Process:
+        """Return the process that leads after another one, once it has read all jobs."""
         async with asyncio.timeout(TAKEOVER_TIMEOUT_S):
             while not self._is_led_by_another(leader):
                 await asyncio.sleep(QUIET_S / SAMPLES)
-            # Counts are returned once the leader has read all jobs.
-            for process in self.cluster.processes:
-                while process is not leader and not await self._counts_jobs(process):
-                    await asyncio.sleep(QUIET_S / SAMPLES)
+            while not self._has_taken_over(successor := await self._find_leader()):
+                await asyncio.sleep(QUIET_S / SAMPLES)
+        return successor
+
+    def _has_taken_over(self, process: Process) -> bool:
+        return any(
+            f'"member":"{process.name}"' in line and '"holder ready"' in line
+            for line in self.cluster.logs().splitlines()
+        )
+
+    async def _wait_for_pending(self, process: Process, count: int) -> None:
+        """Wait until a process counts as many pending jobs; counts may be 2 s old."""
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while True:
+                status, fields = await request(process.address, "GET", "/batch/")
+                if status == 200 and fields["pending"] >= count:
+                    return
+                await asyncio.sleep(QUIET_S / SAMPLES)
 
     async def _find_leader(self) -> Process:
         async with asyncio.timeout(TAKEOVER_TIMEOUT_S):
@@ -115,12 +129,6 @@
     def _is_led_by_another(self, former: Process) -> bool:
         return self._is_led() and former in self.cluster.followers()
 
-    async def _counts_jobs(self, process: Process) -> bool:
-        if not process.is_running:
-            return True
-        status, _ = await request(process.address, "GET", "/batch/")
-        return status == 200
-
     async def _check(self, processes: list[Process]) -> None:
         """Check processes after the requests of the crowd have been answered."""
         await self._settle(processes)
@@ -177,5 +185,6 @@
         leader = await self._find_leader()
         followers = [process for process in self.cluster.processes if process is not leader]
         await leader.kill()
-        await self._wait_for_successor(leader)
+        successor = await self._wait_for_successor(leader)
         await self._check(followers)
+        await self._wait_for_pending(successor, self.statuses.count(200))
