Keep due occurrences and ended jobs in modules of their own

Reading it showed that a late end of an occurrence recorded the memory of a job again that had been removed, which was never free afterwards. Change: occurrences.py opens what is due, ended_jobs.py keeps the order of ends; the memory of a job is recorded only while the cell has it.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -9,10 +9,10 @@
 from lagoonshelf_core.jobs.cold_starts import ColdStarts
 from lagoonshelf_core.jobs.commands import Command, StopRun
 from lagoonshelf_core.jobs.config import CellConfig, Queue
+from lagoonshelf_core.jobs.ended_jobs import EndedJobs
 from lagoonshelf_core.jobs.evacuations import Evacuations
 from lagoonshelf_core.jobs.job_memory import (
     JobMemory,
-    description_bytes,
     job_bytes,
     occurrence_bytes,
 )
@@ -63,13 +63,6 @@
 SERVICE_RESTART_DELAY_MS = 500
 SHORT_SERVICE_RUN_MS = 10_000
 
-# Tasks of due occurrences that one scheduling pass creates; it ends within a small part of the
-# leader lease's TTL.
-MAX_NEW_TASKS_PER_PASS = 500
-
-# Time for which an ended job may still be announced, or be read from the store, as a new one.
-MIN_KNOWN_ENDED_MS = 30_000
-
 # Losses of workers that are remembered.
 MAX_LOSS_RECORDS = 500
 
@@ -91,9 +84,7 @@
         self.jobs: dict[JobId, Job] = {}
         self.live_jobs: dict[JobId, Job] = {}
         self.memory = JobMemory()
-        # Jobs whose final state is durable, with the time of that, in the order of their ends.
-        self._ended_jobs: dict[JobId, int] = {}
-        self._ended_bytes = 0
+        self.ended_jobs = EndedJobs(self.memory)
         self.open_steps = OpenSteps()
         self.workers: dict[WorkerId, Worker] = {}
         self.team_allocations: dict[TeamId, Resources] = {}
@@ -141,7 +132,7 @@
         if self.options.forecasts_reserve and not is_inherited:
             self.arrivals.record_job(self.cfg.queues.get(spec.queue), spec, now_ms)
         if not spec.occurrences:
-            self._open_occurrence(job, Occurrence(0))
+            self.open_occurrence(job, Occurrence(0))
         return job
 
     def restore(self, spec: JobSpec, progress: bytes | None, now_ms: int) -> Job:
@@ -153,7 +144,7 @@
         job.is_excess = False
         if progress is not None:
             self.recorded_runs += restore_progress(job, progress)
-            self._update_memory(job)
+            self.update_memory(job)
         if job.is_final:
             self._close(job)
         for step in job.steps.values():
@@ -189,31 +180,18 @@
         if job is not None:
             self.live_jobs.pop(job_id, None)
             self.changed_jobs.discard(job)
-            if self._ended_jobs.pop(job_id, None) is not None:
-                self._ended_bytes -= self.memory.size_of(job_id)
+            self.ended_jobs.discard(job)
             self.memory.update(job.spec, 0)
 
     def release_job(self, job_id: JobId, now_ms: int) -> None:
         """Drop the tasks of a job whose final state is durable and that has no runs."""
         job = self.jobs.get(job_id)
-        if job is None or job.has_runs or job_id in self._ended_jobs:
-            return
-        job.steps.clear()
-        self._ended_jobs[job_id] = now_ms
-        size_bytes = description_bytes(job.spec)
-        self._ended_bytes += size_bytes
-        self.memory.update(job.spec, size_bytes)
+        if job is not None and not job.has_runs and job_id not in self.ended_jobs:
+            self.ended_jobs.add(job, now_ms)
 
     def forget_ended_jobs(self, now_ms: int) -> None:
-        """Remove the jobs that ended first, as far as ended ones hold too much memory.
-
-        Their states are in the store. Those that ended a short time ago stay: they may still be
-        reported as new.
-        """
-        while self._ended_bytes > self.memory.max_ended_bytes:
-            job_id, ended_ms = next(iter(self._ended_jobs.items()))
-            if now_ms - ended_ms < MIN_KNOWN_ENDED_MS:
-                return
+        """Remove the jobs that ended first, as far as ended ones hold too much memory."""
+        for job_id in self.ended_jobs.excess(now_ms):
             self.remove_job(job_id)
 
     def queue_of(self, job: Job) -> Queue | None:
@@ -233,46 +211,19 @@
         else:
             self.open_steps.discard(step)
 
-    def _update_memory(self, job: Job) -> None:
-        """Record the memory of a job by its open occurrences."""
-        size_bytes = occurrence_bytes(job.spec)
+    def update_memory(self, job: Job) -> None:
+        """Record the memory of a job that has not ended by its open occurrences."""
+        if job.id not in self.jobs or job.id in self.ended_jobs:
+            return
         further = max(0, len(job.steps) // len(job.spec.steps) - 1)
-        self.memory.update(job.spec, job_bytes(job.spec) + further * size_bytes)
-
-    def _has_memory_for_occurrence(self, job: Job) -> bool:
-        """Return whether another occurrence of a job may be opened; one always may."""
-        is_first = not job.steps
-        return is_first or self.memory.fits(job.spec.team, occurrence_bytes(job.spec))
+        size_bytes = job_bytes(job.spec) + further * occurrence_bytes(job.spec)
+        self.memory.update(job.spec, size_bytes)
 
-    def _open_occurrence(self, job: Job, occurrence: Occurrence) -> None:
+    def open_occurrence(self, job: Job, occurrence: Occurrence) -> None:
+        """Create the steps of an occurrence, unless it has them."""
         for step in job.occurrence_steps(occurrence):
             self.update_open_step(step)
 
-    def open_due_occurrences(self, now_wall_ms: int) -> bool:
-        """Create the steps of the occurrences that are due; return whether some are left.
-
-        A job may be handed in, or taken over, with thousands that are due.
-        """
-        new_tasks = 0
-        for job in self.live_jobs.values():
-            spec = job.spec
-            # After a takeover a later one may exist, by the record or a list, and this one not.
-            while job.next_occurrence < spec.occurrences:
-                if now_wall_ms < spec.first_due_ms + job.next_occurrence * spec.interval_ms:
-                    break
-                if job.next_occurrence in job.done_occurrences:
-                    job.next_occurrence = job.done_occurrences.next_absent(job.next_occurrence)
-                    continue
-                if self.open_steps.has_enough(job) or not self._has_memory_for_occurrence(job):
-                    break
-                if new_tasks >= MAX_NEW_TASKS_PER_PASS:
-                    return True
-                self._open_occurrence(job, Occurrence(job.next_occurrence))
-                self._update_memory(job)
-                job.next_occurrence += 1
-                new_tasks += sum(step.count for step in spec.steps)
-        return False
-
     # Workers
 
     def update_worker(self, info: WorkerInfo, now_ms: int) -> Worker:
@@ -481,9 +432,9 @@
             self.open_steps.discard(done)
             self.permits.remove(done.name)
         if not closed:
-            self._open_occurrence(step.job, step.occurrence)
+            self.open_occurrence(step.job, step.occurrence)
         elif step.job.spec.occurrences:
-            self._update_memory(step.job)
+            self.update_memory(step.job)
 
     def stop_gang_attempt(self, step: StepRun, attempt: int) -> None:
         """Stop the remaining runs of a gang's attempt; their workers may not know of its end."""
--- a/packages/core/lagoonshelf_core/jobs/job_memory.py
+++ b/packages/core/lagoonshelf_core/jobs/job_memory.py
@@ -97,10 +97,6 @@
         if not self._by_team[team]:
             del self._by_team[team]
 
-    def size_of(self, job: JobId) -> int:
-        """Return the recorded memory of a job."""
-        return self._jobs.get(job, ("", 0))[1]
-
     def report(self, deferred: dict[TeamId, int]) -> MemoryReport:
         """Return what other members are told.
 
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -17,6 +17,7 @@
 from lagoonshelf_core.jobs.gang_placement import hold_workers, place_gang
 from lagoonshelf_core.jobs.isolation import place_suspects
 from lagoonshelf_core.jobs.late_order import order_late_by_work
+from lagoonshelf_core.jobs.occurrences import open_due_occurrences
 from lagoonshelf_core.jobs.past_use import order_by_past_use
 from lagoonshelf_core.jobs.progress import GangHold, StepRun, Task
 from lagoonshelf_core.jobs.ranking import Band, Rank, prefers_fast, rank
@@ -39,7 +40,7 @@
 
     :param advice_budget: time of the placement policy that advice requests may use
     """
-    has_more = cell.open_due_occurrences(now_wall_ms)
+    has_more = open_due_occurrences(cell, now_wall_ms)
     if not cell.open_steps or cell.has_too_many_runs():
         return has_more
     state = SchedulingPass(now_ms, {}, advice_budget=advice_budget)
--- a/tests/core/jobs/test_job_memory.py
+++ b/tests/core/jobs/test_job_memory.py
@@ -4,7 +4,8 @@
 from dataclasses import replace
 
 from lagoonshelf_core.ids import TeamId
-from lagoonshelf_core.jobs.cell import MIN_KNOWN_ENDED_MS, Cell
+from lagoonshelf_core.jobs.cell import Cell
+from lagoonshelf_core.jobs.ended_jobs import MIN_KNOWN_MS
 from lagoonshelf_core.jobs.job_memory import (
     MB,
     RUN_BYTES,
@@ -173,6 +174,16 @@
         self.assertIs(job.state, JobState.COMPLETE)
         self.assertEqual(len(set(names)), 20)
 
+    def test_a_late_end_of_a_removed_job_holds_nothing(self) -> None:
+        """Guards against memory that is never free again."""
+        cell = make_cell(1)
+        job = cell.accept(make_job(occurrences=2, first_due_ms=0, interval_ms=1), 0)
+        run, _ = plan_starts(cell, 10_000)
+        cell.cancel(job.id, 0)
+        cell.remove_job(job.id)
+        end_run(cell, run)
+        self.assertEqual(cell.memory.held_bytes, 0)
+
     def test_an_ended_job_holds_its_description_only(self) -> None:
         """Guards against tasks that are kept until the record of the job is deleted."""
         cell = make_cell(1)
@@ -205,18 +216,18 @@
         cell.memory.max_ended_bytes = 0
         job = self._end_job(cell)
         cell.release_job(job.id, 0)
-        cell.forget_ended_jobs(MIN_KNOWN_ENDED_MS - 1)
+        cell.forget_ended_jobs(MIN_KNOWN_MS - 1)
         self.assertIn(job.id, cell.jobs)
-        cell.forget_ended_jobs(MIN_KNOWN_ENDED_MS)
+        cell.forget_ended_jobs(MIN_KNOWN_MS)
         self.assertNotIn(job.id, cell.jobs)
-        self.assertEqual((cell.memory.held_bytes, cell._ended_bytes), (0, 0))
+        self.assertEqual((cell.memory.held_bytes, cell.ended_jobs.held_bytes), (0, 0))
 
     def test_ended_jobs_stay_while_there_is_memory(self) -> None:
         """Guards against states that have to be read from the store."""
         cell = make_cell(1)
         job = self._end_job(cell)
         cell.release_job(job.id, 0)
-        cell.forget_ended_jobs(10 * MIN_KNOWN_ENDED_MS)
+        cell.forget_ended_jobs(10 * MIN_KNOWN_MS)
         self.assertIn(job.id, cell.jobs)
 
     def test_runs_of_tasks_without_size_are_bounded(self) -> None:
