Let no job pass deferred ones of its team

Cause: a job that fitted was loaded at once although others of its team waited in the store, so that small jobs could keep a large one waiting for as long as they came. Found by reading; callers would have seen an accepted job that never starts. Change: a new job of a team with deferred jobs is deferred behind them. `where` tells that a job would be refused for memory. Result: the new test fails without the change (one deferred job instead of two).

--- a/packages/server/lagoonshelf_server/jobs/deferred_jobs.py
+++ b/packages/server/lagoonshelf_server/jobs/deferred_jobs.py
@@ -65,6 +65,13 @@
         """Return the number of deferred jobs."""
         return len(self._teams)
 
+    def may_load(self, spec: JobSpec) -> bool:
+        """Return whether a job may be loaded at once.
+
+        Behind a deferred job of its team it may not: small jobs could keep a large one waiting.
+        """
+        return spec.team not in self._jobs and self._memory.fits(spec.team, job_bytes(spec))
+
     def add(self, job: DeferredJob) -> None:
         """Defer a stored job that has not started."""
         self._teams[job.id] = job.team
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -9,7 +9,7 @@
 from lagoonshelf_core.jobs.cell import Cell
 from lagoonshelf_core.jobs.commands import Command, PaceRun, RequestAdvice, StartRun, StopRun
 from lagoonshelf_core.jobs.early_cancellations import EarlyCancellations
-from lagoonshelf_core.jobs.job_memory import DEFAULT_MEMORY_MB, MemoryReport, job_bytes
+from lagoonshelf_core.jobs.job_memory import DEFAULT_MEMORY_MB, MemoryReport
 from lagoonshelf_core.jobs.load_forecast import LoadForecaster
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.jobs.planning import TASKS_PLACED, plan, summary
@@ -207,18 +207,16 @@
 
         :param created: revision at which its record was stored
         """
-        if spec.id not in self.cell.jobs and created <= self._job_watcher.revision:
-            # All jobs up to this revision have been known here, and only ended ones are removed.
-            if spec.id not in self._deferred:
-                _log.info("ended job reported again", request=spec.id, created=created)
-            return None
         if spec.id in self._deferred:
             return None
-        if spec.id not in self.cell.jobs and not self.cell.memory.fits(spec.team, job_bytes(spec)):
-            self._deferred.add(DeferredJob.of(spec))
-            _log.info("job deferred", request=spec.id, **self._memory_fields())
-            self._cancel_if_announced(spec.id)
-            return None
+        if spec.id not in self.cell.jobs:
+            if created <= self._job_watcher.revision:
+                # All up to this revision have been known here, and only ended ones are removed.
+                _log.info("ended job reported again", request=spec.id, created=created)
+                return None
+            if not self._deferred.may_load(spec):
+                self._defer(spec)
+                return None
         job = self.cell.accept(spec, self._clock.now_ms())
         self._cancel_if_announced(spec.id)
         self.request_pass()
@@ -259,6 +257,11 @@
         memory = self.cell.memory
         return {"held_bytes": memory.held_bytes, "max_bytes": memory.max_bytes}
 
+    def _defer(self, spec: JobSpec) -> None:
+        self._deferred.add(DeferredJob.of(spec))
+        _log.info("job deferred", request=spec.id, **self._memory_fields())
+        self._cancel_if_announced(spec.id)
+
     def _load_deferred(self, spec: JobSpec) -> None:
         self._restore_job(spec, None, self._clock.now_ms())
         self._cancel_if_announced(spec.id)
--- a/packages/server/lagoonshelf_server/jobs/where.py
+++ b/packages/server/lagoonshelf_server/jobs/where.py
@@ -5,6 +5,7 @@
 
 from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_core.ids import QueueId, RackId, TeamId
+from lagoonshelf_core.jobs.memory_admission import find_memory_refusal
 from lagoonshelf_core.jobs.overload_admission import find_refusal
 from lagoonshelf_core.jobs.placement_report import report_placement
 from lagoonshelf_core.jobs.spec import MAX_STEPS, MAX_TASKS_PER_STEP, JobId, JobSpec, StepSpec
@@ -97,7 +98,11 @@
 
 
 def _find_refusal(leader: Leader, spec: JobSpec) -> str | None:
-    """Return why admission would refuse a job under overload, ``None`` if it would not."""
+    """Return why admission would refuse a job, ``None`` if it would not."""
+    memory_refusal = find_memory_refusal(spec, leader.memory_report(), {}, 0)
+    if memory_refusal is not None:
+        text = memory_refusal.message
+        return f"{text}; submit it again in about {memory_refusal.retry_after_s} s"
     cell, found = leader.cell, leader.forecasts()
     queue = cell.cfg.queues.get(spec.queue)
     if found is None or queue is None:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -33,6 +33,9 @@
     3322,  # a job ran whose cancellation had been answered "no such job"
 )
 CI_SEEDS = (2, 3)
+# With memory for some sixty small jobs at the leader; others wait in the store.
+SMALL_MEMORY_MB = 1
+SMALL_MEMORY_SEED = 5004
 
 
 def record(attempt: int, started_s: float, ended_s: float, **fields: object) -> RunRecord:
@@ -209,3 +212,9 @@
         for seed in (*REGRESSIONS, *CI_SEEDS):
             with self.subTest(seed=seed):
                 self.assertEqual(asyncio.run(SoakRun(seed).run()), [])
+
+    def test_little_memory(self) -> None:
+        """Guards against jobs that are lost or run twice as the leader had no memory for them."""
+        soak_run = SoakRun(SMALL_MEMORY_SEED, memory_mb=SMALL_MEMORY_MB)
+        self.assertEqual(asyncio.run(soak_run.run()), [])
+        self.assertGreater(soak_run.deferred, 0)
--- a/tests/server/jobs/test_deferred_jobs.py
+++ b/tests/server/jobs/test_deferred_jobs.py
@@ -96,6 +96,19 @@
                 leader.accept(spec, StoreRevision(revision))
         self.assertEqual(len(leader._deferred), count)
 
+    async def test_a_small_job_does_not_pass_a_deferred_one_of_its_team(self) -> None:
+        """Guards against small jobs that keep a large one waiting for ever."""
+        leader = await self._term("m1")
+        self._hold_workers(leader)
+        large = make_job(make_step(30))
+        await self._submit(leader, make_job(STEP), large, make_job(STEP))
+        self.assertIn(large.id, leader._deferred)
+        self.assertEqual(len(leader._deferred), 2)
+        leader.cell.release_job = lambda job, now_ms: leader.cell.remove_job(job)
+        for job in list(leader.cell.live_jobs):
+            leader.cancel(job)
+        await eventually(lambda: large.id in leader.cell.jobs)
+
     async def test_a_cancelled_job_ends_without_waiting_for_memory(self) -> None:
         """Guards against a cancellation that is forgotten while its job waits."""
         leader = await self._term("m1")
--- a/tests/server/jobs/test_where.py
+++ b/tests/server/jobs/test_where.py
@@ -46,3 +46,7 @@
         with patch.object(where, "find_refusal", return_value=refusal):
             report = orjson.loads(await node.where(orjson.dumps(JOB)))
         self.assertIn("900 ms", report["refused"])
+        memory = node._leader.cell.memory
+        memory.held_bytes = memory.max_bytes
+        report = orjson.loads(await node.where(orjson.dumps(JOB)))
+        self.assertIn("no memory", report["refused"])
