List the memory of teams only where one may reach its bound

Cause: heartbeat replies listed all teams from a quarter of the bound on, which ordinary load reaches with its ended jobs; no team can reach its own bound below three quarters of the total. Each reply costs the leader processor time. Change: teams are listed from half on. Result: members refuse a team at its bound as before, by a new test that passes before and after.

--- a/packages/core/lagoonshelf_core/jobs/job_memory.py
+++ b/packages/core/lagoonshelf_core/jobs/job_memory.py
@@ -31,8 +31,9 @@
 TEXT_FACTOR = 2
 # Ended jobs are forgotten from this share of the bound on, those that ended first before others.
 ENDED_SHARE = 1 / 4
-# Below this share of the bound no team can have reached its own, so that teams are not listed.
-LISTED_SHARE = 1 / 4
+# A team reaches its own bound at three quarters of the total at the earliest. Teams are listed
+# early enough for a job of a quarter.
+LISTED_SHARE = 1 / 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/core/jobs/test_job_memory.py
+++ b/tests/core/jobs/test_job_memory.py
@@ -79,6 +79,18 @@
             self.assertTrue(self.memory.fits(TEAM, job_bytes(spec)))
             self.memory.update(spec, job_bytes(spec))
 
+    def test_a_report_lists_teams_before_one_can_reach_its_bound(self) -> None:
+        """Guards against a team that a member admits beyond its bound, as it is not listed."""
+        spec = make_job(WIDE_STEP)
+        while self.memory.fits(TEAM, job_bytes(spec)):
+            self.assertIsNone(find_memory_refusal(make_job(WIDE_STEP), self._report(), {}, 0))
+            self.memory.update(spec, job_bytes(spec))
+            spec = make_job(WIDE_STEP)
+        self.assertIsNotNone(find_memory_refusal(spec, self._report(), {}, 0))
+
+    def _report(self) -> MemoryReport:
+        return self.memory.report({})
+
     def test_what_ends_is_free_again(self) -> None:
         """Guards against sums that drift."""
         specs = [replace(make_job(), team=team) for team in (TEAM, OTHER, TEAM)]
