Record refused jobs in one place

Cause: a reading of the whole change found the counter and the log line of a refusal for memory written twice, the union of the refusals spelled out beside its name, and three copies of a test's override. Change: one function counts and logs each refusal; AnyRefusal is used where a refusal may be either; queues of deferred jobs have their type. Behaviour is unchanged.

--- a/packages/server/lagoonshelf_server/jobs/deferred_jobs.py
+++ b/packages/server/lagoonshelf_server/jobs/deferred_jobs.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lagoonshelf_core.ids import TeamId
+from lagoonshelf_core.ids import QueueId, TeamId
 from lagoonshelf_core.jobs.job_memory import JobMemory, job_bytes
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_server.jobs import job_metrics
@@ -26,7 +26,7 @@
 
     id: JobId
     team: TeamId
-    queue: str
+    queue: QueueId
     size_bytes: int
 
     @classmethod
@@ -53,7 +53,7 @@
         self._jobs: dict[TeamId, dict[JobId, DeferredJob]] = {}
         self._teams: dict[JobId, TeamId] = {}
         self.bytes_by_team: Counter[TeamId] = Counter()
-        self.count_by_queue: Counter[str] = Counter()
+        self.count_by_queue: Counter[QueueId] = Counter()
         # Cancelled jobs are loaded at once: they hold memory only until their end is durable.
         self._cancelled: dict[JobId, None] = {}
 
--- a/packages/server/lagoonshelf_server/jobs/overload_gate.py
+++ b/packages/server/lagoonshelf_server/jobs/overload_gate.py
@@ -16,7 +16,7 @@
 from lagoonshelf_core.jobs.ranking import Band
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_server.jobs import job_metrics
-from lagoonshelf_server.jobs.job_api import WriteOutcome
+from lagoonshelf_server.jobs.job_api import AnyRefusal, WriteOutcome
 from lagoonshelf_server.jobs.keys import ended_key, job_key
 from lagoonshelf_server.jobs.ports import Store, StoreUnavailableError, StoreUncertainError
 from lagoonshelf_server.logs import logger
@@ -86,7 +86,7 @@
             self._memory, self._memory_ms = report, sent_ms
             self._forget_accepted(sent_ms - REPORT_LAG_MS)
 
-    async def find_refusal(self, spec: JobSpec) -> Refusal | MemoryRefusal | WriteOutcome | None:
+    async def find_refusal(self, spec: JobSpec) -> AnyRefusal | WriteOutcome | None:
         """Return why a job is refused, ``None`` if it is accepted or its id is in use.
 
         ``UNCERTAIN`` is returned where it can neither be refused truthfully, as the store does
@@ -106,29 +106,21 @@
             return self._decide_in_doubt(spec, refusal)
         if may_be_in_use:
             return None
-        if isinstance(refusal, MemoryRefusal):
-            job_metrics.memory_refusals.inc({"is_team": str(refusal.is_team)})
-            _log_memory_refusal(spec, refusal)
-        else:
-            job_metrics.refusals.inc({"queue": spec.queue})
-            _log_refusal(spec, refusal)
+        _record_refusal(spec, refusal)
         return refusal
 
-    def _decide_in_doubt(
-        self, spec: JobSpec, refusal: Refusal | MemoryRefusal
-    ) -> WriteOutcome | None:
+    def _decide_in_doubt(self, spec: JobSpec, refusal: AnyRefusal) -> WriteOutcome | None:
         """Return how to answer while an earlier write of a job may take effect."""
         if not isinstance(refusal, MemoryRefusal) or not refusal.is_backlog_full:
             return None
-        job_metrics.memory_refusals.inc({"is_team": str(refusal.is_team)})
-        _log_memory_refusal(spec, refusal)
+        _record_refusal(spec, refusal)
         return WriteOutcome.UNCERTAIN
 
     def _forget_accepted(self, before_ms: int) -> None:
         while self._accepted and self._accepted[0][0] < before_ms:
             self._accepted.popleft()
 
-    def _decide(self, spec: JobSpec) -> Refusal | MemoryRefusal | None:
+    def _decide(self, spec: JobSpec) -> AnyRefusal | None:
         return self._decide_by_memory(spec) or self._decide_by_load(spec)
 
     def _decide_by_memory(self, spec: JobSpec) -> MemoryRefusal | None:
@@ -176,6 +168,16 @@
             return True
 
 
+def _record_refusal(spec: JobSpec, refusal: AnyRefusal) -> None:
+    """Count and log a job that is not accepted."""
+    if isinstance(refusal, MemoryRefusal):
+        job_metrics.memory_refusals.inc({"is_team": str(refusal.is_team)})
+        _log_memory_refusal(spec, refusal)
+    else:
+        job_metrics.refusals.inc({"queue": spec.queue})
+        _log_refusal(spec, refusal)
+
+
 def _log_memory_refusal(spec: JobSpec, refusal: MemoryRefusal) -> None:
     _log.info(
         "job refused for memory",
--- a/tests/server/jobs/test_deferred_jobs.py
+++ b/tests/server/jobs/test_deferred_jobs.py
@@ -36,6 +36,10 @@
         """Let nothing start."""
         leader.cell.may_use_registry = lambda now_ms: False
 
+    def _forget_ended_jobs_at_once(self, leader: Leader) -> None:
+        """Free the memory of ended jobs without the time for which they stay known."""
+        leader.cell.release_job = lambda job, now_ms: leader.cell.remove_job(job)
+
     async def _submit(self, leader: Leader, *specs: JobSpec) -> None:
         for spec in specs:
             self._store(spec)
@@ -66,8 +70,7 @@
         await self._submit(leader, *specs)
         self.assertGreater(len(leader._deferred), JOBS // 2)
         self.assertLessEqual(leader.cell.memory.held_bytes, self.max_bytes)
-        # The time for which ended jobs stay known is not waited for here.
-        leader.cell.release_job = lambda job, now_ms: leader.cell.remove_job(job)
+        self._forget_ended_jobs_at_once(leader)
         await self._complete(specs)
         self.assertEqual([self._starts_of(spec) for spec in specs], [STEP.count] * JOBS)
 
@@ -104,7 +107,7 @@
         await self._submit(leader, make_job(STEP), large, make_job(STEP))
         self.assertIn(large.id, leader._deferred)
         self.assertEqual(len(leader._deferred), 2)
-        leader.cell.release_job = lambda job, now_ms: leader.cell.remove_job(job)
+        self._forget_ended_jobs_at_once(leader)
         for job in list(leader.cell.live_jobs):
             leader.cancel(job)
         await eventually(lambda: large.id in leader.cell.jobs)
@@ -137,7 +140,7 @@
         successor = await self._term("m2")
         self.assertTrue(all(spec.id in successor.cell.jobs for spec in started))
         self.assertGreater(len(successor._deferred), JOBS // 2)
-        successor.cell.release_job = lambda job, now_ms: successor.cell.remove_job(job)
+        self._forget_ended_jobs_at_once(successor)
         await self._complete([*started, *waiting])
         for spec in (*started, *waiting):
             self.assertEqual(self._starts_of(spec), STEP.count)
