--- /dev/null
+++ b/review/lib3/__init__.py
@@ -0,0 +1,1 @@
+"""Small deployment on loopback for the scripts of the third review."""
