--- a/review/lib3/cell.py
+++ b/review/lib3/cell.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import tomllib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
@@ -72,6 +73,8 @@
 CLIENT_DEADLINE_S = 3.0
 # A process that was killed is started again after this time, as ``node_kill`` on the sites.
 RESTART_S = 3.0
+# Events of the runs of one job that are recorded.
+MAX_NOTED_RUNS = 300
 # From <linux/prctl.h>.
 PR_SET_PDEATHSIG = 1
 EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN = 1, 0, 2
@@ -141,21 +144,22 @@
         self._store.put(f"servers/{self.name}", entry)
 
     def _start_run(self, body: dict) -> Response:
-        before = set(self._running)
+        key = (body["task"], body["attempt"])
+        was_running = key in self._running
         # The spec has the run time of each step in ms, separated by "/", and the CPU of a task.
         times, cpu = body["spec"].split()
         step = int(body["task"].split(".")[2])
         response = super()._start_run({**body, "spec": f"{times.split('/')[step]} {cpu}"})
-        for task, attempt in set(self._running) - before:
-            self._cell.record.add(f"run     {self.name} starts {task} attempt {attempt}")
+        if key in self._running and not was_running:
+            self._cell.note_run(key[0], f"{self.name} starts {key[0]} attempt {key[1]}")
         return response
 
     def _end_run(self, record: object, end: str) -> None:
         is_running = (record.task, record.attempt) in self._running
         super()._end_run(record, end)
         if is_running:
-            text = f"run     {self.name} ends {record.task} attempt {record.attempt}: {end}"
-            self._cell.record.add(text)
+            text = f"{self.name} ends {record.task} attempt {record.attempt}: {end}"
+            self._cell.note_run(record.task, text)
             self._cell.on_end(self, record)
 
     def end(self, task: str, end: str) -> None:
@@ -175,7 +179,7 @@
             if number <= cursor and (record.task, record.attempt) not in self.acknowledged:
                 self.acknowledged.add((record.task, record.attempt))
                 text = f"{record.task} attempt {record.attempt}: {record.end}"
-                self._cell.record.add(f"run     {self.name}: end acknowledged of {text}")
+                self._cell.note_run(record.task, f"{self.name}: end acknowledged of {text}")
         response = await super()._renew_and_list(request)
         for row in response.fields["running"]:
             # A task that lasts is at work after a short startup; any other one progresses.
@@ -295,6 +299,16 @@
         self._tasks: list[asyncio.Task] = []
         # Names of the executors that were cut off at some time.
         self.cut_off: set[str] = set()
+        self._noted_runs: Counter[str] = Counter()
+
+    def note_run(self, task: str, text: str) -> None:
+        """Record an event of a run, as long as there are few of its job."""
+        job = task.partition(".")[0]
+        self._noted_runs[job] += 1
+        if self._noted_runs[job] <= MAX_NOTED_RUNS:
+            self.record.add(f"run     {text}")
+        if self._noted_runs[job] == MAX_NOTED_RUNS:
+            self.record.add(f"run     what follows of {job} is left out here")
 
     def spawn(self, coro: Awaitable) -> asyncio.Task:
         """Run a coroutine until the end of the script."""
