--- a/review/lib3/cell.py
+++ b/review/lib3/cell.py
@@ -69,6 +69,7 @@
 }
 HEARTBEAT_MS = 1_500
 MAX_BODY_BYTES = 262_144
+MEMORY_MB = 300
 READY_TIMEOUT_S = 20.0
 CLIENT_DEADLINE_S = 3.0
 # A process that was killed is started again after this time, as ``node_kill`` on the sites.
@@ -224,7 +225,7 @@
             "limits": {
                 "cpu_share": 0.537,
                 "cores": 2,
-                "memory_mb": 300,
+                "memory_mb": MEMORY_MB,
                 "max_fds": 4100,
                 "link_mbps": 1000.0,
                 "disk_mb": 0,
@@ -262,6 +263,14 @@
         """Return whether the program has ended by itself."""
         return self._popen is not None and self._popen.returncode is not None
 
+    def peak_memory_mb(self) -> float | None:
+        """Return the largest resident memory of the program so far, None if it has ended."""
+        if self._popen is None or self._popen.returncode is not None:
+            return None
+        status = Path(f"/proc/{self._popen.pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+        return int(line.split()[1]) / 1024
+
     async def kill(self) -> None:
         """Kill the program and wait for its end."""
         if self._popen is not None:
