--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,105 +1,124 @@
-"""Eighty requests inside the limits, at one time, take more memory than the machine has."""
+"""A task runs again after its end was acknowledged: two leaders give it the same attempt."""
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 
-from review.lib3.cell import (
-    HOST,
-    MAX_BODY_BYTES,
-    MEMORY_MB,
-    RESTART_S,
-    Cell,
-    Entry,
-    Record,
-    is_troubled,
-    manifest,
-    run_case,
-)
-
-SHOP, GUEST = "key-shop", "key-guest"
-CONNECTIONS = 80
-# A field of a job that PROTOCOL.md does not name, with empty objects.
-FIELD, ITEM = "note", b"{},"
-# Fault: processes end by themselves three times in the day, on two machines at least.
-ROUNDS, MACHINES = 3, 2
-ROUND_S = 6.0
-READY_S = 15.0
-
-
-def body(*, is_padded: bool) -> bytes:
-    """Return a job of one short task, filled up to the largest body that is allowed."""
-    head = b'{"spec":"20 1","phases":[{"count":1,"cpu":1,"estimate_ms":20}]'
-    if not is_padded:
-        return head + b"}"
-    start, end = f',"{FIELD}":['.encode(), b"]}"
-    count = (MAX_BODY_BYTES - len(head) - len(start) - len(end)) // len(ITEM)
-    return head + start + (ITEM * count)[:-1] + end
-
-
-async def post(entry: Entry, number: int, data: bytes) -> str:
-    """Send one request on a connection of its own; return its answer."""
-    host, _, port = entry.address.rpartition(":")
-    head = (
-        f"POST /guest/{number:016x} HTTP/1.1\r\nHost: {HOST}\r\n"
-        f"Authorization: Token {GUEST}\r\nContent-Type: application/json\r\n"
-        f"Lagoonshelf-Deadline-Ms: 3000\r\nContent-Length: {len(data)}\r\n\r\n"
-    )
-    try:
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(head.encode() + data)
-        async with asyncio.timeout(ROUND_S):
-            answer = await reader.readline()
-        writer.close()
-    except (OSError, TimeoutError) as exc:
-        return type(exc).__name__
-    return answer.decode().strip() or "connection closed"
-
-
-async def flood(cell: Cell, entry: Entry, data: bytes, ends: dict[str, int]) -> None:
-    """Send the guest's requests to a process a few times, and do to it what the platform does."""
-    for turn in range(ROUNDS):
-        await wait_ready(entry)
-        text = f"{CONNECTIONS} times POST of {len(data)} bytes at one time"
-        cell.record.add(f"sent    guest to {entry.name}: {text}")
-        first = 1 + 1_000 * (turn * len(cell.entries) + cell.entries.index(entry))
-        posts = [cell.spawn(post(entry, first + k, data)) for k in range(CONNECTIONS)]
-        await asyncio.wait(posts, timeout=ROUND_S)
-        answers = [one.result() if one.done() else "no answer" for one in posts]
-        for answer in sorted(set(answers)):
-            text = f"{answers.count(answer)} times {answer}"
-            cell.record.add(f"answer  guest from {entry.name}: {text}")
-        peak_mb = entry.peak_memory_mb()
-        if peak_mb is not None:
-            text = f"took {peak_mb:.0f} MB at its peak, of {MEMORY_MB}"
-            cell.record.add(f"memory  {entry.name} {text}")
-        if peak_mb is None or peak_mb > MEMORY_MB:
-            ends[entry.name] += 1
-            cell.record.add(f"memory  {entry.name} is killed by the platform for its memory")
-            await entry.kill()
-            await asyncio.sleep(RESTART_S)
-            await entry.start()
-
-
-async def wait_ready(entry: Entry) -> None:
-    """Wait until a process is ready."""
-    async with asyncio.timeout(READY_S):
-        while not await entry.is_ready():
-            await asyncio.sleep(0.1)
+from review.lib3.cell import Cell, Record, is_troubled, manifest, run_case
+
+KEY = "key-shop"
+JOB = "5c0e7a21d94b36f8"
+FIRST, SECOND = f"{JOB}.0.0.", f"{JOB}.0.1."
+FIRST_MS, SECOND_MS = 6_000, 9_000
+# Each task of the second step fills an executor, so that they run on several.
+CAPACITY_CPU = 16_000
+KILL_AT_S = 1.5
+# The store turns all machines away from this time on, for this long.
+BUSY_AT_S, BUSY_S = 5.5, 2.0
+CUT_S = 11.0
+LIMIT_S = 75.0
+
+
+def body() -> dict:
+    """Return the job: a task, and two that follow it."""
+    first = {"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": FIRST_MS}
+    second = {"count": 2, "cpu": CAPACITY_CPU, "mem_mb": 64, "estimate_ms": SECOND_MS}
+    return {"spec": f"{FIRST_MS}/{SECOND_MS} 500", "phases": [first, {**second, "after": [0]}]}
+
+
+async def until(condition: Callable[[], object], timeout_s: float) -> bool:
+    """Wait until a condition holds; return whether it did."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_s
+    while not condition():
+        if loop.time() > deadline:
+            return False
+        await asyncio.sleep(0.02)
+    return True
+
+
+async def disturb(cell: Cell, started: float) -> None:
+    """Kill the leader, take the store away, and kill the next leader as an executor is cut off."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(started + KILL_AT_S - loop.time())
+    await cell.kill_leader()
+    await asyncio.sleep(started + BUSY_AT_S - loop.time())
+    cell.store.is_busy = True
+    cell.record.add("trouble the store answers 503")
+    if not await until(lambda: second_runs(cell), BUSY_S - 0.5):
+        cell.record.add("trouble the second step has not begun while the store was away")
+    else:
+        await asyncio.sleep(0.3)
+        first = next(run.executor for run in cell.history if run.task.startswith(FIRST))
+        name = next(run.executor for run in second_runs(cell) if run.executor != first)
+        executor = next(one for one in cell.executors if one.name == name)
+        cell.cut(executor, is_cut=True)
+        cut_at = loop.time()
+        await cell.kill_leader()
+        cell.spawn(reconnect(cell, executor, cut_at + CUT_S))
+    await asyncio.sleep(started + BUSY_AT_S + BUSY_S - loop.time())
+    cell.store.is_busy = False
+    cell.record.add("trouble the store is back")
+
+
+def second_runs(cell: Cell) -> list:
+    """Return the runs of the second step."""
+    return [run for run in cell.history if run.task.startswith(SECOND)]
+
+
+async def reconnect(cell: Cell, executor: object, at: float) -> None:
+    """Connect an executor again."""
+    await asyncio.sleep(at - asyncio.get_running_loop().time())
+    cell.cut(executor, is_cut=False)
 
 
 async def case(record: Record) -> bool:
-    """Let the guest send its requests; return whether processes stayed within their memory."""
+    """Run the job; return whether no task began again after an acknowledged end."""
     cell = Cell(record, entries=3, executors=4)
     try:
-        routes = [{"name": "holds", "prefix": "/holds/"}, {"name": "guest", "prefix": "/guest/"}]
-        await cell.start(manifest({"shop": SHOP, "guest": GUEST}, routes))
-        data, ends = body(is_padded=is_troubled()), {entry.name: 0 for entry in cell.entries}
-        await asyncio.gather(*(flood(cell, entry, data, ends) for entry in cell.entries))
-        record.add(f"FAULT   ends by themselves: {ends}" if any(ends.values()) else "no ends")
-        return sum(count >= ROUNDS for count in ends.values()) < MACHINES
+        await cell.start(manifest({"shop": KEY}, [{"name": "holds", "prefix": "/holds/"}]))
+        loop = asyncio.get_running_loop()
+        if not await cell.submit("shop", KEY, f"/holds/{JOB}", body()):
+            raise RuntimeError("the job was not accepted")
+        started = loop.time()
+        if is_troubled():
+            cell.spawn(disturb(cell, started))
+        while loop.time() - started < LIMIT_S and not runs_after_an_end(cell):
+            await asyncio.sleep(1.0)
+            status, fields = await cell.call("shop", KEY, cell.entries[0], "GET", f"/holds/{JOB}")
+            if status == 200 and fields["state"] == "complete":
+                break
+        broken = runs_after_an_end(cell)
+        for text in broken:
+            record.add(f"TWICE   {text}")
+        if not any(run.end == "done" for run in second_runs(cell)):
+            raise RuntimeError("the second step has not ended")
+        return not broken
     finally:
         await cell.stop()
 
 
+def runs_after_an_end(cell: Cell) -> list[str]:
+    """Return the runs that began after an acknowledged end "done" of their task.
+
+    Ends on an executor that was cut off are left out, as its lease may have lapsed before they
+    were acknowledged.
+    """
+    found = []
+    for ended in cell.history:
+        executor = next(one for one in cell.executors if one.name == ended.executor)
+        is_noted = (ended.task, ended.attempt) in executor.acknowledged
+        if ended.end != "done" or not is_noted or executor.name in cell.cut_off:
+            continue
+        found += [
+            f"{run.task} began as attempt {run.attempt} on {run.executor} "
+            f"{run.started_s - ended.ended_s:.3f} s after attempt {ended.attempt} "
+            f"on {ended.executor} had ended done"
+            for run in cell.history
+            if run.task == ended.task and run.started_s > ended.ended_s
+        ]
+    return found
+
+
 if __name__ == "__main__":
     run_case(Path(__file__).parent, case)
