Log the ends of unknown runs, and ends that do not count

Change: a line "unknown runs ended" for each step in a worker's list whose counted ends are of runs that the leader had not known, and a line "run end not counted" for the end of a known run whose attempt was counted before though its task is not done. Repeated lists add no line.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -391,15 +391,20 @@
         is_short = now_ms - run.started_ms < SHORT_SERVICE_RUN_MS
         if run.is_service and is_short and end in (RunEnd.DONE, RunEnd.FAILED):
             task.restart_ms = now_ms + SERVICE_RESTART_DELAY_MS
-        self.count_end(task, run.attempt, end, checkpoint)
+        is_counted = self.count_end(task, run.attempt, end, checkpoint)
+        if not is_counted and not task.is_done:
+            self.note("run end not counted", run, how=end.value)
 
-    def count_end(self, task: Task, attempt: int, end: RunEnd, checkpoint: str) -> None:
-        """Count the end of an attempt once for its task, gang and job."""
+    def count_end(self, task: Task, attempt: int, end: RunEnd, checkpoint: str) -> bool:
+        """Count the end of an attempt once for its task, gang and job.
+
+        :return: whether it was counted now; not if the task is done or the attempt was counted
+        """
         step, job = task.step, task.job
         if task.is_done or attempt in task.counted_attempts:
-            return
+            return False
         if step.spec.is_service and attempt < max(task.counted_attempts, default=0):
-            return
+            return False
         task.count_attempt(attempt)
         if checkpoint:
             task.checkpoint = checkpoint
@@ -413,6 +418,7 @@
             self.stop_gang_attempt(step, attempt)
         self.changed_jobs.add(job)
         self.update_job_state(job)
+        return True
 
     def _mark_done(self, task: Task, attempt: int) -> None:
         """Mark a task as done; one done member completes all tasks of its gang."""
--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -65,13 +65,7 @@
     :param may_be_cut: further runs may have ended, so that one that is not listed is not lost
     """
     worker.reported_ms = now_ms
-    done: dict[str, list[str]] = {}
-    for row in ended:
-        if row.end is RunEnd.DONE and (row.name, row.attempt) in worker.runs:
-            done.setdefault(row.name.rpartition(".")[0], []).append(row.name)
-        _apply_end(cell, worker, row, now_ms)
-    for step, names in done.items():
-        _note_done(cell, worker, step, names)
+    _apply_ends(cell, worker, ended, now_ms)
     listed, adopted = set(), []
     for row in running:
         listed.add((row.name, row.attempt))
@@ -124,18 +118,36 @@
             run.task.checkpoint = row.checkpoint
 
 
-def _apply_end(cell: Cell, worker: Worker, row: EndedRow, now_ms: int) -> None:
-    run = worker.runs.get((row.name, row.attempt))
-    if run is not None:
-        if row.end is not RunEnd.DONE:
-            cell.note("run ended", run, how=row.end.value, percent=run.progress_percent)
-        elif run.track is not None:
-            cell.speeds.observe_done(run, now_ms)
-        cell.end_run(run, row.end, row.checkpoint, now_ms)
-        return
+def _apply_ends(cell: Cell, worker: Worker, ended: Iterable[EndedRow], now_ms: int) -> None:
+    done: dict[str, list[str]] = {}
+    unknown: dict[str, list[EndedRow]] = {}
+    for row in ended:
+        step = row.name.rpartition(".")[0]
+        run = worker.runs.get((row.name, row.attempt))
+        if run is not None:
+            if row.end is RunEnd.DONE:
+                done.setdefault(step, []).append(row.name)
+            _apply_end(cell, row, run, now_ms)
+        elif _apply_unknown_end(cell, row):
+            unknown.setdefault(step, []).append(row)
+    for step, names in done.items():
+        _note_done(cell, worker, step, names)
+    for step, rows in unknown.items():
+        _note_unknown_ends(cell, worker, step, rows)
+
+
+def _apply_end(cell: Cell, row: EndedRow, run: Run, now_ms: int) -> None:
+    if row.end is not RunEnd.DONE:
+        cell.note("run ended", run, how=row.end.value, percent=run.progress_percent)
+    elif run.track is not None:
+        cell.speeds.observe_done(run, now_ms)
+    cell.end_run(run, row.end, row.checkpoint, now_ms)
+
+
+def _apply_unknown_end(cell: Cell, row: EndedRow) -> bool:
+    """Count the end of a run that is not known here; return whether it was counted now."""
     task = cell.find_task(row.name)
-    if task is not None:
-        cell.count_end(task, row.attempt, row.end, row.checkpoint)
+    return task is not None and cell.count_end(task, row.attempt, row.end, row.checkpoint)
 
 
 def _adopt(cell: Cell, worker: Worker, row: RunningRow, now_ms: int) -> Run:
@@ -231,3 +243,14 @@
         "tasks": [int(name.rpartition(".")[2]) for name in names],
     }
     cell.notes.append((TASKS_DONE, fields))
+
+
+def _note_unknown_ends(cell: Cell, worker: Worker, step: str, rows: list[EndedRow]) -> None:
+    """Add one log entry for the counted ends of a step's runs that were not known here."""
+    fields = {
+        "request": step.partition(".")[0],
+        "step": step,
+        "worker": worker.id,
+        "tasks": [[int(row.name.rpartition(".")[2]), row.attempt, row.end.value] for row in rows],
+    }
+    cell.notes.append(("unknown runs ended", fields))
--- a/tests/core/jobs/test_worker_reports.py
+++ b/tests/core/jobs/test_worker_reports.py
@@ -55,3 +55,23 @@
             self._report(at_ms, may_be_cut=True)
             supervise(self.cell, at_ms)
         self.assertEqual(take_stops(self.cell), [])
+
+
+class EndNotesTest(unittest.TestCase):
+    """Log entries that tell which report ended an attempt."""
+
+    def test_an_end_hidden_by_that_of_an_unknown_run_is_logged(self) -> None:
+        """Guards against a task that starts again without a line that says why."""
+        cell = make_cell(2)
+        accept_job(cell, make_job())
+        (run,) = plan_starts(cell)
+        confirm_starts(cell, [run])
+        other = next(worker for worker in cell.workers.values() if worker.id != run.worker)
+        lapsed = EndedRow(1, run.name, run.attempt, RunEnd.LAPSED, "")
+        for _ in range(2):
+            apply_report(cell, other, [], [lapsed], 10, 20)
+        done = EndedRow(1, run.name, run.attempt, RunEnd.DONE, "")
+        apply_report(cell, cell.workers[run.worker], [], [done], 10, 20)
+        notes = [(message, fields.get("worker")) for message, fields in cell.notes]
+        self.assertEqual(notes.count(("unknown runs ended", other.id)), 1)
+        self.assertIn(("run end not counted", run.worker), notes)
