Number the starts of inherited jobs above the leader's fencing token

Cause: a leader numbered starts of inherited jobs from the record plus 17. Two leaders that found the same record, as nothing could be written in between, gave the same numbers to different starts. A task and an attempt name one run everywhere else, so that the end of either run was counted as that of both.

Change: the number starts above the fencing token times 1,000. The token is the revision of the claim, the one write that each leader has made before it starts anything; a later leader has a higher one, and neither the recorded starts of a term, which take a revision each, nor the unrecorded ones of an outage reach the next one's numbers. A worker that refuses a number as too low gets one above the floor at once instead of 16 higher each time. Own jobs are numbered from 1 as before.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -22,7 +22,6 @@
 from lagoonshelf_core.jobs.past_use import past_use_of
 from lagoonshelf_core.jobs.permits import Permits
 from lagoonshelf_core.jobs.progress import (
-    ATTEMPTS_SKIPPED,
     Job,
     JobState,
     Run,
@@ -98,6 +97,8 @@
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
         self.recorded_runs: list[RecordedRun] = []
+        # Above the attempts of all earlier leaders.
+        self.attempt_floor = 0
         # Whether starts are recorded before they are sent; not in an outage of the store.
         self.is_recording = True
         # Whether the store answers no member, so that nothing in it changes.
@@ -123,7 +124,7 @@
         if spec.id in self.jobs:
             return self.jobs[spec.id]
         job = Job(spec, now_ms, is_inherited=is_inherited)
-        job.attempt_floor = ATTEMPTS_SKIPPED if is_inherited else 0
+        job.attempt_floor = self.attempt_floor if is_inherited else 0
         team = self.cfg.teams.get(spec.team)
         job.is_excess = team is not None and not self.rates.admit(team, now_ms)
         self.jobs[spec.id] = job
--- a/packages/core/lagoonshelf_core/jobs/job_records.py
+++ b/packages/core/lagoonshelf_core/jobs/job_records.py
@@ -133,7 +133,6 @@
         task = step.tasks[task_index]
         for attempt in counted_attempts:
             task.count_attempt(attempt)
-        task.attempt = max(counted_attempts, default=0) + step.job.attempt_floor
         task.checkpoint = checkpoint
         task.failures = failures
         if not spec.is_gang and not spec.is_service:
--- a/packages/core/lagoonshelf_core/jobs/progress.py
+++ b/packages/core/lagoonshelf_core/jobs/progress.py
@@ -13,8 +13,9 @@
 if TYPE_CHECKING:
     from lagoonshelf_core.jobs.worker_speeds import RunTrack
 
-# Attempt numbers that a new leader skips, so that it never reuses the number of a start by its
-# predecessor that it has not seen.
+# Attempt numbers of a task for each revision of the store, see ``attempt_floor``.
+ATTEMPTS_PER_REVISION = 1_000
+# Attempt numbers that are skipped when a worker knows of a later start than this leader.
 ATTEMPTS_SKIPPED = 16
 # A run counts as settled once its worker has been heard this long after its start: starting it
 # did not crash the worker.
@@ -25,6 +26,19 @@
 UNKNOWN_PACE_PERCENT = 80
 
 
+def attempt_floor(token: int) -> int:
+    """Return the number above which a leader numbers its starts of inherited jobs.
+
+    No two leaders give a task the same number, though a leader may not have recorded its starts:
+    the token is a revision of the store, each leader has a higher one, and the record of a start
+    takes a revision. Without records a leader starts a task a few hundred times at most before
+    its term ends with the outage.
+
+    :param token: fencing token of the leader's term
+    """
+    return token * ATTEMPTS_PER_REVISION
+
+
 class JobState(Enum):
     """State of a job as shown to clients."""
 
--- a/packages/server/lagoonshelf_server/jobs/dispatcher.py
+++ b/packages/server/lagoonshelf_server/jobs/dispatcher.py
@@ -287,7 +287,7 @@
         if task is None:
             return
         if outcome is StartOutcome.ATTEMPT_TOO_LOW:
-            task.attempt += ATTEMPTS_SKIPPED
+            task.attempt = max(task.attempt, self._cell.attempt_floor) + ATTEMPTS_SKIPPED
         elif outcome is StartOutcome.PERMIT_REFUSED:
             self._cell.permits.permit_rejected(task.step.name, run.worker)
         elif outcome is StartOutcome.OTHER_INCARNATION and worker is not None:
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -13,7 +13,7 @@
 from lagoonshelf_core.jobs.load_forecast import LoadForecaster
 from lagoonshelf_core.jobs.options import DEFAULT_OPTIONS, SchedulerOptions
 from lagoonshelf_core.jobs.planning import TASKS_PLACED, plan, summary
-from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd
+from lagoonshelf_core.jobs.progress import FINAL_STATES, Job, JobState, Run, RunEnd, attempt_floor
 from lagoonshelf_core.jobs.spec import JobId, JobSpec
 from lagoonshelf_core.jobs.supervision import supervise
 from lagoonshelf_server.jobs import job_metrics
@@ -151,6 +151,7 @@
     async def _lead(self) -> None:
         started_ms = self._clock.now_ms()
         self.cell.memory.set_host_memory(self.host_memory_mb())
+        self.cell.attempt_floor = attempt_floor(self._leader_lease.token)
         state = await read_cell_state(
             self._store, self._codec.registry_prefix, self._clock, self.cell.memory
         )
--- a/tests/core/jobs/test_cell.py
+++ b/tests/core/jobs/test_cell.py
@@ -3,7 +3,7 @@
 import unittest
 
 from lagoonshelf_core.jobs.job_records import encode_progress
-from lagoonshelf_core.jobs.progress import JobState, RunEnd
+from lagoonshelf_core.jobs.progress import JobState, RunEnd, attempt_floor
 from lagoonshelf_core.jobs.worker_reports import (
     RunningRow,
     apply_report,
@@ -264,10 +264,11 @@
         end_run(predecessor, runs[0])
         end_run(predecessor, runs[1], RunEnd.FAILED, "abc")
         cell = make_cell(1)
+        cell.attempt_floor = attempt_floor(1)
         cell.restore(spec, encode_progress(accepted), 0)
         (restarted,) = plan_starts(cell)
         self.assertEqual(restarted.name, runs[1].name)
-        self.assertGreater(restarted.attempt, 2)
+        self.assertGreater(restarted.attempt, cell.attempt_floor)
         self.assertEqual(restarted.task.failures, 1)
         self.assertEqual(restarted.task.checkpoint, "abc")
 
