Start no job that is received after the leader lease has lapsed

What callers would see (TWICE): a job that is stored as the store comes back after an outage runs twice.

Cause: in an outage that all members see, a leader goes on after its lease has lapsed, as nobody can acquire it. A job that it receives then has been stored, so the store is back, and a successor may have read the jobs before and take this one for new as well. Both number it from 1.

Change: jobs received after LeaderLease.held_until_ms that are not inherited wait until the lease is renewed or written again, which fails if there was another term.

The second test, that the job starts once the lease is renewed, passed before too. 120 tests of seven modules of leader and planning pass.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -97,6 +97,8 @@
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
         self.recorded_runs: list[RecordedRun] = []
+        # Jobs received later may have been stored in the term of another leader, None for none.
+        self.held_until_ms: int | None = None
         # Above the attempts of all earlier leaders.
         self.attempt_floor = 0
         # Whether starts are recorded before they are sent; not in an outage of the store.
@@ -274,6 +276,16 @@
             return True
         return now_ms - self.registry_ms <= self.max_registry_age_ms
 
+    def may_be_foreign(self, job: Job) -> bool:
+        """Return whether a job may have been stored in the term of another leader.
+
+        In an outage of the store this leader goes on after its lease has lapsed. A job that it
+        receives then shows that the store is back, and a successor may take the job for new too.
+        """
+        if self.held_until_ms is None or job.is_inherited:
+            return False
+        return job.received_ms >= self.held_until_ms
+
     def has_too_many_runs(self) -> bool:
         """Return whether the runs take the memory that is meant for them.
 
--- a/packages/server/lagoonshelf_server/jobs/leader.py
+++ b/packages/server/lagoonshelf_server/jobs/leader.py
@@ -336,6 +336,7 @@
         cell.cfg = self._config.current
         cell.is_recording = not self.is_store_troubled()
         cell.is_store_down = self.is_store_down()
+        cell.held_until_ms = self._leader_lease.held_until_ms
         if self._leader_lease.may_dispatch() and self._is_config_valid():
             supervise(cell, now_ms)
             if self._knows_cancellations():
--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -115,16 +115,21 @@
         """Return the last known revision of the lease key, whoever wrote it."""
         return self.record.revision if self.record is not None else ABSENT
 
+    @property
+    def held_until_ms(self) -> int:
+        """Return the clock time until which no other process can have acquired the lease."""
+        return self.renewed_ms + LEASE_TTL_MS
+
     def may_dispatch(self) -> bool:
         """Return whether this process may issue commands that start work.
 
         After its lease has expired it continues only in a store outage that other members see
         too, since nobody can acquire the lease then.
         """
-        age_ms = self._clock.now_ms() - self.renewed_ms
-        if not self.is_held or age_ms >= MAX_OUTAGE_MS:
+        now_ms = self._clock.now_ms()
+        if not self.is_held or now_ms - self.renewed_ms >= MAX_OUTAGE_MS:
             return False
-        return age_ms < LEASE_TTL_MS or self.is_outage()
+        return now_ms < self.held_until_ms or self.is_outage()
 
     def may_renew_runs(self) -> bool:
         """Return whether this process may renew the leases of runs.
