Soak: leaders that are lost around an outage, and attempts used twice

Cause: the soak loses leaders and the store at random, and none of its seeds had shown that two leaders number their starts alike.

Change: on four seeds of ten the leader is killed, then its successor in an outage of the store, with an executor that stays cut off until its lease has lapsed. It has a random generator of its own, so that the other faults of a seed stay. A check reports attempts that are used for more than one run.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -27,6 +27,7 @@
     overcommitted,
     overlapping_runs,
     repeated_completions,
+    reused_attempts,
     starts_after_cancel,
     unfounded_failures,
 )
@@ -79,6 +80,10 @@
 SLOW_STORE_S = 0.4
 TAKEOVER_TIMEOUT_S = 4.0
 NARROW_LINK_BYTES_PER_S = 50_000
+# Share of the seeds in which an outage of the store begins and ends with the loss of a leader.
+LOST_LEADERS_SHARE = 0.4
+# Covers the lease of an executor that is cut off, and the start of its tasks elsewhere.
+LAPSE_S = 9.0
 LOG_DIR = Path("target/soak")
 
 
@@ -99,6 +104,7 @@
         self.cluster = Cluster(processes, executors, seed)
         if memory_mb:
             self.cluster.host_limits = {"memory_mb": memory_mb}
+        self.outage_rng = Random(f"outages between leaders of seed {seed}")
         self.cap_cpu = self.rng.choice((0, 0, 24_000))
         self.parts_rng = Random(f"optional parts of seed {seed}")
         self.has_parts = self.parts_rng.random() < PARTS_SHARE
@@ -141,6 +147,7 @@
             history = self.cluster.history
             self.violations += overlapping_runs(history, now_s)
             self.violations += repeated_completions(history)
+            self.violations += reused_attempts(history)
             self.violations += overcommitted(
                 history,
                 CAPACITY["cpu"],
@@ -331,6 +338,9 @@
         if rng.random() < LATER_FAULTS_SHARE:
             fault = rng.choice((self._kill_all_again, self._narrow_store_links))
             self._spawn(self._inject_fault(fault, rng.uniform(0.3, 4.0)))
+        if self.outage_rng.random() < LOST_LEADERS_SHARE:
+            duration_s = self.outage_rng.uniform(0.6, 2.0)
+            self._spawn(self._inject_fault(self._lose_leaders_in_outage, duration_s))
 
     async def _inject_fault_series(self) -> None:
         """Let faults of the store and of its leader overlap, with calm between the series."""
@@ -399,13 +409,13 @@
         if not process.is_running:
             await process.start()
 
-    def _leader_process(self) -> Process:
+    def _leader_process(self, rng: Random | None = None) -> Process:
         """Return the process that holds the leader lease, or any if none does."""
         followers = self.cluster.processes
         if "cell/holder" in self.cluster.store.entries:
             followers = self.cluster.followers()
         leaders = [process for process in self.cluster.processes if process not in followers]
-        return self.series_rng.choice(leaders or followers)
+        return (rng or self.series_rng).choice(leaders or followers)
 
     async def _kill_leader(self, duration_s: float) -> None:
         await self._kill_process(self._leader_process(), duration_s)
@@ -442,15 +452,41 @@
         self.cluster.store.delay_s = SLOW_STORE_S
         former = self._leader_process()
         await former.kill()
-        deadline_s = monotonic() + TAKEOVER_TIMEOUT_S
-        while self._leader_process() is former and monotonic() < deadline_s:
-            await asyncio.sleep(0.05)
+        await self._wait_for_successor(former, self.series_rng)
         # The reading of the cell's state takes about five calls.
         await asyncio.sleep(self.series_rng.uniform(0, 7) * SLOW_STORE_S)
         await self._lose_store_answers(duration_s / 2)
         self.cluster.store.delay_s = CALL_DELAY_S
         await self._kill_process(former, 0.0)
 
+    async def _wait_for_successor(self, former: Process, rng: Random) -> Process:
+        """Wait for another leader; return the leader, or any process if there is none in time."""
+        deadline_s = monotonic() + TAKEOVER_TIMEOUT_S
+        while (leader := self._leader_process(rng)) is former and monotonic() < deadline_s:
+            await asyncio.sleep(0.05)
+        return leader
+
+    async def _lose_leaders_in_outage(self, duration_s: float) -> None:
+        """Kill the leader, and its successor in an outage of the store.
+
+        An executor is cut off with the second one, until its lease has lapsed.
+        """
+        rng = self.outage_rng
+        former = self._leader_process(rng)
+        await former.kill()
+        successor = await self._wait_for_successor(former, rng)
+        await asyncio.sleep(rng.uniform(0, 1.0))
+        executor = rng.choice(self.cluster.executors)
+        outage = asyncio.ensure_future(self._cut_all_store_links(duration_s + 0.3))
+        await asyncio.sleep(duration_s)
+        executor.set_proxy_mode(ProxyMode.BLACKHOLE)
+        await asyncio.gather(
+            outage, self._kill_process(successor, 1.0), self._kill_process(former, 0.0)
+        )
+        await asyncio.sleep(LAPSE_S)
+        executor.set_proxy_mode(ProxyMode.OPEN)
+        executor.proxy.reset_connections()
+
     async def _kill_all(self, duration_s: float) -> None:
         processes = self.cluster.processes
         await asyncio.gather(
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -76,6 +76,16 @@
     return violations
 
 
+def reused_attempts(history: Iterable[RunRecord]) -> list[str]:
+    """Return the tasks that were started more than once under one attempt."""
+    counts = Counter((record.task, record.attempt) for record in history)
+    return [
+        f"attempt {attempt} used {count} times: {task}"
+        for (task, attempt), count in counts.items()
+        if count > 1
+    ]
+
+
 def repeated_completions(history: Iterable[RunRecord]) -> list[str]:
     """Return the tasks that completed more than once, apart from ends that were lost."""
     counts: dict[str, int] = {}
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -13,6 +13,7 @@
     overcommitted,
     overlapping_runs,
     repeated_completions,
+    reused_attempts,
     starts_after_cancel,
     unfounded_failures,
 )
@@ -31,6 +32,7 @@
     218,  # a start reached an executor's next incarnation, and its task was started again
     3231,  # a cancellation that was announced before its job was dropped
     3322,  # a job ran whose cancellation had been answered "no such job"
+    7100,  # two leaders in a row numbered the starts of a task alike
 )
 CI_SEEDS = (2, 3)
 # With memory for some sixty small jobs at the leader; others wait in the store.
@@ -81,6 +83,12 @@
         self.assertEqual(repeated_completions([lost, record(2, 2.0, 3.0)]), [])
         self.assertEqual(len(repeated_completions([record(1, 0.0, 1.0), record(2, 2.0, 3.0)])), 1)
 
+    def test_reused_attempts(self) -> None:
+        """Two leaders must not start a task under one number, however far apart."""
+        runs = [record(1, 0.0, 1.0, end="lapsed"), record(2, 2.0, 3.0)]
+        self.assertEqual(reused_attempts(runs), [])
+        self.assertEqual(len(reused_attempts([*runs, record(1, 9.0, 9.5, executor="i-2")])), 1)
+
     def test_overcommitted(self) -> None:
         """The limit of one executor and that of the tenant across executors are checked."""
         runs = [record(1, 0.0, 2.0), record(1, 1.0, 3.0), record(1, 1.0, 3.0, executor="i-2")]
