Name and document what a lapsed leader lease means for new jobs

Cause: "foreign" is used for registry entries and partitions, and the comment on held_until_ms promised more than the lease does. No change of behaviour.

--- a/packages/core/lagoonshelf_core/jobs/cell.py
+++ b/packages/core/lagoonshelf_core/jobs/cell.py
@@ -97,9 +97,9 @@
         self.commands: list[Command] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
         self.recorded_runs: list[RecordedRun] = []
-        # Jobs received later may have been stored in the term of another leader, None for none.
+        # Time until which the leader lease has certainly not lapsed, None for no limit.
         self.held_until_ms: int | None = None
-        # Above the attempts of all earlier leaders.
+        # Starts of inherited jobs are numbered above it, see ``attempt_floor``.
         self.attempt_floor = 0
         # Whether starts are recorded before they are sent; not in an outage of the store.
         self.is_recording = True
@@ -276,11 +276,11 @@
             return True
         return now_ms - self.registry_ms <= self.max_registry_age_ms
 
-    def may_be_foreign(self, job: Job) -> bool:
+    def may_have_other_leader(self, job: Job) -> bool:
         """Return whether a job may have been stored in the term of another leader.
 
         In an outage of the store this leader goes on after its lease has lapsed. A job that it
-        receives then shows that the store is back, and a successor may take the job for new too.
+        receives then shows that the store is back, so that there may be a successor.
         """
         if self.held_until_ms is None or job.is_inherited:
             return False
--- a/packages/core/lagoonshelf_core/jobs/planning.py
+++ b/packages/core/lagoonshelf_core/jobs/planning.py
@@ -54,7 +54,7 @@
     has_unread = any(worker.blocks_inherited for worker in cell.workers.values())
     for (band, _), step, queue in ranked:
         state.later_holders.discard(step)
-        if (step.job.is_inherited and has_unread) or cell.may_be_foreign(step.job):
+        if (step.job.is_inherited and has_unread) or cell.may_have_other_leader(step.job):
             continue
         if not state.may_start(step) or state.is_stuck(step):
             continue
--- a/packages/server/lagoonshelf_server/jobs/leader_lease.py
+++ b/packages/server/lagoonshelf_server/jobs/leader_lease.py
@@ -117,7 +117,7 @@
 
     @property
     def held_until_ms(self) -> int:
-        """Return the clock time until which no other process can have acquired the lease."""
+        """Return the clock time until which the lease has certainly not lapsed."""
         return self.renewed_ms + LEASE_TTL_MS
 
     def may_dispatch(self) -> bool:
