Tests of unrecorded starts: no stall detection

Cause: the fake workers show no progress, so that a run is stopped as stalled after 2 s; on a busy machine this could start a gang again, and one test had to fail within 1 s for it. Change: the time until a run counts as stalled is patched out of the way.

--- a/tests/server/jobs/test_unrecorded_starts.py
+++ b/tests/server/jobs/test_unrecorded_starts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from unittest.mock import patch
 
+from lagoonshelf_core.jobs import supervision
 from lagoonshelf_core.jobs.progress import JobState, RunEnd
 from lagoonshelf_core.jobs.spec import JobSpec, StepSpec
 from lagoonshelf_server.jobs import fleet
@@ -23,9 +24,14 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        short = patch.object(fleet, "RUN_LEASE_MS", 100)
-        short.start()
-        self.addCleanup(short.stop)
+        # Runs of these workers show no progress.
+        for module, name, value_ms in (
+            (fleet, "RUN_LEASE_MS", 100),
+            (supervision, "STALL_MS", 60_000),
+        ):
+            patched = patch.object(module, name, value_ms)
+            patched.start()
+            self.addCleanup(patched.stop)
 
     async def _start_twice(self, step: StepSpec) -> tuple[Leader, JobSpec, FakeWorker]:
         """Start the tasks of a step, cut their worker off, and let a successor start them again.
@@ -90,8 +96,7 @@
         """It passed for the run that was done, and worked on beside the end of its job."""
         leader, spec, lost = await self._start_twice(make_step())
         await self._report_back(lost, RunEnd.DONE)
-        # Later it would be stopped for want of progress.
-        await eventually(lambda: self._runs() == 0, 1.0)
+        await eventually(lambda: self._runs() == 0)
         await eventually(lambda: leader.state(spec.id) is JobState.COMPLETE)
 
     async def test_a_service_is_stopped_only_with_its_job(self) -> None:
