--- a/packages/core/lagoonshelf_core/jobs/worker_reports.py
+++ b/packages/core/lagoonshelf_core/jobs/worker_reports.py
@@ -19,6 +19,8 @@
 
 # Log message of the tasks of a step that a report shows as done.
 TASKS_DONE = "tasks done"
+# Log message of the counted ends of runs that were not known here.
+RUNS_UNKNOWN = "unknown runs ended"
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,9 +133,10 @@
         elif _apply_unknown_end(cell, row):
             unknown.setdefault(step, []).append(row)
     for step, names in done.items():
-        _note_done(cell, worker, step, names)
+        _note_ends(cell, TASKS_DONE, worker, step, [_index(name) for name in names])
     for step, rows in unknown.items():
-        _note_unknown_ends(cell, worker, step, rows)
+        tasks = [[_index(row.name), row.attempt, row.end.value] for row in rows]
+        _note_ends(cell, RUNS_UNKNOWN, worker, step, tasks)
 
 
 def _apply_end(cell: Cell, row: EndedRow, run: Run, now_ms: int) -> None:
@@ -234,23 +237,13 @@
         cell.notes.append(("runs adopted", {**fields, "tasks": tasks}))
 
 
-def _note_done(cell: Cell, worker: Worker, step: str, names: list[str]) -> None:
-    """Add one log entry for the tasks of a step that a report shows as done."""
-    fields = {
-        "request": step.partition(".")[0],
-        "step": step,
-        "worker": worker.id,
-        "tasks": [int(name.rpartition(".")[2]) for name in names],
-    }
-    cell.notes.append((TASKS_DONE, fields))
-
-
-def _note_unknown_ends(cell: Cell, worker: Worker, step: str, rows: list[EndedRow]) -> None:
-    """Add one log entry for the counted ends of a step's runs that were not known here."""
-    fields = {
-        "request": step.partition(".")[0],
-        "step": step,
-        "worker": worker.id,
-        "tasks": [[int(row.name.rpartition(".")[2]), row.attempt, row.end.value] for row in rows],
-    }
-    cell.notes.append(("unknown runs ended", fields))
+def _note_ends(cell: Cell, message: str, worker: Worker, step: str, tasks: list[object]) -> None:
+    """Add one log entry for the ends of a step's runs in a report."""
+    request = step.partition(".")[0]
+    fields = {"request": request, "step": step, "worker": worker.id, "tasks": tasks}
+    cell.notes.append((message, fields))
+
+
+def _index(name: str) -> int:
+    """Return the index of a task in its step."""
+    return int(name.rpartition(".")[2])
--- a/tests/server/jobs/test_deposed_leaders.py
+++ b/tests/server/jobs/test_deposed_leaders.py
@@ -42,6 +42,7 @@
 
     def _isolate(self, leader: Leader) -> None:
         """Let the lease of a leader lapse in what is an outage of the store to it."""
+        # Its renewals.
         self.tasks[1].cancel()
         leader.lease.renewed_ms = self.clock.now_ms() - LEASE_TTL_MS
         leader.lease.is_outage = leader.is_store_troubled = leader.is_store_down = lambda: True
