Stand-ins: keep the first error of a start that fails

Cause: when a listener of the stand-ins cannot be opened, the case closes all executors, also those that have not started. Their proxy was made by start(), so that close() met None, and its AttributeError took the place of the system's error. asyncio.start_server skips an address for which it gets no socket, and returns a server without sockets: the IndexError that followed hid the error as well.

Change: an executor has its proxy from the beginning, which asks its server for the address when it connects. Listeners are opened by open_listener, which raises PortError with the address, the system's error and what to do about it. A server is held before it accepts, so that a start that is cancelled can be closed.

RefusedStartTest refuses each of six listeners in turn: on the stand-ins of five of the six failed with the AttributeError, and so did the test with ten open files; the test of the half started executor passed there, and is a guard. What refuses the listener on the users' machines is not known.

--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -93,7 +93,7 @@
         self._cluster = cluster
         self._number = number
         self._popen: asyncio.subprocess.Process | None = None
-        self.store_proxy = Proxy(cluster.store.server.address)
+        self.store_proxy = Proxy(cluster.store.server)
         front, ready, first, _ = free_ports(4)
         self.address = f"127.0.0.1:{front}"
         self._ready_address = f"127.0.0.1:{ready}"
@@ -247,7 +247,10 @@
         self.config_changes: list[ConfigChange] = []
 
     async def start(self) -> None:
-        """Start everything and wait until each process is ready."""
+        """Start everything and wait until each process is ready.
+
+        :raises PortError: if the system refuses a port
+        """
         await self.store.server.listen()
         await self.advice.listen()
         self.configure(0)
--- a/tests/platform/standin/executors.py
+++ b/tests/platform/standin/executors.py
@@ -86,13 +86,15 @@
         self.failure_rate = 0.02
         self.domain = "z1"
         self.speed = 1.0
-        self.proxy: Proxy | None = None
+        self.proxy = Proxy(self._server)
 
     async def start(self) -> None:
-        """Open the ports and register the executor."""
+        """Open the ports and register the executor.
+
+        :raises PortError: if the system refuses a port
+        """
         self._started_s = self._now()
         await self._server.listen()
-        self.proxy = Proxy(self._server.address)
         await self.proxy.listen()
         self._register()
 
@@ -118,7 +120,7 @@
                 self._register()
 
     async def close(self) -> None:
-        """Stop the executor and all its runs."""
+        """Stop the executor and all its runs, also when it has not started or only in part."""
         self._kill_runs("crashed")
         for task in list(self._stop_tasks):
             task.cancel()
--- a/tests/platform/standin/http.py
+++ b/tests/platform/standin/http.py
@@ -9,6 +9,8 @@
 
 import orjson
 
+from tests.platform.standin.ports import LOOPBACK, open_listener
+
 Handler = Callable[["Request"], Awaitable["Response"]]
 
 
@@ -35,6 +37,15 @@
     fields: dict = field(default_factory=dict)
 
 
+async def _open_server(serve: Callable, port: int = 0) -> asyncio.Server:
+    """Return a server that has a port and does not accept yet, so that its owner can close it."""
+    return await asyncio.start_server(serve, sock=open_listener(port), start_serving=False)
+
+
+def _address_of(server: asyncio.Server) -> str:
+    return f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
+
+
 class StubServer:
     """HTTP server for one handler on its own port."""
 
@@ -46,12 +57,16 @@
         self.address = ""
 
     async def listen(self, port: int = 0) -> None:
-        """Listen on a port; 0 selects a free one."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        """Listen on a port; 0 selects a free one.
+
+        :raises PortError: if the system refuses it
+        """
+        self._server = await _open_server(self._serve, port)
+        self.address = _address_of(self._server)
+        await self._server.start_serving()
 
     async def close(self) -> None:
-        """Close the port and all connections."""
+        """Close the port, if it has been opened, and all connections."""
         if self._server is not None:
             self._server.close()
         for writer in list(self._conns):
@@ -104,10 +119,13 @@
 
 
 class Proxy:
-    """Forwards connections to one address and injects faults according to its mode."""
+    """Forwards connections to one server and injects faults according to its mode."""
 
-    def __init__(self, target: str) -> None:
-        """Initialize without listening."""
+    def __init__(self, target: StubServer) -> None:
+        """Initialize without listening.
+
+        :param target: need not listen before this proxy does
+        """
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -121,12 +139,16 @@
         self.address = ""
 
     async def listen(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        """Listen on a free port.
+
+        :raises PortError: if the system refuses it
+        """
+        self._server = await _open_server(self._serve)
+        self.address = _address_of(self._server)
+        await self._server.start_serving()
 
     async def close(self) -> None:
-        """Close the port and all connections."""
+        """Close the port, if it has been opened, and all connections."""
         if self._server is not None:
             self._server.close()
         self.reset_connections()
@@ -144,7 +166,7 @@
         if self.mode is ProxyMode.RESET:
             writer.transport.abort()
             return
-        host, _, port = self._target.rpartition(":")
+        host, _, port = self._target.address.rpartition(":")
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
         except OSError:
--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -1,36 +1,94 @@
-"""Allocation of free ports on loopback."""
+"""Ports and sockets on loopback, and errors that say what the system has refused."""
 
+import errno
 import fcntl
 import os
+import resource
 import socket
 import tempfile
 from functools import cache
 from pathlib import Path
 from typing import IO
 
+LOOPBACK = "127.0.0.1"
 # Below the ephemeral port range, so that no outgoing connection takes the port of a process that
 # is down for a moment.
 FIRST_PORT = 12_000
 # Each test process allocates ports sequentially from its own range, because an allocated port is
 # not bound immediately.
 RANGES, PORTS_PER_RANGE = 100, 200
+BACKLOG = 100
+# What to do about an error of the system.
+_REMEDIES = {
+    errno.EMFILE: "raise the limit of open files of this process, ulimit -n is {open_files}",
+    errno.ENFILE: "the machine has no file left; end processes that hold many",
+    errno.EADDRINUSE: "end the processes or wait for the connections that hold it, see ss -tan",
+    errno.EADDRNOTAVAIL: "bring the loopback interface up, and free ephemeral ports, see ss -tan",
+    errno.EACCES: "allow this process to bind and to connect on loopback",
+    errno.EPERM: "allow this process to bind and to connect on loopback",
+    errno.EAFNOSUPPORT: "allow this process to use IPv4",
+    errno.ENOBUFS: "the machine has no memory left for sockets",
+    errno.ENOMEM: "the machine has no memory left for sockets",
+}
 
 _next_offset = 0
 
 
+class PortError(OSError):
+    """The system refuses a socket or a port on loopback.
+
+    The message has the address, the error of the system and what to do about it.
+    """
+
+    @classmethod
+    def of(cls, action: str, exc: OSError) -> "PortError":
+        """Return the error for an action that the system has refused.
+
+        :param action: what was tried, with the address
+        """
+        open_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        text = f"{action}: {exc.strerror or exc}"
+        if exc.errno in _REMEDIES:
+            text += f"; {_REMEDIES[exc.errno].format(open_files=open_files)}"
+        return cls(exc.errno, text)
+
+
+def open_listener(port: int = 0) -> socket.socket:
+    """Return a listening socket on loopback.
+
+    :param port: 0 for any free port
+    :raises PortError: if the system refuses the socket or the port
+    """
+    try:
+        return socket.create_server((LOOPBACK, port), backlog=BACKLOG)
+    except OSError as exc:
+        raise PortError.of(f"cannot listen on {LOOPBACK} port {port}", exc) from exc
+
+
 def free_ports(count: int) -> list[int]:
-    """Return consecutive free ports."""
+    """Return consecutive free ports.
+
+    :raises PortError: if there are none
+    """
     global _next_offset
     number, _ = _lock_range()
     first_port = FIRST_PORT + number * PORTS_PER_RANGE
-    for _ in range(PORTS_PER_RANGE):
-        if _next_offset % PORTS_PER_RANGE + count > PORTS_PER_RANGE:
+    usable = PORTS_PER_RANGE
+    reason = OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE))
+    for _ in range(usable):
+        if _next_offset + count > usable:
             _next_offset = 0
-        ports = [first_port + _next_offset % PORTS_PER_RANGE + index for index in range(count)]
+        ports = [first_port + _next_offset + index for index in range(count)]
         _next_offset += count
-        if all(_is_free(port) for port in ports):
+        try:
+            for port in ports:
+                _bind(port).close()
+        except OSError as exc:
+            reason = exc
+        else:
             return ports
-    raise OSError("no free ports")
+    action = f"no {count} free ports on {LOOPBACK} from {first_port} to {first_port + usable - 1}"
+    raise PortError.of(action, reason)
 
 
 @cache
@@ -49,10 +107,11 @@
     raise OSError("all ranges of ports are in use")
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
+def _bind(port: int) -> socket.socket:
+    sock = socket.socket()
+    try:
+        sock.bind((LOOPBACK, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/tests/platform/test_standin.py
@@ -0,0 +1,101 @@
+"""The stand-in platform where the system refuses files, sockets or ports to it."""
+
+import errno
+import os
+import socket
+import subprocess
+import sys
+import unittest
+from itertools import count
+from pathlib import Path
+from unittest.mock import patch
+
+from tests.platform.standin.cluster import Cluster
+from tests.platform.standin.ports import (
+    PortError,
+    open_listener,
+)
+
+ROOT = Path(__file__).parent.parent.parent
+CHILD_TIMEOUT_S = 20.0
+# Store, advice, and two listeners for each executor.
+EXECUTORS, LISTENERS = 2, 6
+_bind = socket.socket.bind
+
+START_AND_CLOSE = """
+import asyncio, resource
+from tests.platform.standin.cluster import Cluster
+resource.setrlimit(resource.RLIMIT_NOFILE, (10, 10))
+async def run():
+    cluster = Cluster(processes=1, executors=2, seed=1)
+    try:
+        await cluster.start()
+    finally:
+        await cluster.close()
+try:
+    asyncio.run(run())
+except Exception as exc:
+    print(repr(exc))
+"""
+
+
+def run_child(program: str, **env: str) -> str:
+    """Return what a Python program prints."""
+    child = subprocess.run(
+        [sys.executable, "-c", program],
+        capture_output=True,
+        cwd=ROOT,
+        env={**os.environ, **env},
+        text=True,
+        timeout=CHILD_TIMEOUT_S,
+    )
+    return child.stdout + child.stderr
+
+
+def refuse_from(number: int) -> object:
+    """Let the system refuse all binds from one on; those before it succeed."""
+    calls = count()
+
+    def bind(sock: socket.socket, address: tuple[str, int]) -> None:
+        if next(calls) >= number:
+            raise OSError(errno.EADDRNOTAVAIL, "refused by the test")
+        _bind(sock, address)
+
+    return patch.object(socket.socket, "bind", bind)
+
+
+class RefusedStartTest(unittest.IsolatedAsyncioTestCase):
+    """Guards review/14: an AttributeError of close() took the place of what had been refused."""
+
+    async def test_the_first_error_survives_the_close_after_each_refused_listener(self) -> None:
+        for number in range(LISTENERS):
+            with self.subTest(number=number):
+                cluster = Cluster(processes=1, executors=EXECUTORS, seed=1)
+                with refuse_from(number), self.assertRaisesRegex(PortError, "refused by the test"):
+                    try:
+                        await cluster.start()
+                    finally:
+                        await cluster.close()
+
+    async def test_a_half_started_executor_gives_its_port_back(self) -> None:
+        cluster = Cluster(processes=1, executors=1, seed=1)
+        executor = cluster.executors[0]
+        with refuse_from(1), self.assertRaises(PortError):
+            await executor.start()
+        port = int(executor._server.address.rpartition(":")[2])
+        await executor.close()
+        open_listener(port).close()
+
+    async def test_too_few_open_files_are_named(self) -> None:
+        output = run_child(START_AND_CLOSE)
+        self.assertRegex(output, r"^PortError\(24, .*127\.0\.0\.1.* ulimit -n is 10")
+
+
+class RefusedPortTest(unittest.IsolatedAsyncioTestCase):
+    """Ports that the system refuses."""
+
+    def test_a_port_that_is_in_use_is_named(self) -> None:
+        with open_listener() as sock:
+            port = sock.getsockname()[1]
+            with self.assertRaisesRegex(PortError, f"port {port}: .*in use.*; end the processes"):
+                open_listener(port)
