Stand-ins: listen in the range of the process if no ephemeral port is free

Seen by callers: review/14 cannot start a stand-in on a machine whose ephemeral ports are all in use, although connections to other addresses still work there.

Cause: listeners asked the system for port 0 only. A port that carries an outgoing connection can be shared by connections to other addresses, but not be bound.

Change: if port 0 is refused, a listener takes a port of free_ports, whose range lies below the ephemeral ports and belongs to this process.

--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -56,13 +56,19 @@
 def open_listener(port: int = 0) -> socket.socket:
     """Return a listening socket on loopback.
 
-    :param port: 0 for any free port
+    :param port: 0 for any free port, one of the range of this process if the system gives none
     :raises PortError: if the system refuses the socket or the port
     """
     try:
         return socket.create_server((LOOPBACK, port), backlog=BACKLOG)
     except OSError as exc:
-        raise PortError.of(f"cannot listen on {LOOPBACK} port {port}", exc) from exc
+        refused = PortError.of(f"cannot listen on {LOOPBACK} port {port}", exc)
+        if port or exc.errno == errno.EMFILE:
+            raise refused from exc
+    try:
+        return socket.create_server((LOOPBACK, free_ports(1)[0]), backlog=BACKLOG)
+    except OSError as exc:
+        raise refused from exc
 
 
 def free_ports(count: int) -> list[int]:
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -10,8 +10,13 @@
 from pathlib import Path
 from unittest.mock import patch
 
+from tests.platform.standin.clients import request
 from tests.platform.standin.cluster import Cluster
+from tests.platform.standin.http import Proxy, Request, Response, StubServer
 from tests.platform.standin.ports import (
+    FIRST_PORT,
+    PORTS_PER_RANGE,
+    RANGES,
     PortError,
     open_listener,
 )
@@ -64,6 +69,22 @@
     return patch.object(socket.socket, "bind", bind)
 
 
+def refuse_port_0() -> object:
+    """Let the system have no ephemeral port left."""
+
+    def bind(sock: socket.socket, address: tuple[str, int]) -> None:
+        if address[1] == 0:
+            raise OSError(errno.EADDRINUSE, "refused by the test")
+        _bind(sock, address)
+
+    return patch.object(socket.socket, "bind", bind)
+
+
+async def handle(_request: Request) -> Response:
+    """Return an empty response."""
+    return Response(200)
+
+
 class RefusedStartTest(unittest.IsolatedAsyncioTestCase):
     """Guards review/14: an AttributeError of close() took the place of what had been refused."""
 
@@ -92,7 +113,20 @@
 
 
 class RefusedPortTest(unittest.IsolatedAsyncioTestCase):
-    """Ports that the system refuses."""
+    """Guards review/14: no stand-in could listen while no ephemeral port was free."""
+
+    async def test_listeners_use_the_range_of_the_process(self) -> None:
+        server = StubServer(handle)
+        proxy = Proxy(server)
+        with refuse_port_0():
+            await server.listen()
+            self.addAsyncCleanup(server.close)
+            await proxy.listen()
+            self.addAsyncCleanup(proxy.close)
+        for address in (server.address, proxy.address):
+            port = int(address.rpartition(":")[2])
+            self.assertIn(port, range(FIRST_PORT, FIRST_PORT + RANGES * PORTS_PER_RANGE))
+        self.assertEqual(await request(proxy.address, "GET", "/"), (200, {}))
 
     def test_a_port_that_is_in_use_is_named(self) -> None:
         with open_listener() as sock:
