Stand-ins: an error on this side of a connection is no missing response

Seen by callers: with 24 to 40 open files allowed, the control of review/14 ran for 20 to 25 s, wrote 441,184 to 816,332 lines of tracebacks and ended with "the processes are not ready".

Cause: the clients of the stand-in and its check of readiness took each OSError for a silence of the system, also where this process could not open a socket. asyncio logs each connection that it cannot accept, and goes on.

Change: an error whose cause lies on this side (files, ports, rights, memory) is raised as PortError with address, error and remedy. A listener is refused at once if fewer than 32 files are left to the process for its connections.

--- a/tests/platform/standin/clients.py
+++ b/tests/platform/standin/clients.py
@@ -8,6 +8,7 @@
 import orjson
 
 from tests.platform.standin.cluster import HOST, KEY
+from tests.platform.standin.ports import raise_if_local
 
 RESPONSE_TIMEOUT_S = 3.0
 NO_RESPONSE = 0
@@ -60,7 +61,10 @@
     async def request(
         self, method: str, path: str, body: object = None, timeout_s: float = RESPONSE_TIMEOUT_S
     ) -> tuple[int, dict]:
-        """Send a request; return status and body, with status 0 for no complete response."""
+        """Send a request; return status and body, with status 0 for no complete response.
+
+        :raises PortError: if the system refuses the connection on this side
+        """
         data = b"" if body is None else orjson.dumps(body)
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {self._key}\r\n"
@@ -76,8 +80,10 @@
                 self._writer.write(head.encode() + data)
                 self.on_sent()
                 return await self._read_response()
-        except (OSError, TimeoutError, EOFError, asyncio.IncompleteReadError):
+        except (OSError, TimeoutError, EOFError, asyncio.IncompleteReadError) as exc:
             self.close()
+            if isinstance(exc, OSError):
+                raise_if_local(f"cannot connect to {self._host}:{self._port}", exc)
             return NO_RESPONSE, {}
 
     async def _read_response(self) -> tuple[int, dict]:
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -15,7 +15,7 @@
 
 from tests.platform.standin.executors import RunRecord, StubExecutor
 from tests.platform.standin.http import Proxy, ProxyMode, Request, Response, StubServer
-from tests.platform.standin.ports import free_ports
+from tests.platform.standin.ports import free_ports, raise_if_local
 from tests.platform.standin.store import CALL_DELAY_S, StubStore
 
 ROOT = Path(__file__).parent.parent.parent.parent
@@ -200,7 +200,10 @@
         return True
 
     async def is_ready(self) -> bool:
-        """Return whether the readiness check succeeds."""
+        """Return whether the readiness check succeeds.
+
+        :raises PortError: if the system refuses the connection on this side
+        """
         try:
             async with asyncio.timeout(0.5):
                 host, _, port = self._ready_address.rpartition(":")
@@ -208,7 +211,10 @@
                 writer.write(b"GET /lagoonshelf/ready HTTP/1.1\r\nHost: x\r\n\r\n")
                 line = await reader.readline()
                 writer.close()
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            return False
+        except OSError as exc:
+            raise_if_local(f"cannot connect to {self._ready_address}", exc)
             return False
         return b" 200 " in line
 
@@ -249,7 +255,7 @@
     async def start(self) -> None:
         """Start everything and wait until each process is ready.
 
-        :raises PortError: if the system refuses a port
+        :raises PortError: if the system refuses a port or a connection
         """
         await self.store.server.listen()
         await self.advice.listen()
--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -18,7 +18,10 @@
 # not bound immediately.
 RANGES, PORTS_PER_RANGE = 100, 200
 BACKLOG = 100
-# What to do about an error of the system.
+# Files that must be left to this process when it opens a listener. With fewer, connections of
+# the system are not accepted, which would look like a fault of the system.
+MIN_FREE_FILES = 32
+# Errors whose cause lies on this side of a connection, and what to do about each.
 _REMEDIES = {
     errno.EMFILE: "raise the limit of open files of this process, ulimit -n is {open_files}",
     errno.ENFILE: "the machine has no file left; end processes that hold many",
@@ -35,7 +38,7 @@
 
 
 class PortError(OSError):
-    """The system refuses a socket or a port on loopback.
+    """The system refuses a socket, a port or a connection on loopback.
 
     The message has the address, the error of the system and what to do about it.
     """
@@ -53,13 +56,27 @@
         return cls(exc.errno, text)
 
 
+def raise_if_local(action: str, exc: OSError) -> None:
+    """Raise an error if an attempt to connect has failed on this side.
+
+    Such an error says nothing about the other side, unlike a refused or reset connection.
+
+    :param action: what was tried, with the address
+    :raises PortError: if the system has refused a socket or a port to this process
+    """
+    if exc.errno in _REMEDIES:
+        raise PortError.of(action, exc) from exc
+
+
 def open_listener(port: int = 0) -> socket.socket:
     """Return a listening socket on loopback.
 
     :param port: 0 for any free port, one of the range of this process if the system gives none
-    :raises PortError: if the system refuses the socket or the port
+    :raises PortError: if the system refuses the socket or the port, or leaves too few files for
+        its connections
     """
     try:
+        _check_free_files()
         return socket.create_server((LOOPBACK, port), backlog=BACKLOG)
     except OSError as exc:
         refused = PortError.of(f"cannot listen on {LOOPBACK} port {port}", exc)
@@ -97,6 +114,13 @@
     raise PortError.of(action, reason)
 
 
+def _check_free_files() -> None:
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    is_limited = limit != resource.RLIM_INFINITY
+    if is_limited and limit - len(os.listdir("/proc/self/fd")) < MIN_FREE_FILES:
+        raise OSError(errno.EMFILE, f"fewer than {MIN_FREE_FILES} files are left to this process")
+
+
 @cache
 def _lock_range() -> tuple[int, IO[bytes]]:
     """Return a range that no other process uses, and its lock, held until this process exits."""
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -10,14 +10,16 @@
 from pathlib import Path
 from unittest.mock import patch
 
-from tests.platform.standin.clients import request
+from tests.platform.standin.clients import NO_RESPONSE, request
 from tests.platform.standin.cluster import Cluster
 from tests.platform.standin.http import Proxy, Request, Response, StubServer
 from tests.platform.standin.ports import (
     FIRST_PORT,
+    LOOPBACK,
     PORTS_PER_RANGE,
     RANGES,
     PortError,
+    free_ports,
     open_listener,
 )
 
@@ -133,3 +135,18 @@
             port = sock.getsockname()[1]
             with self.assertRaisesRegex(PortError, f"port {port}: .*in use.*; end the processes"):
                 open_listener(port)
+
+
+class RefusedConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards review/14: a client without files saw "no response" until the case gave up."""
+
+    async def test_an_error_on_this_side_is_not_a_missing_response(self) -> None:
+        with (
+            patch("asyncio.open_connection", side_effect=OSError(errno.EMFILE, "no file left")),
+            self.assertRaisesRegex(PortError, "127.0.0.1:9: no file left; raise the limit"),
+        ):
+            await request(f"{LOOPBACK}:9", "GET", "/")
+
+    async def test_a_closed_port_is_a_missing_response(self) -> None:
+        port = free_ports(1)[0]
+        self.assertEqual(await request(f"{LOOPBACK}:{port}", "GET", "/"), (NO_RESPONSE, {}))
