Stand-ins: lock a range of ports by a port instead of a file

Cause: each run left a lock file in the temporary folder. A run of another user, or one in a folder of which it may not open the files, ended with the error of the file as soon as it met one of them, after up to 100 runs always.

Change: the first port of a range is its lock. It is free again once its process has ended, belongs to the same network as the ports that it guards, and leaves nothing behind.

--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -1,21 +1,17 @@
 """Ports and sockets on loopback, and errors that say what the system has refused."""
 
 import errno
-import fcntl
 import os
 import resource
 import socket
-import tempfile
 from functools import cache
-from pathlib import Path
-from typing import IO
 
 LOOPBACK = "127.0.0.1"
 # Below the ephemeral port range, so that no outgoing connection takes the port of a process that
 # is down for a moment.
 FIRST_PORT = 12_000
 # Each test process allocates ports sequentially from its own range, because an allocated port is
-# not bound immediately.
+# not bound immediately. The first port of a range is its lock.
 RANGES, PORTS_PER_RANGE = 100, 200
 BACKLOG = 100
 # Files that must be left to this process when it opens a listener. With fewer, connections of
@@ -95,8 +91,8 @@
     """
     global _next_offset
     number, _ = _lock_range()
-    first_port = FIRST_PORT + number * PORTS_PER_RANGE
-    usable = PORTS_PER_RANGE
+    first_port = FIRST_PORT + number * PORTS_PER_RANGE + 1
+    usable = PORTS_PER_RANGE - 1
     reason = OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE))
     for _ in range(usable):
         if _next_offset + count > usable:
@@ -122,19 +118,18 @@
 
 
 @cache
-def _lock_range() -> tuple[int, IO[bytes]]:
-    """Return a range that no other process uses, and its lock, held until this process exits."""
+def _lock_range() -> tuple[int, socket.socket]:
+    """Return a range that no other process uses, and its lock, held until this process exits.
+
+    A bound port needs no file that another user may own, and is free once its process has ended.
+    """
     for attempt in range(RANGES):
         number = (os.getpid() + attempt) % RANGES
-        path = Path(tempfile.gettempdir()) / f"lagoonshelf-test-ports-{number}.lock"
-        lock = path.open("ab")
         try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            lock.close()
-        else:
-            return number, lock
-    raise OSError("all ranges of ports are in use")
+            return number, _bind(FIRST_PORT + number * PORTS_PER_RANGE)
+        except OSError as exc:
+            reason = exc
+    raise PortError.of(f"no range of ports is free on {LOOPBACK}", reason)
 
 
 def _bind(port: int) -> socket.socket:
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -8,6 +8,7 @@
 import unittest
 from itertools import count
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from unittest.mock import patch
 
 from tests.platform.standin.clients import NO_RESPONSE, request
@@ -150,3 +151,28 @@
     async def test_a_closed_port_is_a_missing_response(self) -> None:
         port = free_ports(1)[0]
         self.assertEqual(await request(f"{LOOPBACK}:{port}", "GET", "/"), (NO_RESPONSE, {}))
+
+
+class PortRangeTest(unittest.TestCase):
+    """Ranges of ports of several test processes."""
+
+    def test_a_range_that_another_process_has_locked_is_left_alone(self) -> None:
+        mine = free_ports(1)[0]
+        theirs = run_child(
+            "import os; "
+            f"os.getpid = lambda: {os.getpid()}; "
+            "from tests.platform.standin.ports import free_ports; print(free_ports(1)[0])"
+        )
+        first = (int(theirs) - FIRST_PORT) // PORTS_PER_RANGE
+        self.assertNotEqual(first, (mine - FIRST_PORT) // PORTS_PER_RANGE)
+
+    def test_files_of_another_user_do_not_take_the_ranges(self) -> None:
+        # Guards against lock files in the temporary folder that this process may not open.
+        with TemporaryDirectory() as folder:
+            for number in range(RANGES):
+                Path(folder, f"lagoonshelf-test-ports-{number}.lock").mkdir()
+            output = run_child(
+                "from tests.platform.standin.ports import free_ports; print(free_ports(1)[0])",
+                TMPDIR=folder,
+            )
+        self.assertGreaterEqual(int(output), FIRST_PORT)
