Stand-ins: close a connection that opens while its proxy closes

Seen by callers: nothing yet; found while reading how stand-ins end.

Cause: a proxy knew a connection only once the one to its target was open. One that was being opened while the proxy closed, or reset its connections, went on, and its sockets stayed until the process ended.

Change: the accepted connection is known at once; if it was closed meanwhile, the one to the target is closed as well.

--- a/tests/platform/standin/http.py
+++ b/tests/platform/standin/http.py
@@ -167,12 +167,17 @@
             writer.transport.abort()
             return
         host, _, port = self._target.address.rpartition(":")
+        self._writers.add(writer)
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
         except OSError:
+            self._writers.discard(writer)
             writer.transport.abort()
             return
-        self._writers |= {writer, upstream_writer}
+        self._writers.add(upstream_writer)
+        if writer.is_closing():
+            # The proxy was closed, or its connections reset, while this one was opened.
+            upstream_writer.transport.abort()
         directions = (
             self._forward(reader, upstream_writer, is_response=False),
             self._forward(upstream_reader, writer, is_response=True),
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -1,5 +1,6 @@
 """The stand-in platform where the system refuses files, sockets or ports to it."""
 
+import asyncio
 import errno
 import os
 import socket
@@ -11,7 +12,7 @@
 from tempfile import TemporaryDirectory
 from unittest.mock import patch
 
-from tests.platform.standin.clients import NO_RESPONSE, request
+from tests.platform.standin.clients import NO_RESPONSE, KeepAliveClient, request
 from tests.platform.standin.cluster import Cluster
 from tests.platform.standin.http import Proxy, Request, Response, StubServer
 from tests.platform.standin.ports import (
@@ -29,6 +30,7 @@
 # Store, advice, and two listeners for each executor.
 EXECUTORS, LISTENERS = 2, 6
 _bind = socket.socket.bind
+_open_connection = asyncio.open_connection
 
 START_AND_CLOSE = """
 import asyncio, resource
@@ -152,6 +154,25 @@
         port = free_ports(1)[0]
         self.assertEqual(await request(f"{LOOPBACK}:{port}", "GET", "/"), (NO_RESPONSE, {}))
 
+    async def test_no_connection_outlives_a_proxy_that_closes_as_it_opens(self) -> None:
+        # Guards against sockets that are left to the next run.
+        server = StubServer(handle)
+        await server.listen()
+        self.addAsyncCleanup(server.close)
+        proxy = Proxy(server)
+        await proxy.listen()
+        client = KeepAliveClient(proxy.address)
+
+        async def open_and_close(*address: object) -> tuple:
+            conn = await _open_connection(*address)
+            if address[1] == int(server.address.rpartition(":")[2]):
+                await proxy.close()
+            return conn
+
+        with patch("asyncio.open_connection", open_and_close):
+            self.assertEqual(await client.request("GET", "/"), (NO_RESPONSE, {}))
+        self.assertTrue(all(writer.is_closing() for writer in proxy._writers))
+
 
 class PortRangeTest(unittest.TestCase):
     """Ranges of ports of several test processes."""
