Say which port a process cannot open, and end with a code of its own

Seen by callers: lagoonshelfd ended after 1.5 s with exit code 70 and an empty log if its HTTP port was in use; its port for members, and the three ports of the process on the users' platform, ended it with a traceback and exit code 1.

Cause: CherryPy opens the port while its engine starts, and ends the process if that fails; its messages go to a screen log that is off. The other listeners raised the OSError as it was.

Change: listeners raise PORT_UNAVAILABLE (702) with the address and the system's error; lagoonshelfd checks its HTTP port before it opens another one or joins the cell. The stand-in cluster ends its wait for readiness once a process has ended.

--- a/packages/core/lagoonshelf_core/errors.py
+++ b/packages/core/lagoonshelf_core/errors.py
@@ -108,6 +108,9 @@
     PARTITION_MISMATCH = CodeInfo(
         701, 500, Effect.NONE, "The number of partitions differs from the cell's."
     )
+    PORT_UNAVAILABLE = CodeInfo(
+        702, 500, Effect.NONE, "A port of the process cannot be opened.", may_retry=True
+    )
     INTERNAL = CodeInfo(900, 500, Effect.MAY_HAVE_RUN, "An internal error occurred.")
 
     @property
--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -9,16 +9,17 @@
 from fire import Fire
 from returns.result import Failure
 
-from lagoonshelf_core.errors import Fault
+from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
 from lagoonshelf_server.application import Application
 from lagoonshelf_server.console import Console, mount_console
 from lagoonshelf_server.http_api import HttpApi
+from lagoonshelf_server.listeners import check_port
 from lagoonshelf_server.logs import configure_logging
 from lagoonshelf_server.read_deadlines import DeadlineServer, enforce_read_deadlines
 from lagoonshelf_server.settings import Settings, load_settings
 
 EXIT_BAD_SETTING = 2
-EXIT_PARTITION_MISMATCH = 3
+EXIT_CODES = {ResultCode.PARTITION_MISMATCH: 3, ResultCode.PORT_UNAVAILABLE: 4}
 SOCKET_TIMEOUT_S = 10
 # Sized for a burst of connections; the default is 5.
 SOCKET_QUEUE_SIZE = 512
@@ -45,7 +46,7 @@
     # Threads in long polls would otherwise delay the exit of the process by up to 12 s.
     sys.stdout.flush()
     sys.stderr.flush()
-    os._exit(EXIT_PARTITION_MISMATCH if fault else 0)
+    os._exit(EXIT_CODES[fault.code] if fault else 0)
 
 
 def _describe(fault: Fault) -> str:
@@ -53,12 +54,17 @@
 
 
 async def _serve(cfg: Settings) -> Fault | None:
-    """Serve until drained; return a fault if the process cannot join the cell."""
+    """Serve until drained; return a fault if the process cannot open a port or join the cell."""
     loop = asyncio.get_running_loop()
     application = Application(cfg, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: application.bridge.spawn(application.drain()))
-    await application.start()
+    try:
+        # CherryPy ends the process without a message if it cannot open its port.
+        check_port(cfg.host, cfg.http_port)
+        await application.start()
+    except LagoonshelfError as exc:
+        return exc.fault
     backend = application.backend()
     http_api = HttpApi(application.bridge, backend, cfg.operator_key_sha256)
     console = Console(application.bridge, backend, cfg.cluster_secret)
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -273,6 +273,9 @@
         self._background_tasks.append(asyncio.ensure_future(self._watch_faults()))
         deadline_s = asyncio.get_running_loop().time() + READY_TIMEOUT_S
         while not all([await process.is_ready() for process in self.processes]):
+            ended = [process.name for process in self.processes if not process.is_running]
+            if ended:
+                raise AssertionError(f"ended while starting: {ended}:\n{self.logs()}")
             if asyncio.get_running_loop().time() > deadline_s:
                 raise AssertionError(f"not ready in {READY_TIMEOUT_S} s:\n{self.logs()}")
             await asyncio.sleep(0.05)
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -13,7 +13,7 @@
 from unittest.mock import patch
 
 from tests.platform.standin.clients import NO_RESPONSE, KeepAliveClient, request
-from tests.platform.standin.cluster import Cluster
+from tests.platform.standin.cluster import Cluster, Process
 from tests.platform.standin.http import Proxy, Request, Response, StubServer
 from tests.platform.standin.ports import (
     FIRST_PORT,
@@ -140,6 +140,21 @@
                 open_listener(port)
 
 
+class RefusedProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a traceback, or nothing, in place of the port that a process cannot open."""
+
+    async def test_a_port_in_use_ends_the_process_with_its_name(self) -> None:
+        cluster = Cluster(processes=0, executors=0, seed=1)
+        self.addAsyncCleanup(cluster.close)
+        await cluster.start()
+        cluster.processes = [Process("m0", 0, cluster)]
+        port = int(cluster.processes[0].address.rpartition(":")[2])
+        with open_listener(port):
+            await cluster.processes[0].start()
+            self.assertTrue(await cluster.processes[0].wait_stopped(CHILD_TIMEOUT_S))
+        self.assertRegex(cluster.logs(), f"PORT_UNAVAILABLE .702.*127.0.0.1:{port}")
+
+
 class RefusedConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Guards review/14: a client without files saw "no response" until the case gave up."""
 
