Stand-in cell: name a process that ends while the cell waits for it

Seen by callers: a test or demo whose stand-in or daemon could not start failed 30 s later with "not within 30.0 s: store" or "not within 30.0 s: d1 healthy", without what had been refused.

Cause: the cell waited for an answer only, and did not look at the process.

Change: the wait raises ChildProcessError with exit code and the end of the log once the process has ended.

--- a/packages/standins/lagoonshelf_standins/cell.py
+++ b/packages/standins/lagoonshelf_standins/cell.py
@@ -25,6 +25,8 @@
 CLUSTER_SECRET = "secret-of-the-stand-in-cell"
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
+# Part of the log of a process that ends unexpectedly, for the error.
+LOG_TAIL_CHARS = 1_000
 
 
 def free_port(host: str) -> int:
@@ -87,15 +89,20 @@
     _daemon_flags: dict[str, object] = field(default_factory=dict)
 
     def start_platform(self, workers: int = 6, domains: int = 3) -> None:
-        """Start the stand-in store and workers."""
+        """Start the stand-in store and workers.
+
+        :raises ChildProcessError: if one of them ends, with the end of its log
+        """
         host = "127.0.0.1"
         port = free_port(host)
         self.store_url = f"http://{host}:{port}"
-        self._spawn("store", "lagoonshelf_standins.store", f"--port={port}")
-        wait_until(lambda: self.call(self.store_url + "/counters") is not None, "store")
+        process = self._spawn("store", "lagoonshelf_standins.store", f"--port={port}")
+        self._wait_for(
+            "store", process, lambda: self.call(self.store_url + "/counters") is not None
+        )
         port = free_port(host)
         self.workers_url = f"http://{host}:{port}"
-        self._spawn(
+        process = self._spawn(
             "workers",
             "lagoonshelf_standins.workers",
             f"--port={port}",
@@ -103,7 +110,9 @@
             f"--domains={domains}",
             f"--store={self.store_url}",
         )
-        wait_until(lambda: self.call(self.workers_url + "/history") is not None, "workers")
+        self._wait_for(
+            "workers", process, lambda: self.call(self.workers_url + "/history") is not None
+        )
 
     def start_daemon(self, name: str, number: int, **flags: object) -> Daemon:
         """Start a daemon on its own loopback address.
@@ -137,13 +146,31 @@
         self._daemon_flags.update(flags)
 
     def wait_healthy(self, *names: str) -> None:
-        """Wait until the named daemons, or all, report that they are healthy."""
+        """Wait until the named daemons, or all, report that they are healthy.
+
+        :raises ChildProcessError: if one has ended, with the end of its log
+        """
         for name in names or self.daemons:
-            url = self.daemons[name].url
-            wait_until(
-                lambda url=url: self._http_status(url + "/healthz") == 200, f"{name} healthy"
+            daemon = self.daemons[name]
+            self._wait_for(
+                name,
+                daemon.process,
+                lambda url=daemon.url: self._http_status(url + "/healthz") == 200,
             )
 
+    def _wait_for(
+        self, name: str, process: subprocess.Popen, is_healthy: Callable[[], bool]
+    ) -> None:
+        """Wait until a process that has been started is healthy, or raise once it has ended."""
+
+        def check() -> bool:
+            if process.poll() is None:
+                return is_healthy()
+            log = (self.folder / f"{name}.log").read_text()[-LOG_TAIL_CHARS:]
+            raise ChildProcessError(f"{name} ended with exit code {process.returncode}: {log}")
+
+        wait_until(check, f"{name} healthy")
+
     def wait_for_owners(self, partitions: int = 4) -> None:
         """Wait until each partition is active at its preferred owner, so that none moves later."""
 
