Log what stops the HTTP engine of lagoonshelfd

Cause: CherryPy's own log is off, so that an error of its engine, as of a port that is taken after it was checked, ended the process with exit code 70 and no message.

Result: by hand, with the check taken out and the port in use, the log has "Port 44819 not free on 127.0.0.1", where it was empty before; 19 tests of four modules pass.

--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -1,6 +1,7 @@
 """Entry point of the daemon."""
 
 import asyncio
+import logging
 import os
 import signal
 import sys
@@ -14,7 +15,7 @@
 from lagoonshelf_server.console import Console, mount_console
 from lagoonshelf_server.http_api import HttpApi
 from lagoonshelf_server.listeners import check_port
-from lagoonshelf_server.logs import configure_logging
+from lagoonshelf_server.logs import configure_logging, logger
 from lagoonshelf_server.read_deadlines import DeadlineServer, enforce_read_deadlines
 from lagoonshelf_server.settings import Settings, load_settings
 
@@ -27,6 +28,8 @@
 # Connections that wait for a thread; further ones get 503 at once.
 ACCEPTED_QUEUE_SIZE = 512
 
+_log = logger("lagoonshelfd")
+
 
 def run(**flags: object) -> None:
     """Run a daemon process until it is drained.
@@ -60,7 +63,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: application.bridge.spawn(application.drain()))
     try:
-        # CherryPy ends the process without a message if it cannot open its port.
+        # CherryPy would end the process after this one has joined the cell.
         check_port(cfg.host, cfg.http_port)
         await application.start()
     except LagoonshelfError as exc:
@@ -99,9 +102,17 @@
     cherrypy.tree.graft(http_api, "")
     mount_console(console, http_api.check_operator)
     cherrypy.server.instance = DeadlineServer(cherrypy.server)
+    cherrypy.engine.subscribe("log", _log_engine_error)
     cherrypy.engine.start()
 
 
+def _log_engine_error(message: str, level: int) -> None:
+    """Log what stops CherryPy's engine, whose own log is off."""
+    if level >= logging.ERROR:
+        # Of a traceback, the last line has the error; the log would cut it off.
+        _log.error("HTTP engine failed", reason=message.rstrip().rpartition("\n")[2])
+
+
 def main() -> None:
     """Parse flags and run."""
     Fire(run)
