--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -19,7 +19,7 @@
 MIN_FREE_FILES = 32
 # Errors whose cause lies on this side of a connection, and what to do about each.
 _REMEDIES = {
-    errno.EMFILE: "raise the limit of open files of this process, ulimit -n is {open_files}",
+    errno.EMFILE: "raise the limit of open files of this process, ulimit -n is {max_files}",
     errno.ENFILE: "the machine has no file left; end processes that hold many",
     errno.EADDRINUSE: "end the processes or wait for the connections that hold it, see ss -tan",
     errno.EADDRNOTAVAIL: "bring the loopback interface up, and free ephemeral ports, see ss -tan",
@@ -45,10 +45,10 @@
 
         :param action: what was tried, with the address
         """
-        open_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        max_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         text = f"{action}: {exc.strerror or exc}"
         if exc.errno in _REMEDIES:
-            text += f"; {_REMEDIES[exc.errno].format(open_files=open_files)}"
+            text += f"; {_REMEDIES[exc.errno].format(max_files=max_files)}"
         return cls(exc.errno, text)
 
 
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -85,6 +85,11 @@
     return patch.object(socket.socket, "bind", bind)
 
 
+def port_of(address: str) -> int:
+    """Return the port of an address."""
+    return int(address.rpartition(":")[2])
+
+
 async def handle(_request: Request) -> Response:
     """Return an empty response."""
     return Response(200)
@@ -108,7 +113,7 @@
         executor = cluster.executors[0]
         with refuse_from(1), self.assertRaises(PortError):
             await executor.start()
-        port = int(executor._server.address.rpartition(":")[2])
+        port = port_of(executor._server.address)
         await executor.close()
         open_listener(port).close()
 
@@ -129,8 +134,9 @@
             await proxy.listen()
             self.addAsyncCleanup(proxy.close)
         for address in (server.address, proxy.address):
-            port = int(address.rpartition(":")[2])
-            self.assertIn(port, range(FIRST_PORT, FIRST_PORT + RANGES * PORTS_PER_RANGE))
+            self.assertIn(
+                port_of(address), range(FIRST_PORT, FIRST_PORT + RANGES * PORTS_PER_RANGE)
+            )
         self.assertEqual(await request(proxy.address, "GET", "/"), (200, {}))
 
     def test_a_port_that_is_in_use_is_named(self) -> None:
@@ -148,7 +154,7 @@
         self.addAsyncCleanup(cluster.close)
         await cluster.start()
         cluster.processes = [Process("m0", 0, cluster)]
-        port = int(cluster.processes[0].address.rpartition(":")[2])
+        port = port_of(cluster.processes[0].address)
         with open_listener(port):
             await cluster.processes[0].start()
             self.assertTrue(await cluster.processes[0].wait_stopped(CHILD_TIMEOUT_S))
@@ -180,7 +186,7 @@
 
         async def open_and_close(*address: object) -> tuple:
             conn = await _open_connection(*address)
-            if address[1] == int(server.address.rpartition(":")[2]):
+            if address[1] == port_of(server.address):
                 await proxy.close()
             return conn
 
@@ -199,8 +205,10 @@
             f"os.getpid = lambda: {os.getpid()}; "
             "from tests.platform.standin.ports import free_ports; print(free_ports(1)[0])"
         )
-        first = (int(theirs) - FIRST_PORT) // PORTS_PER_RANGE
-        self.assertNotEqual(first, (mine - FIRST_PORT) // PORTS_PER_RANGE)
+        my_range, their_range = (
+            (port - FIRST_PORT) // PORTS_PER_RANGE for port in (mine, int(theirs))
+        )
+        self.assertNotEqual(my_range, their_range)
 
     def test_files_of_another_user_do_not_take_the_ranges(self) -> None:
         # Guards against lock files in the temporary folder that this process may not open.
