Test of the leader lease: wait for the read instead of 15 ms

Cause: the test gave the polling loop 15 ms for a read that begins 10 ms after its own first step. When the process is not run for 5 ms between the two, the test ends before the read. The product is not concerned.

Change: the test waits until the second read begins, by which time the result of the first has been used. The check is the same: without the guard in LeaderLease.poll the test fails, as before.

--- a/tests/server/jobs/test_leader_lease.py
+++ b/tests/server/jobs/test_leader_lease.py
@@ -67,7 +67,13 @@
         """Guards against a lease that counts as free because a read was overtaken."""
         lease = LeaderLease(self.store, Clock(), MemberId("m9"), "a:9")
 
+        reads = 0
+
         async def read(key: str, *, timeout_ms: int) -> None:
+            nonlocal reads
+            reads += 1
+            if reads > 1:
+                await asyncio.Event().wait()
             lease.observe_record(LeaderRecord(StoreRevision(99), MemberId("m8"), "a:8"))
 
         with (
@@ -75,7 +81,8 @@
             patch.object(self.store, "read", read),
         ):
             poll = asyncio.ensure_future(lease.poll())
-            await asyncio.sleep(0.015)
+            # The result of the first read has been used when the second one begins.
+            await eventually(lambda: reads > 1)
             poll.cancel()
         self.assertEqual(lease.revision, 99)
         self.assertFalse(lease._is_claimable())
