--- a/tests/server/jobs/test_unrecorded_starts.py
+++ b/tests/server/jobs/test_unrecorded_starts.py
@@ -7,11 +7,12 @@
 from lagoonshelf_core.jobs import supervision
 from lagoonshelf_core.jobs.progress import JobState, RunEnd
 from lagoonshelf_core.jobs.spec import JobSpec, StepSpec
+from lagoonshelf_core.resources import Resources
 from lagoonshelf_server.jobs import fleet
 from lagoonshelf_server.jobs.leader import Leader
 from lagoonshelf_server.jobs.ports import WorkerReply
 from tests.support.job_fakes import FakeWorker, eventually
-from tests.support.jobs import make_job, make_step
+from tests.support.jobs import SMALL, config, make_job, make_step
 from tests.support.terms import TermTestCase
 
 
@@ -99,6 +100,26 @@
         await eventually(lambda: self._runs() == 0)
         await eventually(lambda: leader.state(spec.id) is JobState.COMPLETE)
 
+    async def test_a_team_stays_within_its_limit_beside_runs_without_record(self) -> None:
+        """A successor started a new job beside runs of its team that it did not know (QUOTA)."""
+        limit = Resources(4 * SMALL.cpu_milli, 0, 0)
+        with patch.object(fleet, "RUN_LEASE_MS", 10_000):
+            spec, new = make_job(make_step(4)), make_job(make_step(4))
+            self._store(spec)
+            self._fail_progress_writes()
+            first = await self._term("m1")
+            first.is_store_troubled = lambda: True
+            await eventually(lambda: self._starts_of(spec) == 4)
+            for name in {name for name, _, _ in self.workers.started}:
+                self.workers.workers[name].is_silent = True
+            self._restore_progress_writes()
+            second = await self._term("m2")
+            second.config_view.current = config(limit)
+            self._store(new)
+            await eventually(lambda: new.id in second.cell.jobs)
+            await asyncio.sleep(0.5)
+        self.assertLessEqual(self._runs(), 4)
+
     async def test_a_service_is_stopped_only_with_its_job(self) -> None:
         """The lapsed gang of a service stopped the one that had replaced it."""
         step = make_step(2, is_gang=True, is_service=True)
