--- a/packages/core/lagoonshelf_core/errors.py
+++ b/packages/core/lagoonshelf_core/errors.py
@@ -125,6 +125,12 @@
 
 
 CODES_BY_NUMBER = {code.number: code for code in ResultCode}
+# Exit codes of a server process that cannot start.
+EXIT_CODES = {
+    ResultCode.BAD_SETTING: 2,
+    ResultCode.PARTITION_MISMATCH: 3,
+    ResultCode.PORT_UNAVAILABLE: 4,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +144,10 @@
     message: str
     retry_after_ms: int = 0
 
+    def __str__(self) -> str:
+        """Return name, number and message."""
+        return f"{self.code.name} ({self.code.number}): {self.message}"
+
 
 class LagoonshelfError(Exception):
     """Exception that carries a fault where a ``Result`` cannot be returned."""
@@ -147,5 +157,5 @@
 
         :param fault: the rejection or failure
         """
-        super().__init__(f"{fault.code.name} ({fault.code.number}): {fault.message}")
+        super().__init__(str(fault))
         self.fault = fault
--- a/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
+++ b/packages/server/lagoonshelf_server/cmd/lagoonshelfd.py
@@ -10,7 +10,7 @@
 from fire import Fire
 from returns.result import Failure
 
-from lagoonshelf_core.errors import Fault, LagoonshelfError, ResultCode
+from lagoonshelf_core.errors import EXIT_CODES, Fault, LagoonshelfError
 from lagoonshelf_server.application import Application
 from lagoonshelf_server.console import Console, mount_console
 from lagoonshelf_server.http_api import HttpApi
@@ -19,8 +19,6 @@
 from lagoonshelf_server.read_deadlines import DeadlineServer, enforce_read_deadlines
 from lagoonshelf_server.settings import Settings, load_settings
 
-EXIT_BAD_SETTING = 2
-EXIT_CODES = {ResultCode.PARTITION_MISMATCH: 3, ResultCode.PORT_UNAVAILABLE: 4}
 SOCKET_TIMEOUT_S = 10
 # Sized for a burst of connections; the default is 5.
 SOCKET_QUEUE_SIZE = 512
@@ -39,23 +37,19 @@
     """
     result = load_settings(flags, os.environ)
     if isinstance(result, Failure):
-        print(_describe(result.failure()), file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTING)
+        print(result.failure(), file=sys.stderr)
+        raise SystemExit(EXIT_CODES[result.failure().code])
     cfg = result.unwrap()
     configure_logging(cfg.log_level, cfg.member)
     fault = asyncio.run(_serve(cfg))
     if fault is not None:
-        print(_describe(fault), file=sys.stderr)
+        print(fault, file=sys.stderr)
     # Threads in long polls would otherwise delay the exit of the process by up to 12 s.
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(EXIT_CODES[fault.code] if fault else 0)
 
 
-def _describe(fault: Fault) -> str:
-    return f"{fault.code.name} ({fault.code.number}): {fault.message}"
-
-
 async def _serve(cfg: Settings) -> Fault | None:
     """Serve until drained; return a fault if the process cannot open a port or join the cell."""
     loop = asyncio.get_running_loop()
--- a/packages/server/lagoonshelf_server/console.py
+++ b/packages/server/lagoonshelf_server/console.py
@@ -123,7 +123,7 @@
     def _add_refusal(self, page: Page, exc: LagoonshelfError) -> Page:
         """Add a fault to the page, with advice on a conflict; all typed values are kept."""
         fault = exc.fault
-        page.notices.insert(0, f"{fault.code.name} ({fault.code.number}): {fault.message}")
+        page.notices.insert(0, str(fault))
         if fault.code is ResultCode.CONFIG_CONFLICT:
             page.notices.append("Compare the change below, then set the base revision and apply.")
         return page
--- a/tests/platform/standin/clients.py
+++ b/tests/platform/standin/clients.py
@@ -80,10 +80,12 @@
                 self._writer.write(head.encode() + data)
                 self.on_sent()
                 return await self._read_response()
-        except (OSError, TimeoutError, EOFError, asyncio.IncompleteReadError) as exc:
+        except OSError as exc:
+            self.close()
+            raise_if_local(f"cannot connect to {self._host}:{self._port}", exc)
+            return NO_RESPONSE, {}
+        except EOFError:
             self.close()
-            if isinstance(exc, OSError):
-                raise_if_local(f"cannot connect to {self._host}:{self._port}", exc)
             return NO_RESPONSE, {}
 
     async def _read_response(self) -> tuple[int, dict]:
--- a/tests/platform/standin/cluster.py
+++ b/tests/platform/standin/cluster.py
@@ -211,8 +211,6 @@
                 writer.write(b"GET /lagoonshelf/ready HTTP/1.1\r\nHost: x\r\n\r\n")
                 line = await reader.readline()
                 writer.close()
-        except TimeoutError:
-            return False
         except OSError as exc:
             raise_if_local(f"cannot connect to {self._ready_address}", exc)
             return False
--- a/tests/platform/standin/http.py
+++ b/tests/platform/standin/http.py
@@ -37,13 +37,11 @@
     fields: dict = field(default_factory=dict)
 
 
-async def _open_server(serve: Callable, port: int = 0) -> asyncio.Server:
-    """Return a server that has a port and does not accept yet, so that its owner can close it."""
-    return await asyncio.start_server(serve, sock=open_listener(port), start_serving=False)
-
-
-def _address_of(server: asyncio.Server) -> str:
-    return f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
+async def _open_server(serve: Callable, port: int = 0) -> tuple[asyncio.Server, str]:
+    """Return a server and its address; it does not accept yet, so that its owner can close it."""
+    sock = open_listener(port)
+    address = f"{LOOPBACK}:{sock.getsockname()[1]}"
+    return await asyncio.start_server(serve, sock=sock, start_serving=False), address
 
 
 class StubServer:
@@ -61,8 +59,7 @@
 
         :raises PortError: if the system refuses it
         """
-        self._server = await _open_server(self._serve, port)
-        self.address = _address_of(self._server)
+        self._server, self.address = await _open_server(self._serve, port)
         await self._server.start_serving()
 
     async def close(self) -> None:
@@ -143,8 +140,7 @@
 
         :raises PortError: if the system refuses it
         """
-        self._server = await _open_server(self._serve)
-        self.address = _address_of(self._server)
+        self._server, self.address = await _open_server(self._serve)
         await self._server.start_serving()
 
     async def close(self) -> None:
--- a/tests/platform/standin/ports.py
+++ b/tests/platform/standin/ports.py
@@ -76,6 +76,7 @@
         return socket.create_server((LOOPBACK, port), backlog=BACKLOG)
     except OSError as exc:
         refused = PortError.of(f"cannot listen on {LOOPBACK} port {port}", exc)
+        # Another port does not help a process that has no file left for it.
         if port or exc.errno == errno.EMFILE:
             raise refused from exc
     try:
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -7,6 +7,8 @@
 import subprocess
 import sys
 import unittest
+from collections.abc import Callable
+from contextlib import AbstractContextManager
 from itertools import count
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -62,27 +64,30 @@
     return child.stdout + child.stderr
 
 
-def refuse_from(number: int) -> object:
-    """Let the system refuse all binds from one on; those before it succeed."""
-    calls = count()
+def refuse(is_refused: Callable[[int], bool], code: int) -> AbstractContextManager:
+    """Let the system refuse binds.
+
+    :param is_refused: returns by port whether a bind is refused
+    :param code: ``errno`` of the refusal
+    """
 
     def bind(sock: socket.socket, address: tuple[str, int]) -> None:
-        if next(calls) >= number:
-            raise OSError(errno.EADDRNOTAVAIL, "refused by the test")
+        if is_refused(address[1]):
+            raise OSError(code, "refused by the test")
         _bind(sock, address)
 
     return patch.object(socket.socket, "bind", bind)
 
 
-def refuse_port_0() -> object:
-    """Let the system have no ephemeral port left."""
+def refuse_from(number: int) -> AbstractContextManager:
+    """Let the system refuse all binds from one on; those before it succeed."""
+    calls = count()
+    return refuse(lambda _: next(calls) >= number, errno.EADDRNOTAVAIL)
 
-    def bind(sock: socket.socket, address: tuple[str, int]) -> None:
-        if address[1] == 0:
-            raise OSError(errno.EADDRINUSE, "refused by the test")
-        _bind(sock, address)
 
-    return patch.object(socket.socket, "bind", bind)
+def refuse_port_0() -> AbstractContextManager:
+    """Let the system have no ephemeral port left."""
+    return refuse(lambda port: port == 0, errno.EADDRINUSE)
 
 
 def port_of(address: str) -> int:
--- a/tests/server/jobs/test_leader_lease.py
+++ b/tests/server/jobs/test_leader_lease.py
@@ -66,7 +66,6 @@
     async def test_a_read_without_result_does_not_undo_what_the_watch_reported(self) -> None:
         """Guards against a lease that counts as free because a read was overtaken."""
         lease = LeaderLease(self.store, Clock(), MemberId("m9"), "a:9")
-
         reads = 0
 
         async def read(key: str, *, timeout_ms: int) -> None:
